--- /dev/null
+++ b/answer/kind.go
@@ -0,0 +1,171 @@
+// Package answer holds the closed list of outcomes that a caller can be told,
+// with one table from each kind to its HTTP status, wording and retry advice.
+package answer
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+type (
+	// A Kind is one entry of the closed list of error kinds.
+	Kind uint8
+
+	// An Outcome says what is known about the execution of a request.
+	Outcome uint8
+
+	// A Row is what the table says about one kind.
+	Row struct {
+		Status  int           // HTTP status code
+		Code    string        // machine-readable code in the error body
+		Type    string        // error class in the error body
+		Outcome Outcome       // what is known about the execution
+		Retry   time.Duration // advice when to come back; 0 means do not retry
+		Text    string        // default message
+	}
+
+	// An Error is a typed failure of one request.
+	Error struct {
+		Kind  Kind
+		Text  string        // message for the caller; empty means the default
+		Retry time.Duration // advice when to come back; 0 means the default
+		cause error
+	}
+)
+
+// The closed list of kinds. KindNone is the zero value and means success.
+const (
+	KindNone Kind = iota
+	KindBadKey
+	KindBadBody
+	KindBodyTooLarge
+	KindBadParameter
+	KindUnknownModel
+	KindUnknownService
+	KindUnknownRoute
+	KindBadCursor
+	KindExpiredCursor
+	KindWrongMember
+	KindPastEnd
+	KindQueueFull
+	KindRateLimited
+	KindDeadline
+	KindNoTarget
+	KindRefused
+	KindStopping
+	KindCallerGone
+	KindTargetLost
+	KindBroken
+	KindUnknownOutcome
+	KindNotReady
+	KindFault
+	kindEnd
+)
+
+// The outcomes, from nothing ran to nothing known.
+const (
+	NotRun Outcome = iota // the request did not run
+	Partial
+	Unknown
+)
+
+var rows = [kindEnd]Row{
+	KindNone:           {200, "ok", "", NotRun, 0, "ok"},
+	KindBadKey:         {http.StatusUnauthorized, "invalid_api_key", "authentication_error", NotRun, 0, "the bearer key is missing or not known"},
+	KindBadBody:        {http.StatusBadRequest, "invalid_json", "invalid_request_error", NotRun, 0, "the body is not valid JSON of the expected shape"},
+	KindBodyTooLarge:   {http.StatusRequestEntityTooLarge, "body_too_large", "invalid_request_error", NotRun, 0, "the body is larger than this host accepts"},
+	KindBadParameter:   {http.StatusBadRequest, "invalid_parameter", "invalid_request_error", NotRun, 0, "a parameter is missing or out of range"},
+	KindUnknownModel:   {http.StatusNotFound, "model_not_found", "invalid_request_error", NotRun, 0, "the table has no such model"},
+	KindUnknownService: {http.StatusNotFound, "service_not_found", "invalid_request_error", NotRun, 0, "the table has no such service"},
+	KindUnknownRoute:   {http.StatusNotFound, "route_not_found", "invalid_request_error", NotRun, 0, "no such path"},
+	KindBadCursor:      {http.StatusBadRequest, "invalid_cursor", "invalid_request_error", NotRun, 0, "the resume cursor was not issued by this system"},
+	KindExpiredCursor:  {http.StatusGone, "cursor_expired", "invalid_request_error", Partial, 0, "the resume cursor has expired"},
+	KindWrongMember:    {http.StatusForbidden, "wrong_member", "permission_error", NotRun, 0, "the cursor belongs to another member"},
+	KindPastEnd:        {http.StatusRequestedRangeNotSatisfiable, "past_end", "invalid_request_error", Partial, 0, "the cursor points past the end of the generation"},
+	KindQueueFull:      {http.StatusTooManyRequests, "queue_full", "rate_limit_error", NotRun, 2 * time.Second, "the member's queue is full; the request did not run"},
+	KindRateLimited:    {http.StatusTooManyRequests, "rate_limited", "rate_limit_error", NotRun, time.Second, "the member's rate limit is reached; the request did not run"},
+	KindDeadline:       {http.StatusServiceUnavailable, "deadline", "overloaded_error", NotRun, 5 * time.Second, "the deadline cannot be met; the request did not run"},
+	KindNoTarget:       {http.StatusServiceUnavailable, "no_target", "overloaded_error", NotRun, 2 * time.Second, "no target can take the request now; it did not run"},
+	KindRefused:        {http.StatusServiceUnavailable, "refused", "overloaded_error", NotRun, 2 * time.Second, "the target refused the request; it did not run"},
+	KindStopping:       {http.StatusServiceUnavailable, "stopping", "overloaded_error", NotRun, time.Second, "this host is stopping; the request did not run"},
+	KindCallerGone:     {499, "caller_gone", "invalid_request_error", Unknown, 0, "the caller went away"},
+	KindTargetLost:     {http.StatusBadGateway, "target_lost", "server_error", Partial, time.Second, "the target lost the generation; the answer is incomplete"},
+	KindBroken:         {http.StatusBadGateway, "stream_broken", "server_error", Unknown, time.Second, "the target cannot be reached; the answer is incomplete"},
+	KindUnknownOutcome: {http.StatusBadGateway, "outcome_unknown", "server_error", Unknown, 0, "it is not known whether the request ran"},
+	KindNotReady:       {http.StatusServiceUnavailable, "not_ready", "overloaded_error", NotRun, time.Second, "this host has no table yet; the request did not run"},
+	KindFault:          {http.StatusInternalServerError, "fault", "server_error", Unknown, 0, "an unexpected fault"},
+}
+
+var outcomes = [...]string{NotRun: "not_run", Partial: "partial", Unknown: "unknown"}
+
+// String returns the outcome's name on the wire.
+func (o Outcome) String() string { return outcomes[o] }
+
+// Kinds returns the closed list, without KindNone.
+func Kinds() []Kind {
+	ks := make([]Kind, 0, kindEnd-1)
+	for k := KindNone + 1; k < kindEnd; k++ {
+		ks = append(ks, k)
+	}
+	return ks
+}
+
+// Row returns the table's row for k.
+func (k Kind) Row() Row {
+	if k >= kindEnd {
+		return rows[KindFault]
+	}
+	return rows[k]
+}
+
+// String returns the kind's machine-readable code.
+func (k Kind) String() string { return k.Row().Code }
+
+// New returns an error of kind k with a message for the caller.
+func New(k Kind, text string) *Error { return &Error{Kind: k, Text: text} }
+
+// Wrap returns an error of kind k that keeps its cause for the log.
+func Wrap(k Kind, cause error, text string) *Error {
+	return &Error{Kind: k, Text: text, cause: eris.Wrap(cause, text)}
+}
+
+// Error returns the code and the message.
+func (e *Error) Error() string {
+	if e.cause != nil {
+		return e.Kind.String() + ": " + e.cause.Error()
+	}
+	return e.Kind.String() + ": " + e.Message()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// Message returns the text that the caller sees. Causes stay in the log.
+func (e *Error) Message() string {
+	if e.Text != "" {
+		return e.Text
+	}
+	return e.Kind.Row().Text
+}
+
+// RetryAfter returns the advice when to come back, 0 for none.
+func (e *Error) RetryAfter() time.Duration {
+	if e.Retry > 0 {
+		return e.Retry
+	}
+	return e.Kind.Row().Retry
+}
+
+// From returns err as an *Error; anything else becomes a KindFault.
+func From(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var e *Error
+	if eris.As(err, &e) {
+		return e
+	}
+	return Wrap(KindFault, err, "")
+}
--- /dev/null
+++ b/cmd/wigeonlink/main.go
@@ -0,0 +1,24 @@
+// Command wigeonlink serves generations of unknown length on crowded engines.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/wigeonlink/wigeonlink/console"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err := console.NewRoot().ExecuteContext(ctx)
+	if err == nil || errors.Is(err, context.Canceled) {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "wigeonlink:", err)
+	os.Exit(1)
+}
--- /dev/null
+++ b/console/timeline.go
@@ -0,0 +1,43 @@
+package console
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/wigeonlink/wigeonlink/settings"
+	"github.com/wigeonlink/wigeonlink/timeline"
+)
+
+func newTimeline() *cobra.Command {
+	var f timeline.Filter
+	format := settings.Choice{Value: "text", Allowed: []string{"text", "json", "html"}}
+	cmd := &cobra.Command{
+		Use:   "timeline ADDR...",
+		Short: "Merge the events of hosts into one time line",
+		Long:  "Reads the events of hosts from their operators' addresses (ip:port or URL) and prints them in one order.",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			records, problems := timeline.Collect(cmd.Context(), args)
+			for _, p := range problems {
+				cmd.PrintErrln(p)
+			}
+			records = f.Apply(records)
+			out := cmd.OutOrStdout()
+			switch format.Value {
+			case "json":
+				return json.NewEncoder(out).Encode(records)
+			case "html":
+				return timeline.WriteHTML(out, records, time.Now())
+			}
+			return timeline.WriteText(out, records)
+		},
+	}
+	flags := cmd.Flags()
+	flags.Var(&format, "format", "text, json, or a self-contained html page")
+	flags.StringVar(&f.Request, "request", "", "show only the events of requests whose identifier contains this")
+	flags.StringVar(&f.Ticket, "ticket", "", "show only the events of a ticket")
+	flags.Uint64Var(&f.Table, "table-version", 0, "show only the events of a table version")
+	return cmd
+}
--- /dev/null
+++ b/desk/desk.go
@@ -0,0 +1,206 @@
+// Package desk is the callers' HTTP side: the OpenAI-compatible paths for
+// generations, and paths to plain services.
+package desk
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/dispatch"
+	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/host"
+	"github.com/wigeonlink/wigeonlink/table"
+	"github.com/wigeonlink/wigeonlink/target"
+	"github.com/wigeonlink/wigeonlink/ticket"
+)
+
+type (
+	// A Desk serves callers of one host.
+	Desk struct {
+		host     *host.Host
+		keys     *ticket.Keyring
+		mostBody int64
+		slowest  time.Duration
+		services serviceSet
+	}
+
+	// An Option changes a Desk.
+	Option interface{ apply(*Desk) }
+
+	withMostBody int64
+	withSlowest  time.Duration
+
+	// handler is an HTTP handler that returns its error for the one table.
+	handler func(w http.ResponseWriter, r *http.Request, m table.Member) error
+
+	modelList struct {
+		Object string      `json:"object"`
+		Data   []modelItem `json:"data"`
+	}
+
+	modelItem struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		Owner   string `json:"owned_by"`
+	}
+
+	shareView struct {
+		Own     dispatch.ShareRow `json:"own"`
+		Largest dispatch.ShareRow `json:"largest"`
+	}
+)
+
+const (
+	defaultMostBody = 1 << 20 // bytes
+	defaultSlowest  = 30 * time.Second
+)
+
+// WithMostBody sets the largest request body in bytes.
+func WithMostBody(n int64) Option { return withMostBody(n) }
+
+// WithSlowest sets how long a caller may take to accept what was written.
+func WithSlowest(d time.Duration) Option { return withSlowest(d) }
+
+func (o withMostBody) apply(d *Desk) { d.mostBody = int64(o) }
+func (o withSlowest) apply(d *Desk)  { d.slowest = time.Duration(o) }
+
+// NewDesk returns the desk of a host.
+func NewDesk(h *host.Host, keys *ticket.Keyring, opts ...Option) *Desk {
+	d := &Desk{host: h, keys: keys, mostBody: defaultMostBody, slowest: defaultSlowest}
+	for _, o := range opts {
+		o.apply(d)
+	}
+	return d
+}
+
+// Handler returns the desk's paths.
+func (d *Desk) Handler() http.Handler {
+	m := mux.NewRouter()
+	m.UseEncodedPath()
+	m.Handle("/v1/models", d.member(d.serveModels)).Methods(http.MethodGet)
+	m.Handle("/v1/models/{model}", d.member(d.serveModel)).Methods(http.MethodGet)
+	m.Handle("/v1/completions", d.member(d.serveCompletion)).Methods(http.MethodPost, http.MethodGet)
+	m.Handle("/v1/chat/completions", d.member(d.serveChat)).Methods(http.MethodPost, http.MethodGet)
+	m.Handle("/v1/shares", d.member(d.serveShares)).Methods(http.MethodGet)
+	m.PathPrefix("/v1/services/{service}").Handler(d.member(d.serveService))
+	m.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	m.HandleFunc("/readyz", d.serveReady)
+	m.NotFoundHandler = d.member(func(http.ResponseWriter, *http.Request, table.Member) error {
+		return answer.New(answer.KindUnknownRoute, "")
+	})
+	m.MethodNotAllowedHandler = m.NotFoundHandler
+	return m
+}
+
+// member finds the caller's member, and writes the error that a handler returns.
+func (d *Desk) member(f handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		m, err := d.authenticate(r)
+		if err == nil {
+			err = f(w, r, m)
+		}
+		if err == nil {
+			return
+		}
+		e := answer.From(err)
+		d.host.Log().Emit(event.CallerRefused, event.Fields{Member: m.Name, Detail: e.Error()})
+		answer.Write(w, e)
+	})
+}
+
+func (d *Desk) authenticate(r *http.Request) (table.Member, error) {
+	t := d.host.Table()
+	if t == nil {
+		return table.Member{}, answer.New(answer.KindNotReady, "")
+	}
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return table.Member{}, answer.New(answer.KindBadKey, "")
+	}
+	m, ok := t.MemberByKey(key)
+	if !ok {
+		return table.Member{}, answer.New(answer.KindBadKey, "")
+	}
+	return m, nil
+}
+
+// readBody reads a bounded body.
+func (d *Desk) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, d.mostBody))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, answer.New(answer.KindBodyTooLarge, "")
+	case err != nil:
+		return nil, answer.Wrap(answer.KindBadBody, err, "the body cannot be read")
+	}
+	return data, nil
+}
+
+func (d *Desk) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !d.host.Ready() {
+		answer.Write(w, answer.New(answer.KindNotReady, ""))
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (d *Desk) serveModels(w http.ResponseWriter, _ *http.Request, _ table.Member) error {
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for name := range d.host.Table().Models {
+		list.Data = append(list.Data, item(name))
+	}
+	sort.Slice(list.Data, func(i, j int) bool { return list.Data[i].ID < list.Data[j].ID })
+	return writeJSON(w, list)
+}
+
+func (d *Desk) serveModel(w http.ResponseWriter, r *http.Request, _ table.Member) error {
+	name := mux.Vars(r)["model"]
+	if _, ok := d.host.Table().Models[name]; !ok {
+		return answer.New(answer.KindUnknownModel, "")
+	}
+	return writeJSON(w, item(name))
+}
+
+func item(name string) modelItem { return modelItem{ID: name, Object: "model", Owner: "wigeonlink"} }
+
+// serveShares shows a member what it was promised and got, and the same of the
+// member that has used the most.
+func (d *Desk) serveShares(w http.ResponseWriter, _ *http.Request, m table.Member) error {
+	var rows []dispatch.ShareRow
+	if !d.host.Ask(func(r *dispatch.Reducer) { rows = r.Shares() }) {
+		return answer.New(answer.KindStopping, "")
+	}
+	var v shareView
+	for _, row := range rows {
+		if row.Member == m.Name {
+			v.Own = row
+		}
+		if row.Service >= v.Largest.Service {
+			v.Largest = row
+		}
+	}
+	return writeJSON(w, v)
+}
+
+func writeJSON(w http.ResponseWriter, v any) error {
+	w.Header().Set("Content-Type", "application/json")
+	// A caller that is gone cannot be told.
+	_ = json.NewEncoder(w).Encode(v)
+	return nil
+}
+
+// prefixOf describes a prompt to the reducer.
+func prefixOf(s *dispatch.Submit, prompt string) {
+	s.Prompt = max(target.CountTokens(prompt), 1)
+	s.Prefix, s.Shared = target.PrefixOf(prompt)
+}
--- /dev/null
+++ b/desk/generation.go
@@ -0,0 +1,299 @@
+package desk
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/dispatch"
+	"github.com/wigeonlink/wigeonlink/host"
+	"github.com/wigeonlink/wigeonlink/relay"
+	"github.com/wigeonlink/wigeonlink/table"
+	"github.com/wigeonlink/wigeonlink/target"
+	"github.com/wigeonlink/wigeonlink/ticket"
+	"github.com/wigeonlink/wigeonlink/wire"
+)
+
+type (
+	// generationBody is what is read of a request for a generation.
+	generationBody struct {
+		Model     string          `json:"model"`
+		Prompt    json.RawMessage `json:"prompt"`
+		Messages  []chatMessage   `json:"messages"`
+		Limit     int             `json:"max_tokens"`
+		ChatLimit int             `json:"max_completion_tokens"`
+		Stream    bool            `json:"stream"`
+		N         *int            `json:"n"`
+		Options   struct {
+			Usage bool `json:"include_usage"`
+		} `json:"stream_options"`
+	}
+
+	chatMessage struct {
+		Role    string          `json:"role"`
+		Content json.RawMessage `json:"content"`
+	}
+
+	chatPart struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+
+	// generation is one caller's generation, over all its attempts.
+	generation struct {
+		desk    *Desk
+		member  table.Member
+		shape   shape
+		model   string
+		prompt  string
+		limit   int
+		stream  bool
+		usage   bool
+		booking *host.Booking
+	}
+)
+
+// Header names of the callers' side.
+const (
+	HeaderLastEvent = "Last-Event-ID"
+	HeaderRoute     = "Wigeonlink-Route"
+	HeaderDeadline  = "Wigeonlink-Deadline"
+)
+
+const (
+	mostRoute  = 64      // bytes
+	mostTokens = 1 << 20 // largest limit that a caller may ask for
+)
+
+func (d *Desk) serveCompletion(w http.ResponseWriter, r *http.Request, m table.Member) error {
+	return d.serveGeneration(w, r, m, shapeCompletion)
+}
+
+func (d *Desk) serveChat(w http.ResponseWriter, r *http.Request, m table.Member) error {
+	return d.serveGeneration(w, r, m, shapeChat)
+}
+
+func (d *Desk) serveGeneration(w http.ResponseWriter, r *http.Request, m table.Member, s shape) error {
+	if last := r.Header.Get(HeaderLastEvent); last != "" {
+		return d.resume(w, r, m, last)
+	}
+	if r.Method != http.MethodPost {
+		return answer.New(answer.KindBadParameter, "a GET needs the header "+HeaderLastEvent)
+	}
+	g, err := d.readGeneration(w, r, m, s)
+	if err != nil {
+		return err
+	}
+	submit := dispatch.Submit{
+		Member: m.Name,
+		Pool:   g.model,
+		Route:  s.String() + " " + r.Header.Get(HeaderRoute),
+		Limit:  g.limit,
+	}
+	prefixOf(&submit, g.prompt)
+	if submit.Deadline, err = readDeadline(r); err != nil {
+		return err
+	}
+	g.booking = d.host.Submit(submit)
+	defer g.booking.Release()
+	return g.run(w, r)
+}
+
+func readDeadline(r *http.Request) (time.Time, error) {
+	text := r.Header.Get(HeaderDeadline)
+	if text == "" {
+		return time.Time{}, nil
+	}
+	within, err := time.ParseDuration(text)
+	if err != nil || within <= 0 {
+		return time.Time{}, answer.New(answer.KindBadParameter, HeaderDeadline+" is not a duration such as 5s")
+	}
+	return time.Now().Add(within), nil
+}
+
+func (d *Desk) readGeneration(w http.ResponseWriter, r *http.Request, m table.Member, s shape) (*generation, error) {
+	data, err := d.readBody(w, r)
+	if err != nil {
+		return nil, err
+	}
+	var body generationBody
+	if err := json.Unmarshal(data, &body); err != nil {
+		return nil, answer.Wrap(answer.KindBadBody, err, "the body is not valid JSON of the expected shape")
+	}
+	limit := max(body.Limit, body.ChatLimit)
+	switch {
+	case body.N != nil && *body.N != 1:
+		return nil, answer.New(answer.KindBadParameter, "n: only 1 is supported")
+	case body.Limit < 0 || body.ChatLimit < 0 || limit > mostTokens:
+		return nil, answer.New(answer.KindBadParameter, "max_tokens is out of range")
+	case len(r.Header.Get(HeaderRoute)) > mostRoute:
+		return nil, answer.New(answer.KindBadParameter, HeaderRoute+" is too long")
+	}
+	if _, ok := d.host.Table().Models[body.Model]; !ok {
+		return nil, answer.New(answer.KindUnknownModel, "")
+	}
+	g := &generation{
+		desk:   d,
+		member: m,
+		shape:  s,
+		model:  body.Model,
+		limit:  limit,
+		stream: body.Stream,
+		usage:  body.Options.Usage,
+	}
+	g.prompt, err = promptOf(&body, s)
+	return g, err
+}
+
+// promptOf flattens the request to one prompt.
+func promptOf(b *generationBody, s shape) (string, error) {
+	if s == shapeCompletion {
+		var text string
+		if json.Unmarshal(b.Prompt, &text) != nil {
+			return "", answer.New(answer.KindBadParameter, "prompt: one string is wanted")
+		}
+		return text, nil
+	}
+	if len(b.Messages) == 0 {
+		return "", answer.New(answer.KindBadParameter, "messages: at least one is wanted")
+	}
+	var out strings.Builder
+	for _, m := range b.Messages {
+		text, ok := contentOf(m.Content)
+		if !ok {
+			return "", answer.New(answer.KindBadParameter, "messages: content is neither text nor parts of text")
+		}
+		out.WriteString(m.Role)
+		out.WriteString(": ")
+		out.WriteString(text)
+		out.WriteString("\n")
+	}
+	return out.String(), nil
+}
+
+func contentOf(raw json.RawMessage) (string, bool) {
+	var text string
+	if json.Unmarshal(raw, &text) == nil {
+		return text, true
+	}
+	var parts []chatPart
+	if json.Unmarshal(raw, &parts) != nil {
+		return "", false
+	}
+	for _, p := range parts {
+		if p.Type != "text" {
+			return "", false
+		}
+		text += p.Text
+	}
+	return text, true
+}
+
+// run tries targets until the caller has its answer or an error is final.
+func (g *generation) run(w http.ResponseWriter, r *http.Request) error {
+	ctx := r.Context()
+	for attempt := 1; ; attempt++ {
+		verdict, err := g.booking.Wait(ctx)
+		if err != nil {
+			return err
+		}
+		engine, ok := g.desk.host.Engine(verdict.Target)
+		if !ok {
+			g.booking.Ended(relay.Result{Ending: relay.EndFailed, Certainty: target.CertainNotRun})
+			continue
+		}
+		order := target.Order{
+			Generation: g.booking.Generation(attempt),
+			Model:      g.model,
+			Prompt:     g.prompt,
+			Limit:      g.limit,
+			Priority:   verdict.Priority,
+		}
+		sink := g.sink(w, order.Generation, verdict.Target)
+		more, err := g.attempt(ctx, engine, order, sink)
+		if !more {
+			return err
+		}
+	}
+}
+
+// attempt relays one generation. It reports true if another attempt may follow.
+func (g *generation) attempt(ctx context.Context, e target.Engine, o target.Order, s callerSink, opts ...relay.Option) (bool, error) {
+	// A generation outlives its caller's connection, so that it can be resumed.
+	own, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	g.booking.OnCancel(cancel)
+	gone := context.AfterFunc(ctx, s.fail)
+	defer gone()
+	opts = append(opts, relay.WithGone(func() { g.booking.Gone(g.stream) }), relay.WithResumed(g.booking.Resumed))
+	res := relay.NewRelay(e, o, &g.booking.Track, s, opts...).Run(own)
+	if !g.stream {
+		res.Delivered = 0
+	}
+	if res.Ending == relay.EndStopped {
+		g.booking.CancelAt(e, o.Generation)
+	}
+	if g.booking.Ended(res) {
+		return g.afterFailure(ctx, s)
+	}
+	return false, s.end(res)
+}
+
+// afterFailure waits for the decision on a failed attempt. A refusal is written
+// where the answer stands: as the whole answer, or as the stream's last event.
+func (g *generation) afterFailure(ctx context.Context, s callerSink) (bool, error) {
+	if !s.begun() {
+		return true, nil
+	}
+	_, err := g.booking.Wait(ctx)
+	if err == nil {
+		// The reducer never retries what a caller has a part of.
+		err = answer.New(answer.KindFault, "")
+	}
+	return false, s.abort(answer.From(err))
+}
+
+// resume goes on with a stream that was begun here or on another host.
+func (d *Desk) resume(w http.ResponseWriter, r *http.Request, m table.Member, last string) error {
+	at, err := d.keys.OpenCursor(last, m.Name, time.Now())
+	if err != nil {
+		return err
+	}
+	c := at.Cursor
+	engine, ok := d.host.Engine(c.Target)
+	if !ok {
+		return answer.New(answer.KindTargetLost, "the generation's target is no longer in the table")
+	}
+	g := &generation{desk: d, member: m, shape: shape(c.Shape), model: c.Model, stream: true}
+	g.booking = d.host.Attach(dispatch.Attach{
+		Member: m.Name,
+		Pool:   c.Model,
+		Target: c.Target,
+		Prompt: int(c.Prompt),
+		Tokens: at.Next,
+	})
+	defer g.booking.Release()
+	s := g.resumedSink(w, last, c)
+	order := target.Order{Generation: c.Generation, Model: c.Model}
+	_, err = g.attempt(r.Context(), engine, order, s, relay.WithResume(c.Boot, at.Next))
+	return err
+}
+
+// cursorOf seals what a caller needs to resume the stream.
+func (g *generation) cursorOf(boot, generationID, targetName string, created time.Time) (string, error) {
+	return g.desk.keys.SealCursor(&wire.Cursor{
+		Member:     table.Hash(g.member.Name),
+		Target:     targetName,
+		Boot:       boot,
+		Generation: generationID,
+		Table:      g.desk.host.Table().Version,
+		Expiry:     created.Add(ticket.CursorLife).Unix(),
+		Model:      g.model,
+		Shape:      uint32(g.shape),
+		Created:    created.Unix(),
+		Prompt:     uint32(target.CountTokens(g.prompt)),
+	})
+}
--- /dev/null
+++ b/dispatch/choose.go
@@ -0,0 +1,189 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/wigeonlink/wigeonlink/forecast"
+)
+
+type (
+	// A Chooser ranks the targets that could take a request.
+	Chooser interface {
+		// Score returns the cost of sending the request to the candidate. The
+		// lowest wins.
+		Score(c *Candidate) float64
+	}
+
+	// A Candidate is a target as a Chooser sees it.
+	Candidate struct {
+		Own      int           // requests of this host on the target
+		Streams  float64       // streams known or inferred, of all hosts
+		Reported float64       // used share of memory by the last load report
+		Sequence uint64        // dispatch at which the target was last chosen
+		Interval time.Duration // expected time between tokens with the request
+		Idle     time.Duration // time between tokens of an empty engine
+		Prefill  time.Duration // until the request's prompt is computed
+		Extra    time.Duration // of that, the request's own part
+		Expected float64       // output expected of the request, in tokens
+		Tail     float64       // member's weight of the tail, from 0 to 1
+		Plain    bool
+	}
+
+	forecastChooser struct{}
+	roundRobin      struct{}
+	leastRequests   struct{}
+	leastReported   struct{}
+)
+
+// NewForecastChooser returns the chooser that costs a target in seconds: until
+// the first token, for the slower tokens of this request, and for the streams
+// that wait while its prompt is computed.
+func NewForecastChooser() Chooser { return forecastChooser{} }
+
+// NewRoundRobin returns the chooser that takes targets in turn.
+func NewRoundRobin() Chooser { return roundRobin{} }
+
+// NewLeastRequests returns the chooser of the target with the fewest requests of
+// this host.
+func NewLeastRequests() Chooser { return leastRequests{} }
+
+// NewLeastReported returns the chooser of the target with the least memory in use
+// by its last load report.
+func NewLeastReported() Chooser { return leastReported{} }
+
+func (roundRobin) Score(c *Candidate) float64    { return float64(c.Sequence) }
+func (leastRequests) Score(c *Candidate) float64 { return float64(c.Own) }
+func (leastReported) Score(c *Candidate) float64 { return c.Reported }
+
+func (forecastChooser) Score(c *Candidate) float64 {
+	if c.Plain {
+		return c.Streams
+	}
+	first := c.Prefill + c.Interval
+	slower := c.Expected * (c.Interval - c.Idle).Seconds()
+	others := c.Streams * c.Extra.Seconds()
+	return first.Seconds() + c.Tail*(slower+others)
+}
+
+const (
+	tieWidth    = 0.02 // scores this close, relatively, are a tie
+	sampleAbove = 64   // targets above which a sample is scored
+	sampleSize  = 16   // targets in a sample
+	tailLimit   = 2.2  // time between tokens over an empty engine's, at full weight of the tail
+	stallExtra  = 0.75 // standard deviations more, at full weight of stalls
+)
+
+// choose returns the best target with room for q, or nil.
+func (r *Reducer) choose(q *request, over bool) *targetState {
+	ts := q.pool.targets
+	n := len(ts)
+	if n == 0 {
+		return nil
+	}
+	demand := q.forecastOf()
+	expected := 0.0
+	if !q.plain {
+		expected = r.expectedOutput(q)
+	}
+	count, step := n, 1
+	if n > sampleAbove {
+		count, step = sampleSize, stride(q.id, n)
+	}
+	var best *targetState
+	lowest := math.Inf(1)
+	start := int(mix(uint64(q.id)+uint64(r.place)<<32) % uint64(n))
+	for i := range count {
+		t := ts[(start+i*step)%n]
+		if !t.open(r.now) || slices.Contains(q.tried, t) {
+			continue
+		}
+		score, ok := r.score(q, t, &demand, expected, over)
+		if ok && (best == nil || score < lowest-tieWidth*math.Abs(lowest)) {
+			best, lowest = t, score
+		}
+	}
+	return best
+}
+
+// score costs a target, and reports whether it has room.
+func (r *Reducer) score(q *request, t *targetState, demand *forecast.Demand, expected float64, over bool) (float64, bool) {
+	all := t.demand(r.now)
+	tail, stall := r.objective(q.member)
+	c := Candidate{
+		Own:      t.running,
+		Streams:  all.Streams,
+		Sequence: t.sequence,
+		Expected: expected,
+		Tail:     tail,
+		Plain:    q.plain,
+	}
+	if t.load.Total > 0 {
+		c.Reported = float64(t.load.Used) / float64(t.load.Total)
+	}
+	if q.plain {
+		return r.options.chooser.Score(&c), true
+	}
+	c.Idle = t.pace.At(1)
+	c.Interval = t.pace.At(all.Streams + 1)
+	if r.options.hold && !r.roomy(t, &all, demand, &c, stall, over) {
+		return 0, false
+	}
+	fresh := q.prompt
+	if t.holds(q.prefix) {
+		fresh -= q.shared
+	}
+	c.Extra = time.Duration(fresh) * r.options.prefill
+	c.Prefill = c.Extra + time.Duration(t.unfilled)*r.options.prefill
+	return r.options.chooser.Score(&c), true
+}
+
+// roomy reports whether a target's forecast leaves room for one more demand.
+func (r *Reducer) roomy(t *targetState, all, demand *forecast.Demand, c *Candidate, stall float64, over bool) bool {
+	memory := float64(t.spec.Memory)
+	if over {
+		memory *= 1 - r.options.reserve
+	}
+	deviations := r.options.deviations + stallExtra*stall
+	if all.Peak(demand, deviations) > memory && all.Streams > 0 {
+		return false
+	}
+	limit := tailLimit / math.Max(c.Tail, 0.1)
+	return c.Interval.Seconds() <= limit*c.Idle.Seconds() || all.Streams < 1
+}
+
+// objective returns a member's weights of the tail of time between tokens and of
+// stall time, adding up to 1.
+func (r *Reducer) objective(m *member) (tail, stall float64) {
+	sum := m.spec.Tail + m.spec.Stall
+	if !r.options.objective || sum == 0 {
+		return 0.5, 0.5
+	}
+	return m.spec.Tail / sum, m.spec.Stall / sum
+}
+
+// mix spreads the bits of a number.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// stride returns a step that visits a sample of n targets without repeats.
+func stride(id ID, n int) int {
+	step := int(mix(uint64(id))%uint64(n-1)) + 1
+	for gcd(step, n) != 1 {
+		step++
+	}
+	return step
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
--- /dev/null
+++ b/dispatch/invariant.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import (
+	"fmt"
+
+	"github.com/rotisserie/eris"
+)
+
+// Check verifies the books. It returns nil if every request stands in exactly one
+// place and the sums agree: nothing is lost, caps hold, and nothing is counted
+// twice.
+func (r *Reducer) Check() error {
+	running := map[*targetState]int{}
+	inflight := map[*member]int{}
+	held := map[*member]int{}
+	for id, q := range r.requests {
+		if q.id != id {
+			return eris.Errorf("request %d stands under %d", q.id, id)
+		}
+		switch q.phase {
+		case phaseSent:
+			running[q.target]++
+			inflight[q.member]++
+		case phaseHeld:
+			held[q.member]++
+		default:
+			return eris.Errorf("request %d has ended and is still in the books", id)
+		}
+	}
+	if err := r.checkMembers(inflight, held); err != nil {
+		return err
+	}
+	if err := r.checkTargets(running); err != nil {
+		return err
+	}
+	return r.checkPools()
+}
+
+func (r *Reducer) checkMembers(inflight, held map[*member]int) error {
+	for name, m := range r.members {
+		if m.inflight != inflight[m] || m.heldTotal != held[m] {
+			return eris.Errorf("member %s: %d in flight, %d held; the books have %d, %d",
+				name, m.inflight, m.heldTotal, inflight[m], held[m])
+		}
+	}
+	return nil
+}
+
+func (r *Reducer) checkTargets(running map[*targetState]int) error {
+	for name, t := range r.targets {
+		if t.running != running[t] {
+			return eris.Errorf("target %s: %d running, the books have %d", name, t.running, running[t])
+		}
+		if t.unfilled < 0 {
+			return eris.Errorf("target %s: %d prompt tokens to compute", name, t.unfilled)
+		}
+	}
+	return nil
+}
+
+func (r *Reducer) checkPools() error {
+	for _, p := range r.poolList {
+		held, inflight := 0, 0
+		for _, mq := range p.queues {
+			held += len(mq.held)
+			inflight += mq.inflight
+			for _, q := range mq.held {
+				if r.requests[q.id] != q {
+					return fmt.Errorf("pool %s: held request %d is not in the books", p.name, q.id)
+				}
+			}
+		}
+		if held != p.held || inflight != p.inflight {
+			return eris.Errorf("pool %s: %d held, %d in flight; its queues have %d, %d",
+				p.name, p.held, p.inflight, held, inflight)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/dispatch/member.go
@@ -0,0 +1,189 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/share"
+	"github.com/wigeonlink/wigeonlink/table"
+)
+
+type (
+	// member is what this host knows of one member.
+	member struct {
+		spec      table.Member
+		heldTotal int
+		inflight  int
+		refused   int
+		served    int
+		tokens    int
+		rates     map[string]*rate // by pool; the empty pool is all
+		leftAt    time.Duration    // when a held request last got room
+		leftEvery time.Duration    // decayed time between two such
+	}
+
+	// rate is a generic cell rate: the time at which the next request conforms.
+	rate struct{ next time.Duration }
+
+	// memberQueue is a member's held requests of one pool, by rank.
+	memberQueue struct {
+		member   *member
+		held     []*request
+		inflight int
+		level    float64 // use by weight, when last computed
+	}
+)
+
+const (
+	rateBurst   = time.Second // of requests that may come at once
+	leastDrain  = time.Second
+	mostDrain   = 30 * time.Second
+	drainWeight = 0.2
+)
+
+// portion returns this host's part of a cap on a count: an even split over the
+// live hosts of the domain, the remainder by place. Only the sum over hosts
+// counts, so a cap holds without agreement as long as hosts know each other.
+func (r *Reducer) portion(limit int) int {
+	n := limit / r.count
+	if r.place < limit%r.count {
+		n++
+	}
+	return n
+}
+
+// takeRate takes one request out of the member's rates. It reports false, and
+// takes nothing, if a rate is used up.
+func (r *Reducer) takeRate(m *member, p *pool) bool {
+	all, each := m.spec.Rate, r.limitOf(m, p).Rate
+	if r.wait(m, "", all) > 0 || r.wait(m, p.name, each) > 0 {
+		return false
+	}
+	r.advance(m, "", all)
+	r.advance(m, p.name, each)
+	return true
+}
+
+// wait returns how long until the next request conforms to a rate.
+func (r *Reducer) wait(m *member, pool string, perSecond float64) time.Duration {
+	c := m.rates[pool]
+	if perSecond <= 0 || c == nil {
+		return 0
+	}
+	return max(c.next-rateBurst-r.now, 0)
+}
+
+func (r *Reducer) advance(m *member, pool string, perSecond float64) {
+	if perSecond <= 0 {
+		return
+	}
+	c := m.rates[pool]
+	if c == nil {
+		c = &rate{}
+		m.rates[pool] = c
+	}
+	step := time.Duration(float64(r.count) / perSecond * float64(time.Second))
+	c.next = max(c.next, r.now) + step
+}
+
+// rateWait returns when a refused request may come back.
+func (r *Reducer) rateWait(m *member, p *pool) time.Duration {
+	if p == nil {
+		return 0
+	}
+	return max(r.wait(m, "", m.spec.Rate), r.wait(m, p.name, r.limitOf(m, p).Rate), time.Millisecond)
+}
+
+func (r *Reducer) limitOf(m *member, p *pool) table.Limit {
+	return r.table.Limits[table.LimitKey{Member: m.spec.Name, Model: p.name}]
+}
+
+// capped reports whether a member has all the requests in flight that it may.
+func (r *Reducer) capped(m *member, p *pool) bool {
+	if c := m.spec.Inflight; c > 0 && m.inflight >= r.portion(c) {
+		return true
+	}
+	c := r.limitOf(m, p).Inflight
+	return c > 0 && p.queueOf(m).inflight >= r.portion(c)
+}
+
+// weight returns a member's weight in a pool.
+func (r *Reducer) weight(m *member, p *pool) float64 {
+	if w := r.limitOf(m, p).Weight; w > 0 {
+		return w
+	}
+	return m.spec.Weight
+}
+
+// level returns what a member has had in a pool by its weight, with its use of
+// other pools counted in part.
+func (r *Reducer) level(m *member, p *pool) float64 {
+	here := r.ledger.Level(share.Account{Member: m.spec.Name, Pool: p.name}, r.now) / r.weight(m, p)
+	all := r.ledger.Level(share.Account{Member: m.spec.Name}, r.now) / m.spec.Weight
+	return here + r.options.consortium*math.Max(all-here, 0)
+}
+
+// drainTime returns how long a member's queue takes to drain, as advice.
+func (r *Reducer) drainTime(m *member) time.Duration {
+	d := time.Duration(m.heldTotal/2) * m.leftEvery
+	return min(max(d, leastDrain), mostDrain)
+}
+
+// hold queues a request by its rank.
+func (r *Reducer) hold(q *request) {
+	q.phase = phaseHeld
+	mq := q.pool.queueOf(q.member)
+	i, _ := slices.BinarySearchFunc(mq.held, q, byRank)
+	mq.held = slices.Insert(mq.held, i, q)
+	q.member.heldTotal++
+	q.pool.held++
+	r.wakeBy(min(q.deadline, r.now+holdTick))
+}
+
+func byRank(a, b *request) int {
+	switch {
+	case a.rank < b.rank:
+		return -1
+	case a.rank > b.rank:
+		return 1
+	case a.id < b.id:
+		return -1
+	case a.id > b.id:
+		return 1
+	}
+	return 0
+}
+
+// unhold takes a request out of its queue.
+func (r *Reducer) unhold(q *request) {
+	mq := q.pool.queueOf(q.member)
+	if i := slices.Index(mq.held, q); i >= 0 {
+		mq.held = slices.Delete(mq.held, i, i+1)
+		q.member.heldTotal--
+		q.pool.held--
+	}
+}
+
+// expireHeld answers held requests whose deadline has passed.
+func (r *Reducer) expireHeld() {
+	for _, p := range r.poolList {
+		for _, mq := range p.queues {
+			r.expireQueue(mq)
+		}
+		if p.held > 0 {
+			r.wakeBy(r.now + holdTick)
+		}
+	}
+}
+
+func (r *Reducer) expireQueue(mq *memberQueue) {
+	for i := len(mq.held) - 1; i >= 0; i-- {
+		q := mq.held[i]
+		if q.deadline <= r.now {
+			r.unhold(q)
+			r.finish(q, answer.KindDeadline, r.drainTime(q.member))
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/options.go
@@ -0,0 +1,112 @@
+package dispatch
+
+import "time"
+
+type (
+	// An Option changes a Reducer.
+	Option interface{ apply(*options) }
+
+	options struct {
+		domain     string
+		window     time.Duration
+		median     float64
+		deviations float64
+		reserve    float64
+		base       time.Duration
+		per        time.Duration
+		prefill    time.Duration
+		chooser    Chooser
+		hold       bool
+		grace      time.Duration
+		patience   time.Duration
+		consortium float64
+		objective  bool
+	}
+
+	withDomain     string
+	withWindow     time.Duration
+	withDeviations float64
+	withReserve    float64
+	withChooser    struct{ chooser Chooser }
+	withHold       bool
+	withGrace      time.Duration
+	withPatience   time.Duration
+	withObjective  bool
+	withEngine     struct{ base, per, prefill time.Duration }
+)
+
+// WithDomain sets the failure domain whose targets the host uses. Empty means
+// the targets of all domains.
+func WithDomain(name string) Option          { return withDomain(name) }
+func (o withDomain) apply(opts *options)     { opts.domain = string(o) }
+func (o withWindow) apply(opts *options)     { opts.window = time.Duration(o) }
+func (o withDeviations) apply(opts *options) { opts.deviations = float64(o) }
+func (o withReserve) apply(opts *options)    { opts.reserve = float64(o) }
+func (o withChooser) apply(opts *options)    { opts.chooser = o.chooser }
+func (o withHold) apply(opts *options)       { opts.hold = bool(o) }
+func (o withGrace) apply(opts *options)      { opts.grace = time.Duration(o) }
+func (o withPatience) apply(opts *options)   { opts.patience = time.Duration(o) }
+func (o withObjective) apply(opts *options)  { opts.objective = bool(o) }
+
+// WithWindow sets the time constant with which use is forgotten.
+func WithWindow(d time.Duration) Option { return withWindow(d) }
+
+// WithDeviations sets how many standard deviations of forecast memory are kept
+// free on an engine.
+func WithDeviations(n float64) Option { return withDeviations(n) }
+
+// WithReserve sets the share of an engine's memory kept from members that are
+// over their share.
+func WithReserve(share float64) Option { return withReserve(share) }
+
+// WithChooser replaces the choice among the targets that have room.
+func WithChooser(c Chooser) Option { return withChooser{c} }
+
+// WithHold sets whether requests are held until an engine has room for them.
+func WithHold(on bool) Option { return withHold(on) }
+
+// WithGrace sets how long a generation goes on without its caller.
+func WithGrace(d time.Duration) Option { return withGrace(d) }
+
+// WithPatience sets how long a request without a deadline is held.
+func WithPatience(d time.Duration) Option { return withPatience(d) }
+
+// WithObjective sets whether the members' weights of tail and stall act.
+func WithObjective(on bool) Option { return withObjective(on) }
+
+// WithEngine sets the first guess of an engine's step: its base time, the time
+// added by a sequence and the time added by a prompt token.
+func WithEngine(base, per, prefill time.Duration) Option { return withEngine{base, per, prefill} }
+
+func (o withEngine) apply(opts *options) {
+	opts.base, opts.per, opts.prefill = o.base, o.per, o.prefill
+}
+
+const (
+	defaultMedian     = 200.0 // tokens
+	defaultDeviations = 2.5
+	defaultReserve    = 0.04
+	defaultBase       = 12 * time.Millisecond
+	defaultPer        = 120 * time.Microsecond
+	defaultPrefill    = 20 * time.Microsecond
+	defaultGrace      = 10 * time.Second
+	defaultPatience   = 30 * time.Second
+	defaultConsortium = 0.25 // weight of a member's use of other pools
+)
+
+func defaultOptions() options {
+	return options{
+		median:     defaultMedian,
+		deviations: defaultDeviations,
+		reserve:    defaultReserve,
+		base:       defaultBase,
+		per:        defaultPer,
+		prefill:    defaultPrefill,
+		chooser:    NewForecastChooser(),
+		hold:       true,
+		grace:      defaultGrace,
+		patience:   defaultPatience,
+		consortium: defaultConsortium,
+		objective:  true,
+	}
+}
--- /dev/null
+++ b/dispatch/pool.go
@@ -0,0 +1,308 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/share"
+	"github.com/wigeonlink/wigeonlink/table"
+)
+
+// pool is the targets that serve one model or one service, and the requests that
+// are held for them.
+type pool struct {
+	name     string
+	plain    bool
+	targets  []*targetState
+	queues   []*memberQueue
+	byMember map[*member]*memberQueue
+	held     int
+	inflight int
+	order    []*memberQueue // scratch of drain
+	fairAt   time.Duration
+	fair     float64 // mean use by weight over the active members
+}
+
+const (
+	holdTick     = 25 * time.Millisecond // how often held requests are tried again
+	fairEvery    = 100 * time.Millisecond
+	bypass       = 4               // members passed over while a head waits for room
+	bypassAge    = 2 * time.Second // age from which a head is not passed over
+	overSlack    = 1.02            // level by which a member counts as over its share
+	pauseSlack   = 1.05            // level by which a member waits for one held elsewhere
+	activeWeight = 1.0             // service units from which a member counts as active
+)
+
+func (p *pool) queueOf(m *member) *memberQueue {
+	mq := p.byMember[m]
+	if mq == nil {
+		mq = &memberQueue{member: m}
+		p.byMember[m] = mq
+		p.queues = append(p.queues, mq)
+	}
+	return mq
+}
+
+// couldFit reports whether a prompt fits some engine when empty.
+func (p *pool) couldFit(prompt int) bool {
+	for _, t := range p.targets {
+		if prompt < t.spec.Memory {
+			return true
+		}
+	}
+	return len(p.targets) == 0
+}
+
+// drain sends held requests while there is room: the member with the least use by
+// weight first, within a member by rank.
+func (r *Reducer) drain(p *pool) {
+	if p.held == 0 {
+		return
+	}
+	r.order(p)
+	passed := 0
+	for len(p.order) > 0 && passed < bypass {
+		mq := p.order[0]
+		q := r.head(mq)
+		if q == nil || r.capped(mq.member, p) || r.paused(mq, p) {
+			p.order = slices.Delete(p.order, 0, 1)
+			continue
+		}
+		t := r.choose(q, mq.level > overSlack*r.fairLevel(p))
+		if t == nil {
+			if r.now-q.arrived > bypassAge {
+				return
+			}
+			passed++
+			p.order = slices.Delete(p.order, 0, 1)
+			continue
+		}
+		r.send(q, t)
+		mq.level = r.level(mq.member, p)
+		r.sink(p)
+	}
+}
+
+// order sorts the members with held requests by level.
+func (r *Reducer) order(p *pool) {
+	p.order = p.order[:0]
+	for _, mq := range p.queues {
+		if len(mq.held) == 0 {
+			continue
+		}
+		mq.level = r.level(mq.member, p)
+		p.order = append(p.order, mq)
+	}
+	slices.SortStableFunc(p.order, byLevel)
+}
+
+func byLevel(a, b *memberQueue) int {
+	switch {
+	case a.level < b.level:
+		return -1
+	case a.level > b.level:
+		return 1
+	}
+	return 0
+}
+
+// sink restores the order after the first queue's level has changed.
+func (r *Reducer) sink(p *pool) {
+	for i := 0; i+1 < len(p.order) && p.order[i].level > p.order[i+1].level; i++ {
+		p.order[i], p.order[i+1] = p.order[i+1], p.order[i]
+	}
+}
+
+// head returns the first request of a queue that is not backing off.
+func (r *Reducer) head(mq *memberQueue) *request {
+	for _, q := range mq.held {
+		if q.notBefore <= r.now {
+			return q
+		}
+		r.wakeBy(q.notBefore)
+	}
+	return nil
+}
+
+// paused reports whether a member lets others go first that are held on another
+// host and have had less.
+func (r *Reducer) paused(mq *memberQueue, p *pool) bool {
+	for _, o := range r.peerList {
+		for _, h := range o.held {
+			m := r.members[h.Member]
+			if h.Pool != p.name || m == nil || m == mq.member {
+				continue
+			}
+			if mq.level > pauseSlack*r.level(m, p)+activeWeight/r.weight(mq.member, p) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// fairLevel returns the mean level over the members active in a pool.
+func (r *Reducer) fairLevel(p *pool) float64 {
+	if p.fairAt != 0 && r.now-p.fairAt < fairEvery {
+		return p.fair
+	}
+	sum, weights := 0.0, 0.0
+	for _, m := range r.memberList {
+		use := r.ledger.Level(share.Account{Member: m.spec.Name, Pool: p.name}, r.now)
+		if use > activeWeight {
+			sum += use
+			weights += r.weight(m, p)
+		}
+	}
+	p.fairAt, p.fair = max(r.now, 1), math.Inf(1)
+	if weights > 0 {
+		p.fair = sum / weights
+	}
+	return p.fair
+}
+
+// send dispatches a held request.
+func (r *Reducer) send(q *request, t *targetState) {
+	r.unhold(q)
+	m := q.member
+	if m.leftAt > 0 {
+		m.leftEvery += time.Duration(drainWeight * float64(r.now-m.leftAt-m.leftEvery))
+	}
+	m.leftAt = r.now
+	q.attempts++
+	if q.attempts > 1 {
+		r.counts.Retried++
+	}
+	t.breaker.tried(r.now)
+	r.placeAt(q, t)
+	r.emit(Effect{Kind: EffectDispatch, ID: q.id, Target: t.spec.Name, Priority: r.priority(m)})
+}
+
+// priority returns the engine priority of a member's requests, lower first: the
+// more a member weighs stalls against the tail, the later it is preempted.
+func (r *Reducer) priority(m *member) int {
+	if !r.options.objective || m.spec.Tail+m.spec.Stall == 0 {
+		return priorityScale / 2
+	}
+	return int(priorityScale * m.spec.Tail / (m.spec.Tail + m.spec.Stall))
+}
+
+// priorityScale is the range of engine priorities.
+const priorityScale = 10
+
+func (e TableChange) reduce(r *Reducer) {
+	if e.Table == nil || r.table != nil && e.Table.Version <= r.table.Version {
+		return
+	}
+	r.table = e.Table
+	r.applyMembers()
+	r.applyPools()
+	r.applyTargets()
+	r.rejectOrphans()
+	r.drainAll()
+}
+
+func (r *Reducer) applyMembers() {
+	for name, spec := range r.table.Members {
+		m := r.members[name]
+		if m == nil {
+			m = &member{rates: map[string]*rate{}}
+			r.members[name] = m
+			r.memberList = append(r.memberList, m)
+		}
+		m.spec = spec
+	}
+	r.memberList = slices.DeleteFunc(r.memberList, func(m *member) bool {
+		_, known := r.table.Members[m.spec.Name]
+		if known || m.inflight+m.heldTotal > 0 {
+			return false
+		}
+		delete(r.members, m.spec.Name)
+		return true
+	})
+	slices.SortFunc(r.memberList, func(a, b *member) int { return strings.Compare(a.spec.Name, b.spec.Name) })
+}
+
+func (r *Reducer) applyPools() {
+	for name := range r.table.Models {
+		r.poolOf(name, false)
+	}
+	for name := range r.table.Services {
+		r.poolOf(name, true)
+	}
+	slices.SortFunc(r.poolList, func(a, b *pool) int { return strings.Compare(a.name, b.name) })
+}
+
+func (r *Reducer) poolOf(name string, plain bool) *pool {
+	p := r.pools[name]
+	if p == nil {
+		p = &pool{name: name, plain: plain, byMember: map[*member]*memberQueue{}}
+		r.pools[name] = p
+		r.poolList = append(r.poolList, p)
+	}
+	return p
+}
+
+func (r *Reducer) applyTargets() {
+	for _, p := range r.poolList {
+		p.targets = p.targets[:0]
+	}
+	for name, spec := range r.table.Targets {
+		if r.options.domain != "" && spec.Domain != r.options.domain {
+			delete(r.targets, name)
+			continue
+		}
+		t := r.targets[name]
+		if t == nil {
+			t = r.newTarget(spec)
+			r.targets[name] = t
+		}
+		t.spec = spec
+		t.leaving = r.leaving[name]
+		p := r.pools[poolName(spec)]
+		p.targets = append(p.targets, t)
+	}
+	for name := range r.targets {
+		if _, ok := r.table.Targets[name]; !ok {
+			delete(r.targets, name)
+		}
+	}
+	for _, p := range r.poolList {
+		slices.SortFunc(p.targets, func(a, b *targetState) int { return strings.Compare(a.spec.Name, b.spec.Name) })
+	}
+}
+
+func poolName(spec table.Target) string {
+	if spec.Kind == table.TargetService {
+		return spec.Service
+	}
+	return spec.Model
+}
+
+// rejectOrphans answers the held requests of pools and members that the table no
+// longer has.
+func (r *Reducer) rejectOrphans() {
+	r.poolList = slices.DeleteFunc(r.poolList, func(p *pool) bool {
+		_, model := r.table.Models[p.name]
+		_, service := r.table.Services[p.name]
+		for _, mq := range p.queues {
+			_, known := r.table.Members[mq.member.spec.Name]
+			if known && (model || service) {
+				continue
+			}
+			for len(mq.held) > 0 {
+				q := mq.held[0]
+				r.unhold(q)
+				r.finish(q, answer.KindNoTarget, 0)
+			}
+		}
+		if model || service || p.inflight > 0 {
+			return false
+		}
+		delete(r.pools, p.name)
+		return true
+	})
+}
--- /dev/null
+++ b/dispatch/reducer.go
@@ -0,0 +1,175 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/length"
+	"github.com/wigeonlink/wigeonlink/share"
+	"github.com/wigeonlink/wigeonlink/table"
+)
+
+// A Reducer is the state of one host's decisions. It is used by one goroutine at
+// a time.
+type Reducer struct {
+	options    options
+	epoch      time.Time
+	now        time.Duration // since epoch
+	table      *table.Table
+	members    map[string]*member
+	memberList []*member // by name
+	pools      map[string]*pool
+	poolList   []*pool // by name
+	targets    map[string]*targetState
+	requests   map[ID]*request
+	free       []*request
+	peers      map[string]*peer
+	peerList   []*peer // as first seen
+	gone       []ID    // sent requests whose caller went, in that order
+	leaving    map[string]bool
+	count      int // live hosts of this domain
+	place      int
+	ledger     *share.Ledger
+	lengths    *length.Predictor
+	budget     budget
+	stopping   bool
+	wake       time.Duration
+	effects    []Effect
+	counts     Counts
+}
+
+// Counts are totals since the reducer was made.
+type Counts struct {
+	Submitted, Dispatched, Retried, Refused, Ended, Lost, Resumed, Cancelled int
+}
+
+// NewReducer returns a reducer without a table. It refuses requests until a
+// TableChange has brought one.
+func NewReducer(opts ...Option) *Reducer {
+	r := &Reducer{
+		options:  defaultOptions(),
+		members:  map[string]*member{},
+		pools:    map[string]*pool{},
+		targets:  map[string]*targetState{},
+		requests: map[ID]*request{},
+		peers:    map[string]*peer{},
+		count:    1,
+	}
+	for _, o := range opts {
+		o.apply(&r.options)
+	}
+	r.ledger = share.NewLedger(r.options.window)
+	r.lengths = length.NewPredictor(length.WithMedian(r.options.median))
+	return r
+}
+
+// Reduce applies an event that happened at a time and returns the effects. The
+// slice is valid until the next call. Time never runs backwards: an earlier time
+// counts as the last.
+func (r *Reducer) Reduce(at time.Time, e Event) []Effect {
+	if r.epoch.IsZero() {
+		r.epoch = at
+	}
+	r.now = max(r.now, at.Sub(r.epoch))
+	r.effects = r.effects[:0]
+	r.wake = math.MaxInt64
+	e.reduce(r)
+	if r.wake < math.MaxInt64 {
+		r.emit(Effect{Kind: EffectTimer, At: r.epoch.Add(r.wake)})
+	}
+	return r.effects
+}
+
+func (r *Reducer) emit(e Effect) { r.effects = append(r.effects, e) }
+
+// wakeBy asks for a Tick no later than at.
+func (r *Reducer) wakeBy(at time.Duration) { r.wake = min(r.wake, at) }
+
+// since returns a time as the duration since the reducer's first event.
+func (r *Reducer) since(t time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
+	}
+	return t.Sub(r.epoch)
+}
+
+// Counts returns the totals so far.
+func (r *Reducer) Counts() Counts { return r.counts }
+
+// Table returns the table in force, nil before the first.
+func (r *Reducer) Table() *table.Table { return r.table }
+
+// Lengths returns the calibration of the predicted lengths.
+func (r *Reducer) Lengths() length.Tally { return r.lengths.Tally() }
+
+func (e Submit) reduce(r *Reducer) {
+	r.counts.Submitted++
+	if kind := r.admissible(e); kind != answer.KindNone {
+		r.refuseNew(e, kind)
+		return
+	}
+	r.budget.earn()
+	q := r.newRequest(e)
+	r.hold(q)
+	r.drain(q.pool)
+}
+
+// admissible returns why a request cannot be held, or KindNone.
+func (r *Reducer) admissible(e Submit) answer.Kind {
+	switch {
+	case r.stopping:
+		return answer.KindStopping
+	case r.table == nil:
+		return answer.KindNotReady
+	}
+	m, p := r.members[e.Member], r.pools[e.Pool]
+	switch {
+	case m == nil:
+		return answer.KindBadKey
+	case p == nil && e.Plain:
+		return answer.KindUnknownService
+	case p == nil:
+		return answer.KindUnknownModel
+	case m.heldTotal >= m.spec.Queue:
+		return answer.KindQueueFull
+	case !e.Plain && !p.couldFit(e.Prompt):
+		return answer.KindNoTarget
+	case !r.takeRate(m, p):
+		return answer.KindRateLimited
+	}
+	return answer.KindNone
+}
+
+// refuseNew answers a request that was never held.
+func (r *Reducer) refuseNew(e Submit, kind answer.Kind) {
+	r.counts.Refused++
+	retry := kind.Row().Retry
+	if m := r.members[e.Member]; m != nil {
+		m.refused++
+		if kind == answer.KindQueueFull {
+			retry = r.drainTime(m)
+		}
+		if kind == answer.KindRateLimited {
+			retry = r.rateWait(m, r.pools[e.Pool])
+		}
+	}
+	r.emit(Effect{Kind: EffectRefuse, ID: e.ID, Answer: kind, Retry: retry})
+}
+
+func (e Stop) reduce(r *Reducer) { r.stopping = true }
+
+// A Tick expires what is too old and tries the held again.
+func (e Tick) reduce(r *Reducer) {
+	r.expirePeers()
+	r.ledger.Expire(r.now)
+	r.expireHeld()
+	r.expireGone()
+	r.drainAll()
+}
+
+func (r *Reducer) drainAll() {
+	for _, p := range r.poolList {
+		r.drain(p)
+	}
+}
--- /dev/null
+++ b/dispatch/shares.go
@@ -0,0 +1,88 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/wigeonlink/wigeonlink/share"
+)
+
+type (
+	// A ShareRow is a member's promise against its use.
+	ShareRow struct {
+		Member   string  `json:"member"`
+		Promised float64 `json:"promised"` // part of the service of all members
+		Got      float64 `json:"got"`      // part of the service that all members used lately
+		Service  float64 `json:"service"`  // service units a second, lately, over all hosts
+		Inflight int     `json:"inflight"` // requests at targets through this host
+		Held     int     `json:"held"`     // requests held on this host
+		Served   int     `json:"served"`   // whole answers by this host
+		Refused  int     `json:"refused"`  // requests refused by this host
+		Tokens   int     `json:"tokens"`   // tokens generated through this host
+	}
+
+	// A TargetRow is a target's forecast against its memory.
+	TargetRow struct {
+		Target   string        `json:"target"`
+		Pool     string        `json:"pool"`
+		Domain   string        `json:"domain"`
+		Open     bool          `json:"open"`
+		Own      int           `json:"own"`     // requests of this host
+		Streams  float64       `json:"streams"` // of all hosts, known or inferred
+		Now      float64       `json:"now"`     // tokens of memory
+		Peak     float64       `json:"peak"`    // tokens of memory, forecast
+		Memory   int           `json:"memory"`  // tokens
+		Reported int           `json:"reported"`
+		Interval time.Duration `json:"interval"` // expected time between tokens
+	}
+)
+
+// Shares returns a row for each member, by name.
+func (r *Reducer) Shares() []ShareRow {
+	rows := make([]ShareRow, 0, len(r.memberList))
+	weights, service := 0.0, 0.0
+	for _, m := range r.memberList {
+		weights += m.spec.Weight
+		service += r.ledger.Rate(share.Account{Member: m.spec.Name}, r.now)
+	}
+	for _, m := range r.memberList {
+		rate := r.ledger.Rate(share.Account{Member: m.spec.Name}, r.now)
+		rows = append(rows, ShareRow{
+			Member:   m.spec.Name,
+			Promised: m.spec.Weight / weights,
+			Got:      rate / math.Max(service, 1e-9),
+			Service:  rate,
+			Inflight: m.inflight,
+			Held:     m.heldTotal,
+			Served:   m.served,
+			Refused:  m.refused,
+			Tokens:   m.tokens,
+		})
+	}
+	return rows
+}
+
+// Targets returns a row for each target, by pool and name.
+func (r *Reducer) Targets() []TargetRow {
+	var rows []TargetRow
+	for _, p := range r.poolList {
+		for _, t := range p.targets {
+			d := t.demand(r.now)
+			none := d.Scaled(0)
+			rows = append(rows, TargetRow{
+				Target:   t.spec.Name,
+				Pool:     p.name,
+				Domain:   t.spec.Domain,
+				Open:     t.open(r.now),
+				Own:      t.running,
+				Streams:  d.Streams,
+				Now:      d.Mean[0],
+				Peak:     d.Peak(&none, r.options.deviations),
+				Memory:   t.spec.Memory,
+				Reported: t.load.Used,
+				Interval: t.pace.At(d.Streams),
+			})
+		}
+	}
+	return rows
+}
--- /dev/null
+++ b/host/booking.go
@@ -0,0 +1,134 @@
+package host
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/dispatch"
+	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/relay"
+	"github.com/wigeonlink/wigeonlink/target"
+)
+
+// cancelTimeout bounds how long a cancel is tried.
+const cancelTimeout = 5 * time.Second
+
+func (h *Host) newBooking(s dispatch.Submit) *Booking {
+	id := dispatch.ID(h.nextID.Add(1))
+	s.ID = id
+	return &Booking{
+		ID:       id,
+		Submit:   s,
+		Name:     h.name + "-" + h.incarnate + "-" + strconv.FormatUint(uint64(id), 36),
+		host:     h,
+		verdicts: make(chan dispatch.Effect, verdictRoom),
+		cancel:   func() {},
+	}
+}
+
+// Submit asks for a decision on a request. The booking must be finished by Refused
+// from Wait, or by one of Ended, Failed that is final, Superseded or Release.
+func (h *Host) Submit(s dispatch.Submit) *Booking {
+	b := h.newBooking(s)
+	h.begin()
+	h.log.Emit(event.RequestSubmitted, event.Fields{Request: b.Name, Member: s.Member})
+	h.send(message{event: b.Submit, booking: b})
+	return b
+}
+
+// Attach books a stream that was begun on another host and is resumed here.
+func (h *Host) Attach(a dispatch.Attach) *Booking {
+	b := h.newBooking(dispatch.Submit{Member: a.Member, Pool: a.Pool, Prompt: a.Prompt})
+	a.ID = b.ID
+	b.target = a.Target
+	h.begin()
+	h.log.Emit(event.RequestAttached, event.Fields{Request: b.Name, Member: a.Member, Target: a.Target})
+	h.send(message{event: a, booking: b})
+	return b
+}
+
+func (h *Host) begin() {
+	h.open.enter()
+}
+
+// Release ends the host's interest in a booking. It is called once for each.
+func (b *Booking) Release() {
+	b.host.open.leave()
+}
+
+// Wait returns the next verdict: a dispatch, or an error of the kind that the
+// reducer decided. It is called only while no attempt is under way.
+func (b *Booking) Wait(ctx context.Context) (dispatch.Effect, error) {
+	select {
+	case f := <-b.verdicts:
+		if f.Kind == dispatch.EffectRefuse {
+			return f, &answer.Error{Kind: f.Answer, Retry: f.Retry}
+		}
+		return f, nil
+	case <-ctx.Done():
+		b.finish(dispatch.Dropped{ID: b.ID})
+		return dispatch.Effect{}, answer.New(answer.KindCallerGone, "")
+	case <-b.host.done:
+		return dispatch.Effect{}, answer.New(answer.KindStopping, "")
+	}
+}
+
+// Generation returns the identifier of an attempt's generation.
+func (b *Booking) Generation(attempt int) string { return b.Name + "-" + strconv.Itoa(attempt) }
+
+// Started tells that the target has taken the request.
+func (b *Booking) Started() { b.host.Post(dispatch.Started{ID: b.ID}) }
+
+// Gone tells that the caller went away while the generation goes on.
+func (b *Booking) Gone(resumable bool) {
+	b.host.log.Emit(event.RequestGone, event.Fields{Request: b.Name, Member: b.Submit.Member})
+	b.host.Post(dispatch.Gone{ID: b.ID, Resumable: resumable})
+}
+
+// Resumed tells that a connection was replaced.
+func (b *Booking) Resumed(cause error) {
+	b.host.log.Emit(event.RequestResumed, event.Fields{Request: b.Name, Target: b.target, Detail: cause.Error()})
+}
+
+// Ended tells how an attempt ended. If it reports true, Wait has another verdict.
+func (b *Booking) Ended(r relay.Result) bool {
+	b.host.observer.Ended(b, r)
+	fields := event.Fields{Request: b.Name, Member: b.Submit.Member, Target: b.target}
+	switch r.Ending {
+	case relay.EndFailed:
+		if r.Cause != nil {
+			fields.Detail = r.Cause.Error()
+		}
+		b.host.log.Emit(event.RequestFailed, fields)
+		b.host.Post(dispatch.Failed{ID: b.ID, Certainty: r.Certainty, Delivered: r.Delivered > 0, Rebooted: r.Rebooted})
+		return true
+	case relay.EndSuperseded:
+		b.host.log.Emit(event.RequestSuperseded, fields)
+		b.finish(dispatch.Superseded{ID: b.ID})
+	default:
+		b.host.log.Emit(event.RequestEnded, fields)
+		b.finish(dispatch.Ended{ID: b.ID, Usage: r.Usage})
+	}
+	return false
+}
+
+// finish hands in a last event, after which the loop no longer knows the booking.
+func (b *Booking) finish(e dispatch.Event) {
+	b.host.Post(e)
+	b.host.send(message{ask: func(*dispatch.Reducer) { delete(b.host.bookings, b.ID) }})
+}
+
+// CancelAt ends a generation at its target, in the background.
+func (b *Booking) CancelAt(e target.Engine, generation string) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	// A cancel that fails leaves the generation to end by itself.
+	_ = e.Cancel(ctx, generation)
+}
+
+// OnCancel sets how the relay is ended when the reducer gives a generation up.
+func (b *Booking) OnCancel(cancel context.CancelFunc) {
+	b.host.send(message{ask: func(*dispatch.Reducer) { b.cancel = cancel }})
+}
--- /dev/null
+++ b/host/engines.go
@@ -0,0 +1,139 @@
+package host
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/wigeonlink/wigeonlink/dispatch"
+	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/table"
+	"github.com/wigeonlink/wigeonlink/target"
+)
+
+type (
+	// engineSet keeps one adapter for each address.
+	engineSet struct {
+		mu   sync.Mutex
+		make func(netip.AddrPort) target.Engine
+		set  map[netip.AddrPort]target.Engine
+	}
+
+	// poller asks one target for its load, over and over.
+	poller struct {
+		host   *Host
+		name   string
+		boot   string
+		lost   bool
+		leaves bool
+	}
+)
+
+const loadTimeout = time.Second
+
+func (s *engineSet) at(a netip.AddrPort) target.Engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.set[a]
+	if e == nil {
+		e = s.make(a)
+		if s.set == nil {
+			s.set = map[netip.AddrPort]target.Engine{}
+		}
+		s.set[a] = e
+	}
+	return e
+}
+
+// pollLoads keeps a poller for each engine of the table in force.
+func (h *Host) pollLoads(ctx context.Context) {
+	stops := map[string]context.CancelFunc{}
+	defer func() {
+		for _, stop := range stops {
+			stop()
+		}
+	}()
+	ticker := time.NewTicker(h.loadEvery)
+	defer ticker.Stop()
+	for {
+		h.matchPollers(ctx, stops)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (h *Host) matchPollers(ctx context.Context, stops map[string]context.CancelFunc) {
+	t := h.Table()
+	if t == nil {
+		return
+	}
+	for name, spec := range t.Targets {
+		if spec.Kind != table.TargetEngine || stops[name] != nil {
+			continue
+		}
+		sub, stop := context.WithCancel(ctx)
+		stops[name] = stop
+		p := &poller{host: h, name: name}
+		go p.run(sub)
+	}
+	for name, stop := range stops {
+		if _, ok := t.Targets[name]; !ok {
+			stop()
+			delete(stops, name)
+		}
+	}
+}
+
+func (p *poller) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		p.poll(ctx)
+		vary := rand.N(p.host.loadEvery/2 + 1)
+		t := time.NewTimer(3*p.host.loadEvery/4 + vary)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+func (p *poller) poll(ctx context.Context) {
+	e, ok := p.host.Engine(p.name)
+	if !ok {
+		return
+	}
+	asked := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	load, err := e.Load(ctx)
+	if err != nil {
+		p.note(&p.lost, true, event.TargetLost, event.TargetReturned, err.Error())
+		return
+	}
+	load.Lag = time.Since(asked)
+	p.note(&p.lost, false, event.TargetLost, event.TargetReturned, "")
+	p.note(&p.leaves, load.Leaving, event.TargetLeaving, event.TargetReturned, "")
+	if p.boot != "" && p.boot != load.Boot {
+		p.host.log.Emit(event.TargetRebooted, event.Fields{Target: p.name, Detail: load.Boot})
+	}
+	p.boot = load.Boot
+	p.host.Post(dispatch.LoadReport{Target: p.name, Load: load})
+}
+
+// note emits an event when a state changes.
+func (p *poller) note(state *bool, now bool, on, off event.Number, detail string) {
+	if *state == now {
+		return
+	}
+	*state = now
+	n := off
+	if now {
+		n = on
+	}
+	p.host.log.Emit(n, event.Fields{Target: p.name, Detail: detail})
+}
--- /dev/null
+++ b/host/feeds.go
@@ -0,0 +1,58 @@
+package host
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+
+	"github.com/wigeonlink/wigeonlink/dispatch"
+	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/platform"
+	"github.com/wigeonlink/wigeonlink/table"
+)
+
+// roster is the published list of targets that are leaving or gone.
+type roster struct {
+	Leaving []string `json:"leaving"`
+}
+
+// RunFeeds watches the platform until ctx ends.
+func (h *Host) RunFeeds(ctx context.Context, source platform.Source) {
+	tables := h.feed(source, platform.KeyTable, h.takeTable)
+	rosters := h.feed(source, platform.KeyRoster, h.takeRoster)
+	go rosters.Run(ctx)
+	tables.Run(ctx)
+}
+
+func (h *Host) feed(source platform.Source, key string, take func(platform.Value)) *platform.Feed {
+	return &platform.Feed{
+		Source: source,
+		Key:    key,
+		Value:  take,
+		Lost:   func(err error) { h.log.Emit(event.PlatformLost, event.Fields{Detail: key + ": " + err.Error()}) },
+		Found:  func() { h.log.Emit(event.PlatformFound, event.Fields{Detail: key}) },
+	}
+}
+
+// takeTable puts a published table in force, or refuses it whole.
+func (h *Host) takeTable(v platform.Value) {
+	t, err := table.Read("published", bytes.NewReader(v.Data))
+	if err != nil {
+		h.log.Emit(event.TableRefused, event.Fields{Detail: err.Error()})
+		return
+	}
+	h.Post(dispatch.TableChange{Table: t})
+}
+
+func (h *Host) takeRoster(v platform.Value) {
+	var r roster
+	if err := json.Unmarshal(v.Data, &r); err != nil {
+		h.log.Emit(event.TableRefused, event.Fields{Detail: "roster: " + err.Error()})
+		return
+	}
+	leaving := make(map[string]bool, len(r.Leaving))
+	for _, name := range r.Leaving {
+		leaving[name] = true
+	}
+	h.Post(dispatch.Roster{Leaving: leaving})
+}
--- /dev/null
+++ b/host/host.go
@@ -0,0 +1,307 @@
+// Package host runs one entry host: a loop that feeds events to the reducer and
+// carries out its effects, and what it needs around it.
+package host
+
+import (
+	"context"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/dispatch"
+	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/relay"
+	"github.com/wigeonlink/wigeonlink/table"
+	"github.com/wigeonlink/wigeonlink/target"
+)
+
+type (
+	// A Host is one entry host. Run must be running for it to decide anything.
+	Host struct {
+		name      string
+		reducer   *dispatch.Reducer
+		log       *event.Log
+		inbox     chan message
+		done      chan struct{}
+		engines   engineSet
+		nextID    atomic.Uint64
+		inForce   atomic.Pointer[table.Table]
+		bookings  map[dispatch.ID]*Booking
+		incarnate string
+		stopping  atomic.Bool
+		open      gate
+		observer  Observer
+		loadEvery time.Duration
+		samples   []dispatch.Sample
+	}
+
+	// An Observer is told of what happens, for metrics.
+	Observer interface {
+		Effect(e dispatch.Effect)
+		Ended(b *Booking, r relay.Result)
+	}
+
+	// A Booking is one request on this host, from its submission to its end.
+	Booking struct {
+		ID       dispatch.ID
+		Submit   dispatch.Submit
+		Name     string // identifier in the time line
+		Track    relay.Track
+		host     *Host
+		verdicts chan dispatch.Effect
+		cancel   context.CancelFunc // ends the relay
+		target   string
+	}
+
+	// message is an event on its way to the reducer, or a question to the loop.
+	message struct {
+		event   dispatch.Event
+		booking *Booking
+		ask     func(*dispatch.Reducer)
+	}
+
+	// An Option changes a Host.
+	Option interface{ apply(*Host) }
+
+	withDispatch  []dispatch.Option
+	withObserver  struct{ observer Observer }
+	withLoadEvery time.Duration
+	withEngines   func(netip.AddrPort) target.Engine
+)
+
+const (
+	inboxSize       = 1024
+	sampleEvery     = 25 * time.Millisecond
+	checkEvery      = time.Second
+	defaultLoadPoll = 250 * time.Millisecond
+	verdictRoom     = 8
+)
+
+// WithDispatch passes options to the reducer.
+func WithDispatch(opts ...dispatch.Option) Option { return withDispatch(opts) }
+
+// WithObserver sets who is told of what happens.
+func WithObserver(o Observer) Option { return withObserver{o} }
+
+// WithLoadEvery sets how often the load of each target is asked for.
+func WithLoadEvery(d time.Duration) Option { return withLoadEvery(d) }
+
+// WithEngines replaces the adapter to engines.
+func WithEngines(f func(netip.AddrPort) target.Engine) Option { return withEngines(f) }
+
+func (o withDispatch) apply(h *Host)  { h.reducer = dispatch.NewReducer(o...) }
+func (o withObserver) apply(h *Host)  { h.observer = o.observer }
+func (o withLoadEvery) apply(h *Host) { h.loadEvery = time.Duration(o) }
+func (o withEngines) apply(h *Host)   { h.engines.make = o }
+
+// NewHost returns a host that writes its events to a log.
+func NewHost(log *event.Log, opts ...Option) *Host {
+	h := &Host{
+		name:      log.Host(),
+		log:       log,
+		reducer:   dispatch.NewReducer(),
+		inbox:     make(chan message, inboxSize),
+		done:      make(chan struct{}),
+		bookings:  map[dispatch.ID]*Booking{},
+		incarnate: strconv.FormatInt(time.Now().UnixNano(), 36),
+		loadEvery: defaultLoadPoll,
+		observer:  nobody{},
+	}
+	h.engines.make = target.NewResponses
+	for _, o := range opts {
+		o.apply(h)
+	}
+	return h
+}
+
+// nobody observes nothing.
+type nobody struct{}
+
+func (nobody) Effect(dispatch.Effect)       {}
+func (nobody) Ended(*Booking, relay.Result) {}
+
+// Name returns the host's name.
+func (h *Host) Name() string { return h.name }
+
+// Incarnation returns what tells this run of the host from others.
+func (h *Host) Incarnation() string { return h.incarnate }
+
+// Log returns the host's time line.
+func (h *Host) Log() *event.Log { return h.log }
+
+// Table returns the table in force, nil before the first.
+func (h *Host) Table() *table.Table { return h.inForce.Load() }
+
+// Ready reports whether the host takes requests.
+func (h *Host) Ready() bool { return h.Table() != nil && !h.stopping.Load() }
+
+// Active returns the number of requests on this host.
+func (h *Host) Active() int { return h.open.count() }
+
+// Engine returns the adapter to a target.
+func (h *Host) Engine(name string) (target.Engine, bool) {
+	t := h.Table()
+	if t == nil {
+		return nil, false
+	}
+	spec, ok := t.Targets[name]
+	if !ok {
+		return nil, false
+	}
+	return h.engines.at(spec.Address), true
+}
+
+// Post hands an event to the reducer.
+func (h *Host) Post(e dispatch.Event) { h.send(message{event: e}) }
+
+func (h *Host) send(m message) {
+	select {
+	case h.inbox <- m:
+	case <-h.done:
+	}
+}
+
+// Ask runs f on the loop, where it may read the reducer. It reports false if the
+// loop has ended.
+func (h *Host) Ask(f func(*dispatch.Reducer)) bool {
+	answered := make(chan struct{})
+	h.send(message{ask: func(r *dispatch.Reducer) { f(r); close(answered) }})
+	select {
+	case <-answered:
+		return true
+	case <-h.done:
+		return false
+	}
+}
+
+// Run feeds the reducer until ctx ends.
+func (h *Host) Run(ctx context.Context) {
+	defer close(h.done)
+	defer h.endAll()
+	ticker := time.NewTicker(sampleEvery)
+	defer ticker.Stop()
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	checked := time.Now()
+	go h.pollLoads(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-h.inbox:
+			h.take(m, timer)
+		case now := <-ticker.C:
+			h.reduce(h.progress(), timer)
+			if now.Sub(checked) >= checkEvery {
+				checked = now
+				h.reduce(dispatch.Tick{}, timer)
+				h.check()
+			}
+		case <-timer.C:
+			h.reduce(dispatch.Tick{}, timer)
+		}
+	}
+}
+
+// endAll tells whoever still waits that the loop has ended.
+func (h *Host) endAll() {
+	for _, b := range h.bookings {
+		b.tell(dispatch.Effect{Kind: dispatch.EffectRefuse, ID: b.ID, Answer: answer.KindStopping})
+	}
+}
+
+func (h *Host) take(m message, timer *time.Timer) {
+	if m.ask != nil {
+		m.ask(h.reducer)
+		return
+	}
+	if m.booking != nil {
+		h.bookings[m.booking.ID] = m.booking
+	}
+	h.reduce(m.event, timer)
+	if c, ok := m.event.(dispatch.TableChange); ok {
+		h.applied(c.Table)
+	}
+}
+
+func (h *Host) applied(t *table.Table) {
+	if h.reducer.Table() != t {
+		h.log.Emit(event.TableStale, event.Fields{Table: t.Version})
+		return
+	}
+	first := h.inForce.Swap(t) == nil
+	h.log.Emit(event.TableApplied, event.Fields{Table: t.Version})
+	if first {
+		h.log.Emit(event.HostReady, event.Fields{Table: t.Version})
+	}
+}
+
+// progress samples the running streams.
+func (h *Host) progress() dispatch.Event {
+	h.samples = h.samples[:0]
+	for id, b := range h.bookings {
+		if b.target == "" || b.Submit.Plain {
+			continue
+		}
+		h.samples = append(h.samples, dispatch.Sample{
+			ID:     id,
+			Tokens: b.Track.Tokens(),
+			Last:   b.Track.Last(),
+			Queued: b.Track.Queued(),
+		})
+	}
+	return dispatch.Progress{Samples: h.samples}
+}
+
+// check asserts the invariants of the books.
+func (h *Host) check() {
+	if err := h.reducer.Check(); err != nil {
+		h.log.Emit(event.HostFault, event.Fields{Detail: err.Error()})
+	}
+}
+
+func (h *Host) reduce(e dispatch.Event, timer *time.Timer) {
+	for _, f := range h.reducer.Reduce(time.Now(), e) {
+		h.observer.Effect(f)
+		h.perform(f, timer)
+	}
+}
+
+// perform carries out an effect.
+func (h *Host) perform(f dispatch.Effect, timer *time.Timer) {
+	if f.Kind == dispatch.EffectTimer {
+		timer.Reset(time.Until(f.At))
+		return
+	}
+	b := h.bookings[f.ID]
+	if b == nil {
+		return
+	}
+	switch f.Kind {
+	case dispatch.EffectDispatch:
+		b.target = f.Target
+		h.log.Emit(event.RequestDispatched, event.Fields{Request: b.Name, Member: b.Submit.Member, Target: f.Target})
+		b.tell(f)
+	case dispatch.EffectRefuse:
+		delete(h.bookings, f.ID)
+		h.log.Emit(event.RequestRefused, event.Fields{Request: b.Name, Member: b.Submit.Member, Detail: f.Answer.String()})
+		b.tell(f)
+	case dispatch.EffectResume:
+		b.Track.Kick()
+	case dispatch.EffectCancel:
+		delete(h.bookings, f.ID)
+		h.log.Emit(event.RequestCancelled, event.Fields{Request: b.Name, Target: f.Target})
+		b.cancel()
+	}
+}
+
+// tell hands a verdict to the request's goroutine. There is room for every verdict
+// that a request can get.
+func (b *Booking) tell(f dispatch.Effect) {
+	select {
+	case b.verdicts <- f:
+	default:
+	}
+}
--- /dev/null
+++ b/host/stop.go
@@ -0,0 +1,23 @@
+package host
+
+import (
+	"context"
+
+	"github.com/wigeonlink/wigeonlink/dispatch"
+	"github.com/wigeonlink/wigeonlink/event"
+)
+
+// Stop takes no new requests and waits until the open ones have ended, or until
+// ctx ends. It reports whether nothing was left.
+func (h *Host) Stop(ctx context.Context) bool {
+	h.stopping.Store(true)
+	h.log.Emit(event.HostStopping, event.Fields{})
+	h.Post(dispatch.Stop{})
+	select {
+	case <-h.open.empty():
+		h.log.Emit(event.HostStopped, event.Fields{})
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/load/charge.go
@@ -0,0 +1,122 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/standin"
+)
+
+type (
+	// charge is one call that may run at most once, and what the caller was told.
+	charge struct {
+		reference string
+		key       string
+		told      told
+	}
+
+	told uint8
+)
+
+const (
+	toldRan told = iota
+	toldNotRun
+	toldUnknown
+)
+
+// charge makes one call that is not idempotent.
+func (d *driver) charge(ctx context.Context, c call) {
+	ref := fmt.Sprintf("ref-%d-%d-%d", d.config.Seed, time.Now().UnixNano(), c.number)
+	d.count(func(r *Report) { r.Charges++ })
+	said := d.postCharge(ctx, c, ref)
+	d.count(func(r *Report) {
+		switch said {
+		case toldRan:
+			r.Ran++
+		case toldNotRun:
+			r.NotRun++
+		default:
+			r.Unknown++
+		}
+		d.charges = append(d.charges, charge{ref, c.key, said})
+	})
+}
+
+func (d *driver) postCharge(ctx context.Context, c call, ref string) told {
+	url := d.url(c.first) + "/v1/services/" + d.config.Service + "/charges"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(`{"amount":1}`))
+	if err != nil {
+		return toldUnknown
+	}
+	req.GetBody = nil
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	req.Header.Set(standin.HeaderReference, ref)
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return toldUnknown
+	}
+	defer resp.Body.Close()
+	switch resp.Header.Get(answer.HeaderOutcome) {
+	case "whole":
+		return toldRan
+	case answer.NotRun.String():
+		return toldNotRun
+	}
+	return toldUnknown
+}
+
+// audit compares what callers were told with what the service ran.
+func (d *driver) audit(ctx context.Context) {
+	for _, c := range d.charges {
+		ran, err := d.ran(ctx, c)
+		if err != nil {
+			d.report.Unaudited++
+			continue
+		}
+		if ran > 1 {
+			d.report.Twice++
+		}
+		if c.told == toldNotRun && ran > 0 {
+			d.report.FalseNotRun++
+		}
+		if c.told == toldRan && ran == 0 {
+			d.report.FalseRan++
+		}
+	}
+}
+
+func (d *driver) ran(ctx context.Context, c charge) (int, error) {
+	var err error
+	for place := range d.config.URLs {
+		var n int
+		if n, err = d.askRan(ctx, c, place); err == nil {
+			return n, nil
+		}
+	}
+	return 0, err
+}
+
+func (d *driver) askRan(ctx context.Context, c charge, place int) (int, error) {
+	url := d.url(place) + "/v1/services/" + d.config.Service + "/ran/" + c.reference
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	var result standin.ServiceResult
+	err = json.NewDecoder(resp.Body).Decode(&result)
+	return result.Ran, err
+}
--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,176 @@
+// Package meter measures a host with OpenTelemetry and shows the figures in the
+// Prometheus format.
+package meter
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/wigeonlink/wigeonlink/dispatch"
+	"github.com/wigeonlink/wigeonlink/host"
+	"github.com/wigeonlink/wigeonlink/relay"
+)
+
+type (
+	// A Meter observes one host.
+	Meter struct {
+		provider *sdk.MeterProvider
+		registry *prometheus.Registry
+		effects  metric.Int64Counter
+		refused  metric.Int64Counter
+		answers  metric.Int64Counter
+		tokens   metric.Int64Counter
+		stalls   metric.Float64Counter
+		stall    metric.Float64Histogram
+	}
+
+	// snapshot is what the gauges show, read from the reducer at once.
+	snapshot struct {
+		counts  dispatch.Counts
+		shares  []dispatch.ShareRow
+		targets []dispatch.TargetRow
+		version uint64
+	}
+)
+
+// endings names the endings of a relay on the metrics page.
+var endings = map[relay.Ending]string{
+	relay.EndWhole:      "whole",
+	relay.EndFailed:     "failed",
+	relay.EndSuperseded: "superseded",
+	relay.EndPast:       "past_end",
+	relay.EndStopped:    "stopped",
+}
+
+// NewMeter returns a meter with its own registry.
+func NewMeter() (*Meter, error) {
+	m := &Meter{registry: prometheus.NewRegistry()}
+	exp, err := exporter.New(exporter.WithRegisterer(m.registry))
+	if err != nil {
+		return nil, eris.Wrap(err, "metrics")
+	}
+	m.provider = sdk.NewMeterProvider(sdk.WithReader(exp))
+	scope := m.provider.Meter("wigeonlink")
+	counters := []struct {
+		to         *metric.Int64Counter
+		name, text string
+	}{
+		{&m.effects, "wigeonlink.effects", "Decisions of the reducer, by kind"},
+		{&m.refused, "wigeonlink.refused", "Final answers other than a result, by code"},
+		{&m.answers, "wigeonlink.attempts", "Attempts that ended, by ending"},
+		{&m.tokens, "wigeonlink.tokens", "Tokens relayed to callers, by member"},
+	}
+	for _, c := range counters {
+		if *c.to, err = scope.Int64Counter(c.name, metric.WithDescription(c.text)); err != nil {
+			return nil, eris.Wrap(err, c.name)
+		}
+	}
+	m.stalls, err = scope.Float64Counter("wigeonlink.stall.time", metric.WithUnit("s"), metric.WithDescription("Stall time that callers saw, by member"))
+	if err != nil {
+		return nil, eris.Wrap(err, "stall time")
+	}
+	m.stall, err = scope.Float64Histogram("wigeonlink.stall.per_answer", metric.WithUnit("s"), metric.WithDescription("Stall time of an answer"))
+	return m, eris.Wrap(err, "stall time")
+}
+
+// Effect counts a decision.
+func (m *Meter) Effect(f dispatch.Effect) {
+	ctx := context.Background()
+	m.effects.Add(ctx, 1, metric.WithAttributes(attribute.String("kind", f.Kind.String())))
+	if f.Kind == dispatch.EffectRefuse {
+		m.refused.Add(ctx, 1, metric.WithAttributes(attribute.String("code", f.Answer.String()), attribute.String("outcome", f.Answer.Row().Outcome.String())))
+	}
+}
+
+// Ended counts the end of an attempt.
+func (m *Meter) Ended(b *host.Booking, r relay.Result) {
+	ctx := context.Background()
+	member := metric.WithAttributes(attribute.String("member", b.Submit.Member))
+	m.answers.Add(ctx, 1, metric.WithAttributes(attribute.String("ending", endings[r.Ending])))
+	m.tokens.Add(ctx, int64(r.Delivered), member)
+	stalled := b.Track.Stalled().Seconds()
+	m.stalls.Add(ctx, stalled, member)
+	if !b.Submit.Plain {
+		m.stall.Record(ctx, stalled)
+	}
+}
+
+// Watch adds the gauges that are read from a host at each scrape.
+func (m *Meter) Watch(h *host.Host) error {
+	scope := m.provider.Meter("wigeonlink")
+	var failed error
+	gauge := func(name, text string) metric.Float64ObservableGauge {
+		g, err := scope.Float64ObservableGauge(name, metric.WithDescription(text))
+		if err != nil && failed == nil {
+			failed = eris.Wrap(err, name)
+		}
+		return g
+	}
+	promised := gauge("wigeonlink.share.promised", "Promised part of all service, by member")
+	got := gauge("wigeonlink.share.got", "Part of all service used lately, by member")
+	held := gauge("wigeonlink.held", "Requests held on this host, by member")
+	inflight := gauge("wigeonlink.inflight", "Requests at targets through this host, by member")
+	peak := gauge("wigeonlink.target.peak", "Forecast part of a target's memory")
+	open := gauge("wigeonlink.target.open", "1 if a target takes new work")
+	version := gauge("wigeonlink.table.version", "Version of the table in force")
+	retried := gauge("wigeonlink.retried", "Attempts beyond the first")
+	resumed := gauge("wigeonlink.resumed", "Fresh connections asked for because of a stall")
+	if failed != nil {
+		return failed
+	}
+	_, err := scope.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		s := read(h)
+		o.ObserveFloat64(version, float64(s.version))
+		o.ObserveFloat64(retried, float64(s.counts.Retried))
+		o.ObserveFloat64(resumed, float64(s.counts.Resumed))
+		for _, row := range s.shares {
+			by := metric.WithAttributes(attribute.String("member", row.Member))
+			o.ObserveFloat64(promised, row.Promised, by)
+			o.ObserveFloat64(got, row.Got, by)
+			o.ObserveFloat64(held, float64(row.Held), by)
+			o.ObserveFloat64(inflight, float64(row.Inflight), by)
+		}
+		for _, row := range s.targets {
+			by := metric.WithAttributes(attribute.String("target", row.Target))
+			o.ObserveFloat64(peak, row.Peak/float64(max(row.Memory, 1)), by)
+			o.ObserveFloat64(open, truth(row.Open), by)
+		}
+		return nil
+	}, promised, got, held, inflight, peak, open, version, retried, resumed)
+	return eris.Wrap(err, "gauges")
+}
+
+func truth(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func read(h *host.Host) snapshot {
+	var s snapshot
+	h.Ask(func(r *dispatch.Reducer) {
+		s.counts, s.shares, s.targets = r.Counts(), r.Shares(), r.Targets()
+		if t := r.Table(); t != nil {
+			s.version = t.Version
+		}
+	})
+	return s
+}
+
+// Handler returns the metrics page.
+func (m *Meter) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{Timeout: time.Second})
+}
+
+// Shutdown ends the measuring.
+func (m *Meter) Shutdown(ctx context.Context) error { return m.provider.Shutdown(ctx) }
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,142 @@
+// Package operator is the operators' HTTP side of a host: metrics, the time line,
+// members against their shares, targets against their forecast, and the table in
+// force.
+package operator
+
+import (
+	"encoding/json"
+	"html/template"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/wigeonlink/wigeonlink/dispatch"
+	"github.com/wigeonlink/wigeonlink/host"
+	"github.com/wigeonlink/wigeonlink/length"
+	"github.com/wigeonlink/wigeonlink/meter"
+	"github.com/wigeonlink/wigeonlink/table"
+)
+
+type (
+	// A Status is what the operators' page and /status show.
+	Status struct {
+		Host     string               `json:"host"`
+		Time     time.Time            `json:"time"`
+		Ready    bool                 `json:"ready"`
+		Active   int                  `json:"active"`
+		Version  uint64               `json:"table"`
+		Counts   dispatch.Counts      `json:"counts"`
+		Lengths  length.Tally         `json:"lengths"`
+		Shares   []dispatch.ShareRow  `json:"shares"`
+		Targets  []dispatch.TargetRow `json:"targets"`
+		Problems []string             `json:"problems,omitempty"` // broken invariants
+	}
+
+	// tableView is the table in force without its key hashes.
+	tableView struct {
+		Version  uint64          `json:"version"`
+		Members  []memberView    `json:"members"`
+		Models   []table.Model   `json:"models"`
+		Targets  []table.Target  `json:"targets"`
+		Services []table.Service `json:"services"`
+	}
+
+	memberView struct {
+		Name     string  `json:"name"`
+		Weight   float64 `json:"weight"`
+		Rate     float64 `json:"rate"`
+		Inflight int     `json:"inflight"`
+		Queue    int     `json:"queue"`
+		Tail     float64 `json:"tail"`
+		Stall    float64 `json:"stall"`
+	}
+
+	console struct {
+		host  *host.Host
+		meter *meter.Meter
+	}
+)
+
+// NewHandler returns the operators' paths of a host.
+func NewHandler(h *host.Host, m *meter.Meter) http.Handler {
+	c := &console{h, m}
+	r := mux.NewRouter()
+	r.HandleFunc("/", c.servePage).Methods(http.MethodGet)
+	r.HandleFunc("/status", c.serveStatus).Methods(http.MethodGet)
+	r.HandleFunc("/shares", c.serveShares).Methods(http.MethodGet)
+	r.HandleFunc("/events", c.serveEvents).Methods(http.MethodGet)
+	r.HandleFunc("/table", c.serveTable).Methods(http.MethodGet)
+	r.Handle("/metrics", m.Handler()).Methods(http.MethodGet)
+	return r
+}
+
+func (c *console) status() Status {
+	s := Status{Host: c.host.Name(), Time: time.Now().UTC(), Ready: c.host.Ready(), Active: c.host.Active()}
+	c.host.Ask(func(r *dispatch.Reducer) {
+		s.Counts, s.Lengths = r.Counts(), r.Lengths()
+		s.Shares, s.Targets = r.Shares(), r.Targets()
+		if t := r.Table(); t != nil {
+			s.Version = t.Version
+		}
+		if err := r.Check(); err != nil {
+			s.Problems = append(s.Problems, err.Error())
+		}
+	})
+	return s
+}
+
+func (c *console) serveStatus(w http.ResponseWriter, _ *http.Request) { writeJSON(w, c.status()) }
+
+func (c *console) serveShares(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, c.status().Shares)
+}
+
+func (c *console) serveEvents(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, c.host.Log().Records())
+}
+
+func (c *console) serveTable(w http.ResponseWriter, _ *http.Request) {
+	t := c.host.Table()
+	if t == nil {
+		http.Error(w, "no table yet", http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, viewOf(t))
+}
+
+func viewOf(t *table.Table) tableView {
+	v := tableView{Version: t.Version}
+	for _, name := range sortedKeys(t.Members) {
+		m := t.Members[name]
+		v.Members = append(v.Members, memberView{m.Name, m.Weight, m.Rate, m.Inflight, m.Queue, m.Tail, m.Stall})
+	}
+	for _, name := range sortedKeys(t.Models) {
+		v.Models = append(v.Models, t.Models[name])
+	}
+	for _, name := range sortedKeys(t.Targets) {
+		v.Targets = append(v.Targets, t.Targets[name])
+	}
+	for _, name := range sortedKeys(t.Services) {
+		v.Services = append(v.Services, t.Services[name])
+	}
+	return v
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	// An operator that is gone cannot be told.
+	_ = enc.Encode(v)
+}
+
+func (c *console) servePage(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/html; charset=utf-8")
+	_ = page.Execute(w, c.status())
+}
+
+var page = template.Must(template.New("page").Funcs(template.FuncMap{
+	"percent": func(v float64) float64 { return min(100*v, 100) },
+	"part":    func(v float64, of int) float64 { return min(100*v/float64(max(of, 1)), 100) },
+}).Parse(pageText))
--- /dev/null
+++ b/parts.go
@@ -0,0 +1,164 @@
+package wigeonlink
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/fx"
+
+	"github.com/wigeonlink/wigeonlink/desk"
+	"github.com/wigeonlink/wigeonlink/dispatch"
+	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/host"
+	"github.com/wigeonlink/wigeonlink/meter"
+	"github.com/wigeonlink/wigeonlink/operator"
+	"github.com/wigeonlink/wigeonlink/platform"
+	"github.com/wigeonlink/wigeonlink/ticket"
+)
+
+// A Part is a piece of an entry host. Parts start in the order of their priority
+// and stop in the opposite one.
+type Part struct {
+	Name     string
+	Priority int
+	Options  fx.Option
+}
+
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	mostHeader    = 32 << 10 // bytes
+)
+
+// DefaultParts returns the stock parts.
+func DefaultParts() []Part {
+	return []Part{
+		{"log", 100, fx.Provide(newLog)},
+		{"meter", 200, fx.Provide(newMeter)},
+		{"keys", 200, fx.Provide(newKeys)},
+		{"host", 300, fx.Options(fx.Provide(newHost), fx.Invoke(runHost))},
+		{"feeds", 400, fx.Invoke(runFeeds)},
+		{"operator", 500, fx.Invoke(serveOperator)},
+		{"desk", 600, fx.Options(fx.Provide(newDesk), fx.Invoke(serveDesk))},
+	}
+}
+
+func replacePart(parts []Part, p Part) []Part {
+	parts = slices.DeleteFunc(parts, func(o Part) bool { return o.Name == p.Name })
+	return append(parts, p)
+}
+
+func provided(parts []Part) []fx.Option {
+	slices.SortStableFunc(parts, func(a, b Part) int { return a.Priority - b.Priority })
+	options := make([]fx.Option, len(parts))
+	for i, p := range parts {
+		options[i] = p.Options
+	}
+	return options
+}
+
+func newLog(a *assembly) *event.Log {
+	return event.NewLog(a.settings.Name, event.WithLogger(a.logger))
+}
+
+func newMeter(l fx.Lifecycle) (*meter.Meter, error) {
+	m, err := meter.NewMeter()
+	if err != nil {
+		return nil, err
+	}
+	l.Append(fx.Hook{OnStop: m.Shutdown})
+	return m, nil
+}
+
+func newKeys(a *assembly) (*ticket.Keyring, error) { return ticket.ParseKeys(a.settings.Keys) }
+
+func newHost(a *assembly, log *event.Log, m *meter.Meter) (*host.Host, error) {
+	opts := append([]host.Option{
+		host.WithObserver(m),
+		host.WithDispatch(dispatch.WithDomain(a.settings.Domain)),
+	}, a.host...)
+	h := host.NewHost(log, opts...)
+	return h, m.Watch(h)
+}
+
+func runHost(a *assembly, l fx.Lifecycle, h *host.Host) {
+	ctx, cancel := context.WithCancel(a.life)
+	l.Append(fx.Hook{
+		OnStart: func(context.Context) error { go h.Run(ctx); return nil },
+		OnStop:  func(context.Context) error { cancel(); return nil },
+	})
+}
+
+func runFeeds(a *assembly, l fx.Lifecycle, h *host.Host) {
+	ctx, cancel := context.WithCancel(a.life)
+	l.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			for _, address := range a.settings.Platform {
+				go h.RunFeeds(ctx, platform.NewSource(address))
+			}
+			return nil
+		},
+		OnStop: func(context.Context) error { cancel(); return nil },
+	})
+}
+
+func serveOperator(a *assembly, l fx.Lifecycle, h *host.Host, m *meter.Meter) {
+	s := newServer(a, operator.NewHandler(h, m))
+	l.Append(fx.Hook{
+		OnStart: func(context.Context) error { serve(h, s, a.operator); return nil },
+		OnStop:  s.Shutdown,
+	})
+}
+
+func newDesk(a *assembly, h *host.Host, keys *ticket.Keyring) *desk.Desk {
+	var opts []desk.Option
+	if a.settings.Body > 0 {
+		opts = append(opts, desk.WithMostBody(a.settings.Body))
+	}
+	return desk.NewDesk(h, keys, opts...)
+}
+
+func serveDesk(a *assembly, l fx.Lifecycle, h *host.Host, d *desk.Desk) {
+	s := newServer(a, d.Handler())
+	l.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			h.Log().Emit(event.HostStarted, event.Fields{Detail: a.caller.Addr().String()})
+			serve(h, s, a.caller)
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			drain, cancel := context.WithTimeout(ctx, a.settings.Drain)
+			defer cancel()
+			if !h.Stop(drain) {
+				s.Close()
+				return eris.Errorf("%d requests were still open after %s", h.Active(), a.settings.Drain)
+			}
+			return s.Shutdown(ctx)
+		},
+	})
+}
+
+func newServer(a *assembly, handler http.Handler) *http.Server {
+	s := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    mostHeader,
+		ErrorLog:          a.logger.StandardLogger(nil),
+	}
+	context.AfterFunc(a.life, func() { s.Close() })
+	return s
+}
+
+func serve(h *host.Host, s *http.Server, l net.Listener) {
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			h.Log().Emit(event.HostFault, event.Fields{Detail: err.Error()})
+		}
+	}()
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,350 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonlink/wigeonlink/target"
+)
+
+type (
+	// A Sink takes what a caller is to get. After an error it is not used again.
+	Sink interface {
+		// Open is called once, when the engine is known to have the generation.
+		Open(boot string) error
+
+		// Token writes a token. Its text is a JSON string, valid during the call.
+		Token(number int, text []byte) error
+
+		// Flush sends what has been written.
+		Flush() error
+	}
+
+	// A Relay is one generation on its way to one caller.
+	Relay struct {
+		engine   target.Engine
+		order    target.Order
+		track    *Track
+		sink     Sink
+		sequence Sequence
+		boot     string
+		stream   target.Stream
+		resumed  func(error)
+		patience time.Duration
+		gone     func()
+		opened   bool
+		usage    target.Usage
+		reason   string
+	}
+
+	// A Result is how a relay ended.
+	Result struct {
+		Ending    Ending
+		Reason    string // stop or length; with EndFailed what the engine said
+		Usage     target.Usage
+		Certainty target.Certainty
+		Rebooted  bool
+		Delivered int // tokens, those before a resume included
+		Cause     error
+	}
+
+	// An Ending tells results apart.
+	Ending uint8
+
+	// An Option changes a Relay.
+	Option interface{ apply(*Relay) }
+
+	withResume struct {
+		boot string
+		next int
+	}
+	withPatience time.Duration
+	withGone     func()
+	withResumed  func(error)
+)
+
+// The endings.
+const (
+	EndWhole      Ending = iota // the caller has the whole answer
+	EndFailed                   // the generation is over, or cannot be reached
+	EndSuperseded               // another host has the stream
+	EndPast                     // the caller asked for tokens past the end
+	EndStopped                  // the context ended
+)
+
+const (
+	// StallFrom is the gap between two tokens from which on a caller sees a
+	// stall.
+	StallFrom = 250 * time.Millisecond
+
+	defaultPatience = 15 * time.Second // how long a generation is sought
+	firstBackoff    = 10 * time.Millisecond
+	mostBackoff     = 500 * time.Millisecond
+	confirmTimeout  = 2 * time.Second
+)
+
+var (
+	errGap   = errors.New("a token is missing")
+	errTotal = errors.New("the final event does not match the tokens")
+)
+
+// WithResume starts at a token of a generation that is under way.
+func WithResume(boot string, next int) Option { return withResume{boot, next} }
+
+// WithPatience sets how long a generation that cannot be reached is sought.
+func WithPatience(d time.Duration) Option { return withPatience(d) }
+
+// WithGone sets what is called once if the caller goes away.
+func WithGone(f func()) Option { return withGone(f) }
+
+// WithResumed sets what is called for every fresh connection, with what ended the
+// last.
+func WithResumed(f func(error)) Option { return withResumed(f) }
+
+func (o withResume) apply(r *Relay) {
+	r.boot, r.sequence = o.boot, NewSequence(o.next)
+}
+func (o withPatience) apply(r *Relay) { r.patience = time.Duration(o) }
+func (o withGone) apply(r *Relay)     { r.gone = o }
+func (o withResumed) apply(r *Relay)  { r.resumed = o }
+
+// NewRelay returns a relay of one generation.
+func NewRelay(e target.Engine, o target.Order, t *Track, s Sink, opts ...Option) *Relay {
+	r := &Relay{
+		engine:   e,
+		order:    o,
+		track:    t,
+		sink:     s,
+		patience: defaultPatience,
+		gone:     func() {},
+		resumed:  func(error) {},
+	}
+	for _, opt := range opts {
+		opt.apply(r)
+	}
+	return r
+}
+
+// Run relays until the answer is whole, lost or taken over. If the caller goes
+// away the generation is followed without it, so that it can be resumed; end ctx
+// to stop that.
+func (r *Relay) Run(ctx context.Context) Result {
+	r.track.begin(r.sequence.Next())
+	start := r.sequence.Next()
+	if failed := r.open(ctx); failed != nil {
+		return *failed
+	}
+	defer func() { r.stream.Close() }()
+	for {
+		err := r.follow(start)
+		if err == nil {
+			return r.result(EndWhole)
+		}
+		var ended endedError
+		if errors.As(err, &ended) {
+			return r.result(ended.ending)
+		}
+		r.stream.Close()
+		if failed := r.reopen(ctx, err); failed != nil {
+			return *failed
+		}
+	}
+}
+
+// endedError ends a relay without asking for more.
+type endedError struct{ ending Ending }
+
+func (endedError) Error() string { return "ended" }
+
+// result returns how the relay ended. A generation that its engine has ended
+// without a result is lost for certain.
+func (r *Relay) result(e Ending) Result {
+	res := Result{Ending: e, Reason: r.reason, Usage: r.usage, Delivered: r.sequence.Next()}
+	if e == EndFailed {
+		res.Certainty = target.CertainLost
+		res.Cause = eris.New("the engine ended the generation: " + r.reason)
+	}
+	return res
+}
+
+func (r *Relay) failure(c target.Certainty, rebooted bool, cause error) *Result {
+	return &Result{Ending: EndFailed, Certainty: c, Rebooted: rebooted, Delivered: r.sequence.Next(), Cause: cause}
+}
+
+// open makes the first connection. When it is not known whether the engine took
+// the order, the generation is sought; if the engine does not know it, a confirmed
+// cancel makes sure that it never will.
+func (r *Relay) open(ctx context.Context) *Result {
+	if r.boot != "" {
+		return r.reopen(ctx, nil)
+	}
+	stream, err := r.engine.Start(ctx, r.order)
+	if err == nil {
+		r.use(stream)
+		return nil
+	}
+	if c := certainty(err); c == target.CertainNotRun {
+		return r.failure(c, false, err)
+	}
+	return r.reopen(ctx, err)
+}
+
+func certainty(err error) target.Certainty {
+	var oe *target.OrderError
+	if errors.As(err, &oe) {
+		return oe.Certainty
+	}
+	return target.CertainNothing
+}
+
+func (r *Relay) use(s target.Stream) {
+	if r.boot == "" {
+		r.boot = s.Boot()
+	}
+	r.stream = s
+	r.track.connect(s.Close)
+}
+
+// reopen opens a fresh connection, trying for the relay's patience.
+func (r *Relay) reopen(ctx context.Context, cause error) *Result {
+	if cause != nil {
+		r.resumed(cause)
+	}
+	deadline := time.Now().Add(r.patience)
+	backoff := firstBackoff
+	for {
+		if ctx.Err() != nil {
+			res := r.result(EndStopped)
+			return &res
+		}
+		stream, err := r.engine.Resume(ctx, r.order.Generation, r.sequence.Next())
+		switch {
+		case err == nil && r.boot != "" && stream.Boot() != r.boot:
+			stream.Close()
+			return r.failure(target.CertainLost, true, eris.New("the engine has another boot identifier"))
+		case err == nil:
+			r.use(stream)
+			return nil
+		case certainty(err) == target.CertainLost:
+			return r.lost(ctx, err)
+		case time.Now().After(deadline):
+			return r.failure(target.CertainNothing, false, err)
+		}
+		wait(ctx, backoff)
+		backoff = min(2*backoff, mostBackoff)
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// lost says what it proves that the engine does not know the generation.
+func (r *Relay) lost(ctx context.Context, cause error) *Result {
+	var oe *target.OrderError
+	errors.As(cause, &oe)
+	if r.boot != "" {
+		return r.failure(target.CertainLost, oe.Boot != r.boot, cause)
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	if err := r.engine.Cancel(ctx, r.order.Generation); err != nil {
+		return r.failure(target.CertainNothing, false, err)
+	}
+	return r.failure(target.CertainNotRun, false, cause)
+}
+
+// follow reads the present connection to its end. It returns nil at a final event
+// that matches the tokens.
+func (r *Relay) follow(start int) error {
+	var e target.Event
+	for {
+		if err := r.stream.Next(&e); err != nil {
+			return err
+		}
+		switch e.Kind {
+		case target.EventQueued:
+			r.track.queued.Store(true)
+			r.begin()
+		case target.EventRunning:
+			r.track.queued.Store(false)
+			r.begin()
+		case target.EventToken:
+			if err := r.token(&e); err != nil {
+				return err
+			}
+		case target.EventSuperseded:
+			return endedError{EndSuperseded}
+		case target.EventFailed:
+			r.reason = e.Reason
+			return endedError{EndFailed}
+		case target.EventDone:
+			return r.final(&e, start)
+		}
+	}
+}
+
+// begin opens the caller's answer.
+func (r *Relay) begin() {
+	if r.opened {
+		return
+	}
+	r.opened = true
+	if r.sink != nil && r.sink.Open(r.boot) != nil {
+		r.drop()
+	}
+}
+
+// drop goes on without the caller.
+func (r *Relay) drop() {
+	r.sink = nil
+	r.gone()
+}
+
+func (r *Relay) token(e *target.Event) error {
+	switch r.sequence.Accept(e.Number) {
+	case Duplicate:
+		return nil
+	case Gap:
+		return errGap
+	}
+	r.begin()
+	now := time.Now()
+	gap := time.Duration(0)
+	if last := r.track.last.Load(); last != 0 {
+		gap = now.Sub(time.Unix(0, last))
+	}
+	r.track.token(now, gap)
+	if r.sink == nil {
+		return nil
+	}
+	if err := r.sink.Token(e.Number, e.Text); err != nil {
+		r.drop()
+		return nil
+	}
+	if !r.stream.Buffered() && r.sink.Flush() != nil {
+		r.drop()
+	}
+	return nil
+}
+
+// final checks the count of a final event.
+func (r *Relay) final(e *target.Event, start int) error {
+	if r.sequence.Next() > e.Number && r.sequence.Next() == start {
+		return endedError{EndPast}
+	}
+	if !r.sequence.Complete(e.Number) {
+		return errTotal
+	}
+	r.begin()
+	r.usage, r.reason = e.Usage, e.Reason
+	return nil
+}
--- /dev/null
+++ b/share/ledger.go
@@ -0,0 +1,223 @@
+// Package share keeps what each member was promised, what it used and what it
+// was refused. Use is an exponentially decayed sum of service, so that it adds up
+// over hosts, needs no agreed start, and forgets the dead by itself.
+package share
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+type (
+	// A Ledger holds the use of every member. It is used by one goroutine at a
+	// time.
+	Ledger struct {
+		window  time.Duration
+		origins map[string]*origin
+		order   []string // names of the origins, as first seen
+		own     map[Account]*use
+		pooled  map[Account]*use // sum of the other origins
+	}
+
+	// An Account is a member's use of one pool. An empty pool means all pools.
+	Account struct{ Member, Pool string }
+
+	// An Entry is one account's use as reported by another origin.
+	Entry struct {
+		Account Account
+		Use     float64 // service units, decayed to the time of the report
+		Holding float64 // service units a second, now being consumed
+	}
+
+	// use is decayed service and the rate at which more is being consumed.
+	use struct {
+		value   float64
+		at      time.Duration
+		holding float64
+	}
+
+	// origin is another host and what its last report said.
+	origin struct {
+		sequence uint64
+		at       time.Duration
+		entries  map[Account]use
+	}
+)
+
+const (
+	// DefaultWindow is the time constant with which use is forgotten.
+	DefaultWindow = 5 * time.Second
+
+	// ReportExpiry is the age at which what a report says of the present is
+	// dropped. What it says of the past decays.
+	ReportExpiry = 2 * time.Second
+
+	negligible = 1e-3 // service units below which an account is dropped
+)
+
+// NewLedger returns an empty ledger that forgets use with the time constant
+// window; 0 means the default.
+func NewLedger(window time.Duration) *Ledger {
+	if window == 0 {
+		window = DefaultWindow
+	}
+	return &Ledger{
+		window:  window,
+		origins: map[string]*origin{},
+		own:     map[Account]*use{},
+		pooled:  map[Account]*use{},
+	}
+}
+
+func (l *Ledger) decay(u use, now time.Duration) float64 {
+	age := now - u.at
+	if age <= 0 {
+		return u.value
+	}
+	return u.value * math.Exp(-float64(age)/float64(l.window))
+}
+
+func (l *Ledger) add(m map[Account]*use, a Account, amount, holding float64, now time.Duration) {
+	u := m[a]
+	if u == nil {
+		u = &use{}
+		m[a] = u
+	}
+	u.value = math.Max(l.decay(*u, now)+amount, 0)
+	u.at = max(u.at, now)
+	u.holding = math.Max(u.holding+holding, 0)
+}
+
+// Charge adds service used through this host, to the pool's account and to the
+// account over all pools.
+func (l *Ledger) Charge(member, pool string, service float64, now time.Duration) {
+	l.add(l.own, Account{member, pool}, service, 0, now)
+	l.add(l.own, Account{member, ""}, service, 0, now)
+}
+
+// Hold changes the rate at which a member consumes service through this host.
+func (l *Ledger) Hold(member, pool string, rate float64, now time.Duration) {
+	l.add(l.own, Account{member, pool}, 0, rate, now)
+	l.add(l.own, Account{member, ""}, 0, rate, now)
+}
+
+// Use returns an account's decayed use over all hosts, in service units.
+func (l *Ledger) Use(a Account, now time.Duration) float64 {
+	sum := 0.0
+	if u := l.own[a]; u != nil {
+		sum += l.decay(*u, now)
+	}
+	if u := l.pooled[a]; u != nil {
+		sum += l.decay(*u, now)
+	}
+	return sum
+}
+
+// Holding returns the rate at which an account consumes service over all hosts.
+func (l *Ledger) Holding(a Account) float64 {
+	sum := 0.0
+	if u := l.own[a]; u != nil {
+		sum += u.holding
+	}
+	if u := l.pooled[a]; u != nil {
+		sum += u.holding
+	}
+	return sum
+}
+
+// Level returns what an account is judged by: the mean of its decayed use and of
+// the use that its present rate amounts to. The past alone lags by the length of
+// a generation; the present alone forgets what was lent.
+func (l *Ledger) Level(a Account, now time.Duration) float64 {
+	return (l.Use(a, now) + l.Holding(a)*l.window.Seconds()) / 2
+}
+
+// Rate returns an account's use as service units a second.
+func (l *Ledger) Rate(a Account, now time.Duration) float64 {
+	return l.Use(a, now) / l.window.Seconds()
+}
+
+// Report lists the accounts used through this host, for other hosts. Accounts
+// with next to no use are dropped.
+func (l *Ledger) Report(now time.Duration) []Entry {
+	entries := make([]Entry, 0, len(l.own))
+	for a, u := range l.own {
+		v := l.decay(*u, now)
+		if v < negligible && u.holding < negligible {
+			delete(l.own, a)
+			continue
+		}
+		entries = append(entries, Entry{a, v, u.holding})
+	}
+	return entries
+}
+
+// Merge takes in another origin's report. A report replaces the origin's last;
+// an older one is ignored and Merge reports false. The name of an origin includes
+// its incarnation: what an earlier incarnation used stays until it has decayed.
+func (l *Ledger) Merge(from string, sequence uint64, entries []Entry, now time.Duration) bool {
+	o := l.origins[from]
+	if o == nil {
+		o = &origin{entries: map[Account]use{}}
+		l.origins[from] = o
+		l.order = append(l.order, from)
+	}
+	if sequence <= o.sequence {
+		return false
+	}
+	o.sequence, o.at = sequence, now
+	l.withdraw(o, now)
+	clear(o.entries)
+	for _, e := range entries {
+		if !plausible(e.Use) || !plausible(e.Holding) {
+			continue
+		}
+		o.entries[e.Account] = use{e.Use, now, e.Holding}
+		l.add(l.pooled, e.Account, e.Use, e.Holding, now)
+	}
+	return true
+}
+
+func plausible(v float64) bool { return v >= 0 && !math.IsInf(v, 0) }
+
+// withdraw takes an origin's remaining use out of the pooled sums.
+func (l *Ledger) withdraw(o *origin, now time.Duration) {
+	for a, u := range o.entries {
+		l.add(l.pooled, a, -l.decay(u, now), -u.holding, now)
+		l.drop(a)
+	}
+}
+
+func (l *Ledger) drop(a Account) {
+	if u := l.pooled[a]; u.value < negligible && u.holding < negligible {
+		delete(l.pooled, a)
+	}
+}
+
+// Expire drops the present rates of origins that have not reported for
+// ReportExpiry, and origins of which nothing is left.
+func (l *Ledger) Expire(now time.Duration) {
+	l.order = slices.DeleteFunc(l.order, func(name string) bool {
+		o := l.origins[name]
+		if now-o.at < ReportExpiry {
+			return false
+		}
+		left := 0.0
+		for a, u := range o.entries {
+			l.add(l.pooled, a, 0, -u.holding, now)
+			u.holding = 0
+			o.entries[a] = u
+			left += l.decay(u, now)
+		}
+		if left >= negligible {
+			return false
+		}
+		l.withdraw(o, now)
+		delete(l.origins, name)
+		return true
+	})
+}
+
+// Accounts returns the number of accounts held.
+func (l *Ledger) Accounts() int { return len(l.own) + len(l.pooled) }
--- /dev/null
+++ b/standin/engine_http.go
@@ -0,0 +1,298 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/wigeonlink/wigeonlink/target"
+)
+
+type (
+	engineOrder struct {
+		Model    string `json:"model"`
+		Input    string `json:"input"`
+		Limit    int    `json:"max_output_tokens"`
+		Priority int    `json:"priority"`
+	}
+
+	engineEvent struct {
+		Type     string          `json:"type"`
+		Number   int             `json:"sequence_number"`
+		Delta    string          `json:"delta,omitempty"`
+		Response *engineResponse `json:"response,omitempty"`
+	}
+
+	engineResponse struct {
+		ID     string       `json:"id"`
+		Status string       `json:"status"`
+		Usage  *engineUsage `json:"usage,omitempty"`
+		Error  *engineError `json:"error,omitempty"`
+	}
+
+	engineUsage struct {
+		Input   int           `json:"input_tokens"`
+		Output  int           `json:"output_tokens"`
+		Details engineDetails `json:"input_tokens_details"`
+	}
+
+	engineDetails struct {
+		Cached int `json:"cached_tokens"`
+	}
+
+	engineError struct {
+		Message string `json:"message"`
+	}
+)
+
+// Handler returns the engine's HTTP side.
+func (e *Engine) Handler() http.Handler {
+	m := mux.NewRouter()
+	m.HandleFunc("/v1/responses", e.serveStart).Methods(http.MethodPost)
+	m.HandleFunc("/v1/responses/{id}", e.serveResume).Methods(http.MethodGet)
+	m.HandleFunc("/v1/responses/{id}/cancel", e.serveCancel).Methods(http.MethodPost)
+	m.Handle("/metrics", promhttp.HandlerFor(e.registry(), promhttp.HandlerOpts{}))
+	m.HandleFunc("/faults", e.serveFault).Methods(http.MethodPost)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(target.HeaderBoot, e.Boot())
+		m.ServeHTTP(w, r)
+	})
+}
+
+func (e *Engine) registry() *prometheus.Registry {
+	reg := prometheus.NewRegistry()
+	gauge := func(name string, f func() float64) {
+		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: name}, func() float64 {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return f()
+		}))
+	}
+	gauge("engine:cache_tokens_total", func() float64 { return float64(e.batch.Spec().Memory) })
+	gauge("vllm:kv_cache_usage_perc", func() float64 { return float64(e.batch.Used()) / float64(e.batch.Spec().Memory) })
+	gauge("vllm:num_requests_running", func() float64 { return float64(e.batch.Running()) })
+	gauge("vllm:num_requests_waiting", func() float64 { return float64(e.batch.Waiting()) })
+	gauge("vllm:num_preemptions_total", func() float64 { return float64(e.batch.Counts().Preemptions) })
+	gauge("engine:leaving", func() float64 {
+		if e.leaving {
+			return 1
+		}
+		return 0
+	})
+	return reg
+}
+
+func (e *Engine) serveStart(w http.ResponseWriter, r *http.Request) {
+	var body engineOrder
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, "bad order: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	if e.faults.refuse || e.leaving {
+		e.mu.Unlock()
+		http.Error(w, "refusing orders", http.StatusServiceUnavailable)
+		return
+	}
+	g, ok := e.start(target.Order{
+		Generation: r.Header.Get(target.HeaderRequest),
+		Model:      body.Model,
+		Prompt:     body.Input,
+		Limit:      body.Limit,
+		Priority:   body.Priority,
+	})
+	e.mu.Unlock()
+	if !ok {
+		http.Error(w, "identifier in use or cancelled, or prompt too long", http.StatusConflict)
+		return
+	}
+	e.follow(w, r, g, 0)
+}
+
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	g := e.byID[mux.Vars(r)["id"]]
+	e.mu.Unlock()
+	if g == nil {
+		http.Error(w, "no such generation", http.StatusNotFound)
+		return
+	}
+	after, err := strconv.Atoi(r.URL.Query().Get("starting_after"))
+	if err != nil || after < 0 {
+		http.Error(w, "bad starting_after", http.StatusBadRequest)
+		return
+	}
+	e.follow(w, r, g, after)
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	id := mux.Vars(r)["id"]
+	e.mu.Lock()
+	e.bury(id)
+	e.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(engineResponse{ID: id, Status: "cancelled"})
+}
+
+// attach makes a connection the one reader of a generation.
+func (e *Engine) attach(g *generation, cut context.CancelFunc) *reader {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if old := g.reader; old != nil {
+		old.superseded = true
+		old.wake()
+	}
+	rd := &reader{notify: make(chan struct{}, 1), cut: cut}
+	rd.wake()
+	g.reader = rd
+	e.readers[rd] = true
+	return rd
+}
+
+func (e *Engine) detach(g *generation, rd *reader) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.readers, rd)
+	if g.reader == rd {
+		g.reader = nil
+	}
+}
+
+// follow streams a generation from token next on.
+func (e *Engine) follow(w http.ResponseWriter, r *http.Request, g *generation, next int) {
+	ctx, cut := context.WithCancel(r.Context())
+	defer cut()
+	rd := e.attach(g, cut)
+	defer e.detach(g, rd)
+	w.Header().Set("Content-Type", "text/event-stream")
+	out := &eventWriter{w: w, control: http.NewResponseController(w)}
+	if e.emit(out, rd, func() {
+		out.event(engineEvent{Type: "response.created", Response: &engineResponse{ID: g.id, Status: e.statusOf(g)}})
+	}) != nil {
+		return
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			panic(http.ErrAbortHandler)
+		case <-rd.notify:
+		}
+		more, err := e.catchUp(out, g, rd, &next)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if !more {
+			return
+		}
+	}
+}
+
+// statusOf says whether a generation runs. The caller holds no lock.
+func (e *Engine) statusOf(g *generation) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case g.done:
+		return "completed"
+	case g.sequence.held > 0:
+		return "in_progress"
+	}
+	return "queued"
+}
+
+// catchUp writes what is new. It reports false after a final event.
+func (e *Engine) catchUp(out *eventWriter, g *generation, rd *reader, next *int) (bool, error) {
+	e.mu.Lock()
+	have, done, cancelled, superseded, preempted := g.sequence.Generated, g.done, g.cancelled, rd.superseded, g.sequence.preempted && g.sequence.held == 0
+	breakAt := e.faults.breakAt
+	e.mu.Unlock()
+	if superseded {
+		return false, e.emit(out, rd, func() { out.event(engineEvent{Type: "response.superseded"}) })
+	}
+	for ; *next < have; *next++ {
+		n := *next
+		if breakAt > 0 && n == breakAt-1 && e.breakOnce(g) {
+			return false, http.ErrAbortHandler
+		}
+		err := e.emit(out, rd, func() {
+			out.event(engineEvent{Type: "response.output_text.delta", Number: n + 1, Delta: Token(g.id, n)})
+		})
+		if err != nil {
+			return false, err
+		}
+	}
+	if done {
+		return false, e.emit(out, rd, func() { out.event(e.finalOf(g, have, cancelled)) })
+	}
+	if preempted {
+		return true, e.emit(out, rd, func() { out.event(engineEvent{Type: "response.queued"}) })
+	}
+	return true, nil
+}
+
+func (e *Engine) breakOnce(g *generation) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	was := g.broken
+	g.broken = true
+	return !was
+}
+
+func (e *Engine) finalOf(g *generation, tokens int, cancelled bool) engineEvent {
+	ev := engineEvent{Type: "response.completed", Number: tokens + 1, Response: &engineResponse{ID: g.id, Status: "completed"}}
+	ev.Response.Usage = &engineUsage{Input: g.prompt, Output: tokens, Details: engineDetails{g.sequence.Cached}}
+	switch {
+	case cancelled:
+		ev.Type, ev.Response.Status = "response.cancelled", "cancelled"
+		ev.Response.Error = &engineError{"cancelled"}
+	case g.limited:
+		ev.Type, ev.Response.Status = "response.incomplete", "incomplete"
+	}
+	return ev
+}
+
+// emit writes through the faults of the link.
+func (e *Engine) emit(out *eventWriter, rd *reader, write func()) error {
+	e.mu.Lock()
+	silent, stalled := rd.silent, time.Until(e.faults.stalledUntil)
+	e.mu.Unlock()
+	if silent {
+		return nil
+	}
+	if stalled > 0 {
+		time.Sleep(stalled)
+	}
+	write()
+	return out.flush()
+}
+
+// eventWriter writes server-sent events.
+type eventWriter struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	err     error
+}
+
+func (o *eventWriter) event(ev engineEvent) {
+	data, err := json.Marshal(ev)
+	if err == nil {
+		_, err = fmt.Fprintf(o.w, "event: %s\ndata: %s\n\n", ev.Type, data)
+	}
+	if o.err == nil {
+		o.err = err
+	}
+}
+
+func (o *eventWriter) flush() error {
+	if o.err == nil {
+		o.err = o.control.Flush()
+	}
+	return o.err
+}
--- /dev/null
+++ b/table/table.go
@@ -0,0 +1,158 @@
+package table
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/netip"
+	"sort"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+type (
+	// A Table is a checked set of declarations. It is never changed after
+	// Check has returned it. The zero value is an empty table of version 0.
+	Table struct {
+		Version  uint64
+		Members  map[string]Member
+		Models   map[string]Model
+		Targets  map[string]Target
+		Services map[string]Service
+		Limits   map[LimitKey]Limit
+
+		byKey map[[sha256.Size]byte]string
+	}
+
+	// A Member is an organisation that is promised a share.
+	Member struct {
+		Name     string
+		Weight   float64 // relative share
+		Rate     float64 // requests a second; 0 means no cap
+		Inflight int     // requests at once; 0 means no cap
+		Queue    int     // requests held at once on one host
+		Tail     float64 // weight of the tail of time between tokens
+		Stall    float64 // weight of stall time
+		Key      [sha256.Size]byte
+	}
+
+	// A Model is a model version that callers can ask for.
+	Model struct {
+		Name    string
+		Version string
+	}
+
+	// A Target is one back end: an engine of a model, or a host of a service.
+	Target struct {
+		Name    string
+		Kind    TargetKind
+		Model   string // engines only
+		Service string // service hosts only
+		Domain  string
+		Address netip.AddrPort
+		Memory  int  // tokens of engine memory
+		Checks  bool // whether it refuses an old fencing number
+		Weight  float64
+	}
+
+	// A TargetKind tells engines from hosts of plain services.
+	TargetKind uint8
+
+	// A Service is a plain service with its routes.
+	Service struct {
+		Name   string
+		Routes []Route
+	}
+
+	// A Route is a set of calls of a service.
+	Route struct {
+		Method     string // empty means any
+		Path       string // prefix
+		Idempotent bool
+	}
+
+	// A LimitKey names a member's use of one model.
+	LimitKey struct{ Member, Model string }
+
+	// A Limit is a cap on a member's use of one model.
+	Limit struct {
+		Weight   float64
+		Rate     float64
+		Inflight int
+	}
+)
+
+// The kinds of target.
+const (
+	TargetEngine TargetKind = iota
+	TargetService
+)
+
+// String returns the kind's name in the sheet.
+func (k TargetKind) String() string {
+	if k == TargetService {
+		return "host"
+	}
+	return "engine"
+}
+
+// HashKey returns the form in which the table holds a bearer key.
+func HashKey(key string) [sha256.Size]byte { return sha256.Sum256([]byte(key)) }
+
+// FormatKey returns the cell text of a bearer key's hash.
+func FormatKey(key string) string {
+	h := HashKey(key)
+	return "sha256:" + hex.EncodeToString(h[:])
+}
+
+// MemberByKey returns the member whose bearer key is key. The look-up is by the
+// key's hash, so its time says nothing about the key.
+func (t *Table) MemberByKey(key string) (Member, bool) {
+	name, ok := t.byKey[HashKey(key)]
+	if !ok {
+		return Member{}, false
+	}
+	return t.Members[name], true
+}
+
+// Engines returns the names of the engines of a model, sorted.
+func (t *Table) Engines(model string) []string {
+	return t.targets(func(g Target) bool { return g.Kind == TargetEngine && g.Model == model })
+}
+
+// Hosts returns the names of the hosts of a service, sorted.
+func (t *Table) Hosts(service string) []string {
+	return t.targets(func(g Target) bool { return g.Kind == TargetService && g.Service == service })
+}
+
+func (t *Table) targets(want func(Target) bool) []string {
+	var names []string
+	for name, g := range t.Targets {
+		if want(g) {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Route returns the most specific route of a service for a call. A call that no
+// route names is not idempotent.
+func (s Service) Route(method, path string) Route {
+	best, found := Route{}, false
+	for _, r := range s.Routes {
+		if r.Method != "" && r.Method != method {
+			continue
+		}
+		if !strings.HasPrefix(path, r.Path) {
+			continue
+		}
+		if !found || len(r.Path) > len(best.Path) || len(r.Path) == len(best.Path) && r.Method != "" {
+			best, found = r, true
+		}
+	}
+	return best
+}
+
+// Hash returns a number for a name that is the same in every process.
+func Hash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
--- /dev/null
+++ b/ticket/cursor.go
@@ -0,0 +1,60 @@
+package ticket
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/table"
+	"github.com/wigeonlink/wigeonlink/wire"
+)
+
+const (
+	cursorVersion = 1
+	separator     = "."
+
+	// CursorLife is how long a cursor is valid after its stream began.
+	CursorLife = time.Hour
+)
+
+// A Position is an opened cursor and the next token that the caller wants.
+type Position struct {
+	Cursor *wire.Cursor
+	Next   int
+}
+
+// SealCursor returns the sealed part of a stream's event identifiers. The number
+// of the event follows it in plain: it only ever says how much of the caller's own
+// stream the caller has, and is checked against the stream.
+func (k *Keyring) SealCursor(c *wire.Cursor) (string, error) {
+	c.Version = cursorVersion
+	return k.Seal(PurposeCursor, c)
+}
+
+// FormatEvent returns the identifier of the event that carries token n.
+func FormatEvent(sealed string, n int) string { return sealed + separator + strconv.Itoa(n) }
+
+// OpenCursor reads the identifier of the last event that a caller has got, on
+// behalf of a member. Its errors are of the kinds BadCursor, ExpiredCursor and
+// WrongMember.
+func (k *Keyring) OpenCursor(text, member string, now time.Time) (Position, error) {
+	sealed, number, ok := strings.Cut(text, separator)
+	last, err := strconv.Atoi(number)
+	if !ok || err != nil || last < -1 {
+		return Position{}, answer.New(answer.KindBadCursor, "the event identifier is not one of ours")
+	}
+	c := &wire.Cursor{}
+	if err := k.Open(PurposeCursor, sealed, c); err != nil {
+		return Position{}, answer.Wrap(answer.KindBadCursor, err, "the cursor cannot be opened")
+	}
+	switch {
+	case c.Version != cursorVersion:
+		return Position{}, answer.New(answer.KindBadCursor, "the cursor has another format")
+	case c.Member != table.Hash(member):
+		return Position{}, answer.New(answer.KindWrongMember, "")
+	case now.Unix() >= c.Expiry:
+		return Position{}, answer.New(answer.KindExpiredCursor, "")
+	}
+	return Position{Cursor: c, Next: last + 1}, nil
+}
--- /dev/null
+++ b/wigeonlink.go
@@ -0,0 +1,149 @@
+// Package wigeonlink is a serving system for generations of unknown length on
+// crowded engines. It assembles the parts of one entry host: the callers' desk, the
+// operators' pages, the loop that decides, and the feeds from the platform.
+package wigeonlink
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+	"go.uber.org/fx"
+
+	"github.com/wigeonlink/wigeonlink/host"
+)
+
+type (
+	// Settings are what a process is told about itself.
+	Settings struct {
+		Name     string           // of the host; empty means its callers' address
+		Domain   string           // failure domain
+		Caller   netip.AddrPort   // callers' address; port 0 picks a free one
+		Operator netip.AddrPort   // operators' address; port 0 picks a free one
+		Platform []netip.AddrPort // addresses of the configuration service
+		Keys     []string         // sealing keys in hexadecimal, the current one first
+		Drain    time.Duration    // how long a stop waits for open requests; 0 means DefaultDrain
+		Body     int64            // largest request body in bytes; 0 means the desk's default
+	}
+
+	// An Entry is one entry host.
+	Entry struct {
+		app      *fx.App
+		host     *host.Host
+		caller   net.Listener
+		operator net.Listener
+		kill     context.CancelFunc
+	}
+
+	// An Option changes an Entry.
+	Option interface{ apply(*assembly) }
+
+	withLogger struct{ logger hclog.Logger }
+	withHost   []host.Option
+	withPart   Part
+
+	// assembly is what an Entry is made from.
+	assembly struct {
+		settings Settings
+		logger   hclog.Logger
+		host     []host.Option
+		parts    []Part
+		caller   net.Listener
+		operator net.Listener
+		life     context.Context
+	}
+)
+
+// DefaultDrain is how long a stop waits for open requests.
+const DefaultDrain = 2 * time.Minute
+
+// Version is the version of the program.
+const Version = "0.1.0"
+
+// WithLogger sets where the host logs. The default logs nowhere.
+func WithLogger(l hclog.Logger) Option { return withLogger{l} }
+
+// WithHost passes options to the host.
+func WithHost(opts ...host.Option) Option { return withHost(opts) }
+
+// WithPart adds a part, or replaces the stock part of the same name.
+func WithPart(p Part) Option { return withPart(p) }
+
+func (o withLogger) apply(a *assembly) { a.logger = o.logger }
+func (o withHost) apply(a *assembly)   { a.host = append(a.host, o...) }
+func (o withPart) apply(a *assembly)   { a.parts = replacePart(a.parts, Part(o)) }
+
+// NewEntry opens the addresses of an entry host and assembles its parts. Start
+// makes it serve.
+func NewEntry(s Settings, opts ...Option) (*Entry, error) {
+	a := &assembly{settings: s, logger: hclog.NewNullLogger(), parts: DefaultParts()}
+	for _, o := range opts {
+		o.apply(a)
+	}
+	if a.settings.Drain == 0 {
+		a.settings.Drain = DefaultDrain
+	}
+	if err := a.listen(); err != nil {
+		return nil, err
+	}
+	if a.settings.Name == "" {
+		a.settings.Name = a.caller.Addr().String()
+	}
+	e := &Entry{caller: a.caller, operator: a.operator}
+	a.life, e.kill = context.WithCancel(context.Background())
+	e.app = fx.New(
+		fx.NopLogger,
+		fx.Supply(a),
+		fx.StopTimeout(a.settings.Drain+stopSlack),
+		fx.Options(provided(a.parts)...),
+		fx.Populate(&e.host),
+	)
+	if err := e.app.Err(); err != nil {
+		e.Kill()
+		return nil, eris.Wrap(err, "assemble")
+	}
+	return e, nil
+}
+
+// stopSlack is what a stop may take beyond its drain.
+const stopSlack = 10 * time.Second
+
+func (a *assembly) listen() error {
+	var err error
+	if a.caller, err = net.Listen("tcp", a.settings.Caller.String()); err != nil {
+		return eris.Wrap(err, "callers' address")
+	}
+	if a.operator, err = net.Listen("tcp", a.settings.Operator.String()); err != nil {
+		a.caller.Close()
+		return eris.Wrap(err, "operators' address")
+	}
+	return nil
+}
+
+// Start makes the host serve.
+func (e *Entry) Start(ctx context.Context) error { return eris.Wrap(e.app.Start(ctx), "start") }
+
+// Stop takes no new requests, waits for the open ones, and ends the host.
+func (e *Entry) Stop(ctx context.Context) error {
+	defer e.kill()
+	return eris.Wrap(e.app.Stop(ctx), "stop")
+}
+
+// Kill ends the host at once, as a crash would: open connections break.
+func (e *Entry) Kill() {
+	e.kill()
+	e.caller.Close()
+	e.operator.Close()
+}
+
+// Host returns the host.
+func (e *Entry) Host() *host.Host { return e.host }
+
+// CallerURL returns where callers reach the host.
+func (e *Entry) CallerURL() string { return "http://" + e.caller.Addr().String() }
+
+// OperatorURL returns where operators reach the host.
+func (e *Entry) OperatorURL() string { return "http://" + e.operator.Addr().String() }
