--- /dev/null
+++ b/answer/answer_test.go
@@ -0,0 +1,41 @@
+package answer
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http/httptest"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestEveryKindHasAWholeRow(t *testing.T) {
+	c := qt.New(t)
+	codes := map[string]Kind{}
+	for _, k := range Kinds() {
+		r := k.Row()
+		c.Assert(r.Status >= 400 && r.Status < 600, qt.IsTrue, qt.Commentf("%d", k))
+		c.Assert(r.Code, qt.Not(qt.Equals), "")
+		c.Assert(r.Type, qt.Not(qt.Equals), "")
+		c.Assert(r.Text, qt.Not(qt.Equals), "")
+		other, twice := codes[r.Code]
+		c.Assert(twice, qt.IsFalse, qt.Commentf("%d and %d", k, other))
+		codes[r.Code] = k
+	}
+}
+
+func TestWriteSaysWhatTheRowSays(t *testing.T) {
+	c := qt.New(t)
+	for _, k := range Kinds() {
+		w := httptest.NewRecorder()
+		Write(w, Wrap(k, errors.New("a secret cause"), ""))
+		var b Body
+		c.Assert(json.Unmarshal(w.Body.Bytes(), &b), qt.IsNil)
+		r := k.Row()
+		c.Assert(w.Code, qt.Equals, r.Status)
+		c.Assert(b.Error.Code, qt.Equals, r.Code)
+		c.Assert(b.Error.Message, qt.Equals, r.Text)
+		c.Assert(w.Header().Get(HeaderOutcome), qt.Equals, r.Outcome.String())
+		c.Assert(w.Header().Get("Retry-After") != "", qt.Equals, r.Retry > 0)
+	}
+}
--- /dev/null
+++ b/caller_test.go
@@ -0,0 +1,182 @@
+package wigeonlink_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/demo"
+	"github.com/wigeonlink/wigeonlink/desk"
+	"github.com/wigeonlink/wigeonlink/standin"
+)
+
+type (
+	// stream is what a caller has got of one generation.
+	stream struct {
+		id     string
+		texts  []string
+		lastID string
+		done   bool
+		err    *answer.Detail
+		usage  int
+	}
+
+	streamChunk struct {
+		ID      string `json:"id"`
+		Choices []struct {
+			Delta struct{ Content string }
+		}
+		Usage *struct {
+			Output int `json:"completion_tokens"`
+		}
+		Error *answer.Detail
+	}
+)
+
+// fastSpec is an engine that steps every millisecond.
+var fastSpec = standin.Spec{Base: time.Millisecond, PerSequence: time.Microsecond, PerPrefill: time.Nanosecond}
+
+func startDemo(c *qt.C, opts ...demo.Option) *demo.Consortium {
+	consortium, err := demo.Start(context.Background(), append([]demo.Option{demo.WithSpec(fastSpec)}, opts...)...)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(consortium.Close)
+	waitUntil(c, "every host is ready", func() bool {
+		for i := range consortium.Entries() {
+			if !consortium.Entry(i).Host().Ready() {
+				return false
+			}
+		}
+		return true
+	})
+	return consortium
+}
+
+// waitUntil polls a condition that is bound to come true; only a hang fails it.
+func waitUntil(c *qt.C, what string, cond func() bool) {
+	c.Helper()
+	for range 3000 {
+		if cond() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.Fatalf("gave up waiting until %s", what)
+}
+
+// ask posts a chat request, or resumes one if s has a last event.
+func ask(c *qt.C, s *stream, url, key, prompt string) *http.Response {
+	c.Helper()
+	body := fmt.Sprintf(`{"model":"assistant","stream":true,"stream_options":{"include_usage":true},"messages":[{"role":"user","content":%q}]}`, prompt)
+	req, err := http.NewRequest(http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
+	c.Assert(err, qt.IsNil)
+	req.Header.Set("Authorization", "Bearer "+key)
+	if s.lastID != "" {
+		req.Header.Set(desk.HeaderLastEvent, s.lastID)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	c.Assert(err, qt.IsNil)
+	return resp
+}
+
+// read takes events until the stream ends or most further tokens have come.
+func (s *stream) read(c *qt.C, resp *http.Response, most int) {
+	c.Helper()
+	defer resp.Body.Close()
+	c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
+	for ev, err := range sse.Read(resp.Body, nil) {
+		if err != nil {
+			return
+		}
+		if ev.LastEventID != "" {
+			s.lastID = ev.LastEventID
+		}
+		if ev.Data == "[DONE]" {
+			s.done = true
+			return
+		}
+		if s.take(c, ev.Data); s.err != nil {
+			return
+		}
+		if most > 0 && len(s.texts) >= most {
+			return
+		}
+	}
+}
+
+func (s *stream) take(c *qt.C, data string) {
+	c.Helper()
+	var chunk streamChunk
+	c.Assert(json.Unmarshal([]byte(data), &chunk), qt.IsNil, qt.Commentf("%s", data))
+	if chunk.Error != nil {
+		s.err = chunk.Error
+		return
+	}
+	if s.id == "" {
+		s.id = chunk.ID
+	}
+	c.Assert(chunk.ID, qt.Equals, s.id)
+	if chunk.Usage != nil {
+		s.usage = chunk.Usage.Output
+	}
+	for _, choice := range chunk.Choices {
+		if choice.Delta.Content != "" {
+			s.texts = append(s.texts, choice.Delta.Content)
+		}
+	}
+}
+
+// checkTokens asserts that the tokens are the first of one generation, each once
+// and in order.
+func (s *stream) checkTokens(c *qt.C) {
+	c.Helper()
+	for n, text := range s.texts {
+		c.Assert(text, qt.Equals, standin.Token(s.id, n), qt.Commentf("token %d", n))
+	}
+}
+
+func (s *stream) checkWhole(c *qt.C, tokens int) {
+	c.Helper()
+	s.checkTokens(c)
+	c.Assert(s.err, qt.IsNil)
+	c.Assert(s.done, qt.IsTrue)
+	c.Assert(s.texts, qt.HasLen, tokens)
+	c.Assert(s.usage, qt.Equals, tokens)
+}
+
+func onlyOnce(c *qt.C, consortium *demo.Consortium) {
+	c.Helper()
+	for _, e := range consortium.Engines {
+		_, most := e.Started()
+		c.Assert(most <= 1, qt.IsTrue)
+	}
+}
+
+func newC(t *testing.T) *qt.C { return qt.New(t) }
+
+// read2 reads some tokens, lets something happen, and reads on.
+func (s *stream) read2(c *qt.C, resp *http.Response, tokens int, between func()) {
+	c.Helper()
+	defer resp.Body.Close()
+	c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
+	for ev, err := range sse.Read(resp.Body, nil) {
+		if err != nil {
+			return
+		}
+		s.take(c, ev.Data)
+		if s.err != nil {
+			return
+		}
+		if len(s.texts) == tokens && between != nil {
+			between()
+			between = nil
+		}
+	}
+}
--- a/desk/generation.go
+++ b/desk/generation.go
@@ -267,7 +267,7 @@
 	if !ok {
 		return answer.New(answer.KindTargetLost, "the generation's target is no longer in the table")
 	}
-	g := &generation{desk: d, member: m, shape: shape(c.Shape), model: c.Model, stream: true}
+	g := &generation{desk: d, member: m, shape: shape(c.Shape), model: c.Model, stream: true, usage: c.Usage}
 	g.booking = d.host.Attach(dispatch.Attach{
 		Member: m.Name,
 		Pool:   c.Model,
@@ -295,5 +295,6 @@
 		Shape:      uint32(g.shape),
 		Created:    created.Unix(),
 		Prompt:     uint32(target.CountTokens(g.prompt)),
+		Usage:      g.usage,
 	})
 }
--- a/host/host.go
+++ b/host/host.go
@@ -21,6 +21,7 @@
 	// A Host is one entry host. Run must be running for it to decide anything.
 	Host struct {
 		name      string
+		decide    []dispatch.Option
 		reducer   *dispatch.Reducer
 		log       *event.Log
 		inbox     chan message
@@ -91,7 +92,7 @@
 // WithEngines replaces the adapter to engines.
 func WithEngines(f func(netip.AddrPort) target.Engine) Option { return withEngines(f) }
 
-func (o withDispatch) apply(h *Host)  { h.reducer = dispatch.NewReducer(o...) }
+func (o withDispatch) apply(h *Host)  { h.decide = append(h.decide, o...) }
 func (o withObserver) apply(h *Host)  { h.observer = o.observer }
 func (o withLoadEvery) apply(h *Host) { h.loadEvery = time.Duration(o) }
 func (o withEngines) apply(h *Host)   { h.engines.make = o }
@@ -101,7 +102,6 @@
 	h := &Host{
 		name:      log.Host(),
 		log:       log,
-		reducer:   dispatch.NewReducer(),
 		inbox:     make(chan message, inboxSize),
 		done:      make(chan struct{}),
 		bookings:  map[dispatch.ID]*Booking{},
@@ -113,6 +113,7 @@
 	for _, o := range opts {
 		o.apply(h)
 	}
+	h.reducer = dispatch.NewReducer(h.decide...)
 	return h
 }
 
--- /dev/null
+++ b/relay_bench_test.go
@@ -0,0 +1,219 @@
+package wigeonlink_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/wigeonlink/wigeonlink"
+	"github.com/wigeonlink/wigeonlink/dispatch"
+	"github.com/wigeonlink/wigeonlink/host"
+	"github.com/wigeonlink/wigeonlink/table"
+	"github.com/wigeonlink/wigeonlink/target"
+	"github.com/wigeonlink/wigeonlink/ticket"
+)
+
+const (
+	benchStreams   = 16
+	benchStep      = 20 * time.Millisecond
+	benchPaced     = 250 // tokens of a paced stream
+	benchKey       = "bench"
+	benchPacedRuns = 3
+)
+
+// pacedEngine streams as many tokens as the prompt asks for, each written by
+// itself, one every step; a step of 0 means as fast as it can.
+func pacedEngine() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPost {
+			http.NotFound(w, r)
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		tokens, step := 0, 0
+		if i := bytes.Index(body, []byte("stream ")); i >= 0 {
+			fmt.Sscanf(string(body[i:]), "stream %d %d", &tokens, &step)
+		}
+		w.Header().Set(target.HeaderBoot, "bench")
+		flush := http.NewResponseController(w)
+		fmt.Fprintf(w, "data: {\"type\":\"response.created\",\"sequence_number\":0}\n\n")
+		_ = flush.Flush()
+		line := make([]byte, 0, 256)
+		next := time.Now()
+		for n := 1; n <= tokens; n++ {
+			if step > 0 {
+				next = next.Add(time.Duration(step))
+				time.Sleep(time.Until(next))
+			}
+			line = append(line[:0], `data: {"type":"response.output_text.delta","sequence_number":`...)
+			line = strconv.AppendInt(line, int64(n), 10)
+			line = append(line, `,"delta":" token"}`+"\n\n"...)
+			_, _ = w.Write(line)
+			_ = flush.Flush()
+		}
+		fmt.Fprintf(w, "data: {\"type\":\"response.completed\",\"sequence_number\":%d,\"response\":{\"usage\":{\"input_tokens\":1,\"output_tokens\":%d}}}\n\n", tokens+1, tokens)
+	})
+}
+
+// readTokens reads a stream to its end and records the time between tokens.
+func readTokens(body io.Reader, between *hdrhistogram.Histogram) int {
+	r := bufio.NewReaderSize(body, 64<<10)
+	tokens := 0
+	last := time.Time{}
+	for {
+		line, err := r.ReadSlice('\n')
+		if err != nil {
+			return tokens
+		}
+		if !bytes.HasPrefix(line, []byte("data: ")) || !bytes.Contains(line, []byte(`" token"`)) {
+			continue
+		}
+		tokens++
+		if now := time.Now(); between != nil {
+			if !last.IsZero() {
+				_ = between.RecordValue(now.Sub(last).Microseconds())
+			}
+			last = now
+		}
+	}
+}
+
+type benchPath struct {
+	url    string
+	direct bool
+}
+
+// run reads streams at once over a path and returns the tokens that came.
+func (p benchPath) run(b *testing.B, streams, tokens int, step time.Duration, between *hdrhistogram.Histogram) int {
+	b.Helper()
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	got := 0
+	for range streams {
+		all.Go(func() {
+			own := hdrhistogram.New(1, 10_000_000, 3)
+			n := readTokens(p.open(b, tokens, step), own)
+			mu.Lock()
+			defer mu.Unlock()
+			got += n
+			if between != nil {
+				between.Merge(own)
+			}
+		})
+	}
+	all.Wait()
+	if got != streams*tokens {
+		b.Errorf("%d tokens came, %d were sent", got, streams*tokens)
+	}
+	return got
+}
+
+func (p benchPath) open(b *testing.B, tokens int, step time.Duration) io.Reader {
+	b.Helper()
+	body := fmt.Sprintf(`{"model":"m","stream":true,"prompt":"stream %d %d","input":"stream %d %d"}`, tokens, step, tokens, step)
+	path := "/v1/completions"
+	if p.direct {
+		path = "/v1/responses"
+	}
+	req, err := http.NewRequest(http.MethodPost, p.url+path, strings.NewReader(body))
+	if err != nil {
+		b.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+benchKey)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		b.Errorf("status %v, error %v", resp, err)
+		return strings.NewReader("")
+	}
+	b.Cleanup(func() { resp.Body.Close() })
+	return resp.Body
+}
+
+// benchPaths starts a paced engine and an entry host in front of it.
+func benchPaths(b *testing.B) (direct, through benchPath) {
+	b.Helper()
+	engine := httptest.NewServer(pacedEngine())
+	b.Cleanup(engine.Close)
+	e, err := wigeonlink.NewEntry(wigeonlink.Settings{
+		Caller:   netip.MustParseAddrPort("127.0.0.1:0"),
+		Operator: netip.MustParseAddrPort("127.0.0.1:0"),
+		Keys:     []string{fmt.Sprintf("%x", ticket.DeriveKey("bench"))},
+	}, wigeonlink.WithHost(host.WithDispatch(dispatch.WithDeviations(0))))
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(e.Kill)
+	if err := e.Start(b.Context()); err != nil {
+		b.Fatal(err)
+	}
+	sheet := fmt.Sprintf("kind,version,name,weight,key,model,domain,address,checks,memory\n"+
+		"table,1\nmember,,bench,1,%s\nmodel,,m\nengine,,e,,,m,d,%s,yes,1000000000\n",
+		table.FormatKey(benchKey), engine.Listener.Addr().(*net.TCPAddr).AddrPort())
+	t, err := table.Read("bench.csv", strings.NewReader(sheet))
+	if err != nil {
+		b.Fatal(err)
+	}
+	e.Host().Post(dispatch.TableChange{Table: t})
+	for !e.Host().Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	return benchPath{engine.URL, true}, benchPath{e.CallerURL(), false}
+}
+
+// usage returns the processor time and the allocations of this process so far.
+func usage() (time.Duration, uint64) {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano()), m.Mallocs
+}
+
+// BenchmarkRelay compares a path through an entry host with one straight to the
+// engine. The engine, the caller and the host share the process, so the host's
+// cost is the difference of the two. One operation is one token.
+func BenchmarkRelay(b *testing.B) {
+	direct, through := benchPaths(b)
+	each := max(b.N/benchStreams, 1)
+	cost := func(p benchPath) (time.Duration, float64) {
+		p.run(b, benchStreams, 10, 0, nil) // opens what is opened once
+		cpu, mallocs := usage()
+		tokens := p.run(b, benchStreams, each, 0, nil)
+		cpuAfter, mallocsAfter := usage()
+		return (cpuAfter - cpu) / time.Duration(tokens), float64(mallocsAfter-mallocs) / float64(tokens)
+	}
+	b.ResetTimer()
+	cpuDirect, allocsDirect := cost(direct)
+	cpuThrough, allocsThrough := cost(through)
+	b.StopTimer()
+	own := max(cpuThrough-cpuDirect, 1)
+	b.ReportMetric(float64(time.Second)/float64(own), "tokens/s")
+	b.ReportMetric(float64(own.Nanoseconds()), "cpu-ns/token")
+	b.ReportMetric(allocsThrough-allocsDirect, "allocs/token")
+	if b.N < 10_000 {
+		return // a run to find the number of operations
+	}
+	straight, relayed := hdrhistogram.New(1, 10_000_000, 3), hdrhistogram.New(1, 10_000_000, 3)
+	for range benchPacedRuns {
+		var both sync.WaitGroup
+		both.Go(func() { direct.run(b, benchStreams, benchPaced, benchStep, straight) })
+		both.Go(func() { through.run(b, benchStreams, benchPaced, benchStep, relayed) })
+		both.Wait()
+	}
+	b.ReportMetric(float64(relayed.ValueAtQuantile(99))/float64(straight.ValueAtQuantile(99)), "tbt-p99-ratio")
+	b.ReportMetric(float64(relayed.ValueAtQuantile(99))/1000, "tbt-p99-ms")
+}
