Trial in virtual time: policy against baselines and an oracle

Cause: the decisions had no measurement. Hosts, lagging reports, engines with bounded memory and heavy-tailed lengths run in virtual time; round robin, least requests, least reported and an oracle run beside the policy.

--- /dev/null
+++ b/trial/policy_bench_test.go
@@ -0,0 +1,145 @@
+package trial
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/wigeonlink/wigeonlink/dispatch"
+	"github.com/wigeonlink/wigeonlink/standin"
+)
+
+// user is the size of one of the users.
+type user struct {
+	name    string
+	hosts   int
+	engines int
+	link    time.Duration
+	tail    float64
+	stall   float64
+}
+
+var (
+	users = []user{
+		{"jalisco", 8, 12, 500 * time.Microsecond, 3, 1},
+		{"bokmakierie", 7, 15, time.Millisecond, 1, 3},
+	}
+
+	crowded = standin.Spec{Memory: 48_000}
+	loads   = []float64{0.7, 0.9, 1.0, 1.2}
+)
+
+// members returns ten members, a few of them large, that send what they are
+// promised.
+func members(u user) []Member {
+	weights := []float64{30, 20, 15, 10, 5, 5, 5, 4, 3, 3}
+	ms := make([]Member, len(weights))
+	for i, w := range weights {
+		ms[i] = Member{Name: fmt.Sprintf("member-%d", i), Weight: w, Part: w / 100, Tail: u.tail, Stall: u.stall}
+	}
+	return ms
+}
+
+// config returns the trial of a user at a load.
+func (u user) config(load float64, opts ...dispatch.Option) Config {
+	return Config{
+		Hosts:      u.hosts,
+		Engines:    u.engines,
+		Spec:       crowded,
+		Members:    members(u),
+		Load:       load,
+		Span:       90 * time.Second,
+		Warm:       30 * time.Second,
+		Seed:       1,
+		Median:     120,
+		PromptMean: 400,
+		Options:    opts,
+		LoadEvery:  500 * time.Millisecond,
+		LoadLag:    250 * time.Millisecond,
+		PeerEvery:  100 * time.Millisecond,
+		Link:       u.link,
+	}
+}
+
+func mustRun(tb testing.TB, c Config) Result {
+	tb.Helper()
+	t, err := New(c)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	r, err := t.Run()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return r
+}
+
+// baselines are the policies compared with, in the same run.
+func baselines() map[string][]dispatch.Option {
+	off := func(c dispatch.Chooser) []dispatch.Option {
+		return []dispatch.Option{dispatch.WithHold(false), dispatch.WithChooser(c), dispatch.WithObjective(false)}
+	}
+	return map[string][]dispatch.Option{
+		"round-robin":    off(dispatch.NewRoundRobin()),
+		"least-requests": off(dispatch.NewLeastRequests()),
+		"least-reported": off(dispatch.NewLeastReported()),
+	}
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		if a == 0 {
+			return 1
+		}
+		return a
+	}
+	return a / b
+}
+
+func logResult(b *testing.B, name string, r Result) {
+	b.Helper()
+	b.Logf("%-15s tokens %d whole %d refused %d preempted %d stall %.1fs tbt p50 %s p95 %s p99 %s p99.9 %s ttft p50 %s p95 %s p99 %s",
+		name, r.Tokens, r.Whole, r.Refused, r.Preemptions, r.Stall.Seconds(),
+		r.Between.Quantile(0.5), r.Between.Quantile(0.95), r.Between.Quantile(0.99), r.Between.Quantile(0.999),
+		r.First.Quantile(0.5), r.First.Quantile(0.95), r.First.Quantile(0.99))
+}
+
+// BenchmarkPolicy compares the policy with least requests and with an oracle that
+// knows the lengths, at the sizes of both users.
+func BenchmarkPolicy(b *testing.B) {
+	for _, u := range users {
+		for _, load := range loads {
+			b.Run(fmt.Sprintf("%s/%.1f", u.name, load), func(b *testing.B) {
+				for range b.N {
+					comparePolicies(b, u, load)
+				}
+			})
+		}
+	}
+}
+
+func comparePolicies(b *testing.B, u user, load float64) {
+	b.Helper()
+	ours := mustRun(b, u.config(load))
+	base := map[string]Result{}
+	for name, opts := range baselines() {
+		base[name] = mustRun(b, u.config(load, opts...))
+		logResult(b, name, base[name])
+	}
+	known := u.config(load)
+	known.Oracle = true
+	oracle := mustRun(b, known)
+	logResult(b, "oracle", oracle)
+	logResult(b, "ours", ours)
+	least := base["least-requests"]
+	b.ReportMetric(ratio(float64(ours.Preemptions), float64(least.Preemptions)), "preempt-ratio")
+	b.ReportMetric(ratio(ours.Stall.Seconds(), least.Stall.Seconds()), "stall-ratio")
+	b.ReportMetric(ratio(ours.Between.Quantile(0.99).Seconds(), least.Between.Quantile(0.99).Seconds()), "tbt-p99-ratio")
+	b.ReportMetric(ratio(float64(ours.Tokens), float64(least.Tokens)), "throughput-ratio")
+	b.ReportMetric(max(
+		ratio(float64(ours.Preemptions+1), float64(oracle.Preemptions+1)),
+		ratio(ours.Stall.Seconds()+1, oracle.Stall.Seconds()+1),
+		ratio(ours.Between.Quantile(0.99).Seconds(), oracle.Between.Quantile(0.99).Seconds()),
+	), "oracle-ratio")
+	b.ReportMetric(ours.First.Quantile(0.99).Seconds()/max(least.First.Quantile(0.99).Seconds(), 1e-9), "ttft-p99-ratio")
+}
