Bound the prompts that an engine computes at once

Cause: at full load, room that opens was filled with several prompts in the same step, so streams beside them waited and the hosts' forecasts ran ahead of what the engine held. A host now sends no second prompt while one of its own is being computed, unless both are small (512 tokens; less for a member that weighs the tail).

Tried and dropped: a home host for each target (extra cost 5, 20, 100 ms for others): no figure moved beyond noise with the bound in place.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -146,6 +146,9 @@
 		memory *= 1 - r.options.reserve
 	}
 	deviations := r.options.deviations + stallExtra*stall
+	if r.crowdsPrompts(t, demand, c.Tail) {
+		return false
+	}
 	if all.Peak(demand, deviations) > memory && all.Streams > 0 {
 		return false
 	}
@@ -153,6 +156,17 @@
 	return c.Interval.Seconds() <= limit*c.Idle.Seconds() || all.Streams < 1
 }
 
+// crowdsPrompts reports whether a further prompt would make the streams on a target
+// wait for several prompts in one step. The more a member weighs the tail, the less
+// is allowed.
+func (r *Reducer) crowdsPrompts(t *targetState, demand *forecast.Demand, tail float64) bool {
+	if r.options.burst == 0 || t.unfilled == 0 {
+		return false
+	}
+	allowed := 2 * (1 - tail) * float64(r.options.burst)
+	return float64(t.unfilled)+demand.Mean[0] > allowed
+}
+
 // objective returns a member's weights of the tail of time between tokens and of
 // stall time, adding up to 1.
 func (r *Reducer) objective(m *member) (tail, stall float64) {
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -21,6 +21,7 @@
 		patience   time.Duration
 		consortium float64
 		objective  bool
+		burst      int
 	}
 
 	withDomain     string
@@ -32,6 +33,7 @@
 	withGrace      time.Duration
 	withPatience   time.Duration
 	withObjective  bool
+	withBurst      int
 	withEngine     struct{ base, per, prefill time.Duration }
 )
 
@@ -47,6 +49,7 @@
 func (o withGrace) apply(opts *options)      { opts.grace = time.Duration(o) }
 func (o withPatience) apply(opts *options)   { opts.patience = time.Duration(o) }
 func (o withObjective) apply(opts *options)  { opts.objective = bool(o) }
+func (o withBurst) apply(opts *options)      { opts.burst = int(o) }
 
 // WithWindow sets the time constant with which use is forgotten.
 func WithWindow(d time.Duration) Option { return withWindow(d) }
@@ -71,6 +74,11 @@
 // WithPatience sets how long a request without a deadline is held.
 func WithPatience(d time.Duration) Option { return withPatience(d) }
 
+// WithBurst sets how many prompt tokens a host lets an engine compute at once, as
+// far as it knows, for a member that weighs tail and stall alike; 0 means any
+// number.
+func WithBurst(tokens int) Option { return withBurst(tokens) }
+
 // WithObjective sets whether the members' weights of tail and stall act.
 func WithObjective(on bool) Option { return withObjective(on) }
 
@@ -91,6 +99,7 @@
 	defaultPrefill    = 20 * time.Microsecond
 	defaultGrace      = 10 * time.Second
 	defaultPatience   = 30 * time.Second
+	defaultBurst      = 512  // tokens
 	defaultConsortium = 0.25 // weight of a member's use of other pools
 )
 
@@ -108,5 +117,6 @@
 		patience:   defaultPatience,
 		consortium: defaultConsortium,
 		objective:  true,
+		burst:      defaultBurst,
 	}
 }
