--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -72,21 +72,20 @@
 	sampleAbove = 64   // targets above which a sample is scored
 	sampleSize  = 16   // targets in a sample
 	tailLimit   = 2.2  // time between tokens over an empty engine's, at full weight of the tail
+	turnExcess  = 0.1  // excess from which a member's requests wait for a turn
+	turnLength  = 100 * time.Millisecond
 	stallExtra  = 0.75 // standard deviations more, at full weight of stalls
 )
 
 // choose returns the best target with room for q, or nil.
-func (r *Reducer) choose(q *request, over bool) *targetState {
+func (r *Reducer) choose(q *request, excess float64) *targetState {
 	ts := q.pool.targets
 	n := len(ts)
 	if n == 0 {
 		return nil
 	}
 	demand := q.forecastOf()
-	expected := 0.0
-	if !q.plain {
-		expected = r.expectedOutput(q)
-	}
+	rivals, rank := r.contenders(q.pool)
 	count, step := n, 1
 	if n > sampleAbove {
 		count, step = sampleSize, stride(q.id, n)
@@ -95,11 +94,12 @@
 	lowest := math.Inf(1)
 	start := int(mix(uint64(q.id)+uint64(r.place)<<32) % uint64(n))
 	for i := range count {
-		t := ts[(start+i*step)%n]
-		if !t.open(r.now) || slices.Contains(q.tried, t) {
+		at := (start + i*step) % n
+		t := ts[at]
+		if !t.open(r.now, r.options.fresh) || slices.Contains(q.tried, t) || excess > turnExcess && !r.turn(at, rivals, rank) {
 			continue
 		}
-		score, ok := r.score(q, t, &demand, expected, over)
+		score, ok := r.score(q, t, &demand, excess)
 		if ok && (best == nil || score < lowest-tieWidth*math.Abs(lowest)) {
 			best, lowest = t, score
 		}
@@ -108,14 +108,15 @@
 }
 
 // score costs a target, and reports whether it has room.
-func (r *Reducer) score(q *request, t *targetState, demand *forecast.Demand, expected float64, over bool) (float64, bool) {
+func (r *Reducer) score(q *request, t *targetState, demand *forecast.Demand, excess float64) (float64, bool) {
 	all := t.demand(r.now)
 	tail, stall := r.objective(q.member)
-	c := Candidate{
+	c := &r.candidate
+	*c = Candidate{
 		Own:      t.running,
 		Streams:  all.Streams,
 		Sequence: t.sequence,
-		Expected: expected,
+		Expected: q.expected,
 		Tail:     tail,
 		Plain:    q.plain,
 	}
@@ -123,11 +124,11 @@
 		c.Reported = float64(t.load.Used) / float64(t.load.Total)
 	}
 	if q.plain {
-		return r.options.chooser.Score(&c), true
+		return r.options.chooser.Score(c), true
 	}
 	c.Idle = t.pace.At(1)
 	c.Interval = t.pace.At(all.Streams + 1)
-	if r.options.hold && !r.roomy(t, &all, demand, &c, stall, over) {
+	if r.options.hold && !r.roomy(t, all, demand, c, stall, excess) {
 		return 0, false
 	}
 	fresh := q.prompt
@@ -136,15 +137,12 @@
 	}
 	c.Extra = time.Duration(fresh) * r.options.prefill
 	c.Prefill = c.Extra + time.Duration(t.unfilled)*r.options.prefill
-	return r.options.chooser.Score(&c), true
+	return r.options.chooser.Score(c), true
 }
 
 // roomy reports whether a target's forecast leaves room for one more demand.
-func (r *Reducer) roomy(t *targetState, all, demand *forecast.Demand, c *Candidate, stall float64, over bool) bool {
-	memory := float64(t.spec.Memory)
-	if over {
-		memory *= 1 - r.options.reserve
-	}
+func (r *Reducer) roomy(t *targetState, all, demand *forecast.Demand, c *Candidate, stall, excess float64) bool {
+	memory := float64(t.spec.Memory) * (1 - excess*r.options.reserve)
 	deviations := r.options.deviations + stallExtra*stall
 	if r.crowdsPrompts(t, demand, c.Tail) {
 		return false
@@ -156,6 +154,43 @@
 	return c.Interval.Seconds() <= limit*c.Idle.Seconds() || all.Streams < 1
 }
 
+// contenders returns how many hosts hold requests for the pool, this one included,
+// and this one's rank among them.
+func (r *Reducer) contenders(p *pool) (count, rank int) {
+	if p.plain || !r.options.hold {
+		return 1, 0
+	}
+	count = 1
+	for _, o := range r.peerList {
+		if !o.holds(p.name) {
+			continue
+		}
+		count++
+		if o.place < r.place {
+			rank++
+		}
+	}
+	return count, rank
+}
+
+func (o *peer) holds(pool string) bool {
+	for i := range o.held {
+		if o.held[i].Pool == pool {
+			return true
+		}
+	}
+	return false
+}
+
+// turn reports whether it is the turn of the host of a rank to fill the target at a
+// place. Hosts that contend for room take turns about as long as their reports take,
+// so that no two fill the same room. Clocks that differ, or hosts that differ about
+// who contends, only cost a turn's exclusiveness.
+func (r *Reducer) turn(at, count, rank int) bool {
+	slot := int(r.epoch.Add(r.now).UnixNano() / int64(turnLength))
+	return (slot+at)%count == rank
+}
+
 // crowdsPrompts reports whether a further prompt would make the streams on a target
 // wait for several prompts in one step. The more a member weighs the tail, the less
 // is allowed.
--- /dev/null
+++ b/dispatch/decide_bench_test.go
@@ -0,0 +1,121 @@
+package dispatch
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/wigeonlink/wigeonlink/table"
+	"github.com/wigeonlink/wigeonlink/target"
+)
+
+var benchEpoch = time.Unix(1_700_000_000, 0)
+
+// fataler is a test, a benchmark or a random run.
+type fataler interface {
+	Helper()
+	Fatal(...any)
+}
+
+// benchTable declares members and engines, and splits the engines over the models.
+func benchTable(tb fataler, members, models, engines int) *table.Table {
+	tb.Helper()
+	var b strings.Builder
+	b.WriteString("kind,version,name,weight,key,model,domain,address,checks,memory,queue\ntable,1\n")
+	for i := range models {
+		fmt.Fprintf(&b, "model,,model-%d\n", i)
+	}
+	for i := range members {
+		fmt.Fprintf(&b, "member,,member-%d,%d,%s,,,,,,100000\n", i, 1+i%5, table.FormatKey(fmt.Sprint(i)))
+	}
+	for i := range engines {
+		fmt.Fprintf(&b, "engine,,engine-%04d,,,model-%d,d,127.0.0.1:%d,yes,1000000\n", i, i%models, i+1)
+	}
+	t, err := table.Read("bench.csv", strings.NewReader(b.String()))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return t
+}
+
+// A decisionLoop keeps a number of requests running: each operation submits one and
+// ends the oldest.
+type decisionLoop struct {
+	reducer *Reducer
+	now     time.Time
+	id      ID
+	running []ID
+	members []string
+	models  []string
+}
+
+func newDecisionLoop(tb testing.TB, members, models, engines, running int) *decisionLoop {
+	tb.Helper()
+	l := &decisionLoop{reducer: NewReducer(WithBurst(0), WithFresh(0)), now: benchEpoch}
+	l.reducer.Reduce(l.now, TableChange{Table: benchTable(tb, members, models, engines)})
+	for i := range members {
+		l.members = append(l.members, fmt.Sprintf("member-%d", i))
+	}
+	for i := range models {
+		l.models = append(l.models, fmt.Sprintf("model-%d", i))
+	}
+	for range running {
+		l.submit(tb)
+	}
+	return l
+}
+
+func (l *decisionLoop) submit(tb testing.TB) {
+	l.id++
+	l.now = l.now.Add(time.Millisecond)
+	n := int(l.id)
+	effects := l.reducer.Reduce(l.now, Submit{
+		ID:     l.id,
+		Member: l.members[n%len(l.members)],
+		Pool:   l.models[n%len(l.models)],
+		Route:  "chat",
+		Prompt: 300 + n%200,
+	})
+	if len(effects) == 0 || effects[0].Kind != EffectDispatch {
+		tb.Fatalf("request %d: %v", l.id, effects)
+	}
+	l.running = append(l.running, l.id)
+}
+
+func (l *decisionLoop) end() {
+	id := l.running[0]
+	l.running = l.running[1:]
+	l.reducer.Reduce(l.now, Ended{ID: id, Usage: target.Usage{Prompt: 300, Output: 20 + int(id)%400}})
+}
+
+// BenchmarkDecide measures one decision: a submission that is dispatched, and the
+// end of an older request.
+func BenchmarkDecide(b *testing.B) {
+	for _, s := range []struct{ members, models, engines int }{
+		{10, 1, 18}, {10, 1, 64}, {100, 8, 128}, {400, 8, 512}, {1600, 8, 957}, {1600, 8, 6700},
+	} {
+		b.Run(fmt.Sprintf("members=%d/models=%d/targets=%d", s.members, s.models, s.engines), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			l := newDecisionLoop(b, s.members, s.models, s.engines, 400)
+			for range 4 * s.members { // every member and model is known
+				l.submit(b)
+				l.end()
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				l.submit(b)
+				l.end()
+			}
+			b.StopTimer()
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1024, "state-KiB")
+			runtime.KeepAlive(l)
+		})
+	}
+}
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -46,9 +46,6 @@
 		Tokens int
 	}
 
-	// Started says that a target has taken a request.
-	Started struct{ ID ID }
-
 	// Progress samples the running streams of this host.
 	Progress struct{ Samples []Sample }
 
@@ -109,6 +106,7 @@
 	PeerReport struct {
 		Origin   string // host and incarnation
 		Sequence uint64
+		Place    int // among the live hosts of the domain
 		Accounts []share.Entry
 		Demands  []TargetDemand
 		Held     []HeldCount
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -22,6 +22,7 @@
 		consortium float64
 		objective  bool
 		burst      int
+		fresh      time.Duration
 	}
 
 	withDomain     string
@@ -34,6 +35,7 @@
 	withPatience   time.Duration
 	withObjective  bool
 	withBurst      int
+	withFresh      time.Duration
 	withEngine     struct{ base, per, prefill time.Duration }
 )
 
@@ -50,6 +52,7 @@
 func (o withPatience) apply(opts *options)   { opts.patience = time.Duration(o) }
 func (o withObjective) apply(opts *options)  { opts.objective = bool(o) }
 func (o withBurst) apply(opts *options)      { opts.burst = int(o) }
+func (o withFresh) apply(opts *options)      { opts.fresh = time.Duration(o) }
 
 // WithWindow sets the time constant with which use is forgotten.
 func WithWindow(d time.Duration) Option { return withWindow(d) }
@@ -74,6 +77,10 @@
 // WithPatience sets how long a request without a deadline is held.
 func WithPatience(d time.Duration) Option { return withPatience(d) }
 
+// WithFresh sets the age of an engine's last load report beyond which it gets no new
+// work: an engine not heard of may have begun to leave. 0 means any age.
+func WithFresh(d time.Duration) Option { return withFresh(d) }
+
 // WithBurst sets how many prompt tokens a host lets an engine compute at once, as
 // far as it knows, for a member that weighs tail and stall alike; 0 means any
 // number.
@@ -93,13 +100,14 @@
 const (
 	defaultMedian     = 200.0 // tokens
 	defaultDeviations = 2.5
-	defaultReserve    = 0.04
+	defaultReserve    = 0.08
 	defaultBase       = 12 * time.Millisecond
 	defaultPer        = 120 * time.Microsecond
 	defaultPrefill    = 20 * time.Microsecond
 	defaultGrace      = 10 * time.Second
 	defaultPatience   = 30 * time.Second
-	defaultBurst      = 512  // tokens
+	defaultBurst      = 512 // tokens
+	defaultFresh      = 2500 * time.Millisecond
 	defaultConsortium = 0.25 // weight of a member's use of other pools
 )
 
@@ -118,5 +126,6 @@
 		consortium: defaultConsortium,
 		objective:  true,
 		burst:      defaultBurst,
+		fresh:      defaultFresh,
 	}
 }
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -11,6 +11,7 @@
 type peer struct {
 	origin   string
 	sequence uint64
+	place    int
 	at       time.Duration
 	demands  []TargetDemand
 	held     []HeldCount
@@ -29,10 +30,11 @@
 		return
 	}
 	r.withdraw(o)
-	*o = peer{origin: e.Origin, sequence: e.Sequence, at: r.now, demands: e.Demands, held: e.Held}
+	*o = peer{origin: e.Origin, sequence: e.Sequence, place: e.Place, at: r.now, demands: e.Demands, held: e.Held}
 	for i := range o.demands {
 		if t := r.targets[o.demands[i].Target]; t != nil {
 			t.others.Add(&o.demands[i].Demand)
+			t.changed()
 		}
 	}
 	r.ledger.Merge(e.Origin, e.Sequence, e.Accounts, r.now)
@@ -47,6 +49,7 @@
 			continue
 		}
 		t.others.Sub(&o.demands[i].Demand)
+		t.changed()
 		if t.others.Streams < 0.5 {
 			t.others = forecast.Demand{}
 		}
@@ -70,7 +73,7 @@
 // are the sender's to fill in.
 func (r *Reducer) Report(at time.Time) PeerReport {
 	now := max(r.now, r.since(at))
-	report := PeerReport{Accounts: r.ledger.Report(now)}
+	report := PeerReport{Place: r.place, Accounts: r.ledger.Report(now)}
 	for name, t := range r.targets {
 		if t.running > 0 {
 			report.Demands = append(report.Demands, TargetDemand{name, t.own})
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -24,6 +24,7 @@
 	order    []*memberQueue // scratch of drain
 	fairAt   time.Duration
 	fair     float64 // mean use by weight over the active members
+	highest  float64 // level of the member that has had the most
 }
 
 const (
@@ -31,9 +32,11 @@
 	fairEvery    = 100 * time.Millisecond
 	bypass       = 4               // members passed over while a head waits for room
 	bypassAge    = 2 * time.Second // age from which a head is not passed over
-	overSlack    = 1.02            // level by which a member counts as over its share
-	pauseSlack   = 1.05            // level by which a member waits for one held elsewhere
-	activeWeight = 1.0             // service units from which a member counts as active
+	overSlack    = 0.02            // relative excess from which a member counts as over its share
+	fullExcess   = 0.25            // relative excess that counts in full
+	excessPower  = 4
+	pauseSlack   = 1.05 // level by which a member waits for one held elsewhere
+	activeWeight = 0.2  // service units a second from which a member counts as active
 )
 
 func (p *pool) queueOf(m *member) *memberQueue {
@@ -71,7 +74,7 @@
 			p.order = slices.Delete(p.order, 0, 1)
 			continue
 		}
-		t := r.choose(q, mq.level > overSlack*r.fairLevel(p))
+		t := r.choose(q, r.excess(mq, p))
 		if t == nil {
 			if r.now-q.arrived > bypassAge {
 				return
@@ -144,15 +147,31 @@
 	return false
 }
 
+// excess returns how far a member is over its share, from 0 for not at all to 1. It
+// counts in full for the member that is furthest over, if that is by fullExcess or
+// more, and falls off steeply below: a burst beside a flood is not held against its
+// member.
+func (r *Reducer) excess(mq *memberQueue, p *pool) float64 {
+	fair := r.fairLevel(p)
+	over := mq.level/fair - 1
+	if over < overSlack {
+		return 0
+	}
+	part := over / max(p.highest/fair-1, over)
+	return min(over/fullExcess, 1) * math.Pow(part, excessPower)
+}
+
 // fairLevel returns the mean level over the members active in a pool.
 func (r *Reducer) fairLevel(p *pool) float64 {
 	if p.fairAt != 0 && r.now-p.fairAt < fairEvery {
 		return p.fair
 	}
 	sum, weights := 0.0, 0.0
+	p.highest = 0
 	for _, m := range r.memberList {
 		use := r.ledger.Level(share.Account{Member: m.spec.Name, Pool: p.name}, r.now)
 		if use > activeWeight {
+			p.highest = max(p.highest, r.level(m, p))
 			sum += use
 			weights += r.weight(m, p)
 		}
--- /dev/null
+++ b/dispatch/random_test.go
@@ -0,0 +1,291 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/forecast"
+	"github.com/wigeonlink/wigeonlink/share"
+	"github.com/wigeonlink/wigeonlink/target"
+)
+
+// machine feeds random events to a reducer and keeps the caller's side of the books:
+// what each request is waiting for.
+type machine struct {
+	reducer *Reducer
+	now     time.Time
+	nextID  ID
+	held    map[ID]bool
+	sent    map[ID]string // target
+	tokens  map[ID]int
+	once    map[ID]int // attempts of requests that may run once
+	leaving map[string]bool
+	limit   int
+	version uint64
+}
+
+func newMachine(t *rapid.T) *machine {
+	m := &machine{
+		reducer: NewReducer(WithFresh(0), WithPatience(3*time.Second), WithGrace(time.Second)),
+		now:     benchEpoch,
+		held:    map[ID]bool{},
+		sent:    map[ID]string{},
+		tokens:  map[ID]int{},
+		once:    map[ID]int{},
+		leaving: map[string]bool{},
+		limit:   rapid.IntRange(0, 6).Draw(t, "limit"),
+	}
+	m.change(t, 3, 2, 4)
+	return m
+}
+
+// change puts the next table in force.
+func (m *machine) change(t *rapid.T, members, models, engines int) {
+	tab := *benchTable(t, members, models, engines)
+	m.version++
+	tab.Version = m.version
+	spec := tab.Members["member-0"]
+	spec.Inflight, spec.Queue = m.limit, 10
+	tab.Members["member-0"] = spec
+	for name, spec := range tab.Members {
+		if name != "member-0" {
+			spec.Rate = 20
+			tab.Members[name] = spec
+		}
+	}
+	for name, g := range tab.Targets {
+		g.Memory = 3000
+		tab.Targets[name] = g
+	}
+	m.feed(t, TableChange{Table: &tab})
+}
+
+func (m *machine) feed(t *rapid.T, e Event) {
+	for _, f := range m.reducer.Reduce(m.now, e) {
+		m.effect(t, f)
+	}
+	if err := m.reducer.Check(); err != nil {
+		t.Fatalf("after %T: %v", e, err)
+	}
+	if got := len(m.reducer.requests); got != len(m.held)+len(m.sent) {
+		t.Fatalf("after %T: %d requests in the books, callers wait for %d", e, got, len(m.held)+len(m.sent))
+	}
+}
+
+func (m *machine) effect(t *rapid.T, f Effect) {
+	switch f.Kind {
+	case EffectDispatch:
+		m.dispatched(t, f)
+	case EffectRefuse:
+		if !m.held[f.ID] {
+			t.Fatalf("refusal of %d, which waits for no decision", f.ID)
+		}
+		if f.Answer.Row().Outcome == answer.NotRun && m.tokens[f.ID] > 0 {
+			t.Fatalf("%d called not run after %d tokens", f.ID, m.tokens[f.ID])
+		}
+		delete(m.held, f.ID)
+	case EffectCancel, EffectResume:
+		if m.sent[f.ID] != f.Target {
+			t.Fatalf("%s of %d at %s, it is at %q", f.Kind, f.ID, f.Target, m.sent[f.ID])
+		}
+		if f.Kind == EffectCancel {
+			delete(m.sent, f.ID)
+		}
+	}
+}
+
+func (m *machine) dispatched(t *rapid.T, f Effect) {
+	switch {
+	case !m.held[f.ID]:
+		t.Fatalf("dispatch of %d, which is not held", f.ID)
+	case m.tokens[f.ID] > 0:
+		t.Fatalf("dispatch of %d after %d tokens", f.ID, m.tokens[f.ID])
+	case m.leaving[f.Target]:
+		t.Fatalf("dispatch to %s, which is leaving", f.Target)
+	}
+	delete(m.held, f.ID)
+	m.sent[f.ID] = f.Target
+	if n, ok := m.once[f.ID]; ok {
+		m.once[f.ID] = n + 1
+		if n > 0 {
+			t.Fatalf("second dispatch of %d, which may run once", f.ID)
+		}
+	}
+	inflight := 0
+	for id := range m.sent {
+		if q := m.reducer.requests[id]; q != nil && q.member.spec.Name == "member-0" {
+			inflight++
+		}
+	}
+	if m.limit > 0 && inflight > m.limit {
+		t.Fatalf("%d in flight, the cap is %d", inflight, m.limit)
+	}
+}
+
+// pick draws one of the sent requests, 0 if there is none.
+func (m *machine) pick(t *rapid.T) ID {
+	ids := make([]ID, 0, len(m.sent))
+	for id := ID(1); id <= m.nextID; id++ {
+		if _, ok := m.sent[id]; ok {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		return 0
+	}
+	return rapid.SampledFrom(ids).Draw(t, "request")
+}
+
+func (m *machine) submit(t *rapid.T) {
+	m.nextID++
+	s := Submit{
+		ID:     m.nextID,
+		Member: fmt.Sprintf("member-%d", rapid.IntRange(0, 3).Draw(t, "member")),
+		Pool:   fmt.Sprintf("model-%d", rapid.IntRange(0, 2).Draw(t, "model")),
+		Prompt: rapid.IntRange(1, 4000).Draw(t, "prompt"),
+		Limit:  rapid.SampledFrom([]int{0, 1, 50, 5000}).Draw(t, "limit"),
+		Once:   rapid.Bool().Draw(t, "once"),
+		Prefix: rapid.Uint64Range(0, 3).Draw(t, "prefix"),
+	}
+	s.Shared = s.Prompt / 2
+	if s.Once {
+		m.once[s.ID] = 0
+	}
+	m.held[s.ID] = true
+	m.feed(t, s)
+}
+
+func (m *machine) progress(t *rapid.T) {
+	var samples []Sample
+	for id := ID(1); id <= m.nextID; id++ {
+		if _, ok := m.sent[id]; !ok {
+			continue
+		}
+		m.tokens[id] += rapid.SampledFrom([]int{0, 0, 1, 3, 100}).Draw(t, "tokens")
+		s := Sample{ID: id, Tokens: m.tokens[id]}
+		if s.Tokens > 0 {
+			s.Last = m.now
+		}
+		samples = append(samples, s)
+	}
+	m.feed(t, Progress{Samples: samples})
+}
+
+func (m *machine) ended(t *rapid.T) {
+	if id := m.pick(t); id != 0 {
+		delete(m.sent, id)
+		m.feed(t, Ended{ID: id, Usage: target.Usage{Output: m.tokens[id], Cached: rapid.IntRange(0, 5000).Draw(t, "cached")}})
+	}
+}
+
+func (m *machine) failed(t *rapid.T) {
+	id := m.pick(t)
+	if id == 0 {
+		return
+	}
+	delete(m.sent, id)
+	m.held[id] = true // it waits for a decision again
+	delivered := m.tokens[id] > 0
+	certainty := rapid.SampledFrom([]target.Certainty{target.CertainNothing, target.CertainNotRun, target.CertainLost}).Draw(t, "certainty")
+	if delivered && certainty == target.CertainNotRun {
+		certainty = target.CertainLost
+	}
+	m.feed(t, Failed{ID: id, Certainty: certainty, Delivered: delivered, Rebooted: rapid.Bool().Draw(t, "rebooted")})
+}
+
+func (m *machine) left(t *rapid.T) {
+	id := m.pick(t)
+	if id == 0 {
+		return
+	}
+	switch rapid.IntRange(0, 2).Draw(t, "how") {
+	case 0:
+		m.feed(t, Gone{ID: id, Resumable: rapid.Bool().Draw(t, "resumable")})
+	case 1:
+		delete(m.sent, id)
+		m.feed(t, Superseded{ID: id})
+	case 2:
+		delete(m.sent, id)
+		m.feed(t, Dropped{ID: id})
+	}
+}
+
+func (m *machine) outside(t *rapid.T) {
+	engine := fmt.Sprintf("engine-%04d", rapid.IntRange(0, 4).Draw(t, "engine"))
+	switch rapid.IntRange(0, 6).Draw(t, "what") {
+	case 0:
+		m.leaving = map[string]bool{engine: rapid.Bool().Draw(t, "leaving")}
+		m.feed(t, Roster{Leaving: m.leaving})
+	case 1:
+		m.feed(t, LoadReport{Target: engine, Load: target.Load{Used: rapid.IntRange(0, 4000).Draw(t, "used"), Total: 3000}})
+	case 2:
+		m.feed(t, PeerReport{
+			Origin:   rapid.SampledFrom([]string{"a", "b"}).Draw(t, "origin"),
+			Sequence: rapid.Uint64Range(1, 100).Draw(t, "sequence"),
+			Place:    1,
+			Accounts: []share.Entry{{Account: share.Account{Member: "member-0", Pool: "model-0"}, Use: rapid.Float64().Draw(t, "use")}},
+			Demands:  []TargetDemand{{engine, forecast.Demand{Streams: 2, Mean: [forecast.Horizons]float64{500, 500, 400}}}},
+			Held:     []HeldCount{{"member-1", "model-0", 3}},
+		})
+	case 3:
+		m.feed(t, CacheReport{Target: engine, Prefix: rapid.Uint64Range(0, 3).Draw(t, "prefix"), Held: rapid.Bool().Draw(t, "held")})
+	case 4:
+		m.feed(t, Tick{})
+	case 5:
+		m.feed(t, Peers{Count: rapid.IntRange(0, 3).Draw(t, "count")})
+	case 6:
+		m.change(t, rapid.IntRange(1, 3).Draw(t, "members"), rapid.IntRange(1, 2).Draw(t, "models"), rapid.IntRange(1, 5).Draw(t, "engines"))
+	}
+}
+
+func (m *machine) wait(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(-50, 2000).Draw(t, "ms")) * time.Millisecond)
+	m.feed(t, Tick{})
+}
+
+func runMachine(t *rapid.T) {
+	m := newMachine(t)
+	steps := []func(*rapid.T){m.submit, m.submit, m.submit, m.progress, m.progress, m.ended, m.failed, m.left, m.outside, m.wait}
+	for range rapid.IntRange(1, 300).Draw(t, "events") {
+		steps[rapid.IntRange(0, len(steps)-1).Draw(t, "step")](t)
+	}
+	m.settle(t)
+}
+
+// settle ends what runs and lets time pass: nothing may be left in the books.
+func (m *machine) settle(t *rapid.T) {
+	for id := ID(1); id <= m.nextID; id++ {
+		if _, ok := m.sent[id]; ok {
+			delete(m.sent, id)
+			m.feed(t, Dropped{ID: id})
+		}
+	}
+	for range 100 {
+		m.now = m.now.Add(time.Second)
+		m.feed(t, Tick{})
+		for id := range m.sent {
+			delete(m.sent, id)
+			m.feed(t, Dropped{ID: id})
+		}
+	}
+	if len(m.held) > 0 {
+		t.Fatalf("%d requests never got an answer", len(m.held))
+	}
+}
+
+// The books agree with the callers after every event of random sequences.
+func TestRandomEvents(t *testing.T) { rapid.Check(t, runMachine) }
+
+func FuzzEvents(f *testing.F) { f.Fuzz(rapid.MakeFuzz(runMachine)) }
+
+func TestCheckSeesABrokenBook(t *testing.T) {
+	r := newRig(t, 1, 1)
+	r.do(0, submit(1, "member-0"))
+	r.reducer.members["member-0"].inflight++
+	r.Assert(r.reducer.Check(), qt.IsNotNil)
+}
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -35,6 +35,7 @@
 	budget     budget
 	stopping   bool
 	wake       time.Duration
+	candidate  Candidate // scratch of score
 	effects    []Effect
 	counts     Counts
 }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -24,6 +24,7 @@
 		prompt, shared, limit, output int
 		prefix                        uint64
 		arrived, deadline             time.Duration
+		expected                      float64       // output in tokens
 		rank                          time.Duration // order among the member's held
 		notBefore                     time.Duration // end of a retry's backoff
 
@@ -55,12 +56,13 @@
 )
 
 const (
-	memoryUnit  = 1024.0 // tokens of held memory that cost as much as one token generated
-	promptUnit  = 0.17   // service units of a prompt token
-	streamRate  = 30.0   // tokens a second that a stream is taken to generate
-	plainUnit   = 30.0   // service units of a call of a plain service
-	demandSteps = 8      // tokens between two computations of a stream's demand
-	rankWeight  = 0.1    // seconds of arrival that a second of expected run is worth
+	memoryUnit   = 1024.0  // tokens of held memory that cost as much as one token generated
+	promptUnit   = 0.17    // service units of a prompt token
+	streamRate   = 30.0    // tokens a second that a stream is taken to generate
+	plainUnit    = 30.0    // service units of a call of a plain service
+	demandSteps  = 8       // tokens between two computations of a stream's demand
+	mostExpected = 32768.0 // tokens counted of an output without a limit
+	rankWeight   = 0.1     // seconds of arrival that a second of expected run is worth
 )
 
 func (r *Reducer) newRequest(e Submit) *request {
@@ -78,22 +80,23 @@
 	if !q.plain {
 		q.key = length.Key{Member: e.Member, Model: e.Pool, Route: e.Route}
 		q.curve = r.lengths.Curve(q.key)
-		q.rank += time.Duration(rankWeight * r.expectedOutput(q) / streamRate * float64(time.Second))
+		q.expected = expectedOutput(q)
+		q.rank += time.Duration(rankWeight * q.expected / streamRate * float64(time.Second))
 	}
 	r.requests[q.id] = q
 	return q
 }
 
-// expectedOutput returns the expected output in tokens.
-func (r *Reducer) expectedOutput(q *request) float64 {
+// expectedOutput returns the output in tokens expected of a request not yet sent.
+func expectedOutput(q *request) float64 {
 	if q.output > 0 {
 		return float64(q.output)
 	}
-	most := 32768.0
+	most := mostExpected
 	if q.limit > 0 {
 		most = float64(q.limit)
 	}
-	return q.curve.Mean(float64(q.tokens), most)
+	return q.curve.Mean(0, most)
 }
 
 func (r *Reducer) allocate() *request {
@@ -164,6 +167,7 @@
 	q.demand = q.forecastOf()
 	q.demandAt = q.tokens
 	q.target.own.Add(&q.demand)
+	q.target.changed()
 	rate := q.serviceRate()
 	r.ledger.Hold(q.member.spec.Name, q.pool.name, rate-q.rate, r.now)
 	q.rate = rate
@@ -178,6 +182,7 @@
 	if t.running == 0 {
 		t.own = forecast.Demand{}
 	}
+	t.changed()
 	q.member.inflight--
 	q.pool.inflight--
 	q.pool.queueOf(q.member).inflight--
@@ -198,14 +203,6 @@
 	r.forget(q)
 }
 
-func (e Started) reduce(r *Reducer) {
-	q := r.requests[e.ID]
-	if q == nil || q.phase != phaseSent {
-		return
-	}
-	q.target.breaker.succeed()
-}
-
 func (e Ended) reduce(r *Reducer) {
 	q := r.requests[e.ID]
 	if q == nil || q.phase != phaseSent {
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/wigeonlink/wigeonlink/forecast"
 	"github.com/wigeonlink/wigeonlink/share"
 )
 
@@ -68,12 +69,12 @@
 	for _, p := range r.poolList {
 		for _, t := range p.targets {
 			d := t.demand(r.now)
-			none := d.Scaled(0)
+			var none forecast.Demand
 			rows = append(rows, TargetRow{
 				Target:   t.spec.Name,
 				Pool:     p.name,
 				Domain:   t.spec.Domain,
-				Open:     t.open(r.now),
+				Open:     t.open(r.now, r.options.fresh),
 				Own:      t.running,
 				Streams:  d.Streams,
 				Now:      d.Mean[0],
--- a/dispatch/target_state.go
+++ b/dispatch/target_state.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/wigeonlink/wigeonlink/forecast"
@@ -17,6 +18,8 @@
 		unfilled  int // prompt tokens of this host not known to be computed
 		own       forecast.Demand
 		others    forecast.Demand // of the streams of other hosts
+		total     forecast.Demand // of all streams, known or inferred
+		totalEnd  time.Duration   // until when total holds; 0 means that it must be added up
 		pace      forecast.Pace
 		load      target.Load
 		loadAt    time.Duration
@@ -79,14 +82,28 @@
 	}
 }
 
-// demand returns the demand of all streams known or inferred on the target. What
-// the load report shows beyond the known streams is taken to behave like them.
-func (t *targetState) demand(now time.Duration) forecast.Demand {
+// changed notes that the target's demand must be added up anew.
+func (t *targetState) changed() { t.totalEnd = 0 }
+
+// demand returns the demand of all streams known or inferred on the target. It is
+// valid until the next change.
+func (t *targetState) demand(now time.Duration) *forecast.Demand {
+	if now >= t.totalEnd {
+		t.total = t.addUp(now)
+	}
+	return &t.total
+}
+
+// addUp adds up the demand of the target's streams. What the load report shows
+// beyond the known streams is taken to behave like them.
+func (t *targetState) addUp(now time.Duration) forecast.Demand {
 	d := t.own
 	d.Add(&t.others)
+	t.totalEnd = math.MaxInt64
 	if t.loadAt == 0 || now-t.loadAt > loadExpiry {
 		return d
 	}
+	t.totalEnd = t.loadAt + loadExpiry + 1
 	unseen := float64(t.load.Used) - t.ownAtLoad - t.others.Mean[0]
 	if unseen <= 0 {
 		return d
@@ -103,9 +120,16 @@
 	return d
 }
 
-// open reports whether the target takes new work.
-func (t *targetState) open(now time.Duration) bool {
-	return !t.leaving && !t.load.Leaving && t.breaker.allows(now)
+// open reports whether the target takes new work. fresh bounds the age of an
+// engine's last load report; 0 means any.
+func (t *targetState) open(now, fresh time.Duration) bool {
+	if t.leaving || t.load.Leaving || !t.breaker.allows(now) {
+		return false
+	}
+	if fresh == 0 || t.spec.Kind == table.TargetService {
+		return true
+	}
+	return t.loadAt > 0 && now-t.loadAt <= fresh
 }
 
 func (e LoadReport) reduce(r *Reducer) {
@@ -119,6 +143,7 @@
 	t.load = e.Load
 	t.loadAt = max(r.now-e.Load.Lag, 1)
 	t.ownAtLoad = t.own.Mean[0]
+	t.changed()
 	r.drain(r.pools[poolName(t.spec)])
 }
 
--- a/host/booking.go
+++ b/host/booking.go
@@ -78,9 +78,6 @@
 // Generation returns the identifier of an attempt's generation.
 func (b *Booking) Generation(attempt int) string { return b.Name + "-" + strconv.Itoa(attempt) }
 
-// Started tells that the target has taken the request.
-func (b *Booking) Started() { b.host.Post(dispatch.Started{ID: b.ID}) }
-
 // Gone tells that the caller went away while the generation goes on.
 func (b *Booking) Gone(resumable bool) {
 	b.host.log.Emit(event.RequestGone, event.Fields{Request: b.Name, Member: b.Submit.Member})
--- a/length/histogram.go
+++ b/length/histogram.go
@@ -152,7 +152,7 @@
 // Mean returns the expected number of further tokens after n, counting at most
 // limit of them.
 func (c *Curve) Mean(n, limit float64) float64 {
-	const steps = 12
+	const steps = 8
 	sum, at, last := 0.0, 0.0, 1.0
 	for i := 1; i <= steps; i++ {
 		next := limit * math.Exp2(float64(i-steps))
--- a/relay_bench_test.go
+++ b/relay_bench_test.go
@@ -152,7 +152,7 @@
 		Caller:   netip.MustParseAddrPort("127.0.0.1:0"),
 		Operator: netip.MustParseAddrPort("127.0.0.1:0"),
 		Keys:     []string{fmt.Sprintf("%x", ticket.DeriveKey("bench"))},
-	}, wigeonlink.WithHost(host.WithDispatch(dispatch.WithDeviations(0))))
+	}, wigeonlink.WithHost(host.WithDispatch(dispatch.WithDeviations(0), dispatch.WithFresh(0))))
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/share/ledger.go
+++ b/share/ledger.go
@@ -47,7 +47,10 @@
 
 const (
 	// DefaultWindow is the time constant with which use is forgotten.
-	DefaultWindow = 5 * time.Second
+	DefaultWindow = 30 * time.Second
+
+	// Horizon is how long the present rate of use is taken to go on.
+	Horizon = 5 * time.Second
 
 	// ReportExpiry is the age at which what a report says of the present is
 	// dropped. What it says of the past decays.
@@ -126,11 +129,11 @@
 	return sum
 }
 
-// Level returns what an account is judged by: the mean of its decayed use and of
-// the use that its present rate amounts to. The past alone lags by the length of
-// a generation; the present alone forgets what was lent.
+// Level returns what an account is judged by, in service units a second: its decayed
+// use, and what it consumes now as if that went on for Horizon. The past alone lags
+// by the length of a generation; the present alone punishes every burst.
 func (l *Ledger) Level(a Account, now time.Duration) float64 {
-	return (l.Use(a, now) + l.Holding(a)*l.window.Seconds()) / 2
+	return (l.Use(a, now) + l.Holding(a)*Horizon.Seconds()) / (l.window + Horizon).Seconds()
 }
 
 // Rate returns an account's use as service units a second.
--- a/trial/call.go
+++ b/trial/call.go
@@ -110,6 +110,7 @@
 		e.order = append(e.order, c.id)
 	}
 	g := t.engineOf(f.Target)
+	c.out = true
 	t.checkCap(c)
 	t.after(t.config.Link, func() { g.add(t, c, f.Priority) })
 }
@@ -122,7 +123,7 @@
 	n := 0
 	for _, e := range t.hosts {
 		for _, o := range e.active {
-			if o.member == c.member {
+			if o.member == c.member && o.out {
 				n++
 			}
 		}
@@ -221,6 +222,7 @@
 	c.tokens, c.queued = 0, false
 	delivered := c.delivered > 0
 	t.after(t.config.Link, func() {
+		c.out = false
 		t.reduce(c.host, dispatch.Failed{ID: c.id, Certainty: certainty, Delivered: delivered, Rebooted: rebooted})
 	})
 }
--- a/trial/engine.go
+++ b/trial/engine.go
@@ -37,6 +37,7 @@
 		tokens    int
 		last      time.Duration
 		queued    bool
+		out       bool // an attempt is under way, as its host knows
 		settled   bool // the caller has its final answer
 		delivered int
 	}
--- /dev/null
+++ b/trial/share_bench_test.go
@@ -0,0 +1,104 @@
+package trial
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+const (
+	floodFrom = 30 * time.Second
+	floodSpan = 100 * time.Second
+	settled   = 10 * time.Second // after the flood begins, until shares are measured
+)
+
+// floodHosts are the hosts that the flooding member calls.
+var floodHosts = map[string][]int{"every": nil, "one": {0}}
+
+// saturated returns a trial in which every member wants more than its share, and one
+// far more.
+func saturated(u user, hosts []int) Config {
+	c := u.config(1)
+	c.Warm, c.Span = floodFrom+settled, floodFrom+floodSpan
+	for i := range c.Members {
+		m := &c.Members[i]
+		m.Part *= 1.5
+		m.Queue = 64
+	}
+	flood := c.Members[0]
+	flood.Part, flood.Hosts, flood.From = 3, hosts, floodFrom
+	c.Members = append(c.Members, flood)
+	return c
+}
+
+// shareError returns the largest relative difference between a member's part of the
+// service and its promise.
+func shareError(c Config, r Result) float64 {
+	total, weights := 0.0, 0.0
+	seen := map[string]bool{}
+	for _, m := range c.Members {
+		if !seen[m.Name] {
+			total += r.Members[m.Name].Service
+			weights += m.Weight
+		}
+		seen[m.Name] = true
+	}
+	worst := 0.0
+	for _, m := range c.Members {
+		got := r.Members[m.Name].Service / total
+		worst = math.Max(worst, math.Abs(got/(m.Weight/weights)-1))
+	}
+	return worst
+}
+
+// firstOfSmall returns the time to first token of the members that do not flood.
+func firstOfSmall(r Result) Histogram {
+	all := newHistogram()
+	for name, m := range r.Members {
+		if name != "member-0" {
+			all.Merge(m.First)
+		}
+	}
+	return all
+}
+
+// BenchmarkShare floods from one member, and measures the error of the shares when
+// all want more than theirs, and the time to first token of the others when they
+// keep within theirs.
+func BenchmarkShare(b *testing.B) {
+	for _, u := range users {
+		for _, from := range []string{"every", "one"} {
+			b.Run(u.name+"/"+from, func(b *testing.B) {
+				for range b.N {
+					floodShares(b, u, floodHosts[from])
+				}
+			})
+		}
+	}
+}
+
+func floodShares(b *testing.B, u user, hosts []int) {
+	b.Helper()
+	c := saturated(u, hosts)
+	r := mustRun(b, c)
+	for _, m := range c.Members[:10] {
+		b.Logf("%s promised %.1f%% got service %.0f refused %d", m.Name, m.Weight, r.Members[m.Name].Service, r.Members[m.Name].Refused)
+	}
+	calm := u.config(0.9)
+	calm.Warm, calm.Span = floodFrom, floodFrom+floodSpan
+	flood := u.config(0.9)
+	flood.Warm, flood.Span = floodFrom, floodFrom+floodSpan
+	extra := flood.Members[0]
+	extra.Part, extra.Hosts, extra.From, extra.Queue = 2, hosts, floodFrom, 64
+	flood.Members = append(flood.Members, extra)
+	flood.Members[0].Queue = 64
+	flooded := mustRun(b, flood)
+	without, with := firstOfSmall(mustRun(b, calm)), firstOfSmall(flooded)
+	for _, q := range []float64{0.5, 0.9, 0.95, 0.99, 0.999} {
+		b.Logf("small members' time to first token: p%g %s without the flood, %s with it", 100*q, without.Quantile(q), with.Quantile(q))
+	}
+	b.ReportMetric(100*shareError(c, r), "share-error-pct")
+	b.ReportMetric(with.Quantile(0.99).Seconds()/without.Quantile(0.99).Seconds(), "small-ttft-ratio")
+	b.ReportMetric(with.Quantile(0.99).Seconds()*1000, "small-ttft-p99-ms")
+	b.ReportMetric(float64(flooded.Preemptions), "preemptions")
+}
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -154,7 +154,12 @@
 	memory := standin.NewBatch(c.Spec).Spec().Memory
 	var b strings.Builder
 	b.WriteString("kind,version,name,weight,key,model,domain,address,checks,memory,tail,stall,queue,inflight\ntable,1\nmodel,,m\n")
+	declared := map[string]bool{}
 	for _, m := range c.Members {
+		if declared[m.Name] {
+			continue // a second stream of the same member's calls
+		}
+		declared[m.Name] = true
 		queue := m.Queue
 		if queue == 0 {
 			queue = queueSize
