--- a/answer/kind.go
+++ b/answer/kind.go
@@ -60,6 +60,11 @@
 	KindBroken
 	KindUnknownOutcome
 	KindNotReady
+	KindBadTicket
+	KindTicketExpired
+	KindTicketBurnt
+	KindTicketMismatch
+	KindTicketLost
 	KindFault
 	kindEnd
 )
@@ -95,6 +100,11 @@
 	KindBroken:         {http.StatusBadGateway, "stream_broken", "server_error", Unknown, time.Second, "the target cannot be reached; the answer is incomplete"},
 	KindUnknownOutcome: {http.StatusBadGateway, "outcome_unknown", "server_error", Unknown, 0, "it is not known whether the request ran"},
 	KindNotReady:       {http.StatusServiceUnavailable, "not_ready", "overloaded_error", NotRun, time.Second, "this host has no table yet; the request did not run"},
+	KindBadTicket:      {http.StatusBadRequest, "invalid_ticket", "invalid_request_error", NotRun, 0, "the ticket was not issued by this system"},
+	KindTicketExpired:  {http.StatusGone, "ticket_expired", "invalid_request_error", Unknown, 0, "the ticket has expired; ask for its outcome, or for a new one if it was never used"},
+	KindTicketBurnt:    {http.StatusConflict, "ticket_burnt", "invalid_request_error", NotRun, 0, "the ticket's call did not run and will never run"},
+	KindTicketMismatch: {http.StatusConflict, "ticket_mismatch", "invalid_request_error", NotRun, 0, "the ticket belongs to another call; this one did not run"},
+	KindTicketLost:     {http.StatusConflict, "ticket_lost", "server_error", Unknown, 0, "the host that held the ticket is gone; it is not known whether the call ran"},
 	KindFault:          {http.StatusInternalServerError, "fault", "server_error", Unknown, 0, "an unexpected fault"},
 }
 
--- a/console/serve.go
+++ b/console/serve.go
@@ -9,6 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/wigeonlink/wigeonlink"
+	"github.com/wigeonlink/wigeonlink/credential"
 	"github.com/wigeonlink/wigeonlink/settings"
 	"github.com/wigeonlink/wigeonlink/ticket"
 )
@@ -20,6 +21,9 @@
 	caller   settings.Address
 	operator settings.Address
 	platform settings.Addresses
+	peer     settings.Address
+	peers    settings.Addresses
+	files    credential.Files
 	keys     []string
 	drain    settings.Span
 	body     int64
@@ -37,6 +41,7 @@
 	f := &serveFlags{
 		caller:   settings.Address(netip.MustParseAddrPort("127.0.0.1:8080")),
 		operator: settings.Address(netip.MustParseAddrPort("127.0.0.1:8081")),
+		peer:     settings.Address(netip.MustParseAddrPort("127.0.0.1:8082")),
 		drain:    settings.Span{Value: wigeonlink.DefaultDrain, Least: leastDrain, Most: mostDrain},
 	}
 	cmd := &cobra.Command{
@@ -51,6 +56,11 @@
 	flags.Var(&f.caller, "caller", "address for callers")
 	flags.Var(&f.operator, "operator", "address for operators")
 	flags.Var(&f.platform, "platform", "addresses of the configuration service")
+	flags.Var(&f.peer, "peer", "address for the other entry hosts")
+	flags.Var(&f.peers, "peers", "addresses of some other entry hosts, to begin with")
+	flags.StringVar(&f.files.Certificate, "cert", "", "PEM file of this host's certificate")
+	flags.StringVar(&f.files.Key, "cert-key", "", "PEM file of the certificate's key")
+	flags.StringVar(&f.files.Authority, "authority", "", "PEM file of the authority of all hosts' certificates")
 	flags.StringSliceVar(&f.keys, "keys", nil, "sealing keys, 64 hexadecimal digits each, the current one first")
 	flags.Var(&f.drain, "drain", "how long a stop waits for open requests")
 	flags.Int64Var(&f.body, "body", 0, "largest request body in bytes (default 1048576)")
@@ -70,26 +80,55 @@
 	case f.body < 0 || f.body > mostBody:
 		return eris.Errorf("--body %d: 0 to %d bytes are allowed", f.body, mostBody)
 	}
+	if set := f.credentials(); set != 0 && set != credentialFiles {
+		return eris.New("--cert, --cert-key and --authority go together: all three or none")
+	}
+	if len(f.peers) > 0 && f.credentials() == 0 {
+		return eris.New("--peers needs --cert, --cert-key and --authority")
+	}
 	if _, err := ticket.ParseKeys(f.keys); err != nil {
 		return eris.Errorf("--keys: %v", err)
 	}
 	return nil
 }
 
+// credentialFiles is the number of files that a host's credentials consist of.
+const credentialFiles = 3
+
+// credentials returns how many of the credential files are named.
+func (f *serveFlags) credentials() int {
+	n := 0
+	for _, name := range []string{f.files.Certificate, f.files.Key, f.files.Authority} {
+		if name != "" {
+			n++
+		}
+	}
+	return n
+}
+
 func (f *serveFlags) run(cmd *cobra.Command) error {
 	if err := f.check(); err != nil {
 		return err
 	}
-	e, err := wigeonlink.NewEntry(wigeonlink.Settings{
+	s := wigeonlink.Settings{
 		Name:     f.name,
 		Domain:   f.domain,
 		Caller:   netip.AddrPort(f.caller),
 		Operator: netip.AddrPort(f.operator),
 		Platform: f.platform,
+		Peer:     netip.AddrPort(f.peer),
+		Peers:    f.peers,
 		Keys:     f.keys,
 		Drain:    f.drain.Value,
 		Body:     f.body,
-	}, wigeonlink.WithLogger(f.log.logger(cmd)))
+	}
+	if f.credentials() > 0 {
+		var err error
+		if s.Credential, err = credential.NewSource(f.files); err != nil {
+			return err
+		}
+	}
+	e, err := wigeonlink.NewEntry(s, wigeonlink.WithLogger(f.log.logger(cmd)))
 	if err != nil {
 		return err
 	}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wigeonlink/wigeonlink"
+	"github.com/wigeonlink/wigeonlink/credential"
 	"github.com/wigeonlink/wigeonlink/platform"
 	"github.com/wigeonlink/wigeonlink/standin"
 	"github.com/wigeonlink/wigeonlink/table"
@@ -134,12 +135,17 @@
 	}
 	c.Leave()
 	c.options = append([]wigeonlink.Option{wigeonlink.WithLogger(p.logger)}, p.entry...)
+	issuer, err := credential.NewIssuer()
+	if err != nil {
+		return err
+	}
 	for _, domain := range p.domains {
 		for i := range p.entries {
 			c.settings = append(c.settings, wigeonlink.Settings{
 				Name:     fmt.Sprintf("%s-%d", domain, i+1),
 				Domain:   domain,
 				Caller:   loopback(),
+				Peer:     loopback(),
 				Operator: loopback(),
 				Platform: []netip.AddrPort{published},
 				Keys:     []string{fmt.Sprintf("%x", ticket.DeriveKey(sealPhrase))},
@@ -148,6 +154,13 @@
 	}
 	c.entries = make([]*wigeonlink.Entry, len(c.settings))
 	for i := range c.settings {
+		s := &c.settings[i]
+		if s.Credential, err = issuer.Issue(s.Name); err != nil {
+			return err
+		}
+		if i > 0 {
+			s.Peers = []netip.AddrPort{c.settings[0].Peer}
+		}
 		if err := c.StartEntry(ctx, i); err != nil {
 			return err
 		}
@@ -246,6 +259,9 @@
 	c.mu.Lock()
 	s := c.settings[i]
 	c.mu.Unlock()
+	if i == 0 && len(c.settings) > 1 && c.settings[1].Peer.Port() != 0 {
+		s.Peers = []netip.AddrPort{c.settings[1].Peer}
+	}
 	e, err := wigeonlink.NewEntry(s, c.options...)
 	if err != nil {
 		return err
@@ -257,6 +273,7 @@
 	defer c.mu.Unlock()
 	c.entries[i] = e
 	c.settings[i].Caller = netip.MustParseAddrPort(e.CallerURL()[len("http://"):])
+	c.settings[i].Peer = e.Mesh().Address()
 	c.settings[i].Operator = netip.MustParseAddrPort(e.OperatorURL()[len("http://"):])
 	return nil
 }
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -29,7 +29,6 @@
 		keys     *ticket.Keyring
 		mostBody int64
 		slowest  time.Duration
-		services serviceSet
 	}
 
 	// An Option changes a Desk.
@@ -91,6 +90,9 @@
 	m.Handle("/v1/completions", d.member(d.serveCompletion)).Methods(http.MethodPost, http.MethodGet)
 	m.Handle("/v1/chat/completions", d.member(d.serveChat)).Methods(http.MethodPost, http.MethodGet)
 	m.Handle("/v1/shares", d.member(d.serveShares)).Methods(http.MethodGet)
+	m.Handle("/v1/tickets", d.member(d.serveIssue)).Methods(http.MethodPost)
+	m.Handle("/v1/tickets/{ticket}", d.member(d.serveOutcome)).Methods(http.MethodGet)
+	m.Handle("/v1/tickets/{ticket}", d.member(d.serveBurn)).Methods(http.MethodDelete)
 	m.PathPrefix("/v1/services/{service}").Handler(d.member(d.serveService))
 	m.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	m.HandleFunc("/readyz", d.serveReady)
--- a/desk/service.go
+++ b/desk/service.go
@@ -1,47 +1,23 @@
 package desk
 
 import (
-	"errors"
 	"net/http"
-	"net/netip"
 	"strings"
-	"sync"
 
 	"github.com/gorilla/mux"
 
 	"github.com/wigeonlink/wigeonlink/answer"
-	"github.com/wigeonlink/wigeonlink/dispatch"
-	"github.com/wigeonlink/wigeonlink/relay"
 	"github.com/wigeonlink/wigeonlink/table"
 	"github.com/wigeonlink/wigeonlink/target"
 )
 
-// serviceSet keeps one adapter for each address.
-type serviceSet struct {
-	mu  sync.Mutex
-	set map[netip.AddrPort]target.Service
-}
-
-func (s *serviceSet) at(a netip.AddrPort) target.Service {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c := s.set[a]
-	if c == nil {
-		c = target.NewService(a)
-		if s.set == nil {
-			s.set = map[netip.AddrPort]target.Service{}
-		}
-		s.set[a] = c
-	}
-	return c
-}
+// HeaderMember names the header by which a plain service learns the member.
+const HeaderMember = "Wigeonlink-Member"
 
-// serveService passes a call to a plain service. A call that is not idempotent is
-// sent once, whatever happens.
+// serveService passes a call to a plain service.
 func (d *Desk) serveService(w http.ResponseWriter, r *http.Request, m table.Member) error {
 	name := mux.Vars(r)["service"]
-	spec, ok := d.host.Table().Services[name]
-	if !ok {
+	if _, ok := d.host.Table().Services[name]; !ok {
 		return answer.New(answer.KindUnknownService, "")
 	}
 	path := strings.TrimPrefix(r.URL.Path, "/v1/services/"+name)
@@ -58,44 +34,16 @@
 	}
 	call := target.Call{Method: r.Method, Path: path, Query: r.URL.RawQuery, Header: r.Header.Clone(), Body: body}
 	call.Header.Del("Authorization")
-	call.Header.Set("Wigeonlink-Member", m.Name)
-	b := d.host.Submit(dispatch.Submit{
-		Member:   m.Name,
-		Pool:     name,
-		Plain:    true,
-		Once:     !spec.Route(r.Method, path).Idempotent,
-		Deadline: deadline,
-	})
-	defer b.Release()
-	for {
-		verdict, err := b.Wait(r.Context())
-		if err != nil {
-			return err
-		}
-		reply, err := d.callService(r, verdict.Target, call)
-		if err == nil {
-			b.Ended(relay.Result{Ending: relay.EndWhole})
-			writeReply(w, reply)
-			return nil
-		}
-		certainty := target.CertainNothing
-		var oe *target.OrderError
-		if errors.As(err, &oe) {
-			certainty = oe.Certainty
-		}
-		b.Ended(relay.Result{Ending: relay.EndFailed, Certainty: certainty, Cause: err})
+	call.Header.Set(HeaderMember, m.Name)
+	if r.Header.Get(HeaderTicket) != "" {
+		return d.callOnce(w, r, m, name, call, deadline)
 	}
-}
-
-func (d *Desk) callService(r *http.Request, name string, c target.Call) (target.Reply, error) {
-	spec, ok := d.host.Table().Targets[name]
-	if !ok {
-		return target.Reply{}, &target.OrderError{
-			Certainty: target.CertainNotRun,
-			Cause:     errors.New("the target is no longer in the table"),
-		}
+	reply, err := d.host.CallService(r.Context(), m.Name, name, call, deadline)
+	if err != nil {
+		return err
 	}
-	return d.services.at(spec.Address).Do(r.Context(), c)
+	writeReply(w, reply)
+	return nil
 }
 
 func writeReply(w http.ResponseWriter, reply target.Reply) {
--- /dev/null
+++ b/desk/ticket.go
@@ -0,0 +1,122 @@
+package desk
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/host"
+	"github.com/wigeonlink/wigeonlink/table"
+	"github.com/wigeonlink/wigeonlink/target"
+	"github.com/wigeonlink/wigeonlink/ticket"
+	"github.com/wigeonlink/wigeonlink/wire"
+)
+
+// ticketView is what callers see of a ticket.
+type ticketView struct {
+	Ticket  string `json:"ticket,omitempty"`
+	Host    string `json:"host,omitempty"`
+	Expires int64  `json:"expires,omitempty"` // seconds since the epoch
+	State   string `json:"state"`
+	Status  int    `json:"status,omitempty"` // of the kept reply, once the call ran
+}
+
+// HeaderTicket names the header that carries a call's ticket.
+const HeaderTicket = "Wigeonlink-Ticket"
+
+// serveIssue issues a ticket that lets one call run at most once.
+func (d *Desk) serveIssue(w http.ResponseWriter, _ *http.Request, m table.Member) error {
+	t, err := d.host.IssueTicket(m.Name)
+	if err != nil {
+		return err
+	}
+	sealed, err := d.keys.SealTicket(t)
+	if err != nil {
+		return err
+	}
+	w.WriteHeader(http.StatusCreated)
+	return writeJSON(w, ticketView{Ticket: sealed, Host: t.Host, Expires: t.Expiry, State: ticket.StateUnused.String()})
+}
+
+// serveOutcome tells what became of a ticket's call.
+func (d *Desk) serveOutcome(w http.ResponseWriter, r *http.Request, m table.Member) error {
+	return d.askTicket(w, r, m, host.TicketLook)
+}
+
+// serveBurn makes sure that an unused ticket's call never runs.
+func (d *Desk) serveBurn(w http.ResponseWriter, r *http.Request, m table.Member) error {
+	return d.askTicket(w, r, m, host.TicketBurn)
+}
+
+func (d *Desk) askTicket(w http.ResponseWriter, r *http.Request, m table.Member, action host.TicketAction) error {
+	t, err := d.keys.OpenTicket(mux.Vars(r)["ticket"], m.Name)
+	if err != nil {
+		return err
+	}
+	reply, err := d.host.UseTicket(r.Context(), t, &wire.TicketCall{Member: m.Name, Action: uint32(action)})
+	if err != nil {
+		return err
+	}
+	s := ticket.State(reply.State)
+	if s == ticket.StateNone {
+		return answer.New(answer.KindTicketExpired, "")
+	}
+	v := ticketView{Host: t.Host, Expires: t.Expiry, State: s.String()}
+	if s == ticket.StateRan {
+		v.Status = int(reply.Status)
+	}
+	return writeJSON(w, v)
+}
+
+// callOnce makes a call that carries a ticket: at its one host, at most once.
+func (d *Desk) callOnce(w http.ResponseWriter, r *http.Request, m table.Member, service string, c target.Call, deadline time.Time) error {
+	t, err := d.keys.OpenTicket(r.Header.Get(HeaderTicket), m.Name)
+	if err != nil {
+		return err
+	}
+	if ticket.Expired(t, time.Now()) {
+		return answer.New(answer.KindTicketExpired, "")
+	}
+	c.Header.Del(HeaderTicket)
+	within := uint32(0)
+	if !deadline.IsZero() {
+		within = uint32(max(time.Until(deadline).Milliseconds(), 1))
+	}
+	reply, err := d.host.UseTicket(r.Context(), t, &wire.TicketCall{
+		Member:  m.Name,
+		Action:  uint32(host.TicketExecute),
+		Service: service,
+		Method:  c.Method,
+		Path:    c.Path,
+		Query:   c.Query,
+		Header:  host.WireHeader(c.Header),
+		Body:    c.Body,
+		Within:  within,
+	})
+	if err != nil {
+		return err
+	}
+	if s := ticket.State(reply.State); s != ticket.StateRan {
+		return ticketError(s)
+	}
+	w.Header().Set(HeaderTicket, t.Id)
+	writeReply(w, target.Reply{Status: int(reply.Status), Header: host.HTTPHeader(reply.Header), Body: reply.Body})
+	return nil
+}
+
+// ticketError returns the answer to a ticket's call that has no reply.
+func ticketError(s ticket.State) error {
+	switch s {
+	case ticket.StateUnused:
+		return answer.New(answer.KindRefused, "the call did not run; the same ticket can be used again")
+	case ticket.StateBurnt:
+		return answer.New(answer.KindTicketBurnt, "")
+	case ticket.StateOther:
+		return answer.New(answer.KindTicketMismatch, "")
+	case ticket.StateNone:
+		return answer.New(answer.KindTicketExpired, "")
+	}
+	return answer.New(answer.KindUnknownOutcome, "the call was sent; ask for the outcome of its ticket")
+}
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -72,7 +72,7 @@
 	sampleAbove = 64   // targets above which a sample is scored
 	sampleSize  = 16   // targets in a sample
 	tailLimit   = 2.2  // time between tokens over an empty engine's, at full weight of the tail
-	turnExcess  = 0.1  // excess from which a member's requests wait for a turn
+	turnExcess  = 0.1  // excess from which a member's requests compete with all others
 	turnLength  = 100 * time.Millisecond
 	stallExtra  = 0.75 // standard deviations more, at full weight of stalls
 )
@@ -85,7 +85,7 @@
 		return nil
 	}
 	demand := q.forecastOf()
-	rivals, rank := r.contenders(q.pool)
+	rivals, rank := r.contenders(q.pool, excess)
 	count, step := n, 1
 	if n > sampleAbove {
 		count, step = sampleSize, stride(q.id, n)
@@ -96,7 +96,7 @@
 	for i := range count {
 		at := (start + i*step) % n
 		t := ts[at]
-		if !t.open(r.now, r.options.fresh) || slices.Contains(q.tried, t) || excess > turnExcess && !r.turn(at, rivals, rank) {
+		if !t.open(r.now, r.options.fresh) || slices.Contains(q.tried, t) || !r.turn(at, rivals, rank) {
 			continue
 		}
 		score, ok := r.score(q, t, &demand, excess)
@@ -154,15 +154,17 @@
 	return c.Interval.Seconds() <= limit*c.Idle.Seconds() || all.Streams < 1
 }
 
-// contenders returns how many hosts hold requests for the pool, this one included,
-// and this one's rank among them.
-func (r *Reducer) contenders(p *pool) (count, rank int) {
+// contenders returns how many hosts hold requests that compete for the pool's room
+// with one of a member that is over its share by excess, this host included, and this
+// host's rank among them. Who is over its share competes with all; the others only
+// with each other.
+func (r *Reducer) contenders(p *pool, excess float64) (count, rank int) {
 	if p.plain || !r.options.hold {
 		return 1, 0
 	}
 	count = 1
 	for _, o := range r.peerList {
-		if !o.holds(p.name) {
+		if !r.competes(o, p, excess) {
 			continue
 		}
 		count++
@@ -173,9 +175,14 @@
 	return count, rank
 }
 
-func (o *peer) holds(pool string) bool {
+// competes reports whether a peer holds a request that competes.
+func (r *Reducer) competes(o *peer, p *pool, excess float64) bool {
 	for i := range o.held {
-		if o.held[i].Pool == pool {
+		if o.held[i].Pool != p.name {
+			continue
+		}
+		m := r.members[o.held[i].Member]
+		if excess > turnExcess || m != nil && r.excess(r.level(m, p), o.held[i].Age, p) <= turnExcess {
 			return true
 		}
 	}
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -123,6 +123,7 @@
 	HeldCount struct {
 		Member, Pool string
 		Count        int
+		Age          time.Duration // since its queue was last empty
 	}
 
 	// Peers says how many hosts of this failure domain are live, this one
--- a/dispatch/member.go
+++ b/dispatch/member.go
@@ -31,6 +31,7 @@
 	memberQueue struct {
 		member   *member
 		held     []*request
+		since    time.Duration // when the queue was last empty
 		inflight int
 		level    float64 // use by weight, when last computed
 	}
@@ -135,6 +136,9 @@
 func (r *Reducer) hold(q *request) {
 	q.phase = phaseHeld
 	mq := q.pool.queueOf(q.member)
+	if len(mq.held) == 0 {
+		mq.since = r.now
+	}
 	i, _ := slices.BinarySearchFunc(mq.held, q, byRank)
 	mq.held = slices.Insert(mq.held, i, q)
 	q.member.heldTotal++
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -35,8 +35,9 @@
 	overSlack    = 0.02            // relative excess from which a member counts as over its share
 	fullExcess   = 0.25            // relative excess that counts in full
 	excessPower  = 4
-	pauseSlack   = 1.05 // level by which a member waits for one held elsewhere
-	activeWeight = 0.2  // service units a second from which a member counts as active
+	fullBacklog  = 2 * time.Second // age of a backlog that counts in full
+	pauseSlack   = 1.05            // level by which a member waits for one held elsewhere
+	activeWeight = 0.2             // service units a second from which a member counts as active
 )
 
 func (p *pool) queueOf(m *member) *memberQueue {
@@ -74,7 +75,7 @@
 			p.order = slices.Delete(p.order, 0, 1)
 			continue
 		}
-		t := r.choose(q, r.excess(mq, p))
+		t := r.choose(q, r.excess(mq.level, r.now-mq.since, p))
 		if t == nil {
 			if r.now-q.arrived > bypassAge {
 				return
@@ -147,18 +148,19 @@
 	return false
 }
 
-// excess returns how far a member is over its share, from 0 for not at all to 1. It
+// excess returns how far a member of a level is over its share, from 0 for not at all to 1. It
 // counts in full for the member that is furthest over, if that is by fullExcess or
 // more, and falls off steeply below: a burst beside a flood is not held against its
-// member.
-func (r *Reducer) excess(mq *memberQueue, p *pool) float64 {
+// member. Nor is one that has not kept requests waiting for long.
+func (r *Reducer) excess(level float64, backlog time.Duration, p *pool) float64 {
 	fair := r.fairLevel(p)
-	over := mq.level/fair - 1
+	over := level/fair - 1
 	if over < overSlack {
 		return 0
 	}
 	part := over / max(p.highest/fair-1, over)
-	return min(over/fullExcess, 1) * math.Pow(part, excessPower)
+	lasting := min(float64(backlog)/float64(fullBacklog), 1)
+	return lasting * min(over/fullExcess, 1) * math.Pow(part, excessPower)
 }
 
 // fairLevel returns the mean level over the members active in a pool.
--- a/dispatch/random_test.go
+++ b/dispatch/random_test.go
@@ -230,7 +230,7 @@
 			Place:    1,
 			Accounts: []share.Entry{{Account: share.Account{Member: "member-0", Pool: "model-0"}, Use: rapid.Float64().Draw(t, "use")}},
 			Demands:  []TargetDemand{{engine, forecast.Demand{Streams: 2, Mean: [forecast.Horizons]float64{500, 500, 400}}}},
-			Held:     []HeldCount{{"member-1", "model-0", 3}},
+			Held:     []HeldCount{{"member-1", "model-0", 3, time.Second}},
 		})
 	case 3:
 		m.feed(t, CacheReport{Target: engine, Prefix: rapid.Uint64Range(0, 3).Draw(t, "prefix"), Held: rapid.Bool().Draw(t, "held")})
--- a/host/feeds.go
+++ b/host/feeds.go
@@ -18,7 +18,8 @@
 
 // RunFeeds watches the platform until ctx ends.
 func (h *Host) RunFeeds(ctx context.Context, source platform.Source) {
-	tables := h.feed(source, platform.KeyTable, h.takeTable)
+	tables := h.feed(source, platform.KeyTable, func(v platform.Value) { h.TakeTable(v.Data) })
+	tables.Active = h.Reader
 	rosters := h.feed(source, platform.KeyRoster, h.takeRoster)
 	go rosters.Run(ctx)
 	tables.Run(ctx)
@@ -34,13 +35,14 @@
 	}
 }
 
-// takeTable puts a published table in force, or refuses it whole.
-func (h *Host) takeTable(v platform.Value) {
-	t, err := table.Read("published", bytes.NewReader(v.Data))
+// TakeTable puts a published table in force, or refuses it whole.
+func (h *Host) TakeTable(sheet []byte) {
+	t, err := table.Read("published", bytes.NewReader(sheet))
 	if err != nil {
 		h.log.Emit(event.TableRefused, event.Fields{Detail: err.Error()})
 		return
 	}
+	h.published.keep(t.Version, sheet)
 	h.Post(dispatch.TableChange{Table: t})
 }
 
--- a/host/host.go
+++ b/host/host.go
@@ -12,9 +12,11 @@
 	"github.com/wigeonlink/wigeonlink/answer"
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/peer"
 	"github.com/wigeonlink/wigeonlink/relay"
 	"github.com/wigeonlink/wigeonlink/table"
 	"github.com/wigeonlink/wigeonlink/target"
+	"github.com/wigeonlink/wigeonlink/ticket"
 )
 
 type (
@@ -36,6 +38,12 @@
 		observer  Observer
 		loadEvery time.Duration
 		samples   []dispatch.Sample
+		domain    string
+		ticked    time.Time
+		services  serviceSet
+		tickets   *ticket.Ledger
+		mesh      *peer.Mesh // nil for a host without peers
+		published publication
 	}
 
 	// An Observer is told of what happens, for metrics.
@@ -70,6 +78,7 @@
 	withObserver  struct{ observer Observer }
 	withLoadEvery time.Duration
 	withEngines   func(netip.AddrPort) target.Engine
+	withDomain    string
 )
 
 const (
@@ -78,6 +87,7 @@
 	checkEvery      = time.Second
 	defaultLoadPoll = 250 * time.Millisecond
 	verdictRoom     = 8
+	sleptFrom       = 2 * time.Second
 )
 
 // WithDispatch passes options to the reducer.
@@ -89,6 +99,9 @@
 // WithLoadEvery sets how often the load of each target is asked for.
 func WithLoadEvery(d time.Duration) Option { return withLoadEvery(d) }
 
+// WithDomain sets the failure domain of the host and of the targets that it uses.
+func WithDomain(name string) Option { return withDomain(name) }
+
 // WithEngines replaces the adapter to engines.
 func WithEngines(f func(netip.AddrPort) target.Engine) Option { return withEngines(f) }
 
@@ -96,6 +109,10 @@
 func (o withObserver) apply(h *Host)  { h.observer = o.observer }
 func (o withLoadEvery) apply(h *Host) { h.loadEvery = time.Duration(o) }
 func (o withEngines) apply(h *Host)   { h.engines.make = o }
+func (o withDomain) apply(h *Host) {
+	h.domain = string(o)
+	h.decide = append(h.decide, dispatch.WithDomain(string(o)))
+}
 
 // NewHost returns a host that writes its events to a log.
 func NewHost(log *event.Log, opts ...Option) *Host {
@@ -108,6 +125,7 @@
 		incarnate: strconv.FormatInt(time.Now().UnixNano(), 36),
 		loadEvery: defaultLoadPoll,
 		observer:  nobody{},
+		tickets:   ticket.NewLedger(),
 	}
 	h.engines.make = target.NewResponses
 	for _, o := range opts {
@@ -194,11 +212,13 @@
 		case m := <-h.inbox:
 			h.take(m, timer)
 		case now := <-ticker.C:
+			h.awake(now)
 			h.reduce(h.progress(), timer)
 			if now.Sub(checked) >= checkEvery {
 				checked = now
 				h.reduce(dispatch.Tick{}, timer)
 				h.check()
+				h.tickets.Expire(now)
 			}
 		case <-timer.C:
 			h.reduce(dispatch.Tick{}, timer)
@@ -206,6 +226,15 @@
 	}
 }
 
+// awake notes a pause of the process. What the host held by then has expired by its
+// age: reports of targets and peers count no more until they are renewed.
+func (h *Host) awake(now time.Time) {
+	if slept := now.Sub(h.ticked); !h.ticked.IsZero() && slept > sleptFrom {
+		h.log.Emit(event.HostSlept, event.Fields{Detail: slept.String()})
+	}
+	h.ticked = now
+}
+
 // endAll tells whoever still waits that the loop has ended.
 func (h *Host) endAll() {
 	for _, b := range h.bookings {
--- /dev/null
+++ b/host/mesh.go
@@ -0,0 +1,253 @@
+package host
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonlink/wigeonlink/dispatch"
+	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/forecast"
+	"github.com/wigeonlink/wigeonlink/peer"
+	"github.com/wigeonlink/wigeonlink/platform"
+	"github.com/wigeonlink/wigeonlink/share"
+	"github.com/wigeonlink/wigeonlink/table"
+	"github.com/wigeonlink/wigeonlink/wire"
+)
+
+type (
+	// meshSide is the host as its peers see it.
+	meshSide struct{ *Host }
+
+	// publication is the sheet of the table in force, as it is passed on.
+	publication struct {
+		mu      sync.Mutex
+		version uint64
+		packed  []byte
+		asking  bool
+	}
+)
+
+const (
+	readers      = 2 // hosts of a domain that read the platform
+	tableTimeout = 5 * time.Second
+	reportLife   = 2 * time.Second
+)
+
+// Join makes the host part of a mesh.
+func (h *Host) Join(s peer.Settings) (*peer.Mesh, error) {
+	s.Host, s.Incarnation = h.name, h.incarnate
+	m, err := peer.NewMesh(s, meshSide{h}, h.log)
+	if err != nil {
+		return nil, err
+	}
+	h.mesh = m
+	return m, nil
+}
+
+// peers returns the live peers.
+func (h *Host) peers() []peer.Peer {
+	if h.mesh == nil {
+		return nil
+	}
+	return h.mesh.Live()
+}
+
+// Reader reports whether this host is one of the few of its domain that read the
+// platform. A host that hears nobody reads for itself.
+func (h *Host) Reader() bool {
+	if h.mesh == nil {
+		return true
+	}
+	ahead := 0
+	own := table.Hash(h.name)
+	for _, p := range h.mesh.Live() {
+		if p.Domain == h.domain && !p.Stopping && table.Hash(p.Host) < own {
+			ahead++
+		}
+	}
+	return ahead < readers
+}
+
+// Beat fills in what a heartbeat says of the host.
+func (m meshSide) Beat(hb *wire.Heartbeat) {
+	hb.Stopping = m.stopping.Load()
+	if t := m.Table(); t != nil {
+		hb.Table = t.Version
+	}
+}
+
+// Report returns the host's soft state.
+func (m meshSide) Report() *wire.Report {
+	var r dispatch.PeerReport
+	m.Ask(func(d *dispatch.Reducer) { r = d.Report(time.Now()) })
+	out := &wire.Report{Place: uint32(r.Place), Life: uint32(reportLife.Milliseconds())}
+	for _, a := range r.Accounts {
+		out.Accounts = append(out.Accounts, &wire.Account{
+			Member: a.Account.Member, Pool: a.Account.Pool,
+			Use: float32(a.Use), Holding: float32(a.Holding),
+		})
+	}
+	for i := range r.Demands {
+		out.Demands = append(out.Demands, demandOut(&r.Demands[i]))
+	}
+	for _, held := range r.Held {
+		out.Held = append(out.Held, &wire.Held{
+			Member: held.Member, Pool: held.Pool,
+			Count: uint32(held.Count), Age: uint32(held.Age.Milliseconds()),
+		})
+	}
+	return out
+}
+
+func demandOut(d *dispatch.TargetDemand) *wire.Demand {
+	out := &wire.Demand{Target: d.Target, Streams: float32(d.Demand.Streams)}
+	for i := range forecast.Horizons {
+		out.Mean = append(out.Mean, float32(d.Demand.Mean[i]))
+		out.Variance = append(out.Variance, float32(d.Demand.Variance[i]))
+	}
+	return out
+}
+
+func demandIn(d *wire.Demand) dispatch.TargetDemand {
+	in := dispatch.TargetDemand{Target: d.Target, Demand: forecast.Demand{Streams: float64(d.Streams)}}
+	for i := range min(forecast.Horizons, len(d.Mean), len(d.Variance)) {
+		in.Demand.Mean[i], in.Demand.Variance[i] = float64(d.Mean[i]), float64(d.Variance[i])
+	}
+	return in
+}
+
+// Heard takes in a peer's soft state.
+func (m meshSide) Heard(r *wire.Report) {
+	in := dispatch.PeerReport{Origin: r.Host + "/" + r.Incarnation, Sequence: r.Sequence, Place: int(r.Place)}
+	for _, a := range r.Accounts {
+		in.Accounts = append(in.Accounts, share.Entry{
+			Account: share.Account{Member: a.Member, Pool: a.Pool},
+			Use:     float64(a.Use), Holding: float64(a.Holding),
+		})
+	}
+	for _, d := range r.Demands {
+		in.Demands = append(in.Demands, demandIn(d))
+	}
+	for _, held := range r.Held {
+		in.Held = append(in.Held, dispatch.HeldCount{
+			Member: held.Member, Pool: held.Pool,
+			Count: int(held.Count), Age: time.Duration(held.Age) * time.Millisecond,
+		})
+	}
+	m.Post(in)
+}
+
+// Changed passes on how many hosts share the caps, and fetches a newer table.
+func (m meshSide) Changed() {
+	count, place := m.mesh.Split()
+	m.Post(dispatch.Peers{Count: count, Place: place})
+	have := uint64(0)
+	if t := m.Table(); t != nil {
+		have = t.Version
+	}
+	if p, ok := m.mesh.Newest(have); ok && m.published.begin() {
+		go m.fetch(p, have)
+	}
+}
+
+// begin reports whether nobody is asking for a table, and marks that somebody is.
+func (p *publication) begin() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.asking {
+		return false
+	}
+	p.asking = true
+	return true
+}
+
+func (p *publication) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asking = false
+}
+
+// fetch asks a peer for its table.
+func (h *Host) fetch(p peer.Peer, have uint64) {
+	defer h.published.end()
+	ctx, cancel := context.WithTimeout(context.Background(), tableTimeout)
+	defer cancel()
+	a, _, err := h.mesh.Ask(ctx, p, &wire.Question{Table: &wire.Table{Version: 1, Number: have}})
+	if err != nil || a.Table == nil {
+		return
+	}
+	sheet, err := unpack(a.Table.Sheet)
+	if err != nil {
+		h.log.Emit(event.TableRefused, event.Fields{Peer: p.Host, Detail: err.Error()})
+		return
+	}
+	h.TakeTable(sheet)
+}
+
+func pack(sheet []byte) []byte {
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	_, _ = w.Write(sheet) // a buffer takes everything
+	_ = w.Close()
+	return out.Bytes()
+}
+
+func unpack(packed []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, eris.Wrap(err, "table from a peer")
+	}
+	sheet, err := io.ReadAll(io.LimitReader(r, platform.MostValue+1))
+	if err != nil || len(sheet) > platform.MostValue {
+		return nil, eris.Errorf("table from a peer: larger than %d bytes, or broken: %v", platform.MostValue, err)
+	}
+	return sheet, nil
+}
+
+// keep notes the sheet of a table, for peers.
+func (p *publication) keep(version uint64, sheet []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if version > p.version {
+		p.version, p.packed = version, pack(sheet)
+	}
+}
+
+// newer returns the kept sheet if it is newer than have.
+func (p *publication) newer(have uint64) *wire.Table {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.version <= have {
+		return nil
+	}
+	return &wire.Table{Version: 1, Number: p.version, Sheet: p.packed}
+}
+
+// Answer answers a peer's question.
+func (m meshSide) Answer(ctx context.Context, q *wire.Question) *wire.Answer {
+	switch {
+	case q.Table != nil:
+		return &wire.Answer{Table: m.published.newer(q.Table.Number)}
+	case q.Ticket != nil:
+		return &wire.Answer{Ticket: m.answerTicket(ctx, q.Ticket)}
+	case q.Handover != nil:
+		m.adopt(q.Handover)
+		return &wire.Answer{}
+	}
+	return nil
+}
+
+// answerTicket acts on a ticket for a peer. Only a ticket of this very incarnation
+// is executed or burnt; of others, records may have been handed over.
+func (m meshSide) answerTicket(ctx context.Context, c *wire.TicketCall) *wire.TicketReply {
+	if c.Host != m.name || c.Incarnation != m.incarnate {
+		c.Action = uint32(TicketLook)
+	}
+	return m.actOn(ctx, c)
+}
--- a/host/stop.go
+++ b/host/stop.go
@@ -15,6 +15,7 @@
 	h.Post(dispatch.Stop{})
 	select {
 	case <-h.open.empty():
+		h.handOver(ctx)
 		h.log.Emit(event.HostStopped, event.Fields{})
 		return true
 	case <-ctx.Done():
--- /dev/null
+++ b/host/tickets.go
@@ -0,0 +1,227 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/peer"
+	"github.com/wigeonlink/wigeonlink/table"
+	"github.com/wigeonlink/wigeonlink/target"
+	"github.com/wigeonlink/wigeonlink/ticket"
+	"github.com/wigeonlink/wigeonlink/wire"
+)
+
+// A TicketAction is what a caller wants of a ticket.
+type TicketAction uint32
+
+// The actions.
+const (
+	TicketExecute TicketAction = iota
+	TicketLook
+	TicketBurn
+)
+
+// lookTimeout bounds how long peers are asked about a ticket.
+const lookTimeout = 3 * time.Second
+
+// IssueTicket makes a ticket that this host executes.
+func (h *Host) IssueTicket(member string) (*wire.Ticket, error) {
+	t := h.Table()
+	if t == nil {
+		return nil, answer.New(answer.KindNotReady, "")
+	}
+	id, expiry, ok := h.tickets.Issue(member, time.Now())
+	if !ok {
+		return nil, answer.New(answer.KindStopping, "no tickets are issued here now")
+	}
+	h.log.Emit(event.TicketIssued, event.Fields{Ticket: id, Member: member})
+	return &wire.Ticket{
+		Member:      table.Hash(member),
+		Host:        h.name,
+		Incarnation: h.incarnate,
+		Id:          id,
+		Expiry:      expiry.Unix(),
+		Table:       t.Version,
+	}, nil
+}
+
+// UseTicket acts on a ticket, here or at the host that executes it. The reply's
+// state says what is known; an error says why nothing is.
+func (h *Host) UseTicket(ctx context.Context, t *wire.Ticket, c *wire.TicketCall) (*wire.TicketReply, error) {
+	c.Id, c.Host, c.Incarnation = t.Id, t.Host, t.Incarnation
+	if t.Host == h.name && t.Incarnation == h.incarnate {
+		return h.actOn(ctx, c), nil
+	}
+	for _, p := range h.peers() {
+		if p.Host != t.Host || p.Incarnation != t.Incarnation {
+			continue
+		}
+		reply, sent, err := h.askTicket(ctx, p, c)
+		switch {
+		case err == nil && ticket.State(reply.State) != ticket.StateNone:
+			return reply, nil
+		case err != nil && sent && TicketAction(c.Action) == TicketExecute:
+			return nil, answer.Wrap(answer.KindTicketLost, err, "the ticket's host did not answer; ask for the outcome")
+		}
+	}
+	return h.lookAround(ctx, c)
+}
+
+// lookAround asks whoever may hold the record of a host that is gone.
+func (h *Host) lookAround(ctx context.Context, c *wire.TicketCall) (*wire.TicketReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
+	look := &wire.TicketCall{Id: c.Id, Host: c.Host, Incarnation: c.Incarnation, Member: c.Member, Action: uint32(TicketLook)}
+	if reply := h.actOn(ctx, look); ticket.State(reply.State) != ticket.StateNone {
+		return reply, nil
+	}
+	for _, p := range h.peers() {
+		if reply, _, err := h.askTicket(ctx, p, look); err == nil && ticket.State(reply.State) != ticket.StateNone {
+			return reply, nil
+		}
+	}
+	return nil, answer.New(answer.KindTicketLost, "")
+}
+
+func (h *Host) askTicket(ctx context.Context, p peer.Peer, c *wire.TicketCall) (*wire.TicketReply, bool, error) {
+	a, sent, err := h.mesh.Ask(ctx, p, &wire.Question{Ticket: c})
+	if err != nil {
+		return nil, sent, err
+	}
+	if a.Ticket == nil {
+		return &wire.TicketReply{}, sent, nil
+	}
+	return a.Ticket, sent, nil
+}
+
+// actOn acts on a ticket whose record is here, if anywhere.
+func (h *Host) actOn(ctx context.Context, c *wire.TicketCall) *wire.TicketReply {
+	now := time.Now()
+	switch TicketAction(c.Action) {
+	case TicketLook:
+		s, r := h.tickets.Look(c.Id, c.Member, now)
+		return replyOf(s, r)
+	case TicketBurn:
+		s := h.tickets.Burn(c.Id, c.Member, now)
+		if s == ticket.StateBurnt {
+			h.log.Emit(event.TicketBurnt, event.Fields{Ticket: c.Id, Member: c.Member})
+		}
+		return replyOf(s, ticket.Reply{})
+	}
+	return h.execute(ctx, c)
+}
+
+// execute runs a ticket's call if nobody has, or waits for whoever does.
+func (h *Host) execute(ctx context.Context, c *wire.TicketCall) *wire.TicketReply {
+	d := ticket.DigestOf(c.Service, c.Method, c.Path, c.Query, c.Body)
+	for {
+		s, r, wait := h.tickets.Claim(c.Id, c.Member, d, time.Now())
+		switch s {
+		case ticket.StateUnused:
+			s, r = h.run(ctx, c)
+			h.tickets.Finish(c.Id, s, r)
+			return replyOf(s, r)
+		case ticket.StateExecuting:
+			select {
+			case <-wait:
+				continue
+			case <-ctx.Done():
+			}
+		}
+		return replyOf(s, r)
+	}
+}
+
+// run makes a ticket's call. It goes on if the caller leaves: the outcome is asked
+// for later.
+func (h *Host) run(ctx context.Context, c *wire.TicketCall) (ticket.State, ticket.Reply) {
+	h.log.Emit(event.TicketExecuted, event.Fields{Ticket: c.Id, Member: c.Member})
+	call := target.Call{Method: c.Method, Path: c.Path, Query: c.Query, Header: HTTPHeader(c.Header), Body: c.Body}
+	var deadline time.Time
+	if c.Within > 0 {
+		deadline = time.Now().Add(time.Duration(c.Within) * time.Millisecond)
+	}
+	reply, err := h.CallService(context.WithoutCancel(ctx), c.Member, c.Service, call, deadline)
+	if err == nil {
+		return ticket.StateRan, ticket.Reply{Status: reply.Status, Service: c.Service, Header: reply.Header, Body: reply.Body}
+	}
+	e := answer.From(err)
+	if e.Kind.Row().Outcome == answer.NotRun {
+		return ticket.StateUnused, ticket.Reply{Service: e.Kind.String()}
+	}
+	return ticket.StateUnknown, ticket.Reply{}
+}
+
+func replyOf(s ticket.State, r ticket.Reply) *wire.TicketReply {
+	return &wire.TicketReply{State: uint32(s), Status: uint32(r.Status), Header: WireHeader(r.Header), Body: r.Body, Service: r.Service}
+}
+
+// WireHeader returns headers as hosts pass them on.
+func WireHeader(h map[string][]string) []*wire.Header {
+	var out []*wire.Header
+	for name, values := range h {
+		for _, v := range values {
+			out = append(out, &wire.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+// HTTPHeader returns headers in the form of net/http.
+func HTTPHeader(hs []*wire.Header) map[string][]string {
+	out := make(map[string][]string, len(hs))
+	for _, h := range hs {
+		out[h.Name] = append(out[h.Name], h.Value)
+	}
+	return out
+}
+
+// handOver freezes the tickets and passes their records to the first peer that takes
+// them.
+func (h *Host) handOver(ctx context.Context) {
+	entries := h.tickets.Freeze()
+	if len(entries) == 0 {
+		return
+	}
+	hand := &wire.Handover{Host: h.name, Incarnation: h.incarnate}
+	for _, e := range entries {
+		hand.Records = append(hand.Records, &wire.Record{
+			Id:     e.ID,
+			Member: e.Member,
+			Expiry: e.Expiry.Unix(),
+			Reply:  replyOf(e.State, e.Reply),
+		})
+	}
+	for _, p := range h.peers() {
+		if p.Stopping {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+		_, _, err := h.mesh.Ask(ctx, p, &wire.Question{Handover: hand})
+		cancel()
+		if err == nil {
+			h.log.Emit(event.TicketMoved, event.Fields{Peer: p.Host})
+			return
+		}
+	}
+}
+
+// adopt takes in the records of a stopping host.
+func (h *Host) adopt(hand *wire.Handover) {
+	for _, r := range hand.Records {
+		h.tickets.Adopt(ticket.Entry{
+			ID:     r.Id,
+			Member: r.Member,
+			State:  ticket.State(r.Reply.GetState()),
+			Expiry: time.Unix(r.Expiry, 0),
+			Reply: ticket.Reply{
+				Status:  int(r.Reply.GetStatus()),
+				Service: r.Reply.GetService(),
+				Header:  HTTPHeader(r.Reply.GetHeader()),
+				Body:    r.Reply.GetBody(),
+			},
+		})
+	}
+}
--- a/parts.go
+++ b/parts.go
@@ -12,11 +12,11 @@
 	"go.uber.org/fx"
 
 	"github.com/wigeonlink/wigeonlink/desk"
-	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/event"
 	"github.com/wigeonlink/wigeonlink/host"
 	"github.com/wigeonlink/wigeonlink/meter"
 	"github.com/wigeonlink/wigeonlink/operator"
+	"github.com/wigeonlink/wigeonlink/peer"
 	"github.com/wigeonlink/wigeonlink/platform"
 	"github.com/wigeonlink/wigeonlink/ticket"
 )
@@ -42,6 +42,7 @@
 		{"meter", 200, fx.Provide(newMeter)},
 		{"keys", 200, fx.Provide(newKeys)},
 		{"host", 300, fx.Options(fx.Provide(newHost), fx.Invoke(runHost))},
+		{"mesh", 350, fx.Invoke(runMesh)},
 		{"feeds", 400, fx.Invoke(runFeeds)},
 		{"operator", 500, fx.Invoke(serveOperator)},
 		{"desk", 600, fx.Options(fx.Provide(newDesk), fx.Invoke(serveDesk))},
@@ -80,7 +81,7 @@
 func newHost(a *assembly, log *event.Log, m *meter.Meter) (*host.Host, error) {
 	opts := append([]host.Option{
 		host.WithObserver(m),
-		host.WithDispatch(dispatch.WithDomain(a.settings.Domain)),
+		host.WithDomain(a.settings.Domain),
 	}, a.host...)
 	h := host.NewHost(log, opts...)
 	return h, m.Watch(h)
@@ -94,6 +95,34 @@
 	})
 }
 
+// runMesh connects the host with its peers. A host without credentials has none.
+func runMesh(a *assembly, l fx.Lifecycle, h *host.Host) error {
+	if a.settings.Credential == nil {
+		return nil
+	}
+	m, err := h.Join(peer.Settings{
+		Domain:     a.settings.Domain,
+		Listen:     a.settings.Peer,
+		Seeds:      a.settings.Peers,
+		Credential: a.settings.Credential,
+		Wrap:       a.wrap,
+	})
+	if err != nil {
+		return err
+	}
+	a.mesh = m
+	ctx, cancel := context.WithCancel(a.life)
+	ended := make(chan struct{})
+	l.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() { defer close(ended); m.Run(ctx) }()
+			return nil
+		},
+		OnStop: func(context.Context) error { cancel(); <-ended; return nil },
+	})
+	return nil
+}
+
 func runFeeds(a *assembly, l fx.Lifecycle, h *host.Host) {
 	ctx, cancel := context.WithCancel(a.life)
 	l.Append(fx.Hook{
--- /dev/null
+++ b/peer/receive.go
@@ -0,0 +1,191 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/wire"
+)
+
+// answerTimeout bounds how long a question waits for its answer.
+const answerTimeout = 30 * time.Second
+
+// StampOf and FromStamp translate stamps.
+func StampOf(s event.Stamp) *wire.Stamp { return &wire.Stamp{Wall: s.Wall, Count: s.Count} }
+
+// FromStamp returns the stamp of a message, zero if it has none.
+func FromStamp(s *wire.Stamp) event.Stamp {
+	return event.Stamp{Wall: s.GetWall(), Count: s.GetCount()}
+}
+
+// accept serves the connections of peers.
+func (m *Mesh) accept(ctx context.Context) {
+	for {
+		conn, err := m.listener.Accept(ctx)
+		if err != nil {
+			return
+		}
+		go m.datagrams(ctx, conn)
+		go m.reports(ctx, conn)
+		go m.questions(ctx, conn)
+	}
+}
+
+func (m *Mesh) datagrams(ctx context.Context, conn *quic.Conn) {
+	for {
+		data, err := conn.ReceiveDatagram(ctx)
+		if err != nil {
+			return
+		}
+		m.count(&m.cost.Received, len(data))
+		var hb wire.Heartbeat
+		if err := proto.Unmarshal(data, &hb); err != nil {
+			m.log.Emit(event.PeerRefused, event.Fields{Peer: conn.RemoteAddr().String(), Detail: err.Error()})
+			continue
+		}
+		m.hear(ctx, &hb)
+	}
+}
+
+// hear takes in a heartbeat.
+func (m *Mesh) hear(ctx context.Context, hb *wire.Heartbeat) {
+	address, err := netip.ParseAddrPort(hb.Address)
+	if err != nil || hb.Version != wireVersion {
+		m.log.Emit(event.PeerRefused, event.Fields{Peer: hb.Host, Detail: "heartbeat of another version or without an address"})
+		return
+	}
+	m.log.Clock().Observe(FromStamp(hb.Stamp))
+	p := Peer{
+		Host:        hb.Host,
+		Incarnation: hb.Incarnation,
+		Domain:      hb.Domain,
+		Address:     address,
+		Stopping:    hb.Stopping,
+		Table:       hb.Table,
+	}
+	for _, name := range hb.Heard {
+		p.HearsUs = p.HearsUs || name == m.settings.Host
+	}
+	m.mu.Lock()
+	change, came := m.view.Hear(p, hb.Sequence, time.Now())
+	m.mu.Unlock()
+	if came {
+		m.log.Emit(event.PeerUp, event.Fields{Peer: p.Host, Detail: p.Incarnation})
+	}
+	m.connect(ctx, address)
+	for _, known := range hb.Known {
+		if a, err := netip.ParseAddrPort(known); err == nil {
+			m.connect(ctx, a)
+		}
+	}
+	if came || change.Peer.Table > 0 {
+		m.handler.Changed()
+	}
+}
+
+func (m *Mesh) reports(ctx context.Context, conn *quic.Conn) {
+	for {
+		s, err := conn.AcceptUniStream(ctx)
+		if err != nil {
+			return
+		}
+		_ = s.SetReadDeadline(time.Now().Add(reportTimeout))
+		data, err := io.ReadAll(io.LimitReader(s, MostMessage))
+		m.count(&m.cost.Received, len(data))
+		if err != nil {
+			continue
+		}
+		var r wire.Report
+		if err := proto.Unmarshal(data, &r); err != nil || r.Version != wireVersion || r.Host == m.settings.Host {
+			m.log.Emit(event.PeerRefused, event.Fields{Peer: conn.RemoteAddr().String(), Detail: "bad report"})
+			continue
+		}
+		m.handler.Heard(&r)
+	}
+}
+
+func (m *Mesh) questions(ctx context.Context, conn *quic.Conn) {
+	for {
+		s, err := conn.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		go m.answer(ctx, conn, s)
+	}
+}
+
+func (m *Mesh) answer(ctx context.Context, conn *quic.Conn, s *quic.Stream) {
+	defer s.Close()
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	data, err := io.ReadAll(io.LimitReader(s, MostMessage))
+	m.count(&m.cost.Received, len(data))
+	var q wire.Question
+	if err != nil || proto.Unmarshal(data, &q) != nil || q.Version != wireVersion {
+		m.log.Emit(event.PeerRefused, event.Fields{Peer: conn.RemoteAddr().String(), Detail: "bad question"})
+		s.CancelWrite(1)
+		return
+	}
+	m.log.Clock().Observe(FromStamp(q.Stamp))
+	a := m.handler.Answer(ctx, &q)
+	if a == nil {
+		s.CancelWrite(1)
+		return
+	}
+	a.Stamp = StampOf(m.log.Clock().Next())
+	out, err := proto.Marshal(a)
+	if err != nil {
+		return
+	}
+	if _, err := s.Write(out); err == nil {
+		m.count(&m.cost.Sent, len(out))
+	}
+}
+
+// Ask asks a peer a question. sent reports whether the question may have reached it.
+func (m *Mesh) Ask(ctx context.Context, p Peer, q *wire.Question) (a *wire.Answer, sent bool, err error) {
+	m.mu.Lock()
+	l := m.links[p.Address]
+	m.mu.Unlock()
+	if l == nil {
+		return nil, false, eris.Errorf("no link to %s", p.Host)
+	}
+	conn := l.conn.Load()
+	if conn == nil {
+		return nil, false, eris.Errorf("no connection to %s", p.Host)
+	}
+	q.Version, q.Stamp = wireVersion, StampOf(m.log.Clock().Next())
+	data, err := proto.Marshal(q)
+	if err != nil {
+		return nil, false, eris.Wrap(err, "question")
+	}
+	s, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, false, eris.Wrap(err, "question")
+	}
+	stop := context.AfterFunc(ctx, func() { s.CancelRead(0); s.CancelWrite(0) })
+	defer stop()
+	if _, err := s.Write(data); err != nil {
+		return nil, true, eris.Wrap(err, "question")
+	}
+	s.Close()
+	m.count(&m.cost.Sent, len(data))
+	reply, err := io.ReadAll(io.LimitReader(s, MostMessage))
+	m.count(&m.cost.Received, len(reply))
+	if err != nil {
+		return nil, true, eris.Wrap(err, "answer")
+	}
+	a = &wire.Answer{}
+	if err := proto.Unmarshal(reply, a); err != nil {
+		return nil, true, eris.Wrap(err, "answer")
+	}
+	m.log.Clock().Observe(FromStamp(a.Stamp))
+	return a, true, nil
+}
--- a/wigeonlink.go
+++ b/wigeonlink.go
@@ -13,20 +13,25 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/fx"
 
+	"github.com/wigeonlink/wigeonlink/credential"
 	"github.com/wigeonlink/wigeonlink/host"
+	"github.com/wigeonlink/wigeonlink/peer"
 )
 
 type (
 	// Settings are what a process is told about itself.
 	Settings struct {
-		Name     string           // of the host; empty means its callers' address
-		Domain   string           // failure domain
-		Caller   netip.AddrPort   // callers' address; port 0 picks a free one
-		Operator netip.AddrPort   // operators' address; port 0 picks a free one
-		Platform []netip.AddrPort // addresses of the configuration service
-		Keys     []string         // sealing keys in hexadecimal, the current one first
-		Drain    time.Duration    // how long a stop waits for open requests; 0 means DefaultDrain
-		Body     int64            // largest request body in bytes; 0 means the desk's default
+		Name       string            // of the host; empty means its callers' address
+		Domain     string            // failure domain
+		Caller     netip.AddrPort    // callers' address; port 0 picks a free one
+		Operator   netip.AddrPort    // operators' address; port 0 picks a free one
+		Platform   []netip.AddrPort  // addresses of the configuration service
+		Peer       netip.AddrPort    // address for peers; port 0 picks a free one
+		Peers      []netip.AddrPort  // addresses of peers to begin with
+		Keys       []string          // sealing keys in hexadecimal, the current one first
+		Credential credential.Source // certificates between hosts; nil means no peers
+		Drain      time.Duration     // how long a stop waits for open requests; 0 means DefaultDrain
+		Body       int64             // largest request body in bytes; 0 means the desk's default
 	}
 
 	// An Entry is one entry host.
@@ -36,6 +41,7 @@
 		caller   net.Listener
 		operator net.Listener
 		kill     context.CancelFunc
+		mesh     *peer.Mesh
 	}
 
 	// An Option changes an Entry.
@@ -44,6 +50,7 @@
 	withLogger struct{ logger hclog.Logger }
 	withHost   []host.Option
 	withPart   Part
+	withWrap   func(net.PacketConn) net.PacketConn
 
 	// assembly is what an Entry is made from.
 	assembly struct {
@@ -54,6 +61,8 @@
 		caller   net.Listener
 		operator net.Listener
 		life     context.Context
+		mesh     *peer.Mesh
+		wrap     func(net.PacketConn) net.PacketConn
 	}
 )
 
@@ -72,6 +81,11 @@
 // WithPart adds a part, or replaces the stock part of the same name.
 func WithPart(p Part) Option { return withPart(p) }
 
+// WithWrap puts something around the host's packets to its peers. It is meant for
+// tests of faulty links.
+func WithWrap(f func(net.PacketConn) net.PacketConn) Option { return withWrap(f) }
+
+func (o withWrap) apply(a *assembly)   { a.wrap = o }
 func (o withLogger) apply(a *assembly) { a.logger = o.logger }
 func (o withHost) apply(a *assembly)   { a.host = append(a.host, o...) }
 func (o withPart) apply(a *assembly)   { a.parts = replacePart(a.parts, Part(o)) }
@@ -101,6 +115,7 @@
 		fx.Options(provided(a.parts)...),
 		fx.Populate(&e.host),
 	)
+	e.mesh = a.mesh
 	if err := e.app.Err(); err != nil {
 		e.Kill()
 		return nil, eris.Wrap(err, "assemble")
@@ -142,6 +157,9 @@
 // Host returns the host.
 func (e *Entry) Host() *host.Host { return e.host }
 
+// Mesh returns the host's end of the connections with its peers, nil if it has none.
+func (e *Entry) Mesh() *peer.Mesh { return e.mesh }
+
 // CallerURL returns where callers reach the host.
 func (e *Entry) CallerURL() string { return "http://" + e.caller.Addr().String() }
 
