--- a/desk/generation.go
+++ b/desk/generation.go
@@ -52,6 +52,7 @@
 		limit   int
 		stream  bool
 		usage   bool
+		resumes bool // the caller goes on elsewhere when its stream breaks
 		booking *host.Booking
 	}
 )
@@ -61,11 +62,13 @@
 	HeaderLastEvent = "Last-Event-ID"
 	HeaderRoute     = "Wigeonlink-Route"
 	HeaderDeadline  = "Wigeonlink-Deadline"
+	HeaderResumes   = "Wigeonlink-Resumes" // "yes" if the caller resumes broken streams
 )
 
 const (
-	mostRoute  = 64      // bytes
-	mostTokens = 1 << 20 // largest limit that a caller may ask for
+	handOverPoll = 20 * time.Millisecond
+	mostRoute    = 64      // bytes
+	mostTokens   = 1 << 20 // largest limit that a caller may ask for
 )
 
 func (d *Desk) serveCompletion(w http.ResponseWriter, r *http.Request, m table.Member) error {
@@ -136,13 +139,14 @@
 		return nil, answer.New(answer.KindUnknownModel, "")
 	}
 	g := &generation{
-		desk:   d,
-		member: m,
-		shape:  s,
-		model:  body.Model,
-		limit:  limit,
-		stream: body.Stream,
-		usage:  body.Options.Usage,
+		desk:    d,
+		member:  m,
+		shape:   s,
+		model:   body.Model,
+		limit:   limit,
+		stream:  body.Stream,
+		usage:   body.Options.Usage,
+		resumes: body.Stream && r.Header.Get(HeaderResumes) == "yes",
 	}
 	g.prompt, err = promptOf(&body, s)
 	return g, err
@@ -228,13 +232,20 @@
 	g.booking.OnCancel(cancel)
 	gone := context.AfterFunc(ctx, s.fail)
 	defer gone()
+	if g.resumes {
+		go g.handOver(own, cancel, s)
+	}
 	opts = append(opts, relay.WithGone(func() { g.booking.Gone(g.stream) }), relay.WithResumed(g.booking.Resumed))
 	res := relay.NewRelay(e, o, &g.booking.Track, s, opts...).Run(own)
 	if !g.stream {
 		res.Delivered = 0
 	}
 	if res.Ending == relay.EndStopped {
-		g.booking.CancelAt(e, o.Generation)
+		if g.handedOver(ctx, s) {
+			res.Ending = relay.EndHandedOver
+		} else {
+			g.booking.CancelAt(e, o.Generation)
+		}
 	}
 	if g.booking.Ended(res) {
 		return g.afterFailure(ctx, s)
@@ -242,6 +253,36 @@
 	return false, s.end(res)
 }
 
+// handOver ends the relay when the host stops, once its caller has what it needs to
+// go on at another host.
+func (g *generation) handOver(ctx context.Context, cancel context.CancelFunc, s callerSink) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-g.desk.host.Leaving():
+	}
+	ticker := time.NewTicker(handOverPoll)
+	defer ticker.Stop()
+	for !s.begun() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+	cancel()
+}
+
+// handedOver reports whether a relay was ended by handOver.
+func (g *generation) handedOver(ctx context.Context, s callerSink) bool {
+	select {
+	case <-g.desk.host.Leaving():
+		return g.resumes && s.begun() && ctx.Err() == nil
+	default:
+		return false
+	}
+}
+
 // afterFailure waits for the decision on a failed attempt. A refusal is written
 // where the answer stands: as the whole answer, or as the stream's last event.
 func (g *generation) afterFailure(ctx context.Context, s callerSink) (bool, error) {
@@ -267,7 +308,7 @@
 	if !ok {
 		return answer.New(answer.KindTargetLost, "the generation's target is no longer in the table")
 	}
-	g := &generation{desk: d, member: m, shape: shape(c.Shape), model: c.Model, stream: true, usage: c.Usage}
+	g := &generation{desk: d, member: m, shape: shape(c.Shape), model: c.Model, stream: true, usage: c.Usage, resumes: true}
 	g.booking = d.host.Attach(dispatch.Attach{
 		Member: m.Name,
 		Pool:   c.Model,
--- a/desk/sink.go
+++ b/desk/sink.go
@@ -48,7 +48,7 @@
 		head    []byte // of every token's data, up to the text
 		tail    []byte
 		line    []byte
-		open    bool
+		open    atomic.Bool
 		resumed bool
 		gone    atomic.Bool
 	}
@@ -130,7 +130,6 @@
 			return err
 		}
 	}
-	s.open = true
 	h := s.w.Header()
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Cache-Control", "no-cache")
@@ -146,7 +145,11 @@
 			return err
 		}
 	}
-	return s.Flush()
+	if err := s.Flush(); err != nil {
+		return err
+	}
+	s.open.Store(true)
+	return nil
 }
 
 // begin starts an event with its identifier.
@@ -185,12 +188,16 @@
 }
 
 func (s *streamSink) fail()       { s.gone.Store(true) }
-func (s *streamSink) begun() bool { return s.open }
+func (s *streamSink) begun() bool { return s.open.Load() }
 
 // end writes the finish reason, the usage if wanted, and the final event. Without
 // the final event no answer is complete.
 func (s *streamSink) end(r relay.Result) error {
 	switch r.Ending {
+	case relay.EndHandedOver:
+		// Without its final event and with its connection cut, nobody takes the
+		// stream for complete.
+		panic(http.ErrAbortHandler)
 	case relay.EndSuperseded, relay.EndStopped:
 		return s.abort(answer.New(answer.KindCallerGone, "the stream goes on elsewhere or was given up"))
 	case relay.EndPast:
@@ -241,7 +248,7 @@
 
 // abort writes an error as the last event of a stream that has begun.
 func (s *streamSink) abort(e *answer.Error) error {
-	if !s.open {
+	if !s.open.Load() {
 		return e
 	}
 	data, _ := json.Marshal(answer.BodyOf(e))
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -57,7 +57,6 @@
 // WithWindow sets the time constant with which use is forgotten.
 func WithWindow(d time.Duration) Option { return withWindow(d) }
 
-// x
 // WithDeviations sets how many standard deviations of forecast memory are kept
 // free on an engine.
 func WithDeviations(n float64) Option { return withDeviations(n) }
--- a/host/booking.go
+++ b/host/booking.go
@@ -101,7 +101,7 @@
 		b.host.log.Emit(event.RequestFailed, fields)
 		b.host.Post(dispatch.Failed{ID: b.ID, Certainty: r.Certainty, Delivered: r.Delivered > 0, Rebooted: r.Rebooted})
 		return true
-	case relay.EndSuperseded:
+	case relay.EndSuperseded, relay.EndHandedOver:
 		b.host.log.Emit(event.RequestSuperseded, fields)
 		b.finish(dispatch.Superseded{ID: b.ID})
 	default:
--- a/host/host.go
+++ b/host/host.go
@@ -34,6 +34,7 @@
 		bookings  map[dispatch.ID]*Booking
 		incarnate string
 		stopping  atomic.Bool
+		leaving   chan struct{} // closed when the host stops
 		open      gate
 		observer  Observer
 		loadEvery time.Duration
@@ -121,6 +122,7 @@
 		log:       log,
 		inbox:     make(chan message, inboxSize),
 		done:      make(chan struct{}),
+		leaving:   make(chan struct{}),
 		bookings:  map[dispatch.ID]*Booking{},
 		incarnate: strconv.FormatInt(time.Now().UnixNano(), 36),
 		loadEvery: defaultLoadPoll,
@@ -156,6 +158,9 @@
 // Ready reports whether the host takes requests.
 func (h *Host) Ready() bool { return h.Table() != nil && !h.stopping.Load() }
 
+// Leaving returns a channel that is closed when the host begins to stop.
+func (h *Host) Leaving() <-chan struct{} { return h.leaving }
+
 // Active returns the number of requests on this host.
 func (h *Host) Active() int { return h.open.count() }
 
--- a/host/stop.go
+++ b/host/stop.go
@@ -10,7 +10,10 @@
 // Stop takes no new requests and waits until the open ones have ended, or until
 // ctx ends. It reports whether nothing was left.
 func (h *Host) Stop(ctx context.Context) bool {
-	h.stopping.Store(true)
+	if h.stopping.Swap(true) {
+		return false
+	}
+	close(h.leaving)
 	h.log.Emit(event.HostStopping, event.Fields{})
 	h.Post(dispatch.Stop{})
 	select {
--- a/load/stream.go
+++ b/load/stream.go
@@ -125,6 +125,7 @@
 		return
 	}
 	req.Header.Set("Authorization", "Bearer "+s.call.key)
+	req.Header.Set(desk.HeaderResumes, "yes")
 	if s.lastID != "" {
 		req.Header.Set(desk.HeaderLastEvent, s.lastID)
 	}
@@ -140,14 +141,17 @@
 	s.read(resp.Body)
 }
 
-// refused notes a whole error answer. One that says to come back while a stream is
-// under way is tried on another host.
+// refused notes a whole error answer. A host that is stopping, or that cannot take a
+// stream under way just now, is passed over for another, as a balancer would.
 func (s *stream) refused(resp *http.Response) {
 	var b answer.Body
 	if json.NewDecoder(resp.Body).Decode(&b) != nil || b.Error.Code == "" {
 		s.failed = "unreadable_error"
 		return
 	}
+	if code := b.Error.Code; code == answer.KindStopping.String() || code == answer.KindNotReady.String() {
+		return
+	}
 	if s.lastID != "" && b.Error.Retry > 0 && b.Error.Outcome == answer.NotRun.String() {
 		return
 	}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -49,6 +49,7 @@
 	relay.EndSuperseded: "superseded",
 	relay.EndPast:       "past_end",
 	relay.EndStopped:    "stopped",
+	relay.EndHandedOver: "handed_over",
 }
 
 // NewMeter returns a meter with its own registry.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -73,6 +73,7 @@
 	EndSuperseded               // another host has the stream
 	EndPast                     // the caller asked for tokens past the end
 	EndStopped                  // the context ended
+	EndHandedOver               // the context ended, and the generation goes on for another host
 )
 
 const (
