--- /dev/null
+++ b/host/control_bench_test.go
@@ -0,0 +1,194 @@
+package host
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"runtime"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/wigeonlink/wigeonlink/credential"
+	"github.com/wigeonlink/wigeonlink/dispatch"
+	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/peer"
+	"github.com/wigeonlink/wigeonlink/table"
+)
+
+const (
+	benchMembers = 10
+	benchTargets = 18
+	benchStreams = 40 // running streams of a host
+	benchSettle  = 2 * time.Second
+	benchSpan    = 5 * time.Second
+)
+
+// benchSheet is a table of a version, as the platform publishes it.
+func benchSheet(version, members, targets int) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "kind,version,name,weight,key,model,domain,address,checks,memory\ntable,%d\nmodel,,m\n", version)
+	for i := range members {
+		fmt.Fprintf(&b, "member,,member-%d,%d,%s\n", i, 1+i%7, table.FormatKey(fmt.Sprint(i)))
+	}
+	for i := range targets {
+		fmt.Fprintf(&b, "engine,,engine-%d,,,m,d,127.0.0.1:%d,yes,100000\n", i, 1+i)
+	}
+	return []byte(b.String())
+}
+
+// crowd is many hosts in one process, each with its own address for peers.
+type crowd struct {
+	hosts []*Host
+	stop  context.CancelFunc
+}
+
+func newCrowd(b *testing.B, n int) *crowd {
+	b.Helper()
+	issuer, err := credential.NewIssuer()
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(b.Context())
+	c := &crowd{stop: stop}
+	b.Cleanup(stop)
+	seeds := []netip.AddrPort{}
+	for i := range n {
+		name := fmt.Sprintf("host-%03d", i)
+		cert, err := issuer.Issue(name)
+		if err != nil {
+			b.Fatal(err)
+		}
+		h := NewHost(event.NewLog(name, event.WithSize(256)),
+			WithDomain("d"), WithLoadEvery(time.Hour),
+			WithDispatch(dispatch.WithFresh(0), dispatch.WithBurst(0), dispatch.WithPatience(time.Hour)))
+		m, err := h.Join(peer.Settings{
+			Domain: "d", Listen: netip.MustParseAddrPort("127.0.0.1:0"),
+			Seeds: slices.Clone(seeds), Credential: cert,
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+		if len(seeds) < 3 {
+			seeds = append(seeds, m.Address())
+		}
+		go h.Run(ctx)
+		go m.Run(ctx)
+		c.hosts = append(c.hosts, h)
+	}
+	c.wait(b, "all hosts see each other", func(h *Host) bool { return len(h.mesh.Live()) == n-1 })
+	return c
+}
+
+func (c *crowd) wait(b *testing.B, what string, cond func(*Host) bool) {
+	b.Helper()
+	for range 60_000 {
+		if !slices.ContainsFunc(c.hosts, func(h *Host) bool { return !cond(h) }) {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	b.Fatalf("gave up waiting until %s", what)
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
+
+// BenchmarkControl measures what knowing each other costs hosts of one failure
+// domain that have streams running and nothing else to do.
+func BenchmarkControl(b *testing.B) {
+	for _, n := range []int{4, 8, 16, 32} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			for range b.N {
+				measureControl(b, n)
+			}
+		})
+	}
+}
+
+func measureControl(b *testing.B, n int) {
+	b.Helper()
+	before := heap()
+	c := newCrowd(b, n)
+	for _, h := range c.hosts {
+		h.TakeTable(benchSheet(1, benchMembers, benchTargets))
+		for i := range benchStreams {
+			h.Submit(dispatch.Submit{Member: fmt.Sprintf("member-%d", i%benchMembers), Pool: "m", Prompt: 300})
+		}
+	}
+	time.Sleep(benchSettle)
+	sent := c.sent()
+	cpu := processorTime()
+	time.Sleep(benchSpan)
+	used := processorTime() - cpu
+	bytes := c.sent() - sent
+	every := time.Duration(0)
+	for _, h := range c.hosts {
+		every = max(every, h.mesh.ReportEvery())
+	}
+	after := heap()
+	c.stop()
+	span := benchSpan.Seconds()
+	b.ReportMetric(float64(bytes)/span/float64(n), "B/s/host")
+	b.ReportMetric(100*used.Seconds()/span/float64(n), "core-pct/host")
+	b.ReportMetric(float64(after-before)/float64(n), "heap-B/host")
+	b.ReportMetric(float64(every.Milliseconds()), "report-ms")
+}
+
+func (c *crowd) sent() int64 {
+	sum := int64(0)
+	for _, h := range c.hosts {
+		sum += h.mesh.Cost().Sent.Load()
+	}
+	return sum
+}
+
+// BenchmarkTable publishes tables to one host, as the platform does to a reader, and
+// measures until each is in force on every other.
+func BenchmarkTable(b *testing.B) {
+	for _, n := range []int{4, 8, 16, 32} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			c := newCrowd(b, n)
+			var took []time.Duration
+			version := 0
+			readers := 0
+			for _, h := range c.hosts {
+				if h.Reader() {
+					readers++
+				}
+			}
+			b.ResetTimer()
+			for range b.N {
+				version++
+				sheet := benchSheet(version, 1600, 1000)
+				started := time.Now()
+				c.hosts[version%n].TakeTable(sheet)
+				for _, h := range c.hosts {
+					for h.Table() == nil || h.Table().Version < uint64(version) {
+						time.Sleep(200 * time.Microsecond)
+					}
+					took = append(took, time.Since(started))
+				}
+			}
+			b.StopTimer()
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)*999/1000].Microseconds())/1000, "inforce-p999-ms")
+			b.ReportMetric(float64(took[len(took)/2].Microseconds())/1000, "inforce-p50-ms")
+			// A waiting watch is one call; it is renewed every 20 s, for two keys.
+			b.ReportMetric(float64(readers)*2/20, "reads/s")
+			b.ReportMetric(float64(len(pack(benchSheet(1, 1600, 1000)))), "sheet-B")
+		})
+	}
+}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -288,7 +288,9 @@
 		Address:     m.address.String(),
 	}
 	for _, p := range m.Live() {
-		hb.Heard = append(hb.Heard, p.Host)
+		if p.Address == l.address {
+			hb.Heard = p.Host
+		}
 	}
 	hb.Known = m.sample()
 	m.handler.Beat(hb)
--- a/peer/receive.go
+++ b/peer/receive.go
@@ -70,9 +70,7 @@
 		Stopping:    hb.Stopping,
 		Table:       hb.Table,
 	}
-	for _, name := range hb.Heard {
-		p.HearsUs = p.HearsUs || name == m.settings.Host
-	}
+	p.HearsUs = hb.Heard == m.settings.Host
 	m.mu.Lock()
 	change, came := m.view.Hear(p, hb.Sequence, time.Now())
 	m.mu.Unlock()
