--- a/answer/answer_test.go
+++ b/answer/answer_test.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http/httptest"
+	"os"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -39,3 +41,13 @@
 		c.Assert(w.Header().Get("Retry-After") != "", qt.Equals, r.Retry > 0)
 	}
 }
+
+func TestEveryKindIsInTheDocs(t *testing.T) {
+	c := qt.New(t)
+	page, err := os.ReadFile("../docs/API.md")
+	c.Assert(err, qt.IsNil)
+	for _, k := range Kinds() {
+		r := k.Row()
+		c.Assert(string(page), qt.Contains, fmt.Sprintf("| `%s` | %d | `%s` |", r.Code, r.Status, r.Outcome))
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -57,7 +57,8 @@
 		if !ok || f.Changed || failed != nil {
 			return
 		}
-		if err := flags.Set(f.Name, value); err != nil {
+		f.Changed = true
+		if err := f.Value.Set(value); err != nil {
 			failed = eris.Errorf("%s: %v", Variable(f.Name), err)
 		}
 	})
