--- a/host/mesh.go
+++ b/host/mesh.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"compress/gzip"
 	"context"
+	"encoding/binary"
 	"io"
+	"math"
 	"sync"
 	"time"
 
@@ -88,6 +90,9 @@
 	m.Ask(func(d *dispatch.Reducer) { r = d.Report(time.Now()) })
 	out := &wire.Report{Place: uint32(r.Place), Life: uint32(reportLife.Milliseconds())}
 	for _, a := range r.Accounts {
+		if a.Account.Pool == "" {
+			continue // the receiver adds the pools up
+		}
 		out.Accounts = append(out.Accounts, &wire.Account{
 			Member: a.Account.Member, Pool: a.Account.Pool,
 			Use: float32(a.Use), Holding: float32(a.Holding),
@@ -105,19 +110,31 @@
 	return out
 }
 
+// shapeUnit is the unit in which hosts tell each other of memory, in tokens.
+const shapeUnit = 8.0
+
 func demandOut(d *dispatch.TargetDemand) *wire.Demand {
 	out := &wire.Demand{Target: d.Target, Streams: float32(d.Demand.Streams)}
 	for i := range forecast.Horizons {
-		out.Mean = append(out.Mean, float32(d.Demand.Mean[i]))
-		out.Variance = append(out.Variance, float32(d.Demand.Variance[i]))
+		out.Shape = appendTokens(out.Shape, d.Demand.Mean[i])
+		out.Shape = appendTokens(out.Shape, math.Sqrt(d.Demand.Variance[i]))
 	}
 	return out
 }
 
+func appendTokens(b []byte, tokens float64) []byte {
+	units := min(math.Round(tokens/shapeUnit), math.MaxUint16)
+	return binary.LittleEndian.AppendUint16(b, uint16(units))
+}
+
 func demandIn(d *wire.Demand) dispatch.TargetDemand {
 	in := dispatch.TargetDemand{Target: d.Target, Demand: forecast.Demand{Streams: float64(d.Streams)}}
-	for i := range min(forecast.Horizons, len(d.Mean), len(d.Variance)) {
-		in.Demand.Mean[i], in.Demand.Variance[i] = float64(d.Mean[i]), float64(d.Variance[i])
+	const size = 4 // bytes of a horizon
+	for i := range min(forecast.Horizons, len(d.Shape)/size) {
+		at := d.Shape[size*i:]
+		deviation := shapeUnit * float64(binary.LittleEndian.Uint16(at[2:]))
+		in.Demand.Mean[i] = shapeUnit * float64(binary.LittleEndian.Uint16(at))
+		in.Demand.Variance[i] = deviation * deviation
 	}
 	return in
 }
@@ -131,6 +148,7 @@
 			Use:     float64(a.Use), Holding: float64(a.Holding),
 		})
 	}
+	in.Accounts = append(in.Accounts, overPools(in.Accounts)...)
 	for _, d := range r.Demands {
 		in.Demands = append(in.Demands, demandIn(d))
 	}
@@ -143,6 +161,23 @@
 	m.Post(in)
 }
 
+// overPools adds up each member's use over its pools.
+func overPools(entries []share.Entry) []share.Entry {
+	var sums []share.Entry
+	at := map[string]int{}
+	for _, e := range entries {
+		i, ok := at[e.Account.Member]
+		if !ok {
+			i = len(sums)
+			at[e.Account.Member] = i
+			sums = append(sums, share.Entry{Account: share.Account{Member: e.Account.Member}})
+		}
+		sums[i].Use += e.Use
+		sums[i].Holding += e.Holding
+	}
+	return sums
+}
+
 // Changed passes on how many hosts share the caps, and fetches a newer table.
 func (m meshSide) Changed() {
 	count, place := m.mesh.Split()
--- /dev/null
+++ b/host/mesh_test.go
@@ -0,0 +1,47 @@
+package host
+
+import (
+	"math"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wigeonlink/wigeonlink/dispatch"
+	"github.com/wigeonlink/wigeonlink/forecast"
+	"github.com/wigeonlink/wigeonlink/share"
+	"github.com/wigeonlink/wigeonlink/wire"
+)
+
+func TestDemandCrossesTheWire(t *testing.T) {
+	c := qt.New(t)
+	want := dispatch.TargetDemand{Target: "e", Demand: forecast.Demand{Streams: 3}}
+	for i := range forecast.Horizons {
+		want.Demand.Mean[i] = 1000 * float64(i+1)
+		want.Demand.Variance[i] = math.Pow(400*float64(i), 2)
+	}
+	c.Assert(demandIn(demandOut(&want)), qt.DeepEquals, want)
+	c.Assert(demandIn(&wire.Demand{Target: "e", Shape: []byte{1}}).Demand, qt.Equals, forecast.Demand{})
+}
+
+func TestUseOverPoolsAddsUp(t *testing.T) {
+	c := qt.New(t)
+	sums := overPools([]share.Entry{
+		{Account: share.Account{Member: "a", Pool: "x"}, Use: 1, Holding: 2},
+		{Account: share.Account{Member: "b", Pool: "x"}, Use: 5},
+		{Account: share.Account{Member: "a", Pool: "y"}, Use: 3, Holding: 4},
+	})
+	c.Assert(sums, qt.DeepEquals, []share.Entry{
+		{Account: share.Account{Member: "a"}, Use: 4, Holding: 6},
+		{Account: share.Account{Member: "b"}, Use: 5},
+	})
+}
+
+func FuzzUnpack(f *testing.F) {
+	f.Add(pack([]byte("kind,version\ntable,1\n")))
+	f.Add([]byte("not packed"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if _, err := unpack(data); err == nil && len(data) == 0 {
+			t.Fatal("nothing unpacked to something")
+		}
+	})
+}
--- a/peer/view.go
+++ b/peer/view.go
@@ -40,7 +40,7 @@
 
 const (
 	// BeatEvery is the time between two heartbeats.
-	BeatEvery = 200 * time.Millisecond
+	BeatEvery = 250 * time.Millisecond
 
 	// DeadAfter is the silence after which a peer is no longer live.
 	DeadAfter = 1500 * time.Millisecond
