Load reports on kept connections, of the own domain only, twice a second

Cause: a report cost 766 us of processor time, engine's side included, and every host asked all domains' engines four times a second: 2.5% of a core and more for control alone at 18 targets.

--- a/dispatch/decide_bench_test.go
+++ b/dispatch/decide_bench_test.go
@@ -119,3 +119,24 @@
 		})
 	}
 }
+
+// BenchmarkProgress measures one sample of a running stream that has a new token.
+func BenchmarkProgress(b *testing.B) {
+	const streams = 400
+	l := newDecisionLoop(b, 10, 1, 18, streams)
+	samples := make([]Sample, streams)
+	for i, id := range l.running {
+		samples[i].ID = id
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for n := range b.N {
+		if n%streams == 0 {
+			l.now = l.now.Add(40 * time.Millisecond)
+			for i := range samples {
+				samples[i].Tokens, samples[i].Last = n/streams+1, l.now
+			}
+			l.reducer.Reduce(l.now, Progress{Samples: samples})
+		}
+	}
+}
--- a/host/engines.go
+++ b/host/engines.go
@@ -73,7 +73,7 @@
 		return
 	}
 	for name, spec := range t.Targets {
-		if spec.Kind != table.TargetEngine || stops[name] != nil {
+		if spec.Kind != table.TargetEngine || stops[name] != nil || !h.uses(spec) {
 			continue
 		}
 		sub, stop := context.WithCancel(ctx)
@@ -89,6 +89,9 @@
 	}
 }
 
+// uses reports whether a target is of this host's failure domain.
+func (h *Host) uses(spec table.Target) bool { return h.domain == "" || spec.Domain == h.domain }
+
 func (p *poller) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		p.poll(ctx)
--- a/host/host.go
+++ b/host/host.go
@@ -86,7 +86,7 @@
 	inboxSize       = 1024
 	sampleEvery     = 25 * time.Millisecond
 	checkEvery      = time.Second
-	defaultLoadPoll = 250 * time.Millisecond
+	defaultLoadPoll = 500 * time.Millisecond
 	verdictRoom     = 8
 	sleptFrom       = 2 * time.Second
 )
--- a/relay_bench_test.go
+++ b/relay_bench_test.go
@@ -152,7 +152,7 @@
 		Caller:   netip.MustParseAddrPort("127.0.0.1:0"),
 		Operator: netip.MustParseAddrPort("127.0.0.1:0"),
 		Keys:     []string{fmt.Sprintf("%x", ticket.DeriveKey("bench"))},
-	}, wigeonlink.WithHost(host.WithDispatch(dispatch.WithDeviations(0), dispatch.WithFresh(0))))
+	}, wigeonlink.WithHost(host.WithDispatch(dispatch.WithDeviations(0), dispatch.WithFresh(0), dispatch.WithBurst(0))))
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -217,3 +217,23 @@
 	b.ReportMetric(float64(relayed.ValueAtQuantile(99))/float64(straight.ValueAtQuantile(99)), "tbt-p99-ratio")
 	b.ReportMetric(float64(relayed.ValueAtQuantile(99))/1000, "tbt-p99-ms")
 }
+
+// BenchmarkRelayPaced measures what a token costs a host when each is read, written
+// and flushed by itself, at the pace of the size to design for.
+func BenchmarkRelayPaced(b *testing.B) {
+	const (
+		streams = 400
+		tokens  = 100
+		step    = 43 * time.Millisecond
+	)
+	direct, through := benchPaths(b)
+	for range b.N {
+		before, _ := usage()
+		direct.run(b, streams, tokens, step, nil)
+		between, _ := usage()
+		through.run(b, streams, tokens, step, nil)
+		after, _ := usage()
+		own := (after - between) - (between - before)
+		b.ReportMetric(float64(own.Nanoseconds())/(streams*tokens), "cpu-ns/token")
+	}
+}
--- a/target/responses.go
+++ b/target/responses.go
@@ -26,7 +26,8 @@
 	// and reports its load in the Prometheus text format with vLLM's names.
 	responses struct {
 		base   string
-		client *http.Client
+		client *http.Client // a connection for every call
+		kept   *http.Client // for load reports, which may be asked for twice
 	}
 
 	// responsesStream is one event stream of the Responses API.
@@ -102,6 +103,7 @@
 	return &responses{
 		base:   "http://" + address.String(),
 		client: &http.Client{Transport: NewTransport(false)},
+		kept:   &http.Client{Transport: NewTransport(true)},
 	}
 }
 
@@ -123,7 +125,7 @@
 
 func (r *responses) open(ctx context.Context, method, path, generation string, body []byte) (Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	resp, err := r.call(ctx, method, path, generation, body)
+	resp, err := r.call(ctx, r.client, method, path, generation, body)
 	if err != nil {
 		cancel()
 		return nil, err
@@ -138,7 +140,7 @@
 
 // call sends one request and waits for the head of its answer for a bounded
 // time.
-func (r *responses) call(ctx context.Context, method, path, generation string, body []byte) (*http.Response, error) {
+func (r *responses) call(ctx context.Context, client *http.Client, method, path, generation string, body []byte) (*http.Response, error) {
 	var reader io.Reader
 	if body != nil {
 		reader = onceReader{bytes.NewReader(body)}
@@ -153,7 +155,7 @@
 	req.ContentLength = int64(len(body))
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(HeaderRequest, generation)
-	resp, err := r.client.Do(req)
+	resp, err := client.Do(req)
 	timer.Stop()
 	if err != nil {
 		stop()
@@ -186,7 +188,7 @@
 // Cancel posts to the cancel path. The engine remembers the identifier, so an
 // order that arrives later is refused.
 func (r *responses) Cancel(ctx context.Context, generation string) error {
-	resp, err := r.call(ctx, http.MethodPost, "/v1/responses/"+generation+"/cancel", generation, []byte("{}"))
+	resp, err := r.call(ctx, r.client, http.MethodPost, "/v1/responses/"+generation+"/cancel", generation, []byte("{}"))
 	if err != nil {
 		return err
 	}
@@ -195,8 +197,10 @@
 
 // Load reads the engine's metrics.
 func (r *responses) Load(ctx context.Context) (Load, error) {
-	resp, err := r.call(ctx, http.MethodGet, "/metrics", "", nil)
+	resp, err := r.call(ctx, r.kept, http.MethodGet, "/metrics", "", nil)
 	if err != nil {
+		// Whatever connection it was may have fallen silent.
+		r.kept.CloseIdleConnections()
 		return Load{}, err
 	}
 	defer resp.Body.Close()
