--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -73,7 +73,7 @@
 	sampleSize  = 16   // targets in a sample
 	tailLimit   = 2.2  // time between tokens over an empty engine's, at full weight of the tail
 	turnExcess  = 0.1  // excess from which a member's requests compete with all others
-	turnLength  = 100 * time.Millisecond
+	leastTurn   = 100 * time.Millisecond
 	stallExtra  = 0.75 // standard deviations more, at full weight of stalls
 )
 
@@ -194,7 +194,7 @@
 // so that no two fill the same room. Clocks that differ, or hosts that differ about
 // who contends, only cost a turn's exclusiveness.
 func (r *Reducer) turn(at, count, rank int) bool {
-	slot := int(r.epoch.Add(r.now).UnixNano() / int64(turnLength))
+	slot := int(r.epoch.Add(r.now).UnixNano() / int64(r.turnLength))
 	return (slot+at)%count == rank
 }
 
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -127,8 +127,11 @@
 	}
 
 	// Peers says how many hosts of this failure domain are live, this one
-	// included, and this one's place among them.
-	Peers struct{ Count, Place int }
+	// included, this one's place among them, and how often they report.
+	Peers struct {
+		Count, Place int
+		Every        time.Duration
+	}
 
 	// Tick lets time pass.
 	Tick struct{}
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -91,4 +91,5 @@
 
 func (e Peers) reduce(r *Reducer) {
 	r.count, r.place = max(e.Count, 1), e.Place
+	r.turnLength = max(e.Every, leastTurn)
 }
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -30,6 +30,7 @@
 	leaving    map[string]bool
 	count      int // live hosts of this domain
 	place      int
+	turnLength time.Duration
 	ledger     *share.Ledger
 	lengths    *length.Predictor
 	budget     budget
@@ -49,13 +50,14 @@
 // TableChange has brought one.
 func NewReducer(opts ...Option) *Reducer {
 	r := &Reducer{
-		options:  defaultOptions(),
-		members:  map[string]*member{},
-		pools:    map[string]*pool{},
-		targets:  map[string]*targetState{},
-		requests: map[ID]*request{},
-		peers:    map[string]*peer{},
-		count:    1,
+		options:    defaultOptions(),
+		members:    map[string]*member{},
+		pools:      map[string]*pool{},
+		targets:    map[string]*targetState{},
+		requests:   map[ID]*request{},
+		peers:      map[string]*peer{},
+		count:      1,
+		turnLength: leastTurn,
 	}
 	for _, o := range opts {
 		o.apply(&r.options)
--- a/host/control_bench_test.go
+++ b/host/control_bench_test.go
@@ -162,33 +162,42 @@
 		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
 			c := newCrowd(b, n)
 			var took []time.Duration
-			version := 0
-			readers := 0
-			for _, h := range c.hosts {
-				if h.Reader() {
-					readers++
-				}
-			}
 			b.ResetTimer()
-			for range b.N {
-				version++
-				sheet := benchSheet(version, 1600, 1000)
-				started := time.Now()
-				c.hosts[version%n].TakeTable(sheet)
-				for _, h := range c.hosts {
-					for h.Table() == nil || h.Table().Version < uint64(version) {
-						time.Sleep(200 * time.Microsecond)
-					}
-					took = append(took, time.Since(started))
-				}
+			for version := range b.N {
+				took = append(took, c.spread(version+1)...)
 			}
 			b.StopTimer()
 			slices.Sort(took)
 			b.ReportMetric(float64(took[len(took)*999/1000].Microseconds())/1000, "inforce-p999-ms")
 			b.ReportMetric(float64(took[len(took)/2].Microseconds())/1000, "inforce-p50-ms")
 			// A waiting watch is one call; it is renewed every 20 s, for two keys.
-			b.ReportMetric(float64(readers)*2/20, "reads/s")
+			b.ReportMetric(float64(c.readers())*2/20, "reads/s")
 			b.ReportMetric(float64(len(pack(benchSheet(1, 1600, 1000)))), "sheet-B")
 		})
 	}
 }
+
+// spread gives one host a table and returns how long each host took to have it.
+func (c *crowd) spread(version int) []time.Duration {
+	sheet := benchSheet(version, 1600, 1000)
+	started := time.Now()
+	c.hosts[version%len(c.hosts)].TakeTable(sheet)
+	var took []time.Duration
+	for _, h := range c.hosts {
+		for h.Table() == nil || h.Table().Version < uint64(version) {
+			time.Sleep(200 * time.Microsecond)
+		}
+		took = append(took, time.Since(started))
+	}
+	return took
+}
+
+func (c *crowd) readers() int {
+	n := 0
+	for _, h := range c.hosts {
+		if h.Reader() {
+			n++
+		}
+	}
+	return n
+}
--- a/host/mesh.go
+++ b/host/mesh.go
@@ -181,7 +181,7 @@
 // Changed passes on how many hosts share the caps, and fetches a newer table.
 func (m meshSide) Changed() {
 	count, place := m.mesh.Split()
-	m.Post(dispatch.Peers{Count: count, Place: place})
+	m.Post(dispatch.Peers{Count: count, Place: place, Every: m.mesh.ReportEvery()})
 	have := uint64(0)
 	if t := m.Table(); t != nil {
 		have = t.Version
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -83,14 +83,13 @@
 
 const (
 	// DefaultBudget is the bytes of reports that a host sends in a second.
-	DefaultBudget = 12_000
+	DefaultBudget = 10_500
 
 	// MostMessage is the largest message between hosts, in bytes.
 	MostMessage = 4 << 20
 
 	wireVersion   = 1
 	idleTimeout   = 2 * time.Second
-	keepAlive     = 500 * time.Millisecond
 	dialTimeout   = 2 * time.Second
 	redialPause   = 300 * time.Millisecond
 	leastReport   = 100 * time.Millisecond
@@ -100,10 +99,10 @@
 	mostStreams   = 256
 )
 
+// Heartbeats keep the connections open; one that carries none is dead.
 var quicConfig = &quic.Config{
 	EnableDatagrams:       true,
 	MaxIdleTimeout:        idleTimeout,
-	KeepAlivePeriod:       keepAlive,
 	HandshakeIdleTimeout:  dialTimeout,
 	MaxIncomingStreams:    mostStreams,
 	MaxIncomingUniStreams: mostStreams,
--- a/trial/policy_bench_test.go
+++ b/trial/policy_bench_test.go
@@ -143,3 +143,36 @@
 	), "oracle-ratio")
 	b.ReportMetric(ours.First.Quantile(0.99).Seconds()/max(least.First.Quantile(0.99).Seconds(), 1e-9), "ttft-p99-ratio")
 }
+
+// BenchmarkReports measures what slower reports between hosts cost the policy.
+func BenchmarkReports(b *testing.B) {
+	for _, every := range []time.Duration{100 * time.Millisecond, 500 * time.Millisecond, time.Second} {
+		b.Run(every.String(), func(b *testing.B) {
+			for range b.N {
+				c := users[0].config(1.0)
+				c.PeerEvery = every
+				r := mustRun(b, c)
+				b.ReportMetric(float64(r.Preemptions), "preemptions")
+				b.ReportMetric(r.Stall.Seconds(), "stall-s")
+				b.ReportMetric(float64(r.Tokens), "tokens")
+				b.ReportMetric(1000*r.Between.Quantile(0.99).Seconds(), "tbt-p99-ms")
+				b.ReportMetric(1000*r.First.Quantile(0.99).Seconds(), "ttft-p99-ms")
+			}
+		})
+	}
+}
+
+// BenchmarkObjective compares members that weigh only the tail of time between tokens
+// with members that weigh only stall time, above capacity.
+func BenchmarkObjective(b *testing.B) {
+	for range b.N {
+		tail, stall := users[0], users[0]
+		tail.tail, tail.stall = 1, 0
+		stall.tail, stall.stall = 0, 1
+		t, s := mustRun(b, tail.config(1.1)), mustRun(b, stall.config(1.1))
+		b.ReportMetric(1000*t.Between.Quantile(0.99).Seconds(), "tail-tbt-p99-ms")
+		b.ReportMetric(1000*s.Between.Quantile(0.99).Seconds(), "stall-tbt-p99-ms")
+		b.ReportMetric(t.Stall.Seconds(), "tail-stall-s")
+		b.ReportMetric(s.Stall.Seconds(), "stall-stall-s")
+	}
+}
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -141,7 +141,7 @@
 		}
 		t.hosts = append(t.hosts, e)
 		t.reduce(e, dispatch.TableChange{Table: t.table})
-		t.reduce(e, dispatch.Peers{Count: c.Hosts, Place: i})
+		t.reduce(e, dispatch.Peers{Count: c.Hosts, Place: i, Every: c.PeerEvery})
 	}
 	t.begin()
 	return t, nil
