One pause and one set of adapters instead of six and two

Cause: the same wait for a time or a context stood in six packages, and the map of adapters by address twice. Behaviour is unchanged; the tests keep their assertions.

--- a/console/demo.go
+++ b/console/demo.go
@@ -9,6 +9,7 @@
 
 	"github.com/wigeonlink/wigeonlink/demo"
 	"github.com/wigeonlink/wigeonlink/load"
+	"github.com/wigeonlink/wigeonlink/pause"
 	"github.com/wigeonlink/wigeonlink/settings"
 	"github.com/wigeonlink/wigeonlink/standin"
 )
@@ -86,7 +87,7 @@
 func (f *demoFlags) rollAll(ctx context.Context, c *demo.Consortium) int {
 	restarts := 0
 	for i := 0; f.roll; i = (i + 1) % c.Entries() {
-		if !pause(ctx, rollPause) {
+		if !pause.For(ctx, rollPause) {
 			break
 		}
 		if err := c.Restart(context.WithoutCancel(ctx), i); err != nil {
@@ -97,17 +98,6 @@
 	return restarts
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // drive sends the demo's own load for the whole span.
 func (f *demoFlags) drive(cmd *cobra.Command, c *demo.Consortium) error {
 	span := f.span.Value
--- a/console/standin.go
+++ b/console/standin.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 
+	"github.com/wigeonlink/wigeonlink/pause"
 	"github.com/wigeonlink/wigeonlink/platform"
 	"github.com/wigeonlink/wigeonlink/settings"
 	"github.com/wigeonlink/wigeonlink/standin"
@@ -137,7 +138,7 @@
 	if info, err := os.Stat(file); err == nil {
 		last = info.ModTime()
 	}
-	for pause(cmd.Context(), tablePoll) {
+	for pause.For(cmd.Context(), tablePoll) {
 		info, err := os.Stat(file)
 		if err != nil || !info.ModTime().After(last) {
 			continue
--- a/host/engines.go
+++ b/host/engines.go
@@ -3,24 +3,15 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/pause"
 	"github.com/wigeonlink/wigeonlink/table"
-	"github.com/wigeonlink/wigeonlink/target"
 )
 
 type (
-	// engineSet keeps one adapter for each address.
-	engineSet struct {
-		mu   sync.Mutex
-		make func(netip.AddrPort) target.Engine
-		set  map[netip.AddrPort]target.Engine
-	}
-
 	// poller asks one target for its load, over and over.
 	poller struct {
 		host   *Host
@@ -33,20 +24,6 @@
 
 const loadTimeout = time.Second
 
-func (s *engineSet) at(a netip.AddrPort) target.Engine {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	e := s.set[a]
-	if e == nil {
-		e = s.make(a)
-		if s.set == nil {
-			s.set = map[netip.AddrPort]target.Engine{}
-		}
-		s.set[a] = e
-	}
-	return e
-}
-
 // pollLoads keeps a poller for each engine of the table in force.
 func (h *Host) pollLoads(ctx context.Context) {
 	stops := map[string]context.CancelFunc{}
@@ -96,12 +73,7 @@
 	for ctx.Err() == nil {
 		p.poll(ctx)
 		vary := rand.N(p.host.loadEvery/2 + 1)
-		t := time.NewTimer(3*p.host.loadEvery/4 + vary)
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		pause.For(ctx, 3*p.host.loadEvery/4+vary)
 	}
 }
 
--- a/host/host.go
+++ b/host/host.go
@@ -28,7 +28,7 @@
 		log       *event.Log
 		inbox     chan message
 		done      chan struct{}
-		engines   engineSet
+		engines   adapters[target.Engine]
 		nextID    atomic.Uint64
 		inForce   atomic.Pointer[table.Table]
 		bookings  map[dispatch.ID]*Booking
@@ -41,7 +41,7 @@
 		samples   []dispatch.Sample
 		domain    string
 		ticked    time.Time
-		services  serviceSet
+		services  adapters[target.Service]
 		tickets   *ticket.Ledger
 		mesh      *peer.Mesh // nil for a host without peers
 		published publication
@@ -130,6 +130,7 @@
 		tickets:   ticket.NewLedger(),
 	}
 	h.engines.make = target.NewResponses
+	h.services.make = target.NewService
 	for _, o := range opts {
 		o.apply(h)
 	}
--- a/host/service.go
+++ b/host/service.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/wigeonlink/wigeonlink/answer"
@@ -13,26 +11,6 @@
 	"github.com/wigeonlink/wigeonlink/target"
 )
 
-// serviceSet keeps one adapter for each address.
-type serviceSet struct {
-	mu  sync.Mutex
-	set map[netip.AddrPort]target.Service
-}
-
-func (s *serviceSet) at(a netip.AddrPort) target.Service {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c := s.set[a]
-	if c == nil {
-		c = target.NewService(a)
-		if s.set == nil {
-			s.set = map[netip.AddrPort]target.Service{}
-		}
-		s.set[a] = c
-	}
-	return c
-}
-
 // CallService makes a call of a plain service on behalf of a member. A call that no
 // route names idempotent is sent once, whatever happens.
 func (h *Host) CallService(ctx context.Context, member, service string, c target.Call, deadline time.Time) (target.Reply, error) {
--- a/load/load.go
+++ b/load/load.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/wigeonlink/wigeonlink/pause"
 )
 
 type (
@@ -107,7 +109,7 @@
 	end := next.Add(d.config.Duration)
 	for n := 0; ; n++ {
 		next = next.Add(time.Duration(random.ExpFloat64() / d.config.Rate * float64(time.Second)))
-		if next.After(end) || !sleepUntil(ctx, next) {
+		if next.After(end) || !pause.Until(ctx, next) {
 			return
 		}
 		c := call{
@@ -125,17 +127,6 @@
 	}
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	t := time.NewTimer(time.Until(at))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func (d *driver) pick(random *rand.Rand) kind {
 	c := d.config
 	at := random.Float64() * (c.Short + c.Long + c.Plain)
@@ -167,7 +158,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		for sleepUntil(ctx, time.Now().Add(progressEvery)) {
+		for pause.Until(ctx, time.Now().Add(progressEvery)) {
 			d.mu.Lock()
 			d.config.Progress(d.report)
 			d.mu.Unlock()
--- a/load/stream.go
+++ b/load/stream.go
@@ -13,6 +13,7 @@
 
 	"github.com/wigeonlink/wigeonlink/answer"
 	"github.com/wigeonlink/wigeonlink/desk"
+	"github.com/wigeonlink/wigeonlink/pause"
 	"github.com/wigeonlink/wigeonlink/relay"
 	"github.com/wigeonlink/wigeonlink/standin"
 )
@@ -85,7 +86,7 @@
 	for n := 0; n < mostConnections && !s.done && s.failed == "" && ctx.Err() == nil; n++ {
 		if n > 0 {
 			s.driver.count(func(r *Report) { r.Reconnects++ })
-			sleepUntil(ctx, time.Now().Add(reconnectPause))
+			pause.For(ctx, reconnectPause)
 		}
 		s.connect(ctx, s.call.first+n)
 	}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -15,6 +15,7 @@
 
 	"github.com/wigeonlink/wigeonlink/credential"
 	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/pause"
 	"github.com/wigeonlink/wigeonlink/wire"
 )
 
@@ -217,16 +218,7 @@
 			}
 			l.conn.Store(nil)
 		}
-		pause(ctx, redialPause)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		pause.For(ctx, redialPause)
 	}
 }
 
@@ -324,7 +316,7 @@
 // report sends soft state as often as the budget allows.
 func (m *Mesh) report(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, time.Duration(m.limit.Load()))
+		pause.For(ctx, time.Duration(m.limit.Load()))
 		links := m.open()
 		if len(links) == 0 {
 			continue
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/wigeonlink/wigeonlink/pause"
 	"github.com/wigeonlink/wigeonlink/target"
 )
 
@@ -234,20 +235,11 @@
 		case time.Now().After(deadline):
 			return r.failure(target.CertainNothing, false, err)
 		}
-		wait(ctx, backoff)
+		pause.For(ctx, backoff)
 		backoff = min(2*backoff, mostBackoff)
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // lost says what it proves that the engine does not know the generation.
 func (r *Relay) lost(ctx context.Context, cause error) *Result {
 	var oe *target.OrderError
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/wigeonlink/wigeonlink/pause"
 	"github.com/wigeonlink/wigeonlink/target"
 )
 
@@ -144,20 +145,11 @@
 			}
 			continue
 		}
-		sleep(ctx, took)
+		pause.For(ctx, took)
 		e.publish()
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (e *Engine) step() (time.Duration, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
