--- a/trial/policy_bench_test.go
+++ b/trial/policy_bench_test.go
@@ -141,6 +141,10 @@
 		ratio(ours.Stall.Seconds()+1, oracle.Stall.Seconds()+1),
 		ratio(ours.Between.Quantile(0.99).Seconds(), oracle.Between.Quantile(0.99).Seconds()),
 	), "oracle-ratio")
+	tally := ours.Tally
+	b.ReportMetric(100*float64(tally.BelowP50)/float64(tally.Outputs), "below-p50-pct")
+	b.ReportMetric(100*float64(tally.BelowP90)/float64(tally.Outputs), "below-p90-pct")
+	b.ReportMetric(100*float64(tally.BelowP99)/float64(tally.Outputs), "below-p99-pct")
 	b.ReportMetric(ours.First.Quantile(0.99).Seconds()/max(least.First.Quantile(0.99).Seconds(), 1e-9), "ttft-p99-ratio")
 }
 
