Read again: one histogram, one cursor text, one reader of streams; dead code out

Cause: a reading of the whole change. load and trial each had a histogram (now latency); the sink wrote the text of a cursor by hand beside ticket (AppendEvent, SealedPart); the tests read streams in two loops (follow); a credential's two getters were the same (current). Out, as nothing read them: FormatNumber, HearsUs and the heartbeat's field for it, two counts. Mended: a ticket's answer lost its content type because the status was written first; the test asks for it now.

--- a/caller_test.go
+++ b/caller_test.go
@@ -86,8 +86,8 @@
 	return resp
 }
 
-// read takes events until the stream ends or most further tokens have come.
-func (s *stream) read(c *qt.C, resp *http.Response, most int) {
+// follow takes events until the stream ends or stop, asked after each, says so.
+func (s *stream) follow(c *qt.C, resp *http.Response, stop func() bool) {
 	c.Helper()
 	defer resp.Body.Close()
 	c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
@@ -102,15 +102,18 @@
 			s.done = true
 			return
 		}
-		if s.take(c, ev.Data); s.err != nil {
-			return
-		}
-		if most > 0 && len(s.texts) >= most {
+		if s.take(c, ev.Data); s.err != nil || stop() {
 			return
 		}
 	}
 }
 
+// read takes events until the stream ends or it has most tokens; 0 means any number.
+func (s *stream) read(c *qt.C, resp *http.Response, most int) {
+	c.Helper()
+	s.follow(c, resp, func() bool { return most > 0 && len(s.texts) >= most })
+}
+
 func (s *stream) take(c *qt.C, data string) {
 	c.Helper()
 	var chunk streamChunk
@@ -161,22 +164,14 @@
 
 func newC(t *testing.T) *qt.C { return qt.New(t) }
 
-// read2 reads some tokens, lets something happen, and reads on.
-func (s *stream) read2(c *qt.C, resp *http.Response, tokens int, between func()) {
+// readThrough reads to the end, and lets something happen after some tokens.
+func (s *stream) readThrough(c *qt.C, resp *http.Response, tokens int, between func()) {
 	c.Helper()
-	defer resp.Body.Close()
-	c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
-	for ev, err := range sse.Read(resp.Body, nil) {
-		if err != nil {
-			return
-		}
-		s.take(c, ev.Data)
-		if s.err != nil {
-			return
-		}
+	s.follow(c, resp, func() bool {
 		if len(s.texts) == tokens && between != nil {
 			between()
 			between = nil
 		}
-	}
+		return false
+	})
 }
--- a/credential/credential.go
+++ b/credential/credential.go
@@ -66,23 +66,23 @@
 }
 
 func (s *fileSource) Certificate() (*tls.Certificate, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	err := s.refresh()
-	if s.cert == nil {
-		return nil, err
-	}
-	return s.cert, nil
+	cert, _, err := s.current()
+	return cert, err
 }
 
 func (s *fileSource) Authority() (*x509.CertPool, error) {
+	_, pool, err := s.current()
+	return pool, err
+}
+
+// current returns the newest pair that could be read. Both are read together.
+func (s *fileSource) current() (*tls.Certificate, *x509.CertPool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	err := s.refresh()
-	if s.pool == nil {
-		return nil, err
+	if err := s.refresh(); s.cert == nil {
+		return nil, nil, err
 	}
-	return s.pool, nil
+	return s.cert, s.pool, nil
 }
 
 func (s *fileSource) refresh() error {
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -194,8 +194,12 @@
 	return writeJSON(w, v)
 }
 
-func writeJSON(w http.ResponseWriter, v any) error {
+func writeJSON(w http.ResponseWriter, v any) error { return writeStatus(w, http.StatusOK, v) }
+
+// writeStatus writes an answer in JSON under a status.
+func writeStatus(w http.ResponseWriter, status int, v any) error {
 	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
 	// A caller that is gone cannot be told.
 	_ = json.NewEncoder(w).Encode(v)
 	return nil
--- a/desk/sink.go
+++ b/desk/sink.go
@@ -12,6 +12,7 @@
 	"github.com/wigeonlink/wigeonlink/answer"
 	"github.com/wigeonlink/wigeonlink/relay"
 	"github.com/wigeonlink/wigeonlink/target"
+	"github.com/wigeonlink/wigeonlink/ticket"
 	"github.com/wigeonlink/wigeonlink/wire"
 )
 
@@ -94,19 +95,10 @@
 func (g *generation) resumedSink(w http.ResponseWriter, last string, c *wire.Cursor) callerSink {
 	s := &streamSink{w: w, control: http.NewResponseController(w), g: g, id: c.Generation, target: c.Target}
 	s.created, s.resumed = time.Unix(c.Created, 0), true
-	s.cursor = cursorPart(last)
+	s.cursor = ticket.SealedPart(last)
 	return s
 }
 
-func cursorPart(last string) string {
-	for i := len(last) - 1; i >= 0; i-- {
-		if last[i] == '.' {
-			return last[:i]
-		}
-	}
-	return last
-}
-
 // envelope returns the start of every data object of a stream.
 func (s *streamSink) envelope() []byte {
 	b := append([]byte(nil), `{"id":`...)
@@ -154,9 +146,7 @@
 
 // begin starts an event with its identifier.
 func (s *streamSink) begin(number int) {
-	s.line = append(append(s.line[:0], "id: "...), s.cursor...)
-	s.line = append(s.line, '.')
-	s.line = strconv.AppendInt(s.line, int64(number), 10)
+	s.line = ticket.AppendEvent(append(s.line[:0], "id: "...), s.cursor, number)
 	s.line = append(s.line, '\n')
 }
 
--- a/desk/ticket.go
+++ b/desk/ticket.go
@@ -36,8 +36,7 @@
 	if err != nil {
 		return err
 	}
-	w.WriteHeader(http.StatusCreated)
-	return writeJSON(w, ticketView{Ticket: sealed, Host: t.Host, Expires: t.Expiry, State: ticket.StateUnused.String()})
+	return writeStatus(w, http.StatusCreated, ticketView{Ticket: sealed, Host: t.Host, Expires: t.Expiry, State: ticket.StateUnused.String()})
 }
 
 // serveOutcome tells what became of a ticket's call.
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -148,10 +148,10 @@
 	return false
 }
 
-// excess returns how far a member of a level is over its share, from 0 for not at all to 1. It
-// counts in full for the member that is furthest over, if that is by fullExcess or
-// more, and falls off steeply below: a burst beside a flood is not held against its
-// member. Nor is one that has not kept requests waiting for long.
+// excess returns how far a member of a level is over its share, from 0 for not at all
+// to 1. It counts in full for the member that is furthest over, if that is by
+// fullExcess or more, and falls off steeply below: a burst beside a flood is not held
+// against its member. Nor is one that has not kept requests waiting for long.
 func (r *Reducer) excess(level float64, backlog time.Duration, p *pool) float64 {
 	fair := r.fairLevel(p)
 	over := level/fair - 1
--- a/length/predictor.go
+++ b/length/predictor.go
@@ -127,6 +127,3 @@
 
 // Tally returns the calibration so far.
 func (p *Predictor) Tally() Tally { return p.tally }
-
-// Kinds returns the number of kinds that have a curve.
-func (p *Predictor) Kinds() int { return len(p.levels) }
--- a/load/load.go
+++ b/load/load.go
@@ -158,7 +158,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		for pause.Until(ctx, time.Now().Add(progressEvery)) {
+		for pause.For(ctx, progressEvery) {
 			d.mu.Lock()
 			d.config.Progress(d.report)
 			d.mu.Unlock()
--- a/load/report.go
+++ b/load/report.go
@@ -1,82 +1,46 @@
 package load
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
 	"slices"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/wigeonlink/wigeonlink/latency"
 )
 
 type (
 	// A Report is what a run measured and checked.
 	Report struct {
-		Took        time.Duration  `json:"took"`
-		Generations int            `json:"generations"`
-		Whole       int            `json:"whole"`
-		Partial     int            `json:"partial"` // ended by an error after tokens
-		Reconnects  int            `json:"reconnects"`
-		Errors      map[string]int `json:"errors"` // by code
-		Tokens      int            `json:"tokens"`
-		Lost        int            `json:"lost"`
-		Duplicated  int            `json:"duplicated"`
-		Reordered   int            `json:"reordered"`
-		Wrong       []string       `json:"wrong,omitempty"`
-		Stall       time.Duration  `json:"stall"`
-		Preemptions int            `json:"preemptions"`
-		First       Histogram      `json:"first"`   // time to first token
-		Between     Histogram      `json:"between"` // time between tokens
-		Charges     int            `json:"charges"`
-		Ran         int            `json:"ran"`
-		NotRun      int            `json:"not_run"`
-		Unknown     int            `json:"unknown"`
-		Twice       int            `json:"twice"`
-		FalseNotRun int            `json:"false_not_run"`
-		FalseRan    int            `json:"false_ran"`
-		Unaudited   int            `json:"unaudited"`
-	}
-
-	// A Histogram holds durations.
-	Histogram struct{ values *hdrhistogram.Histogram }
-
-	quantiles struct {
-		Count int64         `json:"count"`
-		P50   time.Duration `json:"p50"`
-		P95   time.Duration `json:"p95"`
-		P99   time.Duration `json:"p99"`
-		P999  time.Duration `json:"p999"`
+		Took        time.Duration     `json:"took"`
+		Generations int               `json:"generations"`
+		Whole       int               `json:"whole"`
+		Partial     int               `json:"partial"` // ended by an error after tokens
+		Reconnects  int               `json:"reconnects"`
+		Errors      map[string]int    `json:"errors"` // by code
+		Tokens      int               `json:"tokens"`
+		Lost        int               `json:"lost"`
+		Duplicated  int               `json:"duplicated"`
+		Reordered   int               `json:"reordered"`
+		Wrong       []string          `json:"wrong,omitempty"`
+		Stall       time.Duration     `json:"stall"`
+		Preemptions int               `json:"preemptions"`
+		First       latency.Histogram `json:"first"`   // time to first token
+		Between     latency.Histogram `json:"between"` // time between tokens
+		Charges     int               `json:"charges"`
+		Ran         int               `json:"ran"`
+		NotRun      int               `json:"not_run"`
+		Unknown     int               `json:"unknown"`
+		Twice       int               `json:"twice"`
+		FalseNotRun int               `json:"false_not_run"`
+		FalseRan    int               `json:"false_ran"`
+		Unaudited   int               `json:"unaudited"`
 	}
 )
 
-const (
-	mostMicros = int64(10 * time.Minute / time.Microsecond)
-	digits     = 3
-)
-
 func newReport() Report {
-	return Report{Errors: map[string]int{}, First: newHistogram(), Between: newHistogram()}
-}
-
-func newHistogram() Histogram { return Histogram{hdrhistogram.New(1, mostMicros, digits)} }
-
-func (h Histogram) record(d time.Duration) {
-	// A value beyond the range counts as the largest.
-	_ = h.values.RecordValue(min(max(d.Microseconds(), 1), mostMicros))
-}
-
-// Quantile returns the duration that a share q of the values does not exceed.
-func (h Histogram) Quantile(q float64) time.Duration {
-	return time.Duration(h.values.ValueAtQuantile(100*q)) * time.Microsecond
-}
-
-// MarshalJSON writes the usual quantiles.
-func (h Histogram) MarshalJSON() ([]byte, error) { return json.Marshal(h.quantiles()) }
-
-func (h Histogram) quantiles() quantiles {
-	return quantiles{h.values.TotalCount(), h.Quantile(0.5), h.Quantile(0.95), h.Quantile(0.99), h.Quantile(0.999)}
+	return Report{Errors: map[string]int{}, First: latency.NewHistogram(), Between: latency.NewHistogram()}
 }
 
 // Faults counts what must never happen.
@@ -100,8 +64,8 @@
 	fmt.Fprintf(w, "tokens               %d (%.0f a second)\n", r.Tokens, float64(r.Tokens)/r.Took.Seconds())
 	fmt.Fprintf(w, "lost                 %d\nduplicated           %d\nreordered            %d\n", r.Lost, r.Duplicated, r.Reordered)
 	fmt.Fprintf(w, "stall time           %s\npreemptions          %d\n", r.Stall.Round(time.Millisecond), r.Preemptions)
-	printQuantiles(w, "time to first token ", r.First.quantiles())
-	printQuantiles(w, "time between tokens ", r.Between.quantiles())
+	printQuantiles(w, "time to first token ", r.First.Quantiles())
+	printQuantiles(w, "time between tokens ", r.Between.Quantiles())
 	fmt.Fprintf(w, "charges              %d: %d ran, %d not run, %d unknown\n", r.Charges, r.Ran, r.NotRun, r.Unknown)
 	fmt.Fprintf(w, "run twice            %d\nfalse \"not run\"      %d\nfalse \"ran\"          %d\nnot audited          %d\n", r.Twice, r.FalseNotRun, r.FalseRan, r.Unaudited)
 	for _, text := range r.Wrong {
@@ -109,6 +73,6 @@
 	}
 }
 
-func printQuantiles(w io.Writer, name string, q quantiles) {
+func printQuantiles(w io.Writer, name string, q latency.Quantiles) {
 	fmt.Fprintf(w, "%s p50 %s  p95 %s  p99 %s  p99.9 %s\n", name, q.P50, q.P95, q.P99, q.P999)
 }
--- a/load/stream.go
+++ b/load/stream.go
@@ -217,9 +217,9 @@
 	s.driver.count(func(r *Report) {
 		r.Tokens++
 		if first {
-			r.First.record(now.Sub(s.started))
+			r.First.Record(now.Sub(s.started))
 		} else {
-			r.Between.record(gap)
+			r.Between.Record(gap)
 			r.Stall += max(gap-relay.StallFrom, 0)
 		}
 		if text != want {
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -278,11 +278,6 @@
 		Domain:      m.settings.Domain,
 		Address:     m.address.String(),
 	}
-	for _, p := range m.Live() {
-		if p.Address == l.address {
-			hb.Heard = p.Host
-		}
-	}
 	hb.Known = m.sample()
 	m.handler.Beat(hb)
 	data, err := proto.Marshal(hb)
--- a/peer/receive.go
+++ b/peer/receive.go
@@ -70,7 +70,6 @@
 		Stopping:    hb.Stopping,
 		Table:       hb.Table,
 	}
-	p.HearsUs = hb.Heard == m.settings.Host
 	m.mu.Lock()
 	change, came := m.view.Hear(p, hb.Sequence, time.Now())
 	m.mu.Unlock()
--- a/peer/view.go
+++ b/peer/view.go
@@ -18,7 +18,6 @@
 		Address     netip.AddrPort
 		Stopping    bool
 		Table       uint64 // version in force
-		HearsUs     bool   // whether it has heard this host lately
 		sequence    uint64
 		at          time.Time
 		gone        bool // no heartbeat for DeadAfter
--- a/share/ledger.go
+++ b/share/ledger.go
@@ -221,6 +221,3 @@
 		return true
 	})
 }
-
-// Accounts returns the number of accounts held.
-func (l *Ledger) Accounts() int { return len(l.own) + len(l.pooled) }
--- a/stream_test.go
+++ b/stream_test.go
@@ -85,7 +85,7 @@
 	for _, tokens := range []int{1, 5, 50} {
 		var s stream
 		resp := ask(c, &s, consortium.Entry(0).CallerURL(), consortium.Members[0].Key, prompt(5000))
-		s.read2(c, resp, tokens, func() { throw(c, consortium, standin.Fault{Kind: standin.FaultReboot}) })
+		s.readThrough(c, resp, tokens, func() { throw(c, consortium, standin.Fault{Kind: standin.FaultReboot}) })
 		c.Assert(s.done, qt.IsFalse)
 		c.Assert(s.err, qt.IsNotNil)
 		c.Assert(s.err.Code, qt.Equals, answer.KindTargetLost.String())
--- a/target/responses.go
+++ b/target/responses.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"time"
 
 	"github.com/prometheus/common/expfmt"
@@ -317,6 +316,3 @@
 	}
 	return true, nil
 }
-
-// FormatNumber formats the sequence number of token n.
-func FormatNumber(n int) string { return strconv.Itoa(n + 1) }
--- a/ticket/cursor.go
+++ b/ticket/cursor.go
@@ -32,8 +32,18 @@
 	return k.Seal(PurposeCursor, c)
 }
 
-// FormatEvent returns the identifier of the event that carries token n.
-func FormatEvent(sealed string, n int) string { return sealed + separator + strconv.Itoa(n) }
+// AppendEvent appends the identifier of the event that carries token n.
+func AppendEvent(b []byte, sealed string, n int) []byte {
+	b = append(append(b, sealed...), separator...)
+	return strconv.AppendInt(b, int64(n), 10)
+}
+
+// SealedPart returns the part of an event's identifier that is the same for all
+// events of a stream.
+func SealedPart(event string) string {
+	sealed, _, _ := strings.Cut(event, separator)
+	return sealed
+}
 
 // OpenCursor reads the identifier of the last event that a caller has got, on
 // behalf of a member. Its errors are of the kinds BadCursor, ExpiredCursor and
--- a/ticket/ticket_test.go
+++ b/ticket/ticket_test.go
@@ -24,12 +24,14 @@
 	return k
 }
 
+func eventID(sealed string, n int) string { return string(AppendEvent(nil, sealed, n)) }
+
 func TestCursorOpensForItsMemberUntilItExpires(t *testing.T) {
 	c := qt.New(t)
 	k := ring(c, "new", "old")
 	sealed, err := ring(c, "old").SealCursor(&wire.Cursor{Member: table.Hash("m"), Generation: "g", Expiry: now.Unix() + 10})
 	c.Assert(err, qt.IsNil)
-	at, err := k.OpenCursor(FormatEvent(sealed, 6), "m", now)
+	at, err := k.OpenCursor(eventID(sealed, 6), "m", now)
 	c.Assert(err, qt.IsNil)
 	c.Assert(at.Next, qt.Equals, 7)
 	c.Assert(at.Cursor.Generation, qt.Equals, "g")
@@ -40,10 +42,10 @@
 		when time.Time
 		kind answer.Kind
 	}{
-		{k, FormatEvent(sealed, 6), "other", now, answer.KindWrongMember},
-		{k, FormatEvent(sealed, 6), "m", now.Add(10 * time.Second), answer.KindExpiredCursor},
-		{ring(c, "new"), FormatEvent(sealed, 6), "m", now, answer.KindBadCursor},
-		{k, FormatEvent(sealed[1:], 6), "m", now, answer.KindBadCursor},
+		{k, eventID(sealed, 6), "other", now, answer.KindWrongMember},
+		{k, eventID(sealed, 6), "m", now.Add(10 * time.Second), answer.KindExpiredCursor},
+		{ring(c, "new"), eventID(sealed, 6), "m", now, answer.KindBadCursor},
+		{k, eventID(sealed[1:], 6), "m", now, answer.KindBadCursor},
 		{k, sealed + ".x", "m", now, answer.KindBadCursor},
 		{k, sealed + ".-2", "m", now, answer.KindBadCursor},
 		{k, "", "m", now, answer.KindBadCursor},
--- a/ticket_test.go
+++ b/ticket_test.go
@@ -47,6 +47,7 @@
 	resp, err := http.DefaultClient.Do(req)
 	c.Assert(err, qt.IsNil)
 	defer resp.Body.Close()
+	c.Assert(resp.Header.Get("Content-Type"), qt.Equals, "application/json")
 	var s ticketState
 	c.Assert(json.NewDecoder(resp.Body).Decode(&s), qt.IsNil)
 	return s
--- a/trial/call.go
+++ b/trial/call.go
@@ -171,12 +171,12 @@
 	m.Tokens++
 	m.Service += 1 + float64(c.submit.Prompt+c.tokens)/1024
 	if c.tokens == 1 {
-		r.First.record(first)
-		m.First.record(first)
+		r.First.Record(first)
+		m.First.Record(first)
 		return
 	}
-	r.Between.record(gap)
-	m.Between.record(gap)
+	r.Between.Record(gap)
+	m.Between.Record(gap)
 	stall := max(gap-relay.StallFrom, 0)
 	r.Stall += stall
 	m.Stall += stall
--- a/trial/result.go
+++ b/trial/result.go
@@ -4,9 +4,8 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"github.com/wigeonlink/wigeonlink/dispatch"
+	"github.com/wigeonlink/wigeonlink/latency"
 	"github.com/wigeonlink/wigeonlink/length"
 )
 
@@ -21,8 +20,8 @@
 		Preemptions int
 		Resumes     int
 		Stall       time.Duration
-		First       Histogram // time to first token
-		Between     Histogram // time between tokens
+		First       latency.Histogram // time to first token
+		Between     latency.Histogram // time between tokens
 		Members     map[string]*MemberResult
 		Counts      []dispatch.Counts // by host
 		Tally       length.Tally      // of the last host
@@ -34,44 +33,22 @@
 		Refused int
 		Service float64
 		Stall   time.Duration
-		First   Histogram
-		Between Histogram
+		First   latency.Histogram
+		Between latency.Histogram
 	}
-
-	// A Histogram holds durations.
-	Histogram struct{ values *hdrhistogram.Histogram }
 )
 
-const (
-	mostMicros = int64(time.Hour / time.Microsecond)
-	digits     = 3
-)
-
-func newHistogram() Histogram { return Histogram{hdrhistogram.New(1, mostMicros, digits)} }
-
 func newResult() Result {
-	return Result{First: newHistogram(), Between: newHistogram(), Members: map[string]*MemberResult{}}
+	return Result{First: latency.NewHistogram(), Between: latency.NewHistogram(), Members: map[string]*MemberResult{}}
 }
 
 func (r *Result) member(name string) *MemberResult {
 	m := r.Members[name]
 	if m == nil {
-		m = &MemberResult{First: newHistogram(), Between: newHistogram()}
+		m = &MemberResult{First: latency.NewHistogram(), Between: latency.NewHistogram()}
 		r.Members[name] = m
 	}
 	return m
 }
 
-func (h Histogram) record(d time.Duration) {
-	_ = h.values.RecordValue(min(max(d.Microseconds(), 1), mostMicros))
-}
-
-// Quantile returns the duration that a share q of the values does not exceed.
-func (h Histogram) Quantile(q float64) time.Duration {
-	return time.Duration(h.values.ValueAtQuantile(100*q)) * time.Microsecond
-}
-
-// Merge adds the values of o.
-func (h Histogram) Merge(o Histogram) { h.values.Merge(o.values) }
-
 func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 7)) }
--- a/trial/share_bench_test.go
+++ b/trial/share_bench_test.go
@@ -4,6 +4,8 @@
 	"math"
 	"testing"
 	"time"
+
+	"github.com/wigeonlink/wigeonlink/latency"
 )
 
 const (
@@ -52,8 +54,8 @@
 }
 
 // firstOfSmall returns the time to first token of the members that do not flood.
-func firstOfSmall(r Result) Histogram {
-	all := newHistogram()
+func firstOfSmall(r Result) latency.Histogram {
+	all := latency.NewHistogram()
 	for name, m := range r.Members {
 		if name != "member-0" {
 			all.Merge(m.First)
