--- a/answer/kind.go
+++ b/answer/kind.go
@@ -47,7 +47,7 @@
 	KindUnknownRoute
 	KindBadCursor
 	KindExpiredCursor
-	KindWrongMember
+	KindWrongOrganisation
 	KindPastEnd
 	KindQueueFull
 	KindRateLimited
@@ -77,35 +77,35 @@
 )
 
 var rows = [kindEnd]Row{
-	KindNone:           {200, "ok", "", NotRun, 0, "ok"},
-	KindBadKey:         {http.StatusUnauthorized, "invalid_api_key", "authentication_error", NotRun, 0, "the bearer key is missing or not known"},
-	KindBadBody:        {http.StatusBadRequest, "invalid_json", "invalid_request_error", NotRun, 0, "the body is not valid JSON of the expected shape"},
-	KindBodyTooLarge:   {http.StatusRequestEntityTooLarge, "body_too_large", "invalid_request_error", NotRun, 0, "the body is larger than this host accepts"},
-	KindBadParameter:   {http.StatusBadRequest, "invalid_parameter", "invalid_request_error", NotRun, 0, "a parameter is missing or out of range"},
-	KindUnknownModel:   {http.StatusNotFound, "model_not_found", "invalid_request_error", NotRun, 0, "the table has no such model"},
-	KindUnknownService: {http.StatusNotFound, "service_not_found", "invalid_request_error", NotRun, 0, "the table has no such service"},
-	KindUnknownRoute:   {http.StatusNotFound, "route_not_found", "invalid_request_error", NotRun, 0, "no such path"},
-	KindBadCursor:      {http.StatusBadRequest, "invalid_cursor", "invalid_request_error", NotRun, 0, "the resume cursor was not issued by this system"},
-	KindExpiredCursor:  {http.StatusGone, "cursor_expired", "invalid_request_error", Partial, 0, "the resume cursor has expired"},
-	KindWrongMember:    {http.StatusForbidden, "wrong_member", "permission_error", NotRun, 0, "the cursor belongs to another member"},
-	KindPastEnd:        {http.StatusRequestedRangeNotSatisfiable, "past_end", "invalid_request_error", Partial, 0, "the cursor points past the end of the generation"},
-	KindQueueFull:      {http.StatusTooManyRequests, "queue_full", "rate_limit_error", NotRun, 2 * time.Second, "the member's queue is full; the request did not run"},
-	KindRateLimited:    {http.StatusTooManyRequests, "rate_limited", "rate_limit_error", NotRun, time.Second, "the member's rate limit is reached; the request did not run"},
-	KindDeadline:       {http.StatusServiceUnavailable, "deadline", "overloaded_error", NotRun, 5 * time.Second, "the deadline cannot be met; the request did not run"},
-	KindNoTarget:       {http.StatusServiceUnavailable, "no_target", "overloaded_error", NotRun, 2 * time.Second, "no target can take the request now; it did not run"},
-	KindRefused:        {http.StatusServiceUnavailable, "refused", "overloaded_error", NotRun, 2 * time.Second, "the target refused the request; it did not run"},
-	KindStopping:       {http.StatusServiceUnavailable, "stopping", "overloaded_error", NotRun, time.Second, "this host is stopping; the request did not run"},
-	KindCallerGone:     {499, "caller_gone", "invalid_request_error", Unknown, 0, "the caller went away"},
-	KindTargetLost:     {http.StatusBadGateway, "target_lost", "server_error", Partial, time.Second, "the target lost the generation; the answer is incomplete"},
-	KindBroken:         {http.StatusBadGateway, "stream_broken", "server_error", Unknown, time.Second, "the target cannot be reached; the answer is incomplete"},
-	KindUnknownOutcome: {http.StatusBadGateway, "outcome_unknown", "server_error", Unknown, 0, "it is not known whether the request ran"},
-	KindNotReady:       {http.StatusServiceUnavailable, "not_ready", "overloaded_error", NotRun, time.Second, "this host has no table yet; the request did not run"},
-	KindBadTicket:      {http.StatusBadRequest, "invalid_ticket", "invalid_request_error", NotRun, 0, "the ticket was not issued by this system"},
-	KindTicketExpired:  {http.StatusGone, "ticket_expired", "invalid_request_error", Unknown, 0, "the ticket has expired; ask for its outcome, or for a new one if it was never used"},
-	KindTicketBurnt:    {http.StatusConflict, "ticket_burnt", "invalid_request_error", NotRun, 0, "the ticket's call did not run and will never run"},
-	KindTicketMismatch: {http.StatusConflict, "ticket_mismatch", "invalid_request_error", NotRun, 0, "the ticket belongs to another call; this one did not run"},
-	KindTicketLost:     {http.StatusConflict, "ticket_lost", "server_error", Unknown, 0, "the host that held the ticket is gone; it is not known whether the call ran"},
-	KindFault:          {http.StatusInternalServerError, "fault", "server_error", Unknown, 0, "an unexpected fault"},
+	KindNone:              {200, "ok", "", NotRun, 0, "ok"},
+	KindBadKey:            {http.StatusUnauthorized, "invalid_api_key", "authentication_error", NotRun, 0, "the bearer key is missing or not known"},
+	KindBadBody:           {http.StatusBadRequest, "invalid_json", "invalid_request_error", NotRun, 0, "the body is not valid JSON of the expected shape"},
+	KindBodyTooLarge:      {http.StatusRequestEntityTooLarge, "body_too_large", "invalid_request_error", NotRun, 0, "the body is larger than this host accepts"},
+	KindBadParameter:      {http.StatusBadRequest, "invalid_parameter", "invalid_request_error", NotRun, 0, "a parameter is missing or out of range"},
+	KindUnknownModel:      {http.StatusNotFound, "model_not_found", "invalid_request_error", NotRun, 0, "the table has no such model"},
+	KindUnknownService:    {http.StatusNotFound, "service_not_found", "invalid_request_error", NotRun, 0, "the table has no such service"},
+	KindUnknownRoute:      {http.StatusNotFound, "route_not_found", "invalid_request_error", NotRun, 0, "no such path"},
+	KindBadCursor:         {http.StatusBadRequest, "invalid_cursor", "invalid_request_error", NotRun, 0, "the resume cursor was not issued by this system"},
+	KindExpiredCursor:     {http.StatusGone, "cursor_expired", "invalid_request_error", Partial, 0, "the resume cursor has expired"},
+	KindWrongOrganisation: {http.StatusForbidden, "wrong_organisation", "permission_error", NotRun, 0, "the cursor belongs to another organisation"},
+	KindPastEnd:           {http.StatusRequestedRangeNotSatisfiable, "past_end", "invalid_request_error", Partial, 0, "the cursor points past the end of the generation"},
+	KindQueueFull:         {http.StatusTooManyRequests, "queue_full", "rate_limit_error", NotRun, 2 * time.Second, "the organisation's queue is full; the request did not run"},
+	KindRateLimited:       {http.StatusTooManyRequests, "rate_limited", "rate_limit_error", NotRun, time.Second, "the organisation's rate limit is reached; the request did not run"},
+	KindDeadline:          {http.StatusServiceUnavailable, "deadline", "overloaded_error", NotRun, 5 * time.Second, "the deadline cannot be met; the request did not run"},
+	KindNoTarget:          {http.StatusServiceUnavailable, "no_target", "overloaded_error", NotRun, 2 * time.Second, "no target can take the request now; it did not run"},
+	KindRefused:           {http.StatusServiceUnavailable, "refused", "overloaded_error", NotRun, 2 * time.Second, "the target refused the request; it did not run"},
+	KindStopping:          {http.StatusServiceUnavailable, "stopping", "overloaded_error", NotRun, time.Second, "this host is stopping; the request did not run"},
+	KindCallerGone:        {499, "caller_gone", "invalid_request_error", Unknown, 0, "the caller went away"},
+	KindTargetLost:        {http.StatusBadGateway, "target_lost", "server_error", Partial, time.Second, "the target lost the generation; the answer is incomplete"},
+	KindBroken:            {http.StatusBadGateway, "stream_broken", "server_error", Unknown, time.Second, "the target cannot be reached; the answer is incomplete"},
+	KindUnknownOutcome:    {http.StatusBadGateway, "outcome_unknown", "server_error", Unknown, 0, "it is not known whether the request ran"},
+	KindNotReady:          {http.StatusServiceUnavailable, "not_ready", "overloaded_error", NotRun, time.Second, "this host has no table yet; the request did not run"},
+	KindBadTicket:         {http.StatusBadRequest, "invalid_ticket", "invalid_request_error", NotRun, 0, "the ticket was not issued by this system"},
+	KindTicketExpired:     {http.StatusGone, "ticket_expired", "invalid_request_error", Unknown, 0, "the ticket has expired; ask for its outcome, or for a new one if it was never used"},
+	KindTicketBurnt:       {http.StatusConflict, "ticket_burnt", "invalid_request_error", NotRun, 0, "the ticket's call did not run and will never run"},
+	KindTicketMismatch:    {http.StatusConflict, "ticket_mismatch", "invalid_request_error", NotRun, 0, "the ticket belongs to another call; this one did not run"},
+	KindTicketLost:        {http.StatusConflict, "ticket_lost", "server_error", Unknown, 0, "the host that held the ticket is gone; it is not known whether the call ran"},
+	KindFault:             {http.StatusInternalServerError, "fault", "server_error", Unknown, 0, "an unexpected fault"},
 }
 
 var outcomes = [...]string{NotRun: "not_run", Partial: "partial", Unknown: "unknown"}
--- a/console/demo.go
+++ b/console/demo.go
@@ -63,7 +63,7 @@
 	}
 	fmt.Fprintf(out, "curl -N %s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' "+
 		"-d '{\"model\":\"%s\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"Hello\"}]}'\n",
-		c.Entry(0).CallerURL(), c.Members[0].Key, demo.Model)
+		c.Entry(0).CallerURL(), c.Organisations[0].Key, demo.Model)
 	ctx := cmd.Context()
 	if f.span.Value > 0 {
 		var cancel context.CancelFunc
@@ -104,8 +104,8 @@
 	if span == 0 {
 		span = mostDemo
 	}
-	keys := make([]string, len(c.Members))
-	for i, m := range c.Members {
+	keys := make([]string, len(c.Organisations))
+	for i, m := range c.Organisations {
 		keys[i] = m.Key
 	}
 	report, err := load.Run(cmd.Context(), load.Config{
--- a/console/load.go
+++ b/console/load.go
@@ -33,7 +33,7 @@
 	}
 	flags := cmd.Flags()
 	flags.StringSliceVar(&f.urls, "urls", nil, "callers' URLs of the entry hosts")
-	flags.StringSliceVar(&f.keys, "bearer", nil, "bearer keys of the members that call")
+	flags.StringSliceVar(&f.keys, "bearer", nil, "bearer keys of the organisations that call")
 	flags.Var(&f.engines, "engines", "addresses of the engines, to count preemptions")
 	flags.StringVar(&f.config.Model, "model", "assistant", "model to ask for")
 	flags.StringVar(&f.config.Service, "service", "counter", "plain service to call")
--- a/console/settings_test.go
+++ b/console/settings_test.go
@@ -90,7 +90,7 @@
 	changed := filepath.Join("..", "table", "testdata", "changed.yaml")
 	out, err := run("table", "check", sample)
 	c.Assert(err, qt.IsNil)
-	c.Assert(out, qt.Contains, "version 7, 2 members")
+	c.Assert(out, qt.Contains, "version 7, 2 organisations")
 	out, err = run("table", "plan", sample, changed)
 	c.Assert(err, qt.IsNil)
 	c.Assert(out, qt.Contains, "4 rows change")
--- a/console/table.go
+++ b/console/table.go
@@ -13,7 +13,7 @@
 )
 
 func newTable() *cobra.Command {
-	cmd := &cobra.Command{Use: "table", Short: "Check and compare tables of members, targets and limits"}
+	cmd := &cobra.Command{Use: "table", Short: "Check and compare tables of organisations, targets and limits"}
 	cmd.AddCommand(newTableCheck(), newTablePlan(), newTableConvert(), newTableKey())
 	return cmd
 }
@@ -62,8 +62,8 @@
 		cmd.PrintErrln(err)
 		return strings.Count(err.Error(), "\n") + 1
 	}
-	cmd.Printf("%s: version %d, %d members, %d models, %d services, %d targets, no fault\n",
-		file, t.Version, len(t.Members), len(t.Models), len(t.Services), len(t.Targets))
+	cmd.Printf("%s: version %d, %d organisations, %d models, %d services, %d targets, no fault\n",
+		file, t.Version, len(t.Organisations), len(t.Models), len(t.Services), len(t.Targets))
 	return 0
 }
 
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -27,10 +27,10 @@
 type (
 	// A Consortium is what the demo runs.
 	Consortium struct {
-		Members  []Member
-		Engines  []*standin.Engine
-		Service  *standin.Service
-		Platform *standin.Platform
+		Organisations []Organisation
+		Engines       []*standin.Engine
+		Service       *standin.Service
+		Platform      *standin.Platform
 
 		mu       sync.Mutex
 		entries  []*wigeonlink.Entry
@@ -42,8 +42,8 @@
 		cancel   context.CancelFunc
 	}
 
-	// A Member is a member of the demo with its bearer key.
-	Member struct {
+	// An Organisation is an organisation of the demo with its bearer key.
+	Organisation struct {
 		Name   string
 		Key    string
 		Weight float64
@@ -104,7 +104,7 @@
 	for _, o := range opts {
 		o.apply(p)
 	}
-	c := &Consortium{Members: defaultMembers(), Platform: standin.NewPlatform(), Service: standin.NewService(Service)}
+	c := &Consortium{Organisations: defaultOrganisations(), Platform: standin.NewPlatform(), Service: standin.NewService(Service)}
 	life, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	c.cancel = cancel
 	if err := c.start(ctx, life, p); err != nil {
@@ -114,8 +114,8 @@
 	return c, nil
 }
 
-func defaultMembers() []Member {
-	return []Member{
+func defaultOrganisations() []Organisation {
+	return []Organisation{
 		{Name: "jalisco", Key: "demo-key-jalisco", Weight: 3, Tail: 3, Stall: 1},
 		{Name: "bokmakierie", Key: "demo-key-bokmakierie", Weight: 2, Tail: 1, Stall: 3},
 		{Name: "tlaquepaque", Key: "demo-key-tlaquepaque", Weight: 1, Tail: 1, Stall: 1},
@@ -176,8 +176,8 @@
 	c.row("service", "name", Service)
 	c.row("route", "name", Service, "method", "GET", "path", "/", "idempotent", "yes")
 	c.row("route", "name", Service, "path", "/charges", "idempotent", "no")
-	for _, m := range c.Members {
-		c.row("member", "name", m.Name, "weight", fmt.Sprint(m.Weight), "key", table.FormatKey(m.Key),
+	for _, m := range c.Organisations {
+		c.row("organisation", "name", m.Name, "weight", fmt.Sprint(m.Weight), "key", table.FormatKey(m.Key),
 			"tail", fmt.Sprint(m.Tail), "stall", fmt.Sprint(m.Stall))
 	}
 	for i := range p.engines {
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -38,7 +38,7 @@
 	withSlowest  time.Duration
 
 	// handler is an HTTP handler that returns its error for the one table.
-	handler func(w http.ResponseWriter, r *http.Request, m table.Member) error
+	handler func(w http.ResponseWriter, r *http.Request, m table.Organisation) error
 
 	modelList struct {
 		Object string      `json:"object"`
@@ -85,26 +85,26 @@
 func (d *Desk) Handler() http.Handler {
 	m := mux.NewRouter()
 	m.UseEncodedPath()
-	m.Handle("/v1/models", d.member(d.serveModels)).Methods(http.MethodGet)
-	m.Handle("/v1/models/{model}", d.member(d.serveModel)).Methods(http.MethodGet)
-	m.Handle("/v1/completions", d.member(d.serveCompletion)).Methods(http.MethodPost, http.MethodGet)
-	m.Handle("/v1/chat/completions", d.member(d.serveChat)).Methods(http.MethodPost, http.MethodGet)
-	m.Handle("/v1/shares", d.member(d.serveShares)).Methods(http.MethodGet)
-	m.Handle("/v1/tickets", d.member(d.serveIssue)).Methods(http.MethodPost)
-	m.Handle("/v1/tickets/{ticket}", d.member(d.serveOutcome)).Methods(http.MethodGet)
-	m.Handle("/v1/tickets/{ticket}", d.member(d.serveBurn)).Methods(http.MethodDelete)
-	m.PathPrefix("/v1/services/{service}").Handler(d.member(d.serveService))
+	m.Handle("/v1/models", d.organisation(d.serveModels)).Methods(http.MethodGet)
+	m.Handle("/v1/models/{model}", d.organisation(d.serveModel)).Methods(http.MethodGet)
+	m.Handle("/v1/completions", d.organisation(d.serveCompletion)).Methods(http.MethodPost, http.MethodGet)
+	m.Handle("/v1/chat/completions", d.organisation(d.serveChat)).Methods(http.MethodPost, http.MethodGet)
+	m.Handle("/v1/shares", d.organisation(d.serveShares)).Methods(http.MethodGet)
+	m.Handle("/v1/tickets", d.organisation(d.serveIssue)).Methods(http.MethodPost)
+	m.Handle("/v1/tickets/{ticket}", d.organisation(d.serveOutcome)).Methods(http.MethodGet)
+	m.Handle("/v1/tickets/{ticket}", d.organisation(d.serveBurn)).Methods(http.MethodDelete)
+	m.PathPrefix("/v1/services/{service}").Handler(d.organisation(d.serveService))
 	m.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	m.HandleFunc("/readyz", d.serveReady)
-	m.NotFoundHandler = d.member(func(http.ResponseWriter, *http.Request, table.Member) error {
+	m.NotFoundHandler = d.organisation(func(http.ResponseWriter, *http.Request, table.Organisation) error {
 		return answer.New(answer.KindUnknownRoute, "")
 	})
 	m.MethodNotAllowedHandler = m.NotFoundHandler
 	return m
 }
 
-// member finds the caller's member, and writes the error that a handler returns.
-func (d *Desk) member(f handler) http.Handler {
+// organisation finds the caller's organisation, and writes the error that a handler returns.
+func (d *Desk) organisation(f handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		m, err := d.authenticate(r)
 		if err == nil {
@@ -114,23 +114,23 @@
 			return
 		}
 		e := answer.From(err)
-		d.host.Log().Emit(event.CallerRefused, event.Fields{Member: m.Name, Detail: e.Error()})
+		d.host.Log().Emit(event.CallerRefused, event.Fields{Organisation: m.Name, Detail: e.Error()})
 		answer.Write(w, e)
 	})
 }
 
-func (d *Desk) authenticate(r *http.Request) (table.Member, error) {
+func (d *Desk) authenticate(r *http.Request) (table.Organisation, error) {
 	t := d.host.Table()
 	if t == nil {
-		return table.Member{}, answer.New(answer.KindNotReady, "")
+		return table.Organisation{}, answer.New(answer.KindNotReady, "")
 	}
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
-		return table.Member{}, answer.New(answer.KindBadKey, "")
+		return table.Organisation{}, answer.New(answer.KindBadKey, "")
 	}
-	m, ok := t.MemberByKey(key)
+	m, ok := t.OrganisationByKey(key)
 	if !ok {
-		return table.Member{}, answer.New(answer.KindBadKey, "")
+		return table.Organisation{}, answer.New(answer.KindBadKey, "")
 	}
 	return m, nil
 }
@@ -156,7 +156,7 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (d *Desk) serveModels(w http.ResponseWriter, _ *http.Request, _ table.Member) error {
+func (d *Desk) serveModels(w http.ResponseWriter, _ *http.Request, _ table.Organisation) error {
 	list := modelList{Object: "list", Data: []modelItem{}}
 	for name := range d.host.Table().Models {
 		list.Data = append(list.Data, item(name))
@@ -165,7 +165,7 @@
 	return writeJSON(w, list)
 }
 
-func (d *Desk) serveModel(w http.ResponseWriter, r *http.Request, _ table.Member) error {
+func (d *Desk) serveModel(w http.ResponseWriter, r *http.Request, _ table.Organisation) error {
 	name := mux.Vars(r)["model"]
 	if _, ok := d.host.Table().Models[name]; !ok {
 		return answer.New(answer.KindUnknownModel, "")
@@ -175,16 +175,16 @@
 
 func item(name string) modelItem { return modelItem{ID: name, Object: "model", Owner: "wigeonlink"} }
 
-// serveShares shows a member what it was promised and got, and the same of the
-// member that has used the most.
-func (d *Desk) serveShares(w http.ResponseWriter, _ *http.Request, m table.Member) error {
+// serveShares shows an organisation what it was promised and got, and the same of the
+// organisation that has used the most.
+func (d *Desk) serveShares(w http.ResponseWriter, _ *http.Request, m table.Organisation) error {
 	var rows []dispatch.ShareRow
 	if !d.host.Ask(func(r *dispatch.Reducer) { rows = r.Shares() }) {
 		return answer.New(answer.KindStopping, "")
 	}
 	var v shareView
 	for _, row := range rows {
-		if row.Member == m.Name {
+		if row.Organisation == m.Name {
 			v.Own = row
 		}
 		if row.Service >= v.Largest.Service {
--- a/desk/generation.go
+++ b/desk/generation.go
@@ -44,16 +44,16 @@
 
 	// generation is one caller's generation, over all its attempts.
 	generation struct {
-		desk    *Desk
-		member  table.Member
-		shape   shape
-		model   string
-		prompt  string
-		limit   int
-		stream  bool
-		usage   bool
-		resumes bool // the caller goes on elsewhere when its stream breaks
-		booking *host.Booking
+		desk         *Desk
+		organisation table.Organisation
+		shape        shape
+		model        string
+		prompt       string
+		limit        int
+		stream       bool
+		usage        bool
+		resumes      bool // the caller goes on elsewhere when its stream breaks
+		booking      *host.Booking
 	}
 )
 
@@ -71,15 +71,15 @@
 	mostTokens   = 1 << 20 // largest limit that a caller may ask for
 )
 
-func (d *Desk) serveCompletion(w http.ResponseWriter, r *http.Request, m table.Member) error {
+func (d *Desk) serveCompletion(w http.ResponseWriter, r *http.Request, m table.Organisation) error {
 	return d.serveGeneration(w, r, m, shapeCompletion)
 }
 
-func (d *Desk) serveChat(w http.ResponseWriter, r *http.Request, m table.Member) error {
+func (d *Desk) serveChat(w http.ResponseWriter, r *http.Request, m table.Organisation) error {
 	return d.serveGeneration(w, r, m, shapeChat)
 }
 
-func (d *Desk) serveGeneration(w http.ResponseWriter, r *http.Request, m table.Member, s shape) error {
+func (d *Desk) serveGeneration(w http.ResponseWriter, r *http.Request, m table.Organisation, s shape) error {
 	if last := r.Header.Get(HeaderLastEvent); last != "" {
 		return d.resume(w, r, m, last)
 	}
@@ -91,10 +91,10 @@
 		return err
 	}
 	submit := dispatch.Submit{
-		Member: m.Name,
-		Pool:   g.model,
-		Route:  s.String() + " " + r.Header.Get(HeaderRoute),
-		Limit:  g.limit,
+		Organisation: m.Name,
+		Pool:         g.model,
+		Route:        s.String() + " " + r.Header.Get(HeaderRoute),
+		Limit:        g.limit,
 	}
 	prefixOf(&submit, g.prompt)
 	if submit.Deadline, err = readDeadline(r); err != nil {
@@ -117,7 +117,7 @@
 	return time.Now().Add(within), nil
 }
 
-func (d *Desk) readGeneration(w http.ResponseWriter, r *http.Request, m table.Member, s shape) (*generation, error) {
+func (d *Desk) readGeneration(w http.ResponseWriter, r *http.Request, m table.Organisation, s shape) (*generation, error) {
 	data, err := d.readBody(w, r)
 	if err != nil {
 		return nil, err
@@ -139,14 +139,14 @@
 		return nil, answer.New(answer.KindUnknownModel, "")
 	}
 	g := &generation{
-		desk:    d,
-		member:  m,
-		shape:   s,
-		model:   body.Model,
-		limit:   limit,
-		stream:  body.Stream,
-		usage:   body.Options.Usage,
-		resumes: body.Stream && r.Header.Get(HeaderResumes) == "yes",
+		desk:         d,
+		organisation: m,
+		shape:        s,
+		model:        body.Model,
+		limit:        limit,
+		stream:       body.Stream,
+		usage:        body.Options.Usage,
+		resumes:      body.Stream && r.Header.Get(HeaderResumes) == "yes",
 	}
 	g.prompt, err = promptOf(&body, s)
 	return g, err
@@ -298,7 +298,7 @@
 }
 
 // resume goes on with a stream that was begun here or on another host.
-func (d *Desk) resume(w http.ResponseWriter, r *http.Request, m table.Member, last string) error {
+func (d *Desk) resume(w http.ResponseWriter, r *http.Request, m table.Organisation, last string) error {
 	at, err := d.keys.OpenCursor(last, m.Name, time.Now())
 	if err != nil {
 		return err
@@ -308,13 +308,13 @@
 	if !ok {
 		return answer.New(answer.KindTargetLost, "the generation's target is no longer in the table")
 	}
-	g := &generation{desk: d, member: m, shape: shape(c.Shape), model: c.Model, stream: true, usage: c.Usage, resumes: true}
+	g := &generation{desk: d, organisation: m, shape: shape(c.Shape), model: c.Model, stream: true, usage: c.Usage, resumes: true}
 	g.booking = d.host.Attach(dispatch.Attach{
-		Member: m.Name,
-		Pool:   c.Model,
-		Target: c.Target,
-		Prompt: int(c.Prompt),
-		Tokens: at.Next,
+		Organisation: m.Name,
+		Pool:         c.Model,
+		Target:       c.Target,
+		Prompt:       int(c.Prompt),
+		Tokens:       at.Next,
 	})
 	defer g.booking.Release()
 	s := g.resumedSink(w, last, c)
@@ -326,16 +326,16 @@
 // cursorOf seals what a caller needs to resume the stream.
 func (g *generation) cursorOf(boot, generationID, targetName string, created time.Time) (string, error) {
 	return g.desk.keys.SealCursor(&wire.Cursor{
-		Member:     table.Hash(g.member.Name),
-		Target:     targetName,
-		Boot:       boot,
-		Generation: generationID,
-		Table:      g.desk.host.Table().Version,
-		Expiry:     created.Add(ticket.CursorLife).Unix(),
-		Model:      g.model,
-		Shape:      uint32(g.shape),
-		Created:    created.Unix(),
-		Prompt:     uint32(target.CountTokens(g.prompt)),
-		Usage:      g.usage,
+		Organisation: table.Hash(g.organisation.Name),
+		Target:       targetName,
+		Boot:         boot,
+		Generation:   generationID,
+		Table:        g.desk.host.Table().Version,
+		Expiry:       created.Add(ticket.CursorLife).Unix(),
+		Model:        g.model,
+		Shape:        uint32(g.shape),
+		Created:      created.Unix(),
+		Prompt:       uint32(target.CountTokens(g.prompt)),
+		Usage:        g.usage,
 	})
 }
--- a/desk/service.go
+++ b/desk/service.go
@@ -11,11 +11,11 @@
 	"github.com/wigeonlink/wigeonlink/target"
 )
 
-// HeaderMember names the header by which a plain service learns the member.
-const HeaderMember = "Wigeonlink-Member"
+// HeaderOrganisation names the header by which a plain service learns the organisation.
+const HeaderOrganisation = "Wigeonlink-Organisation"
 
 // serveService passes a call to a plain service.
-func (d *Desk) serveService(w http.ResponseWriter, r *http.Request, m table.Member) error {
+func (d *Desk) serveService(w http.ResponseWriter, r *http.Request, m table.Organisation) error {
 	name := mux.Vars(r)["service"]
 	if _, ok := d.host.Table().Services[name]; !ok {
 		return answer.New(answer.KindUnknownService, "")
@@ -34,7 +34,7 @@
 	}
 	call := target.Call{Method: r.Method, Path: path, Query: r.URL.RawQuery, Header: r.Header.Clone(), Body: body}
 	call.Header.Del("Authorization")
-	call.Header.Set(HeaderMember, m.Name)
+	call.Header.Set(HeaderOrganisation, m.Name)
 	if r.Header.Get(HeaderTicket) != "" {
 		return d.callOnce(w, r, m, name, call, deadline)
 	}
--- a/desk/ticket.go
+++ b/desk/ticket.go
@@ -27,7 +27,7 @@
 const HeaderTicket = "Wigeonlink-Ticket"
 
 // serveIssue issues a ticket that lets one call run at most once.
-func (d *Desk) serveIssue(w http.ResponseWriter, _ *http.Request, m table.Member) error {
+func (d *Desk) serveIssue(w http.ResponseWriter, _ *http.Request, m table.Organisation) error {
 	t, err := d.host.IssueTicket(m.Name)
 	if err != nil {
 		return err
@@ -40,21 +40,21 @@
 }
 
 // serveOutcome tells what became of a ticket's call.
-func (d *Desk) serveOutcome(w http.ResponseWriter, r *http.Request, m table.Member) error {
+func (d *Desk) serveOutcome(w http.ResponseWriter, r *http.Request, m table.Organisation) error {
 	return d.askTicket(w, r, m, host.TicketLook)
 }
 
 // serveBurn makes sure that an unused ticket's call never runs.
-func (d *Desk) serveBurn(w http.ResponseWriter, r *http.Request, m table.Member) error {
+func (d *Desk) serveBurn(w http.ResponseWriter, r *http.Request, m table.Organisation) error {
 	return d.askTicket(w, r, m, host.TicketBurn)
 }
 
-func (d *Desk) askTicket(w http.ResponseWriter, r *http.Request, m table.Member, action host.TicketAction) error {
+func (d *Desk) askTicket(w http.ResponseWriter, r *http.Request, m table.Organisation, action host.TicketAction) error {
 	t, err := d.keys.OpenTicket(mux.Vars(r)["ticket"], m.Name)
 	if err != nil {
 		return err
 	}
-	reply, err := d.host.UseTicket(r.Context(), t, &wire.TicketCall{Member: m.Name, Action: uint32(action)})
+	reply, err := d.host.UseTicket(r.Context(), t, &wire.TicketCall{Organisation: m.Name, Action: uint32(action)})
 	if err != nil {
 		return err
 	}
@@ -70,7 +70,7 @@
 }
 
 // callOnce makes a call that carries a ticket: at its one host, at most once.
-func (d *Desk) callOnce(w http.ResponseWriter, r *http.Request, m table.Member, service string, c target.Call, deadline time.Time) error {
+func (d *Desk) callOnce(w http.ResponseWriter, r *http.Request, m table.Organisation, service string, c target.Call, deadline time.Time) error {
 	t, err := d.keys.OpenTicket(r.Header.Get(HeaderTicket), m.Name)
 	if err != nil {
 		return err
@@ -84,15 +84,15 @@
 		within = uint32(max(time.Until(deadline).Milliseconds(), 1))
 	}
 	reply, err := d.host.UseTicket(r.Context(), t, &wire.TicketCall{
-		Member:  m.Name,
-		Action:  uint32(host.TicketExecute),
-		Service: service,
-		Method:  c.Method,
-		Path:    c.Path,
-		Query:   c.Query,
-		Header:  host.WireHeader(c.Header),
-		Body:    c.Body,
-		Within:  within,
+		Organisation: m.Name,
+		Action:       uint32(host.TicketExecute),
+		Service:      service,
+		Method:       c.Method,
+		Path:         c.Path,
+		Query:        c.Query,
+		Header:       host.WireHeader(c.Header),
+		Body:         c.Body,
+		Within:       within,
 	})
 	if err != nil {
 		return err
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -27,7 +27,7 @@
 		Prefill  time.Duration // until the request's prompt is computed
 		Extra    time.Duration // of that, the request's own part
 		Expected float64       // output expected of the request, in tokens
-		Tail     float64       // member's weight of the tail, from 0 to 1
+		Tail     float64       // organisation's weight of the tail, from 0 to 1
 		Plain    bool
 	}
 
@@ -72,7 +72,7 @@
 	sampleAbove = 64   // targets above which a sample is scored
 	sampleSize  = 16   // targets in a sample
 	tailLimit   = 2.2  // time between tokens over an empty engine's, at full weight of the tail
-	turnExcess  = 0.1  // excess from which a member's requests compete with all others
+	turnExcess  = 0.1  // excess from which an organisation's requests compete with all others
 	leastTurn   = 100 * time.Millisecond
 	stallExtra  = 0.75 // standard deviations more, at full weight of stalls
 )
@@ -110,7 +110,7 @@
 // score costs a target, and reports whether it has room.
 func (r *Reducer) score(q *request, t *targetState, demand *forecast.Demand, excess float64) (float64, bool) {
 	all := t.demand(r.now)
-	tail, stall := r.objective(q.member)
+	tail, stall := r.objective(q.organisation)
 	c := &r.candidate
 	*c = Candidate{
 		Own:      t.running,
@@ -155,7 +155,7 @@
 }
 
 // contenders returns how many hosts hold requests that compete for the pool's room
-// with one of a member that is over its share by excess, this host included, and this
+// with one of an organisation that is over its share by excess, this host included, and this
 // host's rank among them. Who is over its share competes with all; the others only
 // with each other.
 func (r *Reducer) contenders(p *pool, excess float64) (count, rank int) {
@@ -181,7 +181,7 @@
 		if o.held[i].Pool != p.name {
 			continue
 		}
-		m := r.members[o.held[i].Member]
+		m := r.organisations[o.held[i].Organisation]
 		if excess > turnExcess || m != nil && r.excess(r.level(m, p), o.held[i].Age, p) <= turnExcess {
 			return true
 		}
@@ -199,7 +199,7 @@
 }
 
 // crowdsPrompts reports whether a further prompt would make the streams on a target
-// wait for several prompts in one step. The more a member weighs the tail, the less
+// wait for several prompts in one step. The more an organisation weighs the tail, the less
 // is allowed.
 func (r *Reducer) crowdsPrompts(t *targetState, demand *forecast.Demand, tail float64) bool {
 	if r.options.burst == 0 || t.unfilled == 0 {
@@ -209,9 +209,9 @@
 	return float64(t.unfilled)+demand.Mean[0] > allowed
 }
 
-// objective returns a member's weights of the tail of time between tokens and of
+// objective returns an organisation's weights of the tail of time between tokens and of
 // stall time, adding up to 1.
-func (r *Reducer) objective(m *member) (tail, stall float64) {
+func (r *Reducer) objective(m *organisation) (tail, stall float64) {
 	sum := m.spec.Tail + m.spec.Stall
 	if !r.options.objective || sum == 0 {
 		return 0.5, 0.5
--- a/dispatch/decide_bench_test.go
+++ b/dispatch/decide_bench_test.go
@@ -19,16 +19,16 @@
 	Fatal(...any)
 }
 
-// benchTable declares members and engines, and splits the engines over the models.
-func benchTable(tb fataler, members, models, engines int) *table.Table {
+// benchTable declares organisations and engines, and splits the engines over the models.
+func benchTable(tb fataler, organisations, models, engines int) *table.Table {
 	tb.Helper()
 	var b strings.Builder
 	b.WriteString("kind,version,name,weight,key,model,domain,address,checks,memory,queue\ntable,1\n")
 	for i := range models {
 		fmt.Fprintf(&b, "model,,model-%d\n", i)
 	}
-	for i := range members {
-		fmt.Fprintf(&b, "member,,member-%d,%d,%s,,,,,,100000\n", i, 1+i%5, table.FormatKey(fmt.Sprint(i)))
+	for i := range organisations {
+		fmt.Fprintf(&b, "organisation,,organisation-%d,%d,%s,,,,,,100000\n", i, 1+i%5, table.FormatKey(fmt.Sprint(i)))
 	}
 	for i := range engines {
 		fmt.Fprintf(&b, "engine,,engine-%04d,,,model-%d,d,127.0.0.1:%d,yes,1000000\n", i, i%models, i+1)
@@ -43,20 +43,20 @@
 // A decisionLoop keeps a number of requests running: each operation submits one and
 // ends the oldest.
 type decisionLoop struct {
-	reducer *Reducer
-	now     time.Time
-	id      ID
-	running []ID
-	members []string
-	models  []string
+	reducer       *Reducer
+	now           time.Time
+	id            ID
+	running       []ID
+	organisations []string
+	models        []string
 }
 
-func newDecisionLoop(tb testing.TB, members, models, engines, running int) *decisionLoop {
+func newDecisionLoop(tb testing.TB, organisations, models, engines, running int) *decisionLoop {
 	tb.Helper()
 	l := &decisionLoop{reducer: NewReducer(WithBurst(0), WithFresh(0)), now: benchEpoch}
-	l.reducer.Reduce(l.now, TableChange{Table: benchTable(tb, members, models, engines)})
-	for i := range members {
-		l.members = append(l.members, fmt.Sprintf("member-%d", i))
+	l.reducer.Reduce(l.now, TableChange{Table: benchTable(tb, organisations, models, engines)})
+	for i := range organisations {
+		l.organisations = append(l.organisations, fmt.Sprintf("organisation-%d", i))
 	}
 	for i := range models {
 		l.models = append(l.models, fmt.Sprintf("model-%d", i))
@@ -72,11 +72,11 @@
 	l.now = l.now.Add(time.Millisecond)
 	n := int(l.id)
 	effects := l.reducer.Reduce(l.now, Submit{
-		ID:     l.id,
-		Member: l.members[n%len(l.members)],
-		Pool:   l.models[n%len(l.models)],
-		Route:  "chat",
-		Prompt: 300 + n%200,
+		ID:           l.id,
+		Organisation: l.organisations[n%len(l.organisations)],
+		Pool:         l.models[n%len(l.models)],
+		Route:        "chat",
+		Prompt:       300 + n%200,
 	})
 	if len(effects) == 0 || effects[0].Kind != EffectDispatch {
 		tb.Fatalf("request %d: %v", l.id, effects)
@@ -93,15 +93,15 @@
 // BenchmarkDecide measures one decision: a submission that is dispatched, and the
 // end of an older request.
 func BenchmarkDecide(b *testing.B) {
-	for _, s := range []struct{ members, models, engines int }{
+	for _, s := range []struct{ organisations, models, engines int }{
 		{10, 1, 18}, {10, 1, 64}, {100, 8, 128}, {400, 8, 512}, {1600, 8, 957}, {1600, 8, 6700},
 	} {
-		b.Run(fmt.Sprintf("members=%d/models=%d/targets=%d", s.members, s.models, s.engines), func(b *testing.B) {
+		b.Run(fmt.Sprintf("organisations=%d/models=%d/targets=%d", s.organisations, s.models, s.engines), func(b *testing.B) {
 			var before, after runtime.MemStats
 			runtime.GC()
 			runtime.ReadMemStats(&before)
-			l := newDecisionLoop(b, s.members, s.models, s.engines, 400)
-			for range 4 * s.members { // every member and model is known
+			l := newDecisionLoop(b, s.organisations, s.models, s.engines, 400)
+			for range 4 * s.organisations { // every organisation and model is known
 				l.submit(b)
 				l.end()
 			}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -20,10 +20,10 @@
 	effects []Effect
 }
 
-func newRig(t *testing.T, members, engines int, opts ...Option) *rig {
+func newRig(t *testing.T, organisations, engines int, opts ...Option) *rig {
 	c := qt.New(t)
 	r := &rig{C: c, reducer: NewReducer(append([]Option{WithFresh(0)}, opts...)...), now: benchEpoch}
-	r.do(0, TableChange{Table: benchTable(t, members, 1, engines)})
+	r.do(0, TableChange{Table: benchTable(t, organisations, 1, engines)})
 	return r
 }
 
@@ -57,8 +57,8 @@
 	r.Assert(ok, qt.IsFalse, qt.Commentf("effects %v", r.effects))
 }
 
-func submit(id ID, member string) Submit {
-	return Submit{ID: id, Member: member, Pool: "model-0", Route: "chat", Prompt: 100}
+func submit(id ID, organisation string) Submit {
+	return Submit{ID: id, Organisation: organisation, Pool: "model-0", Route: "chat", Prompt: 100}
 }
 
 func TestLostAttemptIsRepeatedOnlyWhenItProvablyIsOver(t *testing.T) {
@@ -82,9 +82,9 @@
 		t.Run(tc.name, func(t *testing.T) {
 			r := newRig(t, 1, 4)
 			for id := range ID(10) { // earns a retry
-				r.do(time.Millisecond, submit(100+id, "member-0"))
+				r.do(time.Millisecond, submit(100+id, "organisation-0"))
 			}
-			s := submit(1, "member-0")
+			s := submit(1, "organisation-0")
 			s.Once = tc.once
 			r.do(time.Second, s)
 			first := r.mustBe(EffectDispatch)
@@ -105,7 +105,7 @@
 	r := newRig(t, 1, 50)
 	const requests = 400
 	for id := range ID(requests) {
-		r.do(time.Second, submit(id+1, "member-0"))
+		r.do(time.Second, submit(id+1, "organisation-0"))
 		for range retryMost {
 			if _, ok := r.of(EffectDispatch); ok {
 				r.do(time.Millisecond, Failed{ID: id + 1, Certainty: target.CertainNotRun})
@@ -122,11 +122,11 @@
 	r := newRig(t, 1, 2, WithBurst(0))
 	r.do(0, Roster{Leaving: map[string]bool{"engine-0000": true}})
 	for id := range ID(20) {
-		r.do(time.Second, submit(id+1, "member-0"))
+		r.do(time.Second, submit(id+1, "organisation-0"))
 		r.Assert(r.mustBe(EffectDispatch).Target, qt.Equals, "engine-0001")
 	}
 	r.do(0, LoadReport{Target: "engine-0001", Load: target.Load{Leaving: true}})
-	r.do(time.Second, submit(99, "member-0"))
+	r.do(time.Second, submit(99, "organisation-0"))
 	r.mustNotBe(EffectDispatch)
 	r.do(defaultPatience, Tick{})
 	r.Assert(r.mustBe(EffectRefuse).Answer, qt.Equals, answer.KindDeadline)
@@ -134,17 +134,17 @@
 
 func TestEngineNotHeardOfGetsNoNewWork(t *testing.T) {
 	r := newRig(t, 1, 1, WithFresh(defaultFresh))
-	r.do(0, submit(1, "member-0"))
+	r.do(0, submit(1, "organisation-0"))
 	r.mustNotBe(EffectDispatch)
 	r.do(0, LoadReport{Target: "engine-0000"})
 	r.mustBe(EffectDispatch)
-	r.do(defaultFresh+time.Millisecond, submit(2, "member-0"))
+	r.do(defaultFresh+time.Millisecond, submit(2, "organisation-0"))
 	r.mustNotBe(EffectDispatch)
 }
 
 func TestSilentStreamIsResumedWithGrowingPauses(t *testing.T) {
 	r := newRig(t, 1, 1)
-	r.do(0, submit(1, "member-0"))
+	r.do(0, submit(1, "organisation-0"))
 	last := r.now
 	for n := 1; n <= 20; n++ {
 		last = r.now
@@ -168,12 +168,12 @@
 func TestFullQueueIsRefusedAtOnceWithATime(t *testing.T) {
 	r := newRig(t, 1, 1)
 	r.do(0, Roster{Leaving: map[string]bool{"engine-0000": true}})
-	r.reducer.members["member-0"].spec.Queue = 3
+	r.reducer.organisations["organisation-0"].spec.Queue = 3
 	for id := range ID(3) {
-		r.do(0, submit(id+1, "member-0"))
+		r.do(0, submit(id+1, "organisation-0"))
 		r.mustNotBe(EffectRefuse)
 	}
-	r.do(0, submit(4, "member-0"))
+	r.do(0, submit(4, "organisation-0"))
 	refused := r.mustBe(EffectRefuse)
 	r.Assert(refused.Answer, qt.Equals, answer.KindQueueFull)
 	r.Assert(refused.Retry >= leastDrain, qt.IsTrue)
@@ -182,15 +182,15 @@
 func TestIdleShareComesBackToItsOwner(t *testing.T) {
 	r := newRig(t, 2, 1)
 	id := ID(0)
-	// One member fills the engine and keeps more waiting.
+	// One organisation fills the engine and keeps more waiting.
 	for range 4000 {
 		id++
-		r.do(time.Millisecond, submit(id, "member-0"))
+		r.do(time.Millisecond, submit(id, "organisation-0"))
 	}
 	r.Assert(r.reducer.pools["model-0"].held > 100, qt.IsTrue)
 	id++
 	owner := id
-	r.do(0, submit(owner, "member-1"))
+	r.do(0, submit(owner, "organisation-1"))
 	// The first room that opens goes to the owner of the idle share.
 	for done := ID(1); ; done++ {
 		r.do(time.Millisecond, Ended{ID: done, Usage: target.Usage{Output: 100}})
@@ -206,7 +206,7 @@
 	report := PeerReport{
 		Origin:   "p/1",
 		Sequence: 2,
-		Accounts: []share.Entry{{Account: share.Account{Member: "member-0"}, Use: 10, Holding: 5}},
+		Accounts: []share.Entry{{Account: share.Account{Organisation: "organisation-0"}, Use: 10, Holding: 5}},
 		Demands:  []TargetDemand{{"engine-0000", forecast.Demand{Streams: 3}}},
 	}
 	r.do(0, report)
@@ -214,10 +214,10 @@
 	report.Sequence = 1
 	r.do(0, report) // a late one
 	r.Assert(r.reducer.targets["engine-0000"].others.Streams, qt.Equals, 3.0)
-	r.Assert(r.reducer.ledger.Holding(share.Account{Member: "member-0"}), qt.Equals, 5.0)
+	r.Assert(r.reducer.ledger.Holding(share.Account{Organisation: "organisation-0"}), qt.Equals, 5.0)
 	r.do(peersExpiry, Tick{})
 	r.Assert(r.reducer.targets["engine-0000"].others.Streams, qt.Equals, 0.0)
-	r.Assert(r.reducer.ledger.Holding(share.Account{Member: "member-0"}), qt.Equals, 0.0)
+	r.Assert(r.reducer.ledger.Holding(share.Account{Organisation: "organisation-0"}), qt.Equals, 0.0)
 }
 
 func TestOlderTableIsIgnored(t *testing.T) {
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -22,28 +22,28 @@
 
 	// Submit is a new request.
 	Submit struct {
-		ID       ID
-		Member   string
-		Pool     string // model, or service
-		Plain    bool   // a call of a plain service
-		Once     bool   // not idempotent: never tried a second time
-		Route    string // what kind of call it is, for learning lengths
-		Prompt   int    // tokens
-		Prefix   uint64 // hash of the prompt's shareable prefix; 0 means none
-		Shared   int    // tokens of that prefix
-		Limit    int    // largest output in tokens; 0 means none
-		Output   int    // output in tokens if it is known ahead; 0 means unknown
-		Deadline time.Time
+		ID           ID
+		Organisation string
+		Pool         string // model, or service
+		Plain        bool   // a call of a plain service
+		Once         bool   // not idempotent: never tried a second time
+		Route        string // what kind of call it is, for learning lengths
+		Prompt       int    // tokens
+		Prefix       uint64 // hash of the prompt's shareable prefix; 0 means none
+		Shared       int    // tokens of that prefix
+		Limit        int    // largest output in tokens; 0 means none
+		Output       int    // output in tokens if it is known ahead; 0 means unknown
+		Deadline     time.Time
 	}
 
 	// Attach is a generation that another host started and a caller resumes here.
 	Attach struct {
-		ID     ID
-		Member string
-		Pool   string
-		Target string
-		Prompt int
-		Tokens int
+		ID           ID
+		Organisation string
+		Pool         string
+		Target       string
+		Prompt       int
+		Tokens       int
 	}
 
 	// Progress samples the running streams of this host.
@@ -118,12 +118,12 @@
 		Demand forecast.Demand
 	}
 
-	// A HeldCount is the number of a member's requests held on one host for want
+	// A HeldCount is the number of an organisation's requests held on one host for want
 	// of room.
 	HeldCount struct {
-		Member, Pool string
-		Count        int
-		Age          time.Duration // since its queue was last empty
+		Organisation, Pool string
+		Count              int
+		Age                time.Duration // since its queue was last empty
 	}
 
 	// Peers says how many hosts of this failure domain are live, this one
--- a/dispatch/invariant.go
+++ b/dispatch/invariant.go
@@ -11,8 +11,8 @@
 // twice.
 func (r *Reducer) Check() error {
 	running := map[*targetState]int{}
-	inflight := map[*member]int{}
-	held := map[*member]int{}
+	inflight := map[*organisation]int{}
+	held := map[*organisation]int{}
 	for id, q := range r.requests {
 		if q.id != id {
 			return eris.Errorf("request %d stands under %d", q.id, id)
@@ -20,14 +20,14 @@
 		switch q.phase {
 		case phaseSent:
 			running[q.target]++
-			inflight[q.member]++
+			inflight[q.organisation]++
 		case phaseHeld:
-			held[q.member]++
+			held[q.organisation]++
 		default:
 			return eris.Errorf("request %d has ended and is still in the books", id)
 		}
 	}
-	if err := r.checkMembers(inflight, held); err != nil {
+	if err := r.checkOrganisations(inflight, held); err != nil {
 		return err
 	}
 	if err := r.checkTargets(running); err != nil {
@@ -36,10 +36,10 @@
 	return r.checkPools()
 }
 
-func (r *Reducer) checkMembers(inflight, held map[*member]int) error {
-	for name, m := range r.members {
+func (r *Reducer) checkOrganisations(inflight, held map[*organisation]int) error {
+	for name, m := range r.organisations {
 		if m.inflight != inflight[m] || m.heldTotal != held[m] {
-			return eris.Errorf("member %s: %d in flight, %d held; the books have %d, %d",
+			return eris.Errorf("organisation %s: %d in flight, %d held; the books have %d, %d",
 				name, m.inflight, m.heldTotal, inflight[m], held[m])
 		}
 	}
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -61,7 +61,7 @@
 // free on an engine.
 func WithDeviations(n float64) Option { return withDeviations(n) }
 
-// WithReserve sets the share of an engine's memory kept from members that are
+// WithReserve sets the share of an engine's memory kept from organisations that are
 // over their share.
 func WithReserve(share float64) Option { return withReserve(share) }
 
@@ -82,11 +82,11 @@
 func WithFresh(d time.Duration) Option { return withFresh(d) }
 
 // WithBurst sets how many prompt tokens a host lets an engine compute at once, as
-// far as it knows, for a member that weighs tail and stall alike; 0 means any
+// far as it knows, for an organisation that weighs tail and stall alike; 0 means any
 // number.
 func WithBurst(tokens int) Option { return withBurst(tokens) }
 
-// WithObjective sets whether the members' weights of tail and stall act.
+// WithObjective sets whether the organisations' weights of tail and stall act.
 func WithObjective(on bool) Option { return withObjective(on) }
 
 // WithEngine sets the first guess of an engine's step: its base time, the time
@@ -108,7 +108,7 @@
 	defaultPatience   = 30 * time.Second
 	defaultBurst      = 512 // tokens
 	defaultFresh      = 2500 * time.Millisecond
-	defaultConsortium = 0.25 // weight of a member's use of other pools
+	defaultConsortium = 0.25 // weight of an organisation's use of other pools
 )
 
 func defaultOptions() options {
--- a/dispatch/member.go
+++ b/dispatch/organisation.go
@@ -11,9 +11,9 @@
 )
 
 type (
-	// member is what this host knows of one member.
-	member struct {
-		spec      table.Member
+	// organisation is what this host knows of one organisation.
+	organisation struct {
+		spec      table.Organisation
 		heldTotal int
 		inflight  int
 		refused   int
@@ -27,13 +27,13 @@
 	// rate is a generic cell rate: the time at which the next request conforms.
 	rate struct{ next time.Duration }
 
-	// memberQueue is a member's held requests of one pool, by rank.
-	memberQueue struct {
-		member   *member
-		held     []*request
-		since    time.Duration // when the queue was last empty
-		inflight int
-		level    float64 // use by weight, when last computed
+	// organisationQueue is an organisation's held requests of one pool, by rank.
+	organisationQueue struct {
+		organisation *organisation
+		held         []*request
+		since        time.Duration // when the queue was last empty
+		inflight     int
+		level        float64 // use by weight, when last computed
 	}
 )
 
@@ -55,9 +55,9 @@
 	return n
 }
 
-// takeRate takes one request out of the member's rates. It reports false, and
+// takeRate takes one request out of the organisation's rates. It reports false, and
 // takes nothing, if a rate is used up.
-func (r *Reducer) takeRate(m *member, p *pool) bool {
+func (r *Reducer) takeRate(m *organisation, p *pool) bool {
 	all, each := m.spec.Rate, r.limitOf(m, p).Rate
 	if r.wait(m, "", all) > 0 || r.wait(m, p.name, each) > 0 {
 		return false
@@ -68,7 +68,7 @@
 }
 
 // wait returns how long until the next request conforms to a rate.
-func (r *Reducer) wait(m *member, pool string, perSecond float64) time.Duration {
+func (r *Reducer) wait(m *organisation, pool string, perSecond float64) time.Duration {
 	c := m.rates[pool]
 	if perSecond <= 0 || c == nil {
 		return 0
@@ -76,7 +76,7 @@
 	return max(c.next-rateBurst-r.now, 0)
 }
 
-func (r *Reducer) advance(m *member, pool string, perSecond float64) {
+func (r *Reducer) advance(m *organisation, pool string, perSecond float64) {
 	if perSecond <= 0 {
 		return
 	}
@@ -90,19 +90,19 @@
 }
 
 // rateWait returns when a refused request may come back.
-func (r *Reducer) rateWait(m *member, p *pool) time.Duration {
+func (r *Reducer) rateWait(m *organisation, p *pool) time.Duration {
 	if p == nil {
 		return 0
 	}
 	return max(r.wait(m, "", m.spec.Rate), r.wait(m, p.name, r.limitOf(m, p).Rate), time.Millisecond)
 }
 
-func (r *Reducer) limitOf(m *member, p *pool) table.Limit {
-	return r.table.Limits[table.LimitKey{Member: m.spec.Name, Model: p.name}]
+func (r *Reducer) limitOf(m *organisation, p *pool) table.Limit {
+	return r.table.Limits[table.LimitKey{Organisation: m.spec.Name, Model: p.name}]
 }
 
-// capped reports whether a member has all the requests in flight that it may.
-func (r *Reducer) capped(m *member, p *pool) bool {
+// capped reports whether an organisation has all the requests in flight that it may.
+func (r *Reducer) capped(m *organisation, p *pool) bool {
 	if c := m.spec.Inflight; c > 0 && m.inflight >= r.portion(c) {
 		return true
 	}
@@ -110,24 +110,24 @@
 	return c > 0 && p.queueOf(m).inflight >= r.portion(c)
 }
 
-// weight returns a member's weight in a pool.
-func (r *Reducer) weight(m *member, p *pool) float64 {
+// weight returns an organisation's weight in a pool.
+func (r *Reducer) weight(m *organisation, p *pool) float64 {
 	if w := r.limitOf(m, p).Weight; w > 0 {
 		return w
 	}
 	return m.spec.Weight
 }
 
-// level returns what a member has had in a pool by its weight, with its use of
+// level returns what an organisation has had in a pool by its weight, with its use of
 // other pools counted in part.
-func (r *Reducer) level(m *member, p *pool) float64 {
-	here := r.ledger.Level(share.Account{Member: m.spec.Name, Pool: p.name}, r.now) / r.weight(m, p)
-	all := r.ledger.Level(share.Account{Member: m.spec.Name}, r.now) / m.spec.Weight
+func (r *Reducer) level(m *organisation, p *pool) float64 {
+	here := r.ledger.Level(share.Account{Organisation: m.spec.Name, Pool: p.name}, r.now) / r.weight(m, p)
+	all := r.ledger.Level(share.Account{Organisation: m.spec.Name}, r.now) / m.spec.Weight
 	return here + r.options.consortium*math.Max(all-here, 0)
 }
 
-// drainTime returns how long a member's queue takes to drain, as advice.
-func (r *Reducer) drainTime(m *member) time.Duration {
+// drainTime returns how long an organisation's queue takes to drain, as advice.
+func (r *Reducer) drainTime(m *organisation) time.Duration {
 	d := time.Duration(m.heldTotal/2) * m.leftEvery
 	return min(max(d, leastDrain), mostDrain)
 }
@@ -135,13 +135,13 @@
 // hold queues a request by its rank.
 func (r *Reducer) hold(q *request) {
 	q.phase = phaseHeld
-	mq := q.pool.queueOf(q.member)
+	mq := q.pool.queueOf(q.organisation)
 	if len(mq.held) == 0 {
 		mq.since = r.now
 	}
 	i, _ := slices.BinarySearchFunc(mq.held, q, byRank)
 	mq.held = slices.Insert(mq.held, i, q)
-	q.member.heldTotal++
+	q.organisation.heldTotal++
 	q.pool.held++
 	r.wakeBy(min(q.deadline, r.now+holdTick))
 }
@@ -162,10 +162,10 @@
 
 // unhold takes a request out of its queue.
 func (r *Reducer) unhold(q *request) {
-	mq := q.pool.queueOf(q.member)
+	mq := q.pool.queueOf(q.organisation)
 	if i := slices.Index(mq.held, q); i >= 0 {
 		mq.held = slices.Delete(mq.held, i, i+1)
-		q.member.heldTotal--
+		q.organisation.heldTotal--
 		q.pool.held--
 	}
 }
@@ -182,12 +182,12 @@
 	}
 }
 
-func (r *Reducer) expireQueue(mq *memberQueue) {
+func (r *Reducer) expireQueue(mq *organisationQueue) {
 	for i := len(mq.held) - 1; i >= 0; i-- {
 		q := mq.held[i]
 		if q.deadline <= r.now {
 			r.unhold(q)
-			r.finish(q, answer.KindDeadline, r.drainTime(q.member))
+			r.finish(q, answer.KindDeadline, r.drainTime(q.organisation))
 		}
 	}
 }
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -81,8 +81,8 @@
 	}
 	for _, p := range r.poolList {
 		for _, mq := range p.queues {
-			if len(mq.held) > 0 && !r.capped(mq.member, p) {
-				report.Held = append(report.Held, HeldCount{mq.member.spec.Name, p.name, len(mq.held), r.now - mq.since})
+			if len(mq.held) > 0 && !r.capped(mq.organisation, p) {
+				report.Held = append(report.Held, HeldCount{mq.organisation.spec.Name, p.name, len(mq.held), r.now - mq.since})
 			}
 		}
 	}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -14,37 +14,37 @@
 // pool is the targets that serve one model or one service, and the requests that
 // are held for them.
 type pool struct {
-	name     string
-	plain    bool
-	targets  []*targetState
-	queues   []*memberQueue
-	byMember map[*member]*memberQueue
-	held     int
-	inflight int
-	order    []*memberQueue // scratch of drain
-	fairAt   time.Duration
-	fair     float64 // mean use by weight over the active members
-	highest  float64 // level of the member that has had the most
+	name           string
+	plain          bool
+	targets        []*targetState
+	queues         []*organisationQueue
+	byOrganisation map[*organisation]*organisationQueue
+	held           int
+	inflight       int
+	order          []*organisationQueue // scratch of drain
+	fairAt         time.Duration
+	fair           float64 // mean use by weight over the active organisations
+	highest        float64 // level of the organisation that has had the most
 }
 
 const (
 	holdTick     = 25 * time.Millisecond // how often held requests are tried again
 	fairEvery    = 100 * time.Millisecond
-	bypass       = 4               // members passed over while a head waits for room
+	bypass       = 4               // organisations passed over while a head waits for room
 	bypassAge    = 2 * time.Second // age from which a head is not passed over
-	overSlack    = 0.02            // relative excess from which a member counts as over its share
+	overSlack    = 0.02            // relative excess from which an organisation counts as over its share
 	fullExcess   = 0.25            // relative excess that counts in full
 	excessPower  = 4
 	fullBacklog  = 2 * time.Second // age of a backlog that counts in full
-	pauseSlack   = 1.05            // level by which a member waits for one held elsewhere
-	activeWeight = 0.2             // service units a second from which a member counts as active
+	pauseSlack   = 1.05            // level by which an organisation waits for one held elsewhere
+	activeWeight = 0.2             // service units a second from which an organisation counts as active
 )
 
-func (p *pool) queueOf(m *member) *memberQueue {
-	mq := p.byMember[m]
+func (p *pool) queueOf(m *organisation) *organisationQueue {
+	mq := p.byOrganisation[m]
 	if mq == nil {
-		mq = &memberQueue{member: m}
-		p.byMember[m] = mq
+		mq = &organisationQueue{organisation: m}
+		p.byOrganisation[m] = mq
 		p.queues = append(p.queues, mq)
 	}
 	return mq
@@ -60,8 +60,8 @@
 	return len(p.targets) == 0
 }
 
-// drain sends held requests while there is room: the member with the least use by
-// weight first, within a member by rank.
+// drain sends held requests while there is room: the organisation with the least use by
+// weight first, within an organisation by rank.
 func (r *Reducer) drain(p *pool) {
 	if p.held == 0 {
 		return
@@ -71,7 +71,7 @@
 	for len(p.order) > 0 && passed < bypass {
 		mq := p.order[0]
 		q := r.head(mq)
-		if q == nil || r.capped(mq.member, p) || r.paused(mq, p) {
+		if q == nil || r.capped(mq.organisation, p) || r.paused(mq, p) {
 			p.order = slices.Delete(p.order, 0, 1)
 			continue
 		}
@@ -85,25 +85,25 @@
 			continue
 		}
 		r.send(q, t)
-		mq.level = r.level(mq.member, p)
+		mq.level = r.level(mq.organisation, p)
 		r.sink(p)
 	}
 }
 
-// order sorts the members with held requests by level.
+// order sorts the organisations with held requests by level.
 func (r *Reducer) order(p *pool) {
 	p.order = p.order[:0]
 	for _, mq := range p.queues {
 		if len(mq.held) == 0 {
 			continue
 		}
-		mq.level = r.level(mq.member, p)
+		mq.level = r.level(mq.organisation, p)
 		p.order = append(p.order, mq)
 	}
 	slices.SortStableFunc(p.order, byLevel)
 }
 
-func byLevel(a, b *memberQueue) int {
+func byLevel(a, b *organisationQueue) int {
 	switch {
 	case a.level < b.level:
 		return -1
@@ -121,7 +121,7 @@
 }
 
 // head returns the first request of a queue that is not backing off.
-func (r *Reducer) head(mq *memberQueue) *request {
+func (r *Reducer) head(mq *organisationQueue) *request {
 	for _, q := range mq.held {
 		if q.notBefore <= r.now {
 			return q
@@ -131,16 +131,16 @@
 	return nil
 }
 
-// paused reports whether a member lets others go first that are held on another
+// paused reports whether an organisation lets others go first that are held on another
 // host and have had less.
-func (r *Reducer) paused(mq *memberQueue, p *pool) bool {
+func (r *Reducer) paused(mq *organisationQueue, p *pool) bool {
 	for _, o := range r.peerList {
 		for _, h := range o.held {
-			m := r.members[h.Member]
-			if h.Pool != p.name || m == nil || m == mq.member {
+			m := r.organisations[h.Organisation]
+			if h.Pool != p.name || m == nil || m == mq.organisation {
 				continue
 			}
-			if mq.level > pauseSlack*r.level(m, p)+activeWeight/r.weight(mq.member, p) {
+			if mq.level > pauseSlack*r.level(m, p)+activeWeight/r.weight(mq.organisation, p) {
 				return true
 			}
 		}
@@ -148,10 +148,10 @@
 	return false
 }
 
-// excess returns how far a member of a level is over its share, from 0 for not at all
-// to 1. It counts in full for the member that is furthest over, if that is by
+// excess returns how far an organisation of a level is over its share, from 0 for not at all
+// to 1. It counts in full for the organisation that is furthest over, if that is by
 // fullExcess or more, and falls off steeply below: a burst beside a flood is not held
-// against its member. Nor is one that has not kept requests waiting for long.
+// against its organisation. Nor is one that has not kept requests waiting for long.
 func (r *Reducer) excess(level float64, backlog time.Duration, p *pool) float64 {
 	fair := r.fairLevel(p)
 	over := level/fair - 1
@@ -163,15 +163,15 @@
 	return lasting * min(over/fullExcess, 1) * math.Pow(part, excessPower)
 }
 
-// fairLevel returns the mean level over the members active in a pool.
+// fairLevel returns the mean level over the organisations active in a pool.
 func (r *Reducer) fairLevel(p *pool) float64 {
 	if p.fairAt != 0 && r.now-p.fairAt < fairEvery {
 		return p.fair
 	}
 	sum, weights := 0.0, 0.0
 	p.highest = 0
-	for _, m := range r.memberList {
-		use := r.ledger.Level(share.Account{Member: m.spec.Name, Pool: p.name}, r.now)
+	for _, m := range r.organisationList {
+		use := r.ledger.Level(share.Account{Organisation: m.spec.Name, Pool: p.name}, r.now)
 		if use > activeWeight {
 			p.highest = max(p.highest, r.level(m, p))
 			sum += use
@@ -188,7 +188,7 @@
 // send dispatches a held request.
 func (r *Reducer) send(q *request, t *targetState) {
 	r.unhold(q)
-	m := q.member
+	m := q.organisation
 	if m.leftAt > 0 {
 		m.leftEvery += time.Duration(drainWeight * float64(r.now-m.leftAt-m.leftEvery))
 	}
@@ -202,9 +202,9 @@
 	r.emit(Effect{Kind: EffectDispatch, ID: q.id, Target: t.spec.Name, Priority: r.priority(m)})
 }
 
-// priority returns the engine priority of a member's requests, lower first: the
-// more a member weighs stalls against the tail, the later it is preempted.
-func (r *Reducer) priority(m *member) int {
+// priority returns the engine priority of an organisation's requests, lower first: the
+// more an organisation weighs stalls against the tail, the later it is preempted.
+func (r *Reducer) priority(m *organisation) int {
 	if !r.options.objective || m.spec.Tail+m.spec.Stall == 0 {
 		return priorityScale / 2
 	}
@@ -219,32 +219,32 @@
 		return
 	}
 	r.table = e.Table
-	r.applyMembers()
+	r.applyOrganisations()
 	r.applyPools()
 	r.applyTargets()
 	r.rejectOrphans()
 	r.drainAll()
 }
 
-func (r *Reducer) applyMembers() {
-	for name, spec := range r.table.Members {
-		m := r.members[name]
+func (r *Reducer) applyOrganisations() {
+	for name, spec := range r.table.Organisations {
+		m := r.organisations[name]
 		if m == nil {
-			m = &member{rates: map[string]*rate{}}
-			r.members[name] = m
-			r.memberList = append(r.memberList, m)
+			m = &organisation{rates: map[string]*rate{}}
+			r.organisations[name] = m
+			r.organisationList = append(r.organisationList, m)
 		}
 		m.spec = spec
 	}
-	r.memberList = slices.DeleteFunc(r.memberList, func(m *member) bool {
-		_, known := r.table.Members[m.spec.Name]
+	r.organisationList = slices.DeleteFunc(r.organisationList, func(m *organisation) bool {
+		_, known := r.table.Organisations[m.spec.Name]
 		if known || m.inflight+m.heldTotal > 0 {
 			return false
 		}
-		delete(r.members, m.spec.Name)
+		delete(r.organisations, m.spec.Name)
 		return true
 	})
-	slices.SortFunc(r.memberList, func(a, b *member) int { return strings.Compare(a.spec.Name, b.spec.Name) })
+	slices.SortFunc(r.organisationList, func(a, b *organisation) int { return strings.Compare(a.spec.Name, b.spec.Name) })
 }
 
 func (r *Reducer) applyPools() {
@@ -260,7 +260,7 @@
 func (r *Reducer) poolOf(name string, plain bool) *pool {
 	p := r.pools[name]
 	if p == nil {
-		p = &pool{name: name, plain: plain, byMember: map[*member]*memberQueue{}}
+		p = &pool{name: name, plain: plain, byOrganisation: map[*organisation]*organisationQueue{}}
 		r.pools[name] = p
 		r.poolList = append(r.poolList, p)
 	}
@@ -303,14 +303,14 @@
 	return spec.Model
 }
 
-// rejectOrphans answers the held requests of pools and members that the table no
+// rejectOrphans answers the held requests of pools and organisations that the table no
 // longer has.
 func (r *Reducer) rejectOrphans() {
 	r.poolList = slices.DeleteFunc(r.poolList, func(p *pool) bool {
 		_, model := r.table.Models[p.name]
 		_, service := r.table.Services[p.name]
 		for _, mq := range p.queues {
-			_, known := r.table.Members[mq.member.spec.Name]
+			_, known := r.table.Organisations[mq.organisation.spec.Name]
 			if known && (model || service) {
 				continue
 			}
--- a/dispatch/random_test.go
+++ b/dispatch/random_test.go
@@ -45,17 +45,17 @@
 }
 
 // change puts the next table in force.
-func (m *machine) change(t *rapid.T, members, models, engines int) {
-	tab := *benchTable(t, members, models, engines)
+func (m *machine) change(t *rapid.T, organisations, models, engines int) {
+	tab := *benchTable(t, organisations, models, engines)
 	m.version++
 	tab.Version = m.version
-	spec := tab.Members["member-0"]
+	spec := tab.Organisations["organisation-0"]
 	spec.Inflight, spec.Queue = m.limit, 10
-	tab.Members["member-0"] = spec
-	for name, spec := range tab.Members {
-		if name != "member-0" {
+	tab.Organisations["organisation-0"] = spec
+	for name, spec := range tab.Organisations {
+		if name != "organisation-0" {
 			spec.Rate = 20
-			tab.Members[name] = spec
+			tab.Organisations[name] = spec
 		}
 	}
 	for name, g := range tab.Targets {
@@ -118,7 +118,7 @@
 	}
 	inflight := 0
 	for id := range m.sent {
-		if q := m.reducer.requests[id]; q != nil && q.member.spec.Name == "member-0" {
+		if q := m.reducer.requests[id]; q != nil && q.organisation.spec.Name == "organisation-0" {
 			inflight++
 		}
 	}
@@ -144,13 +144,13 @@
 func (m *machine) submit(t *rapid.T) {
 	m.nextID++
 	s := Submit{
-		ID:     m.nextID,
-		Member: fmt.Sprintf("member-%d", rapid.IntRange(0, 3).Draw(t, "member")),
-		Pool:   fmt.Sprintf("model-%d", rapid.IntRange(0, 2).Draw(t, "model")),
-		Prompt: rapid.IntRange(1, 4000).Draw(t, "prompt"),
-		Limit:  rapid.SampledFrom([]int{0, 1, 50, 5000}).Draw(t, "limit"),
-		Once:   rapid.Bool().Draw(t, "once"),
-		Prefix: rapid.Uint64Range(0, 3).Draw(t, "prefix"),
+		ID:           m.nextID,
+		Organisation: fmt.Sprintf("organisation-%d", rapid.IntRange(0, 3).Draw(t, "organisation")),
+		Pool:         fmt.Sprintf("model-%d", rapid.IntRange(0, 2).Draw(t, "model")),
+		Prompt:       rapid.IntRange(1, 4000).Draw(t, "prompt"),
+		Limit:        rapid.SampledFrom([]int{0, 1, 50, 5000}).Draw(t, "limit"),
+		Once:         rapid.Bool().Draw(t, "once"),
+		Prefix:       rapid.Uint64Range(0, 3).Draw(t, "prefix"),
 	}
 	s.Shared = s.Prompt / 2
 	if s.Once {
@@ -228,9 +228,9 @@
 			Origin:   rapid.SampledFrom([]string{"a", "b"}).Draw(t, "origin"),
 			Sequence: rapid.Uint64Range(1, 100).Draw(t, "sequence"),
 			Place:    1,
-			Accounts: []share.Entry{{Account: share.Account{Member: "member-0", Pool: "model-0"}, Use: rapid.Float64().Draw(t, "use")}},
+			Accounts: []share.Entry{{Account: share.Account{Organisation: "organisation-0", Pool: "model-0"}, Use: rapid.Float64().Draw(t, "use")}},
 			Demands:  []TargetDemand{{engine, forecast.Demand{Streams: 2, Mean: [forecast.Horizons]float64{500, 500, 400}}}},
-			Held:     []HeldCount{{"member-1", "model-0", 3, time.Second}},
+			Held:     []HeldCount{{"organisation-1", "model-0", 3, time.Second}},
 		})
 	case 3:
 		m.feed(t, CacheReport{Target: engine, Prefix: rapid.Uint64Range(0, 3).Draw(t, "prefix"), Held: rapid.Bool().Draw(t, "held")})
@@ -239,7 +239,7 @@
 	case 5:
 		m.feed(t, Peers{Count: rapid.IntRange(0, 3).Draw(t, "count")})
 	case 6:
-		m.change(t, rapid.IntRange(1, 3).Draw(t, "members"), rapid.IntRange(1, 2).Draw(t, "models"), rapid.IntRange(1, 5).Draw(t, "engines"))
+		m.change(t, rapid.IntRange(1, 3).Draw(t, "organisations"), rapid.IntRange(1, 2).Draw(t, "models"), rapid.IntRange(1, 5).Draw(t, "engines"))
 	}
 }
 
@@ -285,7 +285,7 @@
 
 func TestCheckSeesABrokenBook(t *testing.T) {
 	r := newRig(t, 1, 1)
-	r.do(0, submit(1, "member-0"))
-	r.reducer.members["member-0"].inflight++
+	r.do(0, submit(1, "organisation-0"))
+	r.reducer.organisations["organisation-0"].inflight++
 	r.Assert(r.reducer.Check(), qt.IsNotNil)
 }
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -13,32 +13,32 @@
 // A Reducer is the state of one host's decisions. It is used by one goroutine at
 // a time.
 type Reducer struct {
-	options    options
-	epoch      time.Time
-	now        time.Duration // since epoch
-	table      *table.Table
-	members    map[string]*member
-	memberList []*member // by name
-	pools      map[string]*pool
-	poolList   []*pool // by name
-	targets    map[string]*targetState
-	requests   map[ID]*request
-	free       []*request
-	peers      map[string]*peer
-	peerList   []*peer // as first seen
-	gone       []ID    // sent requests whose caller went, in that order
-	leaving    map[string]bool
-	count      int // live hosts of this domain
-	place      int
-	turnLength time.Duration
-	ledger     *share.Ledger
-	lengths    *length.Predictor
-	budget     budget
-	stopping   bool
-	wake       time.Duration
-	candidate  Candidate // scratch of score
-	effects    []Effect
-	counts     Counts
+	options          options
+	epoch            time.Time
+	now              time.Duration // since epoch
+	table            *table.Table
+	organisations    map[string]*organisation
+	organisationList []*organisation // by name
+	pools            map[string]*pool
+	poolList         []*pool // by name
+	targets          map[string]*targetState
+	requests         map[ID]*request
+	free             []*request
+	peers            map[string]*peer
+	peerList         []*peer // as first seen
+	gone             []ID    // sent requests whose caller went, in that order
+	leaving          map[string]bool
+	count            int // live hosts of this domain
+	place            int
+	turnLength       time.Duration
+	ledger           *share.Ledger
+	lengths          *length.Predictor
+	budget           budget
+	stopping         bool
+	wake             time.Duration
+	candidate        Candidate // scratch of score
+	effects          []Effect
+	counts           Counts
 }
 
 // Counts are totals since the reducer was made.
@@ -50,14 +50,14 @@
 // TableChange has brought one.
 func NewReducer(opts ...Option) *Reducer {
 	r := &Reducer{
-		options:    defaultOptions(),
-		members:    map[string]*member{},
-		pools:      map[string]*pool{},
-		targets:    map[string]*targetState{},
-		requests:   map[ID]*request{},
-		peers:      map[string]*peer{},
-		count:      1,
-		turnLength: leastTurn,
+		options:       defaultOptions(),
+		organisations: map[string]*organisation{},
+		pools:         map[string]*pool{},
+		targets:       map[string]*targetState{},
+		requests:      map[ID]*request{},
+		peers:         map[string]*peer{},
+		count:         1,
+		turnLength:    leastTurn,
 	}
 	for _, o := range opts {
 		o.apply(&r.options)
@@ -126,7 +126,7 @@
 	case r.table == nil:
 		return answer.KindNotReady
 	}
-	m, p := r.members[e.Member], r.pools[e.Pool]
+	m, p := r.organisations[e.Organisation], r.pools[e.Pool]
 	switch {
 	case m == nil:
 		return answer.KindBadKey
@@ -148,7 +148,7 @@
 func (r *Reducer) refuseNew(e Submit, kind answer.Kind) {
 	r.counts.Refused++
 	retry := kind.Row().Retry
-	if m := r.members[e.Member]; m != nil {
+	if m := r.organisations[e.Organisation]; m != nil {
 		m.refused++
 		if kind == answer.KindQueueFull {
 			retry = r.drainTime(m)
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -11,21 +11,21 @@
 type (
 	// request is one request in the books of this host.
 	request struct {
-		id       ID
-		member   *member
-		pool     *pool
-		key      length.Key
-		curve    *length.Curve
-		phase    phase
-		once     bool
-		plain    bool
-		attached bool // resumed here, started elsewhere
+		id           ID
+		organisation *organisation
+		pool         *pool
+		key          length.Key
+		curve        *length.Curve
+		phase        phase
+		once         bool
+		plain        bool
+		attached     bool // resumed here, started elsewhere
 
 		prompt, shared, limit, output int
 		prefix                        uint64
 		arrived, deadline             time.Duration
 		expected                      float64       // output in tokens
-		rank                          time.Duration // order among the member's held
+		rank                          time.Duration // order among the organisation's held
 		notBefore                     time.Duration // end of a retry's backoff
 
 		target   *targetState
@@ -68,7 +68,7 @@
 func (r *Reducer) newRequest(e Submit) *request {
 	q := r.allocate()
 	q.id, q.once, q.plain = e.ID, e.Once, e.Plain
-	q.member, q.pool = r.members[e.Member], r.pools[e.Pool]
+	q.organisation, q.pool = r.organisations[e.Organisation], r.pools[e.Pool]
 	q.prompt, q.shared, q.prefix = e.Prompt, e.Shared, e.Prefix
 	q.limit, q.output = e.Limit, e.Output
 	q.arrived = r.now
@@ -78,7 +78,7 @@
 	}
 	q.rank = r.now
 	if !q.plain {
-		q.key = length.Key{Member: e.Member, Model: e.Pool, Route: e.Route}
+		q.key = length.Key{Organisation: e.Organisation, Model: e.Pool, Route: e.Route}
 		q.curve = r.lengths.Curve(q.key)
 		q.expected = expectedOutput(q)
 		q.rank += time.Duration(rankWeight * q.expected / streamRate * float64(time.Second))
@@ -146,9 +146,9 @@
 	q.interval = 0
 	t.running++
 	t.sequence = r.nextSequence()
-	q.member.inflight++
+	q.organisation.inflight++
 	q.pool.inflight++
-	q.pool.queueOf(q.member).inflight++
+	q.pool.queueOf(q.organisation).inflight++
 	r.updateDemand(q)
 	if !q.plain {
 		q.unfilled = q.prompt
@@ -156,9 +156,9 @@
 			q.unfilled -= q.shared
 		}
 		t.unfilled += q.unfilled
-		t.remember(q.prefix, r.now)
+		t.reorganisation(q.prefix, r.now)
 	}
-	r.ledger.Charge(q.member.spec.Name, q.pool.name, promptUnit*float64(q.prompt), r.now)
+	r.ledger.Charge(q.organisation.spec.Name, q.pool.name, promptUnit*float64(q.prompt), r.now)
 }
 
 // updateDemand replaces q's part of its target's demand and of the ledger's rate.
@@ -169,7 +169,7 @@
 	q.target.own.Add(&q.demand)
 	q.target.changed()
 	rate := q.serviceRate()
-	r.ledger.Hold(q.member.spec.Name, q.pool.name, rate-q.rate, r.now)
+	r.ledger.Hold(q.organisation.spec.Name, q.pool.name, rate-q.rate, r.now)
 	q.rate = rate
 }
 
@@ -183,10 +183,10 @@
 		t.own = forecast.Demand{}
 	}
 	t.changed()
-	q.member.inflight--
+	q.organisation.inflight--
 	q.pool.inflight--
-	q.pool.queueOf(q.member).inflight--
-	r.ledger.Hold(q.member.spec.Name, q.pool.name, -q.rate, r.now)
+	q.pool.queueOf(q.organisation).inflight--
+	r.ledger.Hold(q.organisation.spec.Name, q.pool.name, -q.rate, r.now)
 	q.demand, q.rate, q.unfilled, q.target = forecast.Demand{}, 0, 0, nil
 }
 
@@ -194,7 +194,7 @@
 func (r *Reducer) finish(q *request, kind answer.Kind, retry time.Duration) {
 	if kind != answer.KindNone {
 		r.counts.Refused++
-		q.member.refused++
+		q.organisation.refused++
 		if retry == 0 {
 			retry = kind.Row().Retry
 		}
@@ -211,13 +211,13 @@
 	r.counts.Ended++
 	r.chargeTo(q, max(e.Usage.Output, q.tokens))
 	if e.Usage.Cached > 0 {
-		r.ledger.Charge(q.member.spec.Name, q.pool.name, -promptUnit*float64(min(e.Usage.Cached, q.prompt)), r.now)
+		r.ledger.Charge(q.organisation.spec.Name, q.pool.name, -promptUnit*float64(min(e.Usage.Cached, q.prompt)), r.now)
 	}
 	if !q.plain {
 		r.observe(q, e.Usage)
 	}
 	q.target.breaker.succeed()
-	q.member.served++
+	q.organisation.served++
 	p := q.pool
 	r.leave(q)
 	r.forget(q)
@@ -242,20 +242,20 @@
 	}
 	cost := float64(fresh) * tokenCost(q.prompt+q.tokens+fresh/2)
 	q.tokens = tokens
-	q.member.tokens += fresh
-	r.ledger.Charge(q.member.spec.Name, q.pool.name, cost, r.now)
+	q.organisation.tokens += fresh
+	r.ledger.Charge(q.organisation.spec.Name, q.pool.name, cost, r.now)
 }
 
 func (e Attach) reduce(r *Reducer) {
-	m, p, t := r.members[e.Member], r.pools[e.Pool], r.targets[e.Target]
+	m, p, t := r.organisations[e.Organisation], r.pools[e.Pool], r.targets[e.Target]
 	if m == nil || p == nil || t == nil {
 		return
 	}
 	r.counts.Submitted++
 	q := r.allocate()
-	q.id, q.member, q.pool, q.prompt, q.tokens = e.ID, m, p, e.Prompt, e.Tokens
+	q.id, q.organisation, q.pool, q.prompt, q.tokens = e.ID, m, p, e.Prompt, e.Tokens
 	q.arrived, q.attached, q.attempts = r.now, true, 1
-	q.key = length.Key{Member: e.Member, Model: e.Pool}
+	q.key = length.Key{Organisation: e.Organisation, Model: e.Pool}
 	q.curve = r.lengths.Curve(q.key)
 	r.requests[q.id] = q
 	r.placeAt(q, t)
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -9,17 +9,17 @@
 )
 
 type (
-	// A ShareRow is a member's promise against its use.
+	// A ShareRow is an organisation's promise against its use.
 	ShareRow struct {
-		Member   string  `json:"member"`
-		Promised float64 `json:"promised"` // part of the service of all members
-		Got      float64 `json:"got"`      // part of the service that all members used lately
-		Service  float64 `json:"service"`  // service units a second, lately, over all hosts
-		Inflight int     `json:"inflight"` // requests at targets through this host
-		Held     int     `json:"held"`     // requests held on this host
-		Served   int     `json:"served"`   // whole answers by this host
-		Refused  int     `json:"refused"`  // requests refused by this host
-		Tokens   int     `json:"tokens"`   // tokens generated through this host
+		Organisation string  `json:"organisation"`
+		Promised     float64 `json:"promised"` // part of the service of all organisations
+		Got          float64 `json:"got"`      // part of the service that all organisations used lately
+		Service      float64 `json:"service"`  // service units a second, lately, over all hosts
+		Inflight     int     `json:"inflight"` // requests at targets through this host
+		Held         int     `json:"held"`     // requests held on this host
+		Served       int     `json:"served"`   // whole answers by this host
+		Refused      int     `json:"refused"`  // requests refused by this host
+		Tokens       int     `json:"tokens"`   // tokens generated through this host
 	}
 
 	// A TargetRow is a target's forecast against its memory.
@@ -38,26 +38,26 @@
 	}
 )
 
-// Shares returns a row for each member, by name.
+// Shares returns a row for each organisation, by name.
 func (r *Reducer) Shares() []ShareRow {
-	rows := make([]ShareRow, 0, len(r.memberList))
+	rows := make([]ShareRow, 0, len(r.organisationList))
 	weights, service := 0.0, 0.0
-	for _, m := range r.memberList {
+	for _, m := range r.organisationList {
 		weights += m.spec.Weight
-		service += r.ledger.Rate(share.Account{Member: m.spec.Name}, r.now)
+		service += r.ledger.Rate(share.Account{Organisation: m.spec.Name}, r.now)
 	}
-	for _, m := range r.memberList {
-		rate := r.ledger.Rate(share.Account{Member: m.spec.Name}, r.now)
+	for _, m := range r.organisationList {
+		rate := r.ledger.Rate(share.Account{Organisation: m.spec.Name}, r.now)
 		rows = append(rows, ShareRow{
-			Member:   m.spec.Name,
-			Promised: m.spec.Weight / weights,
-			Got:      rate / math.Max(service, 1e-9),
-			Service:  rate,
-			Inflight: m.inflight,
-			Held:     m.heldTotal,
-			Served:   m.served,
-			Refused:  m.refused,
-			Tokens:   m.tokens,
+			Organisation: m.spec.Name,
+			Promised:     m.spec.Weight / weights,
+			Got:          rate / math.Max(service, 1e-9),
+			Service:      rate,
+			Inflight:     m.inflight,
+			Held:         m.heldTotal,
+			Served:       m.served,
+			Refused:      m.refused,
+			Tokens:       m.tokens,
 		})
 	}
 	return rows
--- a/error_test.go
+++ b/error_test.go
@@ -53,7 +53,7 @@
 	c.Assert(err, qt.IsNil)
 	key := ec.Key
 	if key == "" {
-		key = consortium.Members[0].Key
+		key = consortium.Organisations[0].Key
 	}
 	if key != "-" {
 		req.Header.Set("Authorization", "Bearer "+key)
@@ -71,12 +71,12 @@
 	return resp.StatusCode, body
 }
 
-func TestCursorOfAnotherMemberIsRefused(t *testing.T) {
+func TestCursorOfAnotherOrganisationIsRefused(t *testing.T) {
 	c := newC(t)
 	consortium := startDemo(c, demo.WithSizes(2, 1))
 	var s stream
-	s.read(c, ask(c, &s, consortium.Entry(0).CallerURL(), consortium.Members[0].Key, prompt(20)), 3)
-	resp := ask(c, &s, consortium.Entry(0).CallerURL(), consortium.Members[1].Key, prompt(20))
+	s.read(c, ask(c, &s, consortium.Entry(0).CallerURL(), consortium.Organisations[0].Key, prompt(20)), 3)
+	resp := ask(c, &s, consortium.Entry(0).CallerURL(), consortium.Organisations[1].Key, prompt(20))
 	resp.Body.Close()
 	c.Assert(resp.StatusCode, qt.Equals, http.StatusForbidden)
 }
@@ -85,10 +85,10 @@
 	c := newC(t)
 	consortium := startDemo(c, demo.WithSizes(2, 1))
 	var s stream
-	s.read(c, ask(c, &s, consortium.Entry(0).CallerURL(), consortium.Members[0].Key, prompt(20)), 0)
+	s.read(c, ask(c, &s, consortium.Entry(0).CallerURL(), consortium.Organisations[0].Key, prompt(20)), 0)
 	s.checkWhole(c, 20)
 	past := stream{lastID: s.lastID[:strings.LastIndexByte(s.lastID, '.')] + ".400"}
-	past.read(c, ask(c, &past, consortium.Entry(0).CallerURL(), consortium.Members[0].Key, ""), 0)
+	past.read(c, ask(c, &past, consortium.Entry(0).CallerURL(), consortium.Organisations[0].Key, ""), 0)
 	c.Assert(past.done, qt.IsFalse)
 	c.Assert(past.texts, qt.HasLen, 0)
 	c.Assert(past.err.Code, qt.Equals, answer.KindPastEnd.String())
--- a/event/log.go
+++ b/event/log.go
@@ -18,13 +18,13 @@
 
 	// Fields are what an event is about. Empty ones are left out.
 	Fields struct {
-		Request string `json:"request,omitempty"` // generation or request identifier
-		Ticket  string `json:"ticket,omitempty"`
-		Member  string `json:"member,omitempty"`
-		Target  string `json:"target,omitempty"`
-		Peer    string `json:"peer,omitempty"`
-		Table   uint64 `json:"table,omitempty"` // version
-		Detail  string `json:"detail,omitempty"`
+		Request      string `json:"request,omitempty"` // generation or request identifier
+		Ticket       string `json:"ticket,omitempty"`
+		Organisation string `json:"organisation,omitempty"`
+		Target       string `json:"target,omitempty"`
+		Peer         string `json:"peer,omitempty"`
+		Table        uint64 `json:"table,omitempty"` // version
+		Detail       string `json:"detail,omitempty"`
 	}
 
 	// A Log writes events to the log and keeps the latest in a ring.
@@ -98,7 +98,7 @@
 	}
 	add("request", f.Request)
 	add("ticket", f.Ticket)
-	add("member", f.Member)
+	add("organisation", f.Organisation)
 	add("target", f.Target)
 	add("peer", f.Peer)
 	if f.Table != 0 {
--- a/host/booking.go
+++ b/host/booking.go
@@ -33,18 +33,18 @@
 func (h *Host) Submit(s dispatch.Submit) *Booking {
 	b := h.newBooking(s)
 	h.begin()
-	h.log.Emit(event.RequestSubmitted, event.Fields{Request: b.Name, Member: s.Member})
+	h.log.Emit(event.RequestSubmitted, event.Fields{Request: b.Name, Organisation: s.Organisation})
 	h.send(message{event: b.Submit, booking: b})
 	return b
 }
 
 // Attach books a stream that was begun on another host and is resumed here.
 func (h *Host) Attach(a dispatch.Attach) *Booking {
-	b := h.newBooking(dispatch.Submit{Member: a.Member, Pool: a.Pool, Prompt: a.Prompt})
+	b := h.newBooking(dispatch.Submit{Organisation: a.Organisation, Pool: a.Pool, Prompt: a.Prompt})
 	a.ID = b.ID
 	b.target = a.Target
 	h.begin()
-	h.log.Emit(event.RequestAttached, event.Fields{Request: b.Name, Member: a.Member, Target: a.Target})
+	h.log.Emit(event.RequestAttached, event.Fields{Request: b.Name, Organisation: a.Organisation, Target: a.Target})
 	h.send(message{event: a, booking: b})
 	return b
 }
@@ -80,7 +80,7 @@
 
 // Gone tells that the caller went away while the generation goes on.
 func (b *Booking) Gone(resumable bool) {
-	b.host.log.Emit(event.RequestGone, event.Fields{Request: b.Name, Member: b.Submit.Member})
+	b.host.log.Emit(event.RequestGone, event.Fields{Request: b.Name, Organisation: b.Submit.Organisation})
 	b.host.Post(dispatch.Gone{ID: b.ID, Resumable: resumable})
 }
 
@@ -92,7 +92,7 @@
 // Ended tells how an attempt ended. If it reports true, Wait has another verdict.
 func (b *Booking) Ended(r relay.Result) bool {
 	b.host.observer.Ended(b, r)
-	fields := event.Fields{Request: b.Name, Member: b.Submit.Member, Target: b.target}
+	fields := event.Fields{Request: b.Name, Organisation: b.Submit.Organisation, Target: b.target}
 	switch r.Ending {
 	case relay.EndFailed:
 		if r.Cause != nil {
--- a/host/control_bench_test.go
+++ b/host/control_bench_test.go
@@ -19,19 +19,19 @@
 )
 
 const (
-	benchMembers = 10
-	benchTargets = 18
-	benchStreams = 40 // running streams of a host
-	benchSettle  = 2 * time.Second
-	benchSpan    = 5 * time.Second
+	benchOrganisations = 10
+	benchTargets       = 18
+	benchStreams       = 40 // running streams of a host
+	benchSettle        = 2 * time.Second
+	benchSpan          = 5 * time.Second
 )
 
 // benchSheet is a table of a version, as the platform publishes it.
-func benchSheet(version, members, targets int) []byte {
+func benchSheet(version, organisations, targets int) []byte {
 	var b strings.Builder
 	fmt.Fprintf(&b, "kind,version,name,weight,key,model,domain,address,checks,memory\ntable,%d\nmodel,,m\n", version)
-	for i := range members {
-		fmt.Fprintf(&b, "member,,member-%d,%d,%s\n", i, 1+i%7, table.FormatKey(fmt.Sprint(i)))
+	for i := range organisations {
+		fmt.Fprintf(&b, "organisation,,organisation-%d,%d,%s\n", i, 1+i%7, table.FormatKey(fmt.Sprint(i)))
 	}
 	for i := range targets {
 		fmt.Fprintf(&b, "engine,,engine-%d,,,m,d,127.0.0.1:%d,yes,100000\n", i, 1+i)
@@ -123,9 +123,9 @@
 	before := heap()
 	c := newCrowd(b, n)
 	for _, h := range c.hosts {
-		h.TakeTable(benchSheet(1, benchMembers, benchTargets))
+		h.TakeTable(benchSheet(1, benchOrganisations, benchTargets))
 		for i := range benchStreams {
-			h.Submit(dispatch.Submit{Member: fmt.Sprintf("member-%d", i%benchMembers), Pool: "m", Prompt: 300})
+			h.Submit(dispatch.Submit{Organisation: fmt.Sprintf("organisation-%d", i%benchOrganisations), Pool: "m", Prompt: 300})
 		}
 	}
 	time.Sleep(benchSettle)
--- a/host/host.go
+++ b/host/host.go
@@ -318,11 +318,11 @@
 	switch f.Kind {
 	case dispatch.EffectDispatch:
 		b.target = f.Target
-		h.log.Emit(event.RequestDispatched, event.Fields{Request: b.Name, Member: b.Submit.Member, Target: f.Target})
+		h.log.Emit(event.RequestDispatched, event.Fields{Request: b.Name, Organisation: b.Submit.Organisation, Target: f.Target})
 		b.tell(f)
 	case dispatch.EffectRefuse:
 		delete(h.bookings, f.ID)
-		h.log.Emit(event.RequestRefused, event.Fields{Request: b.Name, Member: b.Submit.Member, Detail: f.Answer.String()})
+		h.log.Emit(event.RequestRefused, event.Fields{Request: b.Name, Organisation: b.Submit.Organisation, Detail: f.Answer.String()})
 		b.tell(f)
 	case dispatch.EffectResume:
 		b.Track.Kick()
--- a/host/mesh.go
+++ b/host/mesh.go
@@ -94,7 +94,7 @@
 			continue // the receiver adds the pools up
 		}
 		out.Accounts = append(out.Accounts, &wire.Account{
-			Member: a.Account.Member, Pool: a.Account.Pool,
+			Organisation: a.Account.Organisation, Pool: a.Account.Pool,
 			Use: float32(a.Use), Holding: float32(a.Holding),
 		})
 	}
@@ -103,7 +103,7 @@
 	}
 	for _, held := range r.Held {
 		out.Held = append(out.Held, &wire.Held{
-			Member: held.Member, Pool: held.Pool,
+			Organisation: held.Organisation, Pool: held.Pool,
 			Count: uint32(held.Count), Age: uint32(held.Age.Milliseconds()),
 		})
 	}
@@ -144,7 +144,7 @@
 	in := dispatch.PeerReport{Origin: r.Host + "/" + r.Incarnation, Sequence: r.Sequence, Place: int(r.Place)}
 	for _, a := range r.Accounts {
 		in.Accounts = append(in.Accounts, share.Entry{
-			Account: share.Account{Member: a.Member, Pool: a.Pool},
+			Account: share.Account{Organisation: a.Organisation, Pool: a.Pool},
 			Use:     float64(a.Use), Holding: float64(a.Holding),
 		})
 	}
@@ -154,23 +154,23 @@
 	}
 	for _, held := range r.Held {
 		in.Held = append(in.Held, dispatch.HeldCount{
-			Member: held.Member, Pool: held.Pool,
+			Organisation: held.Organisation, Pool: held.Pool,
 			Count: int(held.Count), Age: time.Duration(held.Age) * time.Millisecond,
 		})
 	}
 	m.Post(in)
 }
 
-// overPools adds up each member's use over its pools.
+// overPools adds up each organisation's use over its pools.
 func overPools(entries []share.Entry) []share.Entry {
 	var sums []share.Entry
 	at := map[string]int{}
 	for _, e := range entries {
-		i, ok := at[e.Account.Member]
+		i, ok := at[e.Account.Organisation]
 		if !ok {
 			i = len(sums)
-			at[e.Account.Member] = i
-			sums = append(sums, share.Entry{Account: share.Account{Member: e.Account.Member}})
+			at[e.Account.Organisation] = i
+			sums = append(sums, share.Entry{Account: share.Account{Organisation: e.Account.Organisation}})
 		}
 		sums[i].Use += e.Use
 		sums[i].Holding += e.Holding
--- a/host/mesh_test.go
+++ b/host/mesh_test.go
@@ -26,13 +26,13 @@
 func TestUseOverPoolsAddsUp(t *testing.T) {
 	c := qt.New(t)
 	sums := overPools([]share.Entry{
-		{Account: share.Account{Member: "a", Pool: "x"}, Use: 1, Holding: 2},
-		{Account: share.Account{Member: "b", Pool: "x"}, Use: 5},
-		{Account: share.Account{Member: "a", Pool: "y"}, Use: 3, Holding: 4},
+		{Account: share.Account{Organisation: "a", Pool: "x"}, Use: 1, Holding: 2},
+		{Account: share.Account{Organisation: "b", Pool: "x"}, Use: 5},
+		{Account: share.Account{Organisation: "a", Pool: "y"}, Use: 3, Holding: 4},
 	})
 	c.Assert(sums, qt.DeepEquals, []share.Entry{
-		{Account: share.Account{Member: "a"}, Use: 4, Holding: 6},
-		{Account: share.Account{Member: "b"}, Use: 5},
+		{Account: share.Account{Organisation: "a"}, Use: 4, Holding: 6},
+		{Account: share.Account{Organisation: "b"}, Use: 5},
 	})
 }
 
--- a/host/service.go
+++ b/host/service.go
@@ -11,9 +11,9 @@
 	"github.com/wigeonlink/wigeonlink/target"
 )
 
-// CallService makes a call of a plain service on behalf of a member. A call that no
+// CallService makes a call of a plain service on behalf of an organisation. A call that no
 // route names idempotent is sent once, whatever happens.
-func (h *Host) CallService(ctx context.Context, member, service string, c target.Call, deadline time.Time) (target.Reply, error) {
+func (h *Host) CallService(ctx context.Context, organisation, service string, c target.Call, deadline time.Time) (target.Reply, error) {
 	t := h.Table()
 	if t == nil {
 		return target.Reply{}, answer.New(answer.KindNotReady, "")
@@ -23,11 +23,11 @@
 		return target.Reply{}, answer.New(answer.KindUnknownService, "")
 	}
 	b := h.Submit(dispatch.Submit{
-		Member:   member,
-		Pool:     service,
-		Plain:    true,
-		Once:     !spec.Route(c.Method, c.Path).Idempotent,
-		Deadline: deadline,
+		Organisation: organisation,
+		Pool:         service,
+		Plain:        true,
+		Once:         !spec.Route(c.Method, c.Path).Idempotent,
+		Deadline:     deadline,
 	})
 	defer b.Release()
 	for {
--- a/host/tickets.go
+++ b/host/tickets.go
@@ -27,23 +27,23 @@
 const lookTimeout = 3 * time.Second
 
 // IssueTicket makes a ticket that this host executes.
-func (h *Host) IssueTicket(member string) (*wire.Ticket, error) {
+func (h *Host) IssueTicket(organisation string) (*wire.Ticket, error) {
 	t := h.Table()
 	if t == nil {
 		return nil, answer.New(answer.KindNotReady, "")
 	}
-	id, expiry, ok := h.tickets.Issue(member, time.Now())
+	id, expiry, ok := h.tickets.Issue(organisation, time.Now())
 	if !ok {
 		return nil, answer.New(answer.KindStopping, "no tickets are issued here now")
 	}
-	h.log.Emit(event.TicketIssued, event.Fields{Ticket: id, Member: member})
+	h.log.Emit(event.TicketIssued, event.Fields{Ticket: id, Organisation: organisation})
 	return &wire.Ticket{
-		Member:      table.Hash(member),
-		Host:        h.name,
-		Incarnation: h.incarnate,
-		Id:          id,
-		Expiry:      expiry.Unix(),
-		Table:       t.Version,
+		Organisation: table.Hash(organisation),
+		Host:         h.name,
+		Incarnation:  h.incarnate,
+		Id:           id,
+		Expiry:       expiry.Unix(),
+		Table:        t.Version,
 	}, nil
 }
 
@@ -73,7 +73,7 @@
 func (h *Host) lookAround(ctx context.Context, c *wire.TicketCall) (*wire.TicketReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
 	defer cancel()
-	look := &wire.TicketCall{Id: c.Id, Host: c.Host, Incarnation: c.Incarnation, Member: c.Member, Action: uint32(TicketLook)}
+	look := &wire.TicketCall{Id: c.Id, Host: c.Host, Incarnation: c.Incarnation, Organisation: c.Organisation, Action: uint32(TicketLook)}
 	if reply := h.actOn(ctx, look); ticket.State(reply.State) != ticket.StateNone {
 		return reply, nil
 	}
@@ -101,12 +101,12 @@
 	now := time.Now()
 	switch TicketAction(c.Action) {
 	case TicketLook:
-		s, r := h.tickets.Look(c.Id, c.Member, now)
+		s, r := h.tickets.Look(c.Id, c.Organisation, now)
 		return replyOf(s, r)
 	case TicketBurn:
-		s := h.tickets.Burn(c.Id, c.Member, now)
+		s := h.tickets.Burn(c.Id, c.Organisation, now)
 		if s == ticket.StateBurnt {
-			h.log.Emit(event.TicketBurnt, event.Fields{Ticket: c.Id, Member: c.Member})
+			h.log.Emit(event.TicketBurnt, event.Fields{Ticket: c.Id, Organisation: c.Organisation})
 		}
 		return replyOf(s, ticket.Reply{})
 	}
@@ -117,7 +117,7 @@
 func (h *Host) execute(ctx context.Context, c *wire.TicketCall) *wire.TicketReply {
 	d := ticket.DigestOf(c.Service, c.Method, c.Path, c.Query, c.Body)
 	for {
-		s, r, wait := h.tickets.Claim(c.Id, c.Member, d, time.Now())
+		s, r, wait := h.tickets.Claim(c.Id, c.Organisation, d, time.Now())
 		switch s {
 		case ticket.StateUnused:
 			s, r = h.run(ctx, c)
@@ -137,13 +137,13 @@
 // run makes a ticket's call. It goes on if the caller leaves: the outcome is asked
 // for later.
 func (h *Host) run(ctx context.Context, c *wire.TicketCall) (ticket.State, ticket.Reply) {
-	h.log.Emit(event.TicketExecuted, event.Fields{Ticket: c.Id, Member: c.Member})
+	h.log.Emit(event.TicketExecuted, event.Fields{Ticket: c.Id, Organisation: c.Organisation})
 	call := target.Call{Method: c.Method, Path: c.Path, Query: c.Query, Header: HTTPHeader(c.Header), Body: c.Body}
 	var deadline time.Time
 	if c.Within > 0 {
 		deadline = time.Now().Add(time.Duration(c.Within) * time.Millisecond)
 	}
-	reply, err := h.CallService(context.WithoutCancel(ctx), c.Member, c.Service, call, deadline)
+	reply, err := h.CallService(context.WithoutCancel(ctx), c.Organisation, c.Service, call, deadline)
 	if err == nil {
 		return ticket.StateRan, ticket.Reply{Status: reply.Status, Service: c.Service, Header: reply.Header, Body: reply.Body}
 	}
@@ -188,10 +188,10 @@
 	hand := &wire.Handover{Host: h.name, Incarnation: h.incarnate}
 	for _, e := range entries {
 		hand.Records = append(hand.Records, &wire.Record{
-			Id:     e.ID,
-			Member: e.Member,
-			Expiry: e.Expiry.Unix(),
-			Reply:  replyOf(e.State, e.Reply),
+			Id:           e.ID,
+			Organisation: e.Organisation,
+			Expiry:       e.Expiry.Unix(),
+			Reply:        replyOf(e.State, e.Reply),
 		})
 	}
 	for _, p := range h.peers() {
@@ -212,10 +212,10 @@
 func (h *Host) adopt(hand *wire.Handover) {
 	for _, r := range hand.Records {
 		h.tickets.Adopt(ticket.Entry{
-			ID:     r.Id,
-			Member: r.Member,
-			State:  ticket.State(r.Reply.GetState()),
-			Expiry: time.Unix(r.Expiry, 0),
+			ID:           r.Id,
+			Organisation: r.Organisation,
+			State:        ticket.State(r.Reply.GetState()),
+			Expiry:       time.Unix(r.Expiry, 0),
 			Reply: ticket.Reply{
 				Status:  int(r.Reply.GetStatus()),
 				Service: r.Reply.GetService(),
--- a/host_test.go
+++ b/host_test.go
@@ -80,7 +80,7 @@
 	waitUntil(c, "each domain sees itself only", func() bool { return lives(consortium, 0) == 1 && lives(consortium, 3) == 1 })
 	for at := range 4 {
 		var s stream
-		s.read(c, ask(c, &s, consortium.Entry(at).CallerURL(), consortium.Members[0].Key, prompt(20)), 0)
+		s.read(c, ask(c, &s, consortium.Entry(at).CallerURL(), consortium.Organisations[0].Key, prompt(20)), 0)
 		s.checkWhole(c, 20)
 	}
 	c.Assert(consortium.Publish(nil), qt.IsNil)
@@ -149,8 +149,8 @@
 func TestRollingRestartUnderLoad(t *testing.T) {
 	c := newC(t)
 	consortium := startPeers(c)
-	keys := make([]string, len(consortium.Members))
-	for i, m := range consortium.Members {
+	keys := make([]string, len(consortium.Organisations))
+	for i, m := range consortium.Organisations {
 		keys[i] = m.Key
 	}
 	ended := make(chan load.Report, 1)
@@ -184,7 +184,7 @@
 	for seed := range 6 {
 		consortium := startPeers(c)
 		var s stream
-		key := consortium.Members[seed%3].Key
+		key := consortium.Organisations[seed%3].Key
 		resp := ask(c, &s, consortium.Entry(seed%4).CallerURL(), key, prompt(300))
 		first, second := faults[seed%len(faults)], faults[(seed*3+1)%len(faults)]
 		throw(c, consortium, standin.Fault{Kind: first, Duration: 200 * time.Millisecond, Factor: 3})
--- a/length/predictor.go
+++ b/length/predictor.go
@@ -2,10 +2,10 @@
 
 type (
 	// A Key names a kind of request. Coarser kinds leave fields empty.
-	Key struct{ Member, Model, Route string }
+	Key struct{ Organisation, Model, Route string }
 
 	// A Predictor learns curves for kinds of requests. A kind with few
-	// observations leans on the coarser one: member and route, route, model,
+	// observations leans on the coarser one: organisation and route, route, model,
 	// all. It is used by one goroutine at a time.
 	Predictor struct {
 		root   Curve
@@ -88,8 +88,8 @@
 // parent returns the next coarser kind.
 func (k Key) parent() (Key, bool) {
 	switch {
-	case k.Member != "":
-		k.Member = ""
+	case k.Organisation != "":
+		k.Organisation = ""
 	case k.Route != "":
 		k.Route = ""
 	case k.Model != "":
--- a/load/load.go
+++ b/load/load.go
@@ -20,7 +20,7 @@
 	// A Config says what to send where.
 	Config struct {
 		URLs     []string // callers' addresses of the entry hosts
-		Keys     []string // bearer keys of the members that call
+		Keys     []string // bearer keys of the organisations that call
 		Model    string
 		Service  string        // plain service; empty means none
 		Rate     float64       // calls a second
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -68,14 +68,14 @@
 		{&m.effects, "wigeonlink.effects", "Decisions of the reducer, by kind"},
 		{&m.refused, "wigeonlink.refused", "Final answers other than a result, by code"},
 		{&m.answers, "wigeonlink.attempts", "Attempts that ended, by ending"},
-		{&m.tokens, "wigeonlink.tokens", "Tokens relayed to callers, by member"},
+		{&m.tokens, "wigeonlink.tokens", "Tokens relayed to callers, by organisation"},
 	}
 	for _, c := range counters {
 		if *c.to, err = scope.Int64Counter(c.name, metric.WithDescription(c.text)); err != nil {
 			return nil, eris.Wrap(err, c.name)
 		}
 	}
-	m.stalls, err = scope.Float64Counter("wigeonlink.stall.time", metric.WithUnit("s"), metric.WithDescription("Stall time that callers saw, by member"))
+	m.stalls, err = scope.Float64Counter("wigeonlink.stall.time", metric.WithUnit("s"), metric.WithDescription("Stall time that callers saw, by organisation"))
 	if err != nil {
 		return nil, eris.Wrap(err, "stall time")
 	}
@@ -95,11 +95,11 @@
 // Ended counts the end of an attempt.
 func (m *Meter) Ended(b *host.Booking, r relay.Result) {
 	ctx := context.Background()
-	member := metric.WithAttributes(attribute.String("member", b.Submit.Member))
+	organisation := metric.WithAttributes(attribute.String("organisation", b.Submit.Organisation))
 	m.answers.Add(ctx, 1, metric.WithAttributes(attribute.String("ending", endings[r.Ending])))
-	m.tokens.Add(ctx, int64(r.Delivered), member)
+	m.tokens.Add(ctx, int64(r.Delivered), organisation)
 	stalled := b.Track.Stalled().Seconds()
-	m.stalls.Add(ctx, stalled, member)
+	m.stalls.Add(ctx, stalled, organisation)
 	if !b.Submit.Plain {
 		m.stall.Record(ctx, stalled)
 	}
@@ -116,10 +116,10 @@
 		}
 		return g
 	}
-	promised := gauge("wigeonlink.share.promised", "Promised part of all service, by member")
-	got := gauge("wigeonlink.share.got", "Part of all service used lately, by member")
-	held := gauge("wigeonlink.held", "Requests held on this host, by member")
-	inflight := gauge("wigeonlink.inflight", "Requests at targets through this host, by member")
+	promised := gauge("wigeonlink.share.promised", "Promised part of all service, by organisation")
+	got := gauge("wigeonlink.share.got", "Part of all service used lately, by organisation")
+	held := gauge("wigeonlink.held", "Requests held on this host, by organisation")
+	inflight := gauge("wigeonlink.inflight", "Requests at targets through this host, by organisation")
 	peak := gauge("wigeonlink.target.peak", "Forecast part of a target's memory")
 	open := gauge("wigeonlink.target.open", "1 if a target takes new work")
 	version := gauge("wigeonlink.table.version", "Version of the table in force")
@@ -134,7 +134,7 @@
 		o.ObserveFloat64(retried, float64(s.counts.Retried))
 		o.ObserveFloat64(resumed, float64(s.counts.Resumed))
 		for _, row := range s.shares {
-			by := metric.WithAttributes(attribute.String("member", row.Member))
+			by := metric.WithAttributes(attribute.String("organisation", row.Organisation))
 			o.ObserveFloat64(promised, row.Promised, by)
 			o.ObserveFloat64(got, row.Got, by)
 			o.ObserveFloat64(held, float64(row.Held), by)
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -1,5 +1,5 @@
 // Package operator is the operators' HTTP side of a host: metrics, the time line,
-// members against their shares, targets against their forecast, and the table in
+// organisations against their shares, targets against their forecast, and the table in
 // force.
 package operator
 
@@ -35,14 +35,14 @@
 
 	// tableView is the table in force without its key hashes.
 	tableView struct {
-		Version  uint64          `json:"version"`
-		Members  []memberView    `json:"members"`
-		Models   []table.Model   `json:"models"`
-		Targets  []table.Target  `json:"targets"`
-		Services []table.Service `json:"services"`
+		Version       uint64             `json:"version"`
+		Organisations []organisationView `json:"organisations"`
+		Models        []table.Model      `json:"models"`
+		Targets       []table.Target     `json:"targets"`
+		Services      []table.Service    `json:"services"`
 	}
 
-	memberView struct {
+	organisationView struct {
 		Name     string  `json:"name"`
 		Weight   float64 `json:"weight"`
 		Rate     float64 `json:"rate"`
@@ -107,9 +107,9 @@
 
 func viewOf(t *table.Table) tableView {
 	v := tableView{Version: t.Version}
-	for _, name := range sortedKeys(t.Members) {
-		m := t.Members[name]
-		v.Members = append(v.Members, memberView{m.Name, m.Weight, m.Rate, m.Inflight, m.Queue, m.Tail, m.Stall})
+	for _, name := range sortedKeys(t.Organisations) {
+		m := t.Organisations[name]
+		v.Organisations = append(v.Organisations, organisationView{m.Name, m.Weight, m.Rate, m.Inflight, m.Queue, m.Tail, m.Stall})
 	}
 	for _, name := range sortedKeys(t.Models) {
 		v.Models = append(v.Models, t.Models[name])
--- a/operator/page.go
+++ b/operator/page.go
@@ -24,9 +24,9 @@
 {{.Active}} open requests · {{.Counts.Submitted}} submitted, {{.Counts.Ended}} ended, {{.Counts.Refused}} refused,
 {{.Counts.Retried}} retried, {{.Counts.Resumed}} resumed</p>
 {{range .Problems}}<p class="bad">{{.}}</p>{{end}}
-<h2>Members against their shares</h2>
-<table><tr><th>member</th><th>got (bar) against promised (line)</th><th class="n">promised</th><th class="n">got</th><th class="n">in flight</th><th class="n">held</th><th class="n">refused</th></tr>
-{{range .Shares}}<tr><td>{{.Member}}</td><td><div class="bar"><i style="width:{{printf "%.1f" (percent .Got)}}%"></i><b style="left:{{printf "%.1f" (percent .Promised)}}%"></b></div></td>
+<h2>Organisations against their shares</h2>
+<table><tr><th>organisation</th><th>got (bar) against promised (line)</th><th class="n">promised</th><th class="n">got</th><th class="n">in flight</th><th class="n">held</th><th class="n">refused</th></tr>
+{{range .Shares}}<tr><td>{{.Organisation}}</td><td><div class="bar"><i style="width:{{printf "%.1f" (percent .Got)}}%"></i><b style="left:{{printf "%.1f" (percent .Promised)}}%"></b></div></td>
 <td class="n">{{printf "%.1f" (percent .Promised)}} %</td><td class="n">{{printf "%.1f" (percent .Got)}} %</td><td class="n">{{.Inflight}}</td><td class="n">{{.Held}}</td><td class="n">{{.Refused}}</td></tr>
 {{end}}</table>
 <h2>Targets against their forecast</h2>
--- a/relay_bench_test.go
+++ b/relay_bench_test.go
@@ -161,7 +161,7 @@
 		b.Fatal(err)
 	}
 	sheet := fmt.Sprintf("kind,version,name,weight,key,model,domain,address,checks,memory\n"+
-		"table,1\nmember,,bench,1,%s\nmodel,,m\nengine,,e,,,m,d,%s,yes,1000000000\n",
+		"table,1\norganisation,,bench,1,%s\nmodel,,m\nengine,,e,,,m,d,%s,yes,1000000000\n",
 		table.FormatKey(benchKey), engine.Listener.Addr().(*net.TCPAddr).AddrPort())
 	t, err := table.Read("bench.csv", strings.NewReader(sheet))
 	if err != nil {
--- a/service_test.go
+++ b/service_test.go
@@ -17,7 +17,7 @@
 	c.Helper()
 	req, err := http.NewRequest(method, consortium.Entry(0).CallerURL()+"/v1/services/"+demo.Service+path, strings.NewReader(`{"amount":1}`))
 	c.Assert(err, qt.IsNil)
-	req.Header.Set("Authorization", "Bearer "+consortium.Members[0].Key)
+	req.Header.Set("Authorization", "Bearer "+consortium.Organisations[0].Key)
 	req.Header.Set(standin.HeaderReference, reference)
 	req.Header.Set("Idempotency-Key", reference)
 	resp, err := http.DefaultClient.Do(req)
--- a/share/ledger.go
+++ b/share/ledger.go
@@ -1,4 +1,4 @@
-// Package share keeps what each member was promised, what it used and what it
+// Package share keeps what each organisation was promised, what it used and what it
 // was refused. Use is an exponentially decayed sum of service, so that it adds up
 // over hosts, needs no agreed start, and forgets the dead by itself.
 package share
@@ -10,7 +10,7 @@
 )
 
 type (
-	// A Ledger holds the use of every member. It is used by one goroutine at a
+	// A Ledger holds the use of every organisation. It is used by one goroutine at a
 	// time.
 	Ledger struct {
 		window  time.Duration
@@ -20,8 +20,8 @@
 		pooled  map[Account]*use // sum of the other origins
 	}
 
-	// An Account is a member's use of one pool. An empty pool means all pools.
-	Account struct{ Member, Pool string }
+	// An Account is an organisation's use of one pool. An empty pool means all pools.
+	Account struct{ Organisation, Pool string }
 
 	// An Entry is one account's use as reported by another origin.
 	Entry struct {
@@ -94,15 +94,15 @@
 
 // Charge adds service used through this host, to the pool's account and to the
 // account over all pools.
-func (l *Ledger) Charge(member, pool string, service float64, now time.Duration) {
-	l.add(l.own, Account{member, pool}, service, 0, now)
-	l.add(l.own, Account{member, ""}, service, 0, now)
+func (l *Ledger) Charge(organisation, pool string, service float64, now time.Duration) {
+	l.add(l.own, Account{organisation, pool}, service, 0, now)
+	l.add(l.own, Account{organisation, ""}, service, 0, now)
 }
 
-// Hold changes the rate at which a member consumes service through this host.
-func (l *Ledger) Hold(member, pool string, rate float64, now time.Duration) {
-	l.add(l.own, Account{member, pool}, 0, rate, now)
-	l.add(l.own, Account{member, ""}, 0, rate, now)
+// Hold changes the rate at which an organisation consumes service through this host.
+func (l *Ledger) Hold(organisation, pool string, rate float64, now time.Duration) {
+	l.add(l.own, Account{organisation, pool}, 0, rate, now)
+	l.add(l.own, Account{organisation, ""}, 0, rate, now)
 }
 
 // Use returns an account's decayed use over all hosts, in service units.
--- a/stream_test.go
+++ b/stream_test.go
@@ -32,7 +32,7 @@
 	for n := 1; n <= length; n++ {
 		throw(c, consortium, standin.Fault{Kind: standin.FaultBreak, Token: n})
 		var s stream
-		s.read(c, ask(c, &s, consortium.Entry(0).CallerURL(), consortium.Members[0].Key, prompt(length)), 0)
+		s.read(c, ask(c, &s, consortium.Entry(0).CallerURL(), consortium.Organisations[0].Key, prompt(length)), 0)
 		s.checkWhole(c, length)
 	}
 	onlyOnce(c, consortium)
@@ -43,7 +43,7 @@
 	consortium := startDemo(c)
 	for n := 1; n < length; n += 7 {
 		var s stream
-		resp := ask(c, &s, consortium.Entry(1).CallerURL(), consortium.Members[1].Key, prompt(400))
+		resp := ask(c, &s, consortium.Entry(1).CallerURL(), consortium.Organisations[1].Key, prompt(400))
 		throw(c, consortium, standin.Fault{Kind: standin.FaultSilent})
 		s.read(c, resp, 0)
 		s.checkWhole(c, 400)
@@ -56,7 +56,7 @@
 	consortium := startDemo(c)
 	for n := 1; n <= length; n++ {
 		var s stream
-		key := consortium.Members[n%3].Key
+		key := consortium.Organisations[n%3].Key
 		s.read(c, ask(c, &s, consortium.Entry(0).CallerURL(), key, prompt(length)), n)
 		// The other host of the domain, and a host of the other domain.
 		for i := 1; !s.done; i++ {
@@ -71,7 +71,7 @@
 	c := newC(t)
 	consortium := startDemo(c)
 	var s stream
-	key := consortium.Members[0].Key
+	key := consortium.Organisations[0].Key
 	resp := ask(c, &s, consortium.Entry(0).CallerURL(), key, prompt(300))
 	s.read(c, resp, 20)
 	consortium.Entry(0).Kill()
@@ -84,7 +84,7 @@
 	consortium := startDemo(c, demo.WithSizes(2, 1))
 	for _, tokens := range []int{1, 5, 50} {
 		var s stream
-		resp := ask(c, &s, consortium.Entry(0).CallerURL(), consortium.Members[0].Key, prompt(5000))
+		resp := ask(c, &s, consortium.Entry(0).CallerURL(), consortium.Organisations[0].Key, prompt(5000))
 		s.readThrough(c, resp, tokens, func() { throw(c, consortium, standin.Fault{Kind: standin.FaultReboot}) })
 		c.Assert(s.done, qt.IsFalse)
 		c.Assert(s.err, qt.IsNotNil)
@@ -102,7 +102,7 @@
 	whole := 0
 	for range 10 {
 		var s stream
-		resp := ask(c, &s, consortium.Entry(0).CallerURL(), consortium.Members[0].Key, prompt(5))
+		resp := ask(c, &s, consortium.Entry(0).CallerURL(), consortium.Organisations[0].Key, prompt(5))
 		if resp.StatusCode != 200 {
 			// The retry budget of a fresh host is small; the answer says not run.
 			c.Assert(resp.Header.Get(answer.HeaderOutcome), qt.Equals, answer.NotRun.String())
@@ -122,7 +122,7 @@
 	impatient := wigeonlink.WithHost(host.WithDispatch(dispatch.WithGrace(time.Second)))
 	consortium := startDemo(c, demo.WithSizes(2, 1), demo.WithEntry(impatient))
 	var s stream
-	s.read(c, ask(c, &s, consortium.Entry(0).CallerURL(), consortium.Members[0].Key, prompt(8000)), 3)
+	s.read(c, ask(c, &s, consortium.Entry(0).CallerURL(), consortium.Organisations[0].Key, prompt(8000)), 3)
 	waitUntil(c, "the generation is cancelled", func() bool { return consortium.Engines[0].Busy() == 0 })
 	waitUntil(c, "the books are empty", func() bool { return consortium.Entry(0).Host().Active() == 0 })
 }
--- a/table/check.go
+++ b/table/check.go
@@ -38,7 +38,7 @@
 func defaultRowKinds() []rowKind {
 	return []rowKind{
 		{"table", 100, []Column{ColumnVersion}, nil, (*checker).readTable},
-		{"member", 200, []Column{ColumnName, ColumnWeight, ColumnKey}, []Column{ColumnRate, ColumnInflight, ColumnQueue, ColumnTail, ColumnStall}, (*checker).readMember},
+		{"organisation", 200, []Column{ColumnName, ColumnWeight, ColumnKey}, []Column{ColumnRate, ColumnInflight, ColumnQueue, ColumnTail, ColumnStall}, (*checker).readOrganisation},
 		{"model", 200, []Column{ColumnName}, []Column{ColumnVersion}, (*checker).readModel},
 		{"service", 200, []Column{ColumnName}, nil, (*checker).readService},
 		{"route", 300, []Column{ColumnName, ColumnPath, ColumnIdempotent}, []Column{ColumnMethod}, (*checker).readRoute},
@@ -64,12 +64,12 @@
 		sheet: s,
 		first: map[string]int{},
 		table: &Table{
-			Members:  map[string]Member{},
-			Models:   map[string]Model{},
-			Targets:  map[string]Target{},
-			Services: map[string]Service{},
-			Limits:   map[LimitKey]Limit{},
-			byKey:    map[[sha256.Size]byte]string{},
+			Organisations: map[string]Organisation{},
+			Models:        map[string]Model{},
+			Targets:       map[string]Target{},
+			Services:      map[string]Service{},
+			Limits:        map[LimitKey]Limit{},
+			byKey:         map[[sha256.Size]byte]string{},
 		},
 	}
 	kinds := defaultRowKinds()
@@ -195,12 +195,12 @@
 	c.table.Version = v
 }
 
-func (c *checker) readMember(l Line) {
+func (c *checker) readOrganisation(l Line) {
 	name := l.Cells[ColumnName]
-	if !c.declare(l, "member", name) {
+	if !c.declare(l, "organisation", name) {
 		return
 	}
-	m := Member{
+	m := Organisation{
 		Name:     name,
 		Weight:   c.number(l, ColumnWeight, 1, 0.001, 1e6),
 		Rate:     c.number(l, ColumnRate, 0, 0, 1e6),
@@ -217,10 +217,10 @@
 	}
 	m.Key = [sha256.Size]byte(raw)
 	if other, ok := c.table.byKey[m.Key]; ok {
-		c.fault(l, ColumnKey, "member %q has the same key", other)
+		c.fault(l, ColumnKey, "organisation %q has the same key", other)
 	}
 	c.table.byKey[m.Key] = name
-	c.table.Members[name] = m
+	c.table.Organisations[name] = m
 }
 
 func (c *checker) readModel(l Line) {
@@ -283,16 +283,16 @@
 }
 
 func (c *checker) readLimit(l Line) {
-	key := LimitKey{Member: l.Cells[ColumnName], Model: l.Cells[ColumnModel]}
-	if _, ok := c.table.Members[key.Member]; !ok {
-		c.fault(l, ColumnName, "no member %q", key.Member)
+	key := LimitKey{Organisation: l.Cells[ColumnName], Model: l.Cells[ColumnModel]}
+	if _, ok := c.table.Organisations[key.Organisation]; !ok {
+		c.fault(l, ColumnName, "no organisation %q", key.Organisation)
 		return
 	}
 	if _, ok := c.table.Models[key.Model]; !ok {
 		c.fault(l, ColumnModel, "no model %q", key.Model)
 		return
 	}
-	if !c.declare(l, "limit", key.Member+" on "+key.Model) {
+	if !c.declare(l, "limit", key.Organisation+" on "+key.Model) {
 		return
 	}
 	c.table.Limits[key] = Limit{
--- a/table/sheet.go
+++ b/table/sheet.go
@@ -1,5 +1,5 @@
 // Package table holds the declarations that operators keep in version control:
-// members, models, targets, services and the weights and limits that govern
+// organisations, models, targets, services and the weights and limits that govern
 // them. A table is one sheet of rows. It is read from CSV or YAML, checked as a
 // whole, and compared row by row with another.
 package table
--- a/table/table.go
+++ b/table/table.go
@@ -14,18 +14,18 @@
 	// A Table is a checked set of declarations. It is never changed after
 	// Check has returned it. The zero value is an empty table of version 0.
 	Table struct {
-		Version  uint64
-		Members  map[string]Member
-		Models   map[string]Model
-		Targets  map[string]Target
-		Services map[string]Service
-		Limits   map[LimitKey]Limit
+		Version       uint64
+		Organisations map[string]Organisation
+		Models        map[string]Model
+		Targets       map[string]Target
+		Services      map[string]Service
+		Limits        map[LimitKey]Limit
 
 		byKey map[[sha256.Size]byte]string
 	}
 
-	// A Member is an organisation that is promised a share.
-	Member struct {
+	// An Organisation is an organisation that is promised a share.
+	Organisation struct {
 		Name     string
 		Weight   float64 // relative share
 		Rate     float64 // requests a second; 0 means no cap
@@ -71,10 +71,10 @@
 		Idempotent bool
 	}
 
-	// A LimitKey names a member's use of one model.
-	LimitKey struct{ Member, Model string }
+	// A LimitKey names an organisation's use of one model.
+	LimitKey struct{ Organisation, Model string }
 
-	// A Limit is a cap on a member's use of one model.
+	// A Limit is a cap on an organisation's use of one model.
 	Limit struct {
 		Weight   float64
 		Rate     float64
@@ -105,14 +105,14 @@
 	return "sha256:" + hex.EncodeToString(h[:])
 }
 
-// MemberByKey returns the member whose bearer key is key. The look-up is by the
+// OrganisationByKey returns the organisation whose bearer key is key. The look-up is by the
 // key's hash, so its time says nothing about the key.
-func (t *Table) MemberByKey(key string) (Member, bool) {
+func (t *Table) OrganisationByKey(key string) (Organisation, bool) {
 	name, ok := t.byKey[HashKey(key)]
 	if !ok {
-		return Member{}, false
+		return Organisation{}, false
 	}
-	return t.Members[name], true
+	return t.Organisations[name], true
 }
 
 // Engines returns the names of the engines of a model, sorted.
--- a/table/table_test.go
+++ b/table/table_test.go
@@ -84,7 +84,7 @@
 	}
 	c.Assert(lines, qt.DeepEquals, []string{
 		`~ table version: "7" -> "8"`,
-		`~ member large weight: "5" -> "4"`,
+		`~ organisation large weight: "5" -> "4"`,
 		`+ engine e2 model=m domain=north address=127.0.0.1:9002 checks=no`,
 		`- route s POST /lots method=POST path=/lots idempotent=no`,
 	}, qt.Commentf("%s", strings.Join(lines, "\n")))
--- a/ticket/cursor.go
+++ b/ticket/cursor.go
@@ -46,9 +46,9 @@
 }
 
 // OpenCursor reads the identifier of the last event that a caller has got, on
-// behalf of a member. Its errors are of the kinds BadCursor, ExpiredCursor and
-// WrongMember.
-func (k *Keyring) OpenCursor(text, member string, now time.Time) (Position, error) {
+// behalf of an organisation. Its errors are of the kinds BadCursor, ExpiredCursor and
+// WrongOrganisation.
+func (k *Keyring) OpenCursor(text, organisation string, now time.Time) (Position, error) {
 	sealed, number, ok := strings.Cut(text, separator)
 	last, err := strconv.Atoi(number)
 	if !ok || err != nil || last < -1 {
@@ -61,8 +61,8 @@
 	switch {
 	case c.Version != cursorVersion:
 		return Position{}, answer.New(answer.KindBadCursor, "the cursor has another format")
-	case c.Member != table.Hash(member):
-		return Position{}, answer.New(answer.KindWrongMember, "")
+	case c.Organisation != table.Hash(organisation):
+		return Position{}, answer.New(answer.KindWrongOrganisation, "")
 	case now.Unix() >= c.Expiry:
 		return Position{}, answer.New(answer.KindExpiredCursor, "")
 	}
--- a/ticket/issue.go
+++ b/ticket/issue.go
@@ -16,9 +16,9 @@
 	return k.Seal(PurposeTicket, t)
 }
 
-// OpenTicket reads a ticket on behalf of a member. Its errors are of the kinds
-// BadTicket and WrongMember. An expired ticket opens: its outcome can be asked for.
-func (k *Keyring) OpenTicket(text, member string) (*wire.Ticket, error) {
+// OpenTicket reads a ticket on behalf of an organisation. Its errors are of the kinds
+// BadTicket and WrongOrganisation. An expired ticket opens: its outcome can be asked for.
+func (k *Keyring) OpenTicket(text, organisation string) (*wire.Ticket, error) {
 	t := &wire.Ticket{}
 	if err := k.Open(PurposeTicket, text, t); err != nil {
 		return nil, answer.Wrap(answer.KindBadTicket, err, "the ticket cannot be opened")
@@ -26,8 +26,8 @@
 	switch {
 	case t.Version != ticketVersion:
 		return nil, answer.New(answer.KindBadTicket, "the ticket has another format")
-	case t.Member != table.Hash(member):
-		return nil, answer.New(answer.KindWrongMember, "the ticket belongs to another member")
+	case t.Organisation != table.Hash(organisation):
+		return nil, answer.New(answer.KindWrongOrganisation, "the ticket belongs to another organisation")
 	}
 	return t, nil
 }
--- a/ticket/ledger.go
+++ b/ticket/ledger.go
@@ -34,11 +34,11 @@
 
 	// An Entry is one ticket's record as handed to another host.
 	Entry struct {
-		ID     string
-		Member string
-		State  State
-		Expiry time.Time
-		Reply  Reply
+		ID           string
+		Organisation string
+		State        State
+		Expiry       time.Time
+		Reply        Reply
 	}
 
 	record struct {
@@ -99,7 +99,7 @@
 
 // Issue makes a record and returns its identifier. It reports false if the ledger is
 // full or the host is stopping.
-func (l *Ledger) Issue(member string, now time.Time) (string, time.Time, bool) {
+func (l *Ledger) Issue(organisation string, now time.Time) (string, time.Time, bool) {
 	var raw [idSize]byte
 	_, _ = rand.Read(raw[:]) // crypto/rand never fails
 	l.mu.Lock()
@@ -108,17 +108,17 @@
 		return "", time.Time{}, false
 	}
 	id, expiry := hex.EncodeToString(raw[:]), now.Add(Life)
-	l.records[id] = &record{Entry: Entry{ID: id, Member: member, State: StateUnused, Expiry: expiry}}
+	l.records[id] = &record{Entry: Entry{ID: id, Organisation: organisation, State: StateUnused, Expiry: expiry}}
 	return id, expiry, true
 }
 
 // Claim takes the right to run a call. Only a claim that reports StateUnused may run
 // it, and must end with Finish. While another runs it, wait is closed when that has
 // ended.
-func (l *Ledger) Claim(id, member string, d Digest, now time.Time) (s State, r Reply, wait <-chan struct{}) {
+func (l *Ledger) Claim(id, organisation string, d Digest, now time.Time) (s State, r Reply, wait <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	rec := l.find(id, member, now)
+	rec := l.find(id, organisation, now)
 	switch {
 	case rec == nil:
 		return StateNone, Reply{}, nil
@@ -137,10 +137,10 @@
 	return StateUnused, Reply{}, nil
 }
 
-// find returns a member's record. One that expired unused is burnt.
-func (l *Ledger) find(id, member string, now time.Time) *record {
+// find returns an organisation's record. One that expired unused is burnt.
+func (l *Ledger) find(id, organisation string, now time.Time) *record {
 	rec := l.records[id]
-	if rec == nil || rec.Member != member {
+	if rec == nil || rec.Organisation != organisation {
 		return nil
 	}
 	if rec.State == StateUnused && !now.Before(rec.Expiry) {
@@ -165,10 +165,10 @@
 }
 
 // Look returns what became of a ticket.
-func (l *Ledger) Look(id, member string, now time.Time) (State, Reply) {
+func (l *Ledger) Look(id, organisation string, now time.Time) (State, Reply) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	rec := l.find(id, member, now)
+	rec := l.find(id, organisation, now)
 	if rec == nil {
 		return StateNone, Reply{}
 	}
@@ -177,10 +177,10 @@
 
 // Burn makes sure that an unused ticket's call never runs, and returns the state
 // that the ticket has then.
-func (l *Ledger) Burn(id, member string, now time.Time) State {
+func (l *Ledger) Burn(id, organisation string, now time.Time) State {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	rec := l.find(id, member, now)
+	rec := l.find(id, organisation, now)
 	if rec == nil {
 		return StateNone
 	}
--- a/ticket/ticket_test.go
+++ b/ticket/ticket_test.go
@@ -26,10 +26,10 @@
 
 func eventID(sealed string, n int) string { return string(AppendEvent(nil, sealed, n)) }
 
-func TestCursorOpensForItsMemberUntilItExpires(t *testing.T) {
+func TestCursorOpensForItsOrganisationUntilItExpires(t *testing.T) {
 	c := qt.New(t)
 	k := ring(c, "new", "old")
-	sealed, err := ring(c, "old").SealCursor(&wire.Cursor{Member: table.Hash("m"), Generation: "g", Expiry: now.Unix() + 10})
+	sealed, err := ring(c, "old").SealCursor(&wire.Cursor{Organisation: table.Hash("m"), Generation: "g", Expiry: now.Unix() + 10})
 	c.Assert(err, qt.IsNil)
 	at, err := k.OpenCursor(eventID(sealed, 6), "m", now)
 	c.Assert(err, qt.IsNil)
@@ -42,7 +42,7 @@
 		when time.Time
 		kind answer.Kind
 	}{
-		{k, eventID(sealed, 6), "other", now, answer.KindWrongMember},
+		{k, eventID(sealed, 6), "other", now, answer.KindWrongOrganisation},
 		{k, eventID(sealed, 6), "m", now.Add(10 * time.Second), answer.KindExpiredCursor},
 		{ring(c, "new"), eventID(sealed, 6), "m", now, answer.KindBadCursor},
 		{k, eventID(sealed[1:], 6), "m", now, answer.KindBadCursor},
@@ -59,7 +59,7 @@
 func TestSealedTextServesOnePurpose(t *testing.T) {
 	c := qt.New(t)
 	k := ring(c, "key")
-	sealed, err := k.SealCursor(&wire.Cursor{Member: table.Hash("m")})
+	sealed, err := k.SealCursor(&wire.Cursor{Organisation: table.Hash("m")})
 	c.Assert(err, qt.IsNil)
 	_, err = k.OpenTicket(sealed, "m")
 	c.Assert(answer.From(err).Kind, qt.Equals, answer.KindBadTicket)
@@ -114,7 +114,7 @@
 	c := qt.New(t)
 	l := NewLedger()
 	for _, s := range []State{StateUnused, StateExecuting, StateRan, StateBurnt, StateUnknown} {
-		l.Adopt(Entry{ID: s.String(), Member: "m", State: s, Expiry: now.Add(time.Minute)})
+		l.Adopt(Entry{ID: s.String(), Organisation: "m", State: s, Expiry: now.Add(time.Minute)})
 		got, _, _ := l.Claim(s.String(), "m", Digest{}, now)
 		c.Assert(got, qt.Not(qt.Equals), StateUnused)
 	}
@@ -127,7 +127,7 @@
 	if err != nil {
 		f.Fatal(err)
 	}
-	sealed, err := k.SealCursor(&wire.Cursor{Member: table.Hash("m"), Expiry: now.Unix() + 10})
+	sealed, err := k.SealCursor(&wire.Cursor{Organisation: table.Hash("m"), Expiry: now.Unix() + 10})
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/ticket_test.go
+++ b/ticket_test.go
@@ -43,7 +43,7 @@
 	c.Helper()
 	req, err := http.NewRequest(method, consortium.Entry(at).CallerURL()+"/v1/tickets"+path, nil)
 	c.Assert(err, qt.IsNil)
-	req.Header.Set("Authorization", "Bearer "+consortium.Members[0].Key)
+	req.Header.Set("Authorization", "Bearer "+consortium.Organisations[0].Key)
 	resp, err := http.DefaultClient.Do(req)
 	c.Assert(err, qt.IsNil)
 	defer resp.Body.Close()
@@ -59,7 +59,7 @@
 	url := consortium.Entry(at).CallerURL() + "/v1/services/" + demo.Service + "/charges"
 	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
 	c.Assert(err, qt.IsNil)
-	req.Header.Set("Authorization", "Bearer "+consortium.Members[0].Key)
+	req.Header.Set("Authorization", "Bearer "+consortium.Organisations[0].Key)
 	req.Header.Set(desk.HeaderTicket, ticket)
 	req.Header.Set(standin.HeaderReference, reference)
 	req.Header.Set(desk.HeaderDeadline, "5s")
@@ -180,11 +180,11 @@
 	c.Assert(consortium.Service.Ran("y"), qt.Equals, 0)
 }
 
-func TestTicketOfAnotherMemberIsRefused(t *testing.T) {
+func TestTicketOfAnotherOrganisationIsRefused(t *testing.T) {
 	c := newC(t)
 	consortium := startPeers(c, demo.WithSizes(2, 1))
 	ticket := doTicket(c, consortium, 0, http.MethodPost, "").Ticket
-	consortium.Members[0], consortium.Members[1] = consortium.Members[1], consortium.Members[0]
-	c.Assert(doTicket(c, consortium, 0, http.MethodGet, "/"+ticket).Error.Code, qt.Equals, answer.KindWrongMember.String())
+	consortium.Organisations[0], consortium.Organisations[1] = consortium.Organisations[1], consortium.Organisations[0]
+	c.Assert(doTicket(c, consortium, 0, http.MethodGet, "/"+ticket).Error.Code, qt.Equals, answer.KindWrongOrganisation.String())
 	c.Assert(doTicket(c, consortium, 0, http.MethodGet, "/forged").Error.Code, qt.Equals, answer.KindBadTicket.String())
 }
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -133,7 +133,7 @@
 	}
 	add("request", r.Request)
 	add("ticket", r.Ticket)
-	add("member", r.Member)
+	add("organisation", r.Organisation)
 	add("target", r.Target)
 	add("peer", r.Peer)
 	if r.Table > 0 {
--- a/trial/call.go
+++ b/trial/call.go
@@ -38,8 +38,8 @@
 	return sum / draws, squares / (2 * sum)
 }
 
-// arrive sends the calls of a member at the times of a Poisson process.
-func (t *Trial) arrive(m *Member) {
+// arrive sends the calls of an organisation at the times of a Poisson process.
+func (t *Trial) arrive(m *Organisation) {
 	if m.Part <= 0 {
 		return
 	}
@@ -55,25 +55,25 @@
 	t.at(m.From+time.Duration(t.random.ExpFloat64()/rate*float64(time.Second)), next)
 }
 
-func (t *Trial) submit(m *Member) {
+func (t *Trial) submit(m *Organisation) {
 	place := t.random.IntN(len(t.hosts))
 	if len(m.Hosts) > 0 {
 		place = m.Hosts[t.random.IntN(len(m.Hosts))]
 	}
 	t.nextID++
 	c := &call{
-		id:      t.nextID,
-		host:    t.hosts[place],
-		member:  m,
-		output:  standin.HeavyTail(t.random, t.config.Median),
-		arrived: t.now,
+		id:           t.nextID,
+		host:         t.hosts[place],
+		organisation: m,
+		output:       standin.HeavyTail(t.random, t.config.Median),
+		arrived:      t.now,
 	}
 	c.submit = dispatch.Submit{
-		ID:     c.id,
-		Member: m.Name,
-		Pool:   modelName,
-		Route:  "chat",
-		Prompt: 1 + int(t.random.ExpFloat64()*float64(t.config.PromptMean-prefixSize/2)),
+		ID:           c.id,
+		Organisation: m.Name,
+		Pool:         modelName,
+		Route:        "chat",
+		Prompt:       1 + int(t.random.ExpFloat64()*float64(t.config.PromptMean-prefixSize/2)),
 	}
 	c.submit.Prompt = min(c.submit.Prompt, 8*t.config.PromptMean)
 	if t.random.Float64() < prefixPart {
@@ -115,21 +115,21 @@
 	t.after(t.config.Link, func() { g.add(t, c, f.Priority) })
 }
 
-// checkCap asserts that a member's requests in flight stay within its cap.
+// checkCap asserts that an organisation's requests in flight stay within its cap.
 func (t *Trial) checkCap(c *call) {
-	if c.member.Limit == 0 {
+	if c.organisation.Limit == 0 {
 		return
 	}
 	n := 0
 	for _, e := range t.hosts {
 		for _, o := range e.active {
-			if o.member == c.member && o.out {
+			if o.organisation == c.organisation && o.out {
 				n++
 			}
 		}
 	}
-	if n > c.member.Limit {
-		t.fail("member %s has %d requests in flight, its cap is %d", c.member.Name, n, c.member.Limit)
+	if n > c.organisation.Limit {
+		t.fail("organisation %s has %d requests in flight, its cap is %d", c.organisation.Name, n, c.organisation.Limit)
 	}
 }
 
@@ -167,7 +167,7 @@
 
 func (r *Result) token(c *call, gap, first time.Duration) {
 	r.Tokens++
-	m := r.member(c.member.Name)
+	m := r.organisation(c.organisation.Name)
 	m.Tokens++
 	m.Service += 1 + float64(c.submit.Prompt+c.tokens)/1024
 	if c.tokens == 1 {
@@ -213,7 +213,7 @@
 	}
 	t.settle(c)
 	t.result.Refused++
-	t.result.member(c.member.Name).Refused++
+	t.result.organisation(c.organisation.Name).Refused++
 }
 
 // failed tells a host that an attempt is over.
--- a/trial/engine.go
+++ b/trial/engine.go
@@ -25,21 +25,21 @@
 
 	// call is one request and its generation.
 	call struct {
-		id        dispatch.ID
-		host      *entry
-		member    *Member
-		submit    dispatch.Submit
-		output    int
-		arrived   time.Duration
-		sequence  *standin.Sequence
-		engine    *engine
-		attempt   int
-		tokens    int
-		last      time.Duration
-		queued    bool
-		out       bool // an attempt is under way, as its host knows
-		settled   bool // the caller has its final answer
-		delivered int
+		id           dispatch.ID
+		host         *entry
+		organisation *Organisation
+		submit       dispatch.Submit
+		output       int
+		arrived      time.Duration
+		sequence     *standin.Sequence
+		engine       *engine
+		attempt      int
+		tokens       int
+		last         time.Duration
+		queued       bool
+		out          bool // an attempt is under way, as its host knows
+		settled      bool // the caller has its final answer
+		delivered    int
 	}
 )
 
--- a/trial/policy_bench_test.go
+++ b/trial/policy_bench_test.go
@@ -29,13 +29,13 @@
 	loads   = []float64{0.7, 0.9, 1.0, 1.2}
 )
 
-// members returns ten members, a few of them large, that send what they are
+// organisations returns ten organisations, a few of them large, that send what they are
 // promised.
-func members(u user) []Member {
+func organisations(u user) []Organisation {
 	weights := []float64{30, 20, 15, 10, 5, 5, 5, 4, 3, 3}
-	ms := make([]Member, len(weights))
+	ms := make([]Organisation, len(weights))
 	for i, w := range weights {
-		ms[i] = Member{Name: fmt.Sprintf("member-%d", i), Weight: w, Part: w / 100, Tail: u.tail, Stall: u.stall}
+		ms[i] = Organisation{Name: fmt.Sprintf("organisation-%d", i), Weight: w, Part: w / 100, Tail: u.tail, Stall: u.stall}
 	}
 	return ms
 }
@@ -43,21 +43,21 @@
 // config returns the trial of a user at a load.
 func (u user) config(load float64, opts ...dispatch.Option) Config {
 	return Config{
-		Hosts:      u.hosts,
-		Engines:    u.engines,
-		Spec:       crowded,
-		Members:    members(u),
-		Load:       load,
-		Span:       90 * time.Second,
-		Warm:       30 * time.Second,
-		Seed:       1,
-		Median:     120,
-		PromptMean: 400,
-		Options:    opts,
-		LoadEvery:  500 * time.Millisecond,
-		LoadLag:    250 * time.Millisecond,
-		PeerEvery:  100 * time.Millisecond,
-		Link:       u.link,
+		Hosts:         u.hosts,
+		Engines:       u.engines,
+		Spec:          crowded,
+		Organisations: organisations(u),
+		Load:          load,
+		Span:          90 * time.Second,
+		Warm:          30 * time.Second,
+		Seed:          1,
+		Median:        120,
+		PromptMean:    400,
+		Options:       opts,
+		LoadEvery:     500 * time.Millisecond,
+		LoadLag:       250 * time.Millisecond,
+		PeerEvery:     100 * time.Millisecond,
+		Link:          u.link,
 	}
 }
 
@@ -166,8 +166,8 @@
 	}
 }
 
-// BenchmarkObjective compares members that weigh only the tail of time between tokens
-// with members that weigh only stall time, above capacity.
+// BenchmarkObjective compares organisations that weigh only the tail of time between tokens
+// with organisations that weigh only stall time, above capacity.
 func BenchmarkObjective(b *testing.B) {
 	for range b.N {
 		tail, stall := users[0], users[0]
--- a/trial/random_test.go
+++ b/trial/random_test.go
@@ -36,11 +36,11 @@
 		Check:      50,
 	}
 	for i := range 2 + r.IntN(5) {
-		m := Member{Name: fmt.Sprintf("m%d", i), Weight: 1 + float64(r.IntN(5)), Part: 0.1 + r.Float64()/2, Queue: 5 + r.IntN(500)}
+		m := Organisation{Name: fmt.Sprintf("m%d", i), Weight: 1 + float64(r.IntN(5)), Part: 0.1 + r.Float64()/2, Queue: 5 + r.IntN(500)}
 		if r.IntN(3) == 0 {
 			m.Limit = c.Hosts + r.IntN(30)
 		}
-		c.Members = append(c.Members, m)
+		c.Organisations = append(c.Organisations, m)
 	}
 	for range r.IntN(7) {
 		f := Fault{At: time.Duration(r.Int64N(int64(span))), Kind: FaultKind(r.IntN(3))}
@@ -77,12 +77,12 @@
 // A cap that is broken on purpose is seen.
 func TestTrialSeesABrokenCap(t *testing.T) {
 	c := randomConfig(1, *spanFlag)
-	c.Members[0].Limit = 3
+	c.Organisations[0].Limit = 3
 	trial, err := New(c)
 	if err != nil {
 		t.Fatal(err)
 	}
-	trial.config.Members[0].Limit = 1
+	trial.config.Organisations[0].Limit = 1
 	if _, err := trial.Run(); err == nil {
 		t.Fatal("nothing was seen")
 	}
--- a/trial/result.go
+++ b/trial/result.go
@@ -12,23 +12,23 @@
 type (
 	// A Result is what a trial measured, after its warm-up.
 	Result struct {
-		Events      int // of the trial's queue
-		Submitted   int
-		Whole       int
-		Refused     int
-		Tokens      int
-		Preemptions int
-		Resumes     int
-		Stall       time.Duration
-		First       latency.Histogram // time to first token
-		Between     latency.Histogram // time between tokens
-		Members     map[string]*MemberResult
-		Counts      []dispatch.Counts // by host
-		Tally       length.Tally      // of the last host
+		Events        int // of the trial's queue
+		Submitted     int
+		Whole         int
+		Refused       int
+		Tokens        int
+		Preemptions   int
+		Resumes       int
+		Stall         time.Duration
+		First         latency.Histogram // time to first token
+		Between       latency.Histogram // time between tokens
+		Organisations map[string]*OrganisationResult
+		Counts        []dispatch.Counts // by host
+		Tally         length.Tally      // of the last host
 	}
 
-	// A MemberResult is one member's part.
-	MemberResult struct {
+	// An OrganisationResult is one organisation's part.
+	OrganisationResult struct {
 		Tokens  int
 		Refused int
 		Service float64
@@ -39,14 +39,14 @@
 )
 
 func newResult() Result {
-	return Result{First: latency.NewHistogram(), Between: latency.NewHistogram(), Members: map[string]*MemberResult{}}
+	return Result{First: latency.NewHistogram(), Between: latency.NewHistogram(), Organisations: map[string]*OrganisationResult{}}
 }
 
-func (r *Result) member(name string) *MemberResult {
-	m := r.Members[name]
+func (r *Result) organisation(name string) *OrganisationResult {
+	m := r.Organisations[name]
 	if m == nil {
-		m = &MemberResult{First: latency.NewHistogram(), Between: latency.NewHistogram()}
-		r.Members[name] = m
+		m = &OrganisationResult{First: latency.NewHistogram(), Between: latency.NewHistogram()}
+		r.Organisations[name] = m
 	}
 	return m
 }
--- a/trial/share_bench_test.go
+++ b/trial/share_bench_test.go
@@ -14,57 +14,57 @@
 	settled   = 10 * time.Second // after the flood begins, until shares are measured
 )
 
-// floodHosts are the hosts that the flooding member calls.
+// floodHosts are the hosts that the flooding organisation calls.
 var floodHosts = map[string][]int{"every": nil, "one": {0}}
 
-// saturated returns a trial in which every member wants more than its share, and one
+// saturated returns a trial in which every organisation wants more than its share, and one
 // far more.
 func saturated(u user, hosts []int) Config {
 	c := u.config(1)
 	c.Warm, c.Span = floodFrom+settled, floodFrom+floodSpan
-	for i := range c.Members {
-		m := &c.Members[i]
+	for i := range c.Organisations {
+		m := &c.Organisations[i]
 		m.Part *= 1.5
 		m.Queue = 64
 	}
-	flood := c.Members[0]
+	flood := c.Organisations[0]
 	flood.Part, flood.Hosts, flood.From = 3, hosts, floodFrom
-	c.Members = append(c.Members, flood)
+	c.Organisations = append(c.Organisations, flood)
 	return c
 }
 
-// shareError returns the largest relative difference between a member's part of the
+// shareError returns the largest relative difference between an organisation's part of the
 // service and its promise.
 func shareError(c Config, r Result) float64 {
 	total, weights := 0.0, 0.0
 	seen := map[string]bool{}
-	for _, m := range c.Members {
+	for _, m := range c.Organisations {
 		if !seen[m.Name] {
-			total += r.Members[m.Name].Service
+			total += r.Organisations[m.Name].Service
 			weights += m.Weight
 		}
 		seen[m.Name] = true
 	}
 	worst := 0.0
-	for _, m := range c.Members {
-		got := r.Members[m.Name].Service / total
+	for _, m := range c.Organisations {
+		got := r.Organisations[m.Name].Service / total
 		worst = math.Max(worst, math.Abs(got/(m.Weight/weights)-1))
 	}
 	return worst
 }
 
-// firstOfSmall returns the time to first token of the members that do not flood.
+// firstOfSmall returns the time to first token of the organisations that do not flood.
 func firstOfSmall(r Result) latency.Histogram {
 	all := latency.NewHistogram()
-	for name, m := range r.Members {
-		if name != "member-0" {
+	for name, m := range r.Organisations {
+		if name != "organisation-0" {
 			all.Merge(m.First)
 		}
 	}
 	return all
 }
 
-// BenchmarkShare floods from one member, and measures the error of the shares when
+// BenchmarkShare floods from one organisation, and measures the error of the shares when
 // all want more than theirs, and the time to first token of the others when they
 // keep within theirs.
 func BenchmarkShare(b *testing.B) {
@@ -83,21 +83,21 @@
 	b.Helper()
 	c := saturated(u, hosts)
 	r := mustRun(b, c)
-	for _, m := range c.Members[:10] {
-		b.Logf("%s promised %.1f%% got service %.0f refused %d", m.Name, m.Weight, r.Members[m.Name].Service, r.Members[m.Name].Refused)
+	for _, m := range c.Organisations[:10] {
+		b.Logf("%s promised %.1f%% got service %.0f refused %d", m.Name, m.Weight, r.Organisations[m.Name].Service, r.Organisations[m.Name].Refused)
 	}
 	calm := u.config(0.9)
 	calm.Warm, calm.Span = floodFrom, floodFrom+floodSpan
 	flood := u.config(0.9)
 	flood.Warm, flood.Span = floodFrom, floodFrom+floodSpan
-	extra := flood.Members[0]
+	extra := flood.Organisations[0]
 	extra.Part, extra.Hosts, extra.From, extra.Queue = 2, hosts, floodFrom, 64
-	flood.Members = append(flood.Members, extra)
-	flood.Members[0].Queue = 64
+	flood.Organisations = append(flood.Organisations, extra)
+	flood.Organisations[0].Queue = 64
 	flooded := mustRun(b, flood)
 	without, with := firstOfSmall(mustRun(b, calm)), firstOfSmall(flooded)
 	for _, q := range []float64{0.5, 0.9, 0.95, 0.99, 0.999} {
-		b.Logf("small members' time to first token: p%g %s without the flood, %s with it", 100*q, without.Quantile(q), with.Quantile(q))
+		b.Logf("small organisations' time to first token: p%g %s without the flood, %s with it", 100*q, without.Quantile(q), with.Quantile(q))
 	}
 	b.ReportMetric(100*shareError(c, r), "share-error-pct")
 	b.ReportMetric(with.Quantile(0.99).Seconds()/without.Quantile(0.99).Seconds(), "small-ttft-ratio")
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -35,28 +35,28 @@
 
 	// A Config says what is run.
 	Config struct {
-		Hosts      int
-		Engines    int
-		Spec       standin.Spec
-		Members    []Member
-		Load       float64       // of the capacity that the formula of Capacity gives
-		Span       time.Duration // how long requests arrive
-		Warm       time.Duration // before anything is measured
-		Seed       uint64
-		Median     float64 // output tokens
-		PromptMean int     // tokens
-		Oracle     bool    // tell the reducers the output lengths
-		Options    []dispatch.Option
-		LoadEvery  time.Duration // between load reports
-		LoadLag    time.Duration
-		PeerEvery  time.Duration // between reports of hosts; 0 means none are sent
-		Link       time.Duration // one way
-		Faults     []Fault
-		Check      int // events between two checks of the books; 0 means none
+		Hosts         int
+		Engines       int
+		Spec          standin.Spec
+		Organisations []Organisation
+		Load          float64       // of the capacity that the formula of Capacity gives
+		Span          time.Duration // how long requests arrive
+		Warm          time.Duration // before anything is measured
+		Seed          uint64
+		Median        float64 // output tokens
+		PromptMean    int     // tokens
+		Oracle        bool    // tell the reducers the output lengths
+		Options       []dispatch.Option
+		LoadEvery     time.Duration // between load reports
+		LoadLag       time.Duration
+		PeerEvery     time.Duration // between reports of hosts; 0 means none are sent
+		Link          time.Duration // one way
+		Faults        []Fault
+		Check         int // events between two checks of the books; 0 means none
 	}
 
-	// A Member sends a part of the load.
-	Member struct {
+	// An Organisation sends a part of the load.
+	Organisation struct {
 		Name     string
 		Weight   float64 // promised share
 		Part     float64 // of the load
@@ -112,7 +112,7 @@
 	prefixes    = 64   // shared prompt prefixes in use
 	prefixPart  = 0.5  // of the prompts that begin with one
 	prefixSize  = 128  // tokens
-	queueSize   = 4096 // requests that a member may have held
+	queueSize   = 4096 // requests that an organisation may have held
 )
 
 var epoch = time.Unix(1_700_000_000, 0)
@@ -149,22 +149,22 @@
 
 func engineName(i int) string { return fmt.Sprintf("e%03d", i) }
 
-// table declares the members and engines.
+// table declares the organisations and engines.
 func (c *Config) table() (*table.Table, error) {
 	memory := standin.NewBatch(c.Spec).Spec().Memory
 	var b strings.Builder
 	b.WriteString("kind,version,name,weight,key,model,domain,address,checks,memory,tail,stall,queue,inflight\ntable,1\nmodel,,m\n")
 	declared := map[string]bool{}
-	for _, m := range c.Members {
+	for _, m := range c.Organisations {
 		if declared[m.Name] {
-			continue // a second stream of the same member's calls
+			continue // a second stream of the same organisation's calls
 		}
 		declared[m.Name] = true
 		queue := m.Queue
 		if queue == 0 {
 			queue = queueSize
 		}
-		fmt.Fprintf(&b, "member,,%s,%g,%s,,,,,,%g,%g,%d,%d\n", m.Name, m.Weight, table.FormatKey(m.Name), m.Tail, m.Stall, queue, m.Limit)
+		fmt.Fprintf(&b, "organisation,,%s,%g,%s,,,,,,%g,%g,%d,%d\n", m.Name, m.Weight, table.FormatKey(m.Name), m.Tail, m.Stall, queue, m.Limit)
 	}
 	for i := range c.Engines {
 		fmt.Fprintf(&b, "engine,,%s,,,m,d,127.0.0.1:%d,yes,%d\n", engineName(i), i+1, memory)
@@ -174,8 +174,8 @@
 
 // begin schedules what happens over and over.
 func (t *Trial) begin() {
-	for i := range t.config.Members {
-		t.arrive(&t.config.Members[i])
+	for i := range t.config.Organisations {
+		t.arrive(&t.config.Organisations[i])
 	}
 	for _, e := range t.hosts {
 		offset := t.between(0, sampleEvery)
