--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -156,7 +156,7 @@
 			q.unfilled -= q.shared
 		}
 		t.unfilled += q.unfilled
-		t.reorganisation(q.prefix, r.now)
+		t.remember(q.prefix, r.now)
 	}
 	r.ledger.Charge(q.organisation.spec.Name, q.pool.name, promptUnit*float64(q.prompt), r.now)
 }
--- a/dispatch/target_state.go
+++ b/dispatch/target_state.go
@@ -32,7 +32,7 @@
 
 const (
 	prefixLife  = 2 * time.Minute // how long a prefix is taken to stay cached
-	prefixMost  = 4096            // prefixes reorganisationed of one target
+	prefixMost  = 4096            // prefixes remembered of one target
 	loadExpiry  = 5 * time.Second // age at which a load report says nothing more
 	peersExpiry = 2 * time.Second // age at which a peer's report says nothing more
 )
@@ -51,8 +51,8 @@
 	return ok && prefix != 0
 }
 
-// reorganisation notes that a prefix was sent to the target.
-func (t *targetState) reorganisation(prefix uint64, now time.Duration) {
+// remember notes that a prefix was sent to the target.
+func (t *targetState) remember(prefix uint64, now time.Duration) {
 	if prefix == 0 {
 		return
 	}
@@ -153,7 +153,7 @@
 		return
 	}
 	if e.Held {
-		t.reorganisation(e.Prefix, r.now)
+		t.remember(e.Prefix, r.now)
 		return
 	}
 	delete(t.prefixes, e.Prefix)
--- a/target/responses.go
+++ b/target/responses.go
@@ -184,7 +184,7 @@
 	return nil, failed
 }
 
-// Cancel posts to the cancel path. The engine reorganisations the identifier, so an
+// Cancel posts to the cancel path. The engine remembers the identifier, so an
 // order that arrives later is refused.
 func (r *responses) Cancel(ctx context.Context, generation string) error {
 	resp, err := r.call(ctx, r.client, http.MethodPost, "/v1/responses/"+generation+"/cancel", generation, []byte("{}"))
