Package publication holds the readers of published values

The name platform/ is needed for the adapter to the users' platform. The Consul-style source stays what the product's own interface reads; only the package is renamed.

--- a/console/standin.go
+++ b/console/standin.go
@@ -12,7 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/wigeonlink/wigeonlink/pause"
-	"github.com/wigeonlink/wigeonlink/platform"
+	"github.com/wigeonlink/wigeonlink/publication"
 	"github.com/wigeonlink/wigeonlink/settings"
 	"github.com/wigeonlink/wigeonlink/standin"
 	"github.com/wigeonlink/wigeonlink/table"
@@ -104,7 +104,7 @@
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			p := standin.NewPlatform()
-			p.Publish(platform.KeyRoster, []byte(`{"leaving":[]}`))
+			p.Publish(publication.KeyRoster, []byte(`{"leaving":[]}`))
 			if err := publish(p, args[0]); err != nil {
 				return err
 			}
@@ -129,7 +129,7 @@
 	if err != nil {
 		return err
 	}
-	p.Publish(platform.KeyTable, value)
+	p.Publish(publication.KeyTable, value)
 	return nil
 }
 
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -18,7 +18,7 @@
 
 	"github.com/wigeonlink/wigeonlink"
 	"github.com/wigeonlink/wigeonlink/credential"
-	"github.com/wigeonlink/wigeonlink/platform"
+	"github.com/wigeonlink/wigeonlink/publication"
 	"github.com/wigeonlink/wigeonlink/standin"
 	"github.com/wigeonlink/wigeonlink/table"
 	"github.com/wigeonlink/wigeonlink/ticket"
@@ -241,7 +241,7 @@
 	if err := s.WriteCSV(&out); err != nil {
 		return eris.Wrap(err, "publish")
 	}
-	c.Platform.Publish(platform.KeyTable, out.Bytes())
+	c.Platform.Publish(publication.KeyTable, out.Bytes())
 	return nil
 }
 
@@ -251,7 +251,7 @@
 		names = []string{}
 	}
 	data, _ := json.Marshal(map[string][]string{"leaving": names})
-	c.Platform.Publish(platform.KeyRoster, data)
+	c.Platform.Publish(publication.KeyRoster, data)
 }
 
 // StartEntry starts the entry host of a place, at the address that it had before.
--- a/host/feeds.go
+++ b/host/feeds.go
@@ -7,7 +7,7 @@
 
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/event"
-	"github.com/wigeonlink/wigeonlink/platform"
+	"github.com/wigeonlink/wigeonlink/publication"
 	"github.com/wigeonlink/wigeonlink/table"
 )
 
@@ -17,16 +17,16 @@
 }
 
 // RunFeeds watches the platform until ctx ends.
-func (h *Host) RunFeeds(ctx context.Context, source platform.Source) {
-	tables := h.feed(source, platform.KeyTable, func(v platform.Value) { h.TakeTable(v.Data) })
+func (h *Host) RunFeeds(ctx context.Context, source publication.Source) {
+	tables := h.feed(source, publication.KeyTable, func(v publication.Value) { h.TakeTable(v.Data) })
 	tables.Active = h.Reader
-	rosters := h.feed(source, platform.KeyRoster, h.takeRoster)
+	rosters := h.feed(source, publication.KeyRoster, h.takeRoster)
 	go rosters.Run(ctx)
 	tables.Run(ctx)
 }
 
-func (h *Host) feed(source platform.Source, key string, take func(platform.Value)) *platform.Feed {
-	return &platform.Feed{
+func (h *Host) feed(source publication.Source, key string, take func(publication.Value)) *publication.Feed {
+	return &publication.Feed{
 		Source: source,
 		Key:    key,
 		Value:  take,
@@ -46,7 +46,7 @@
 	h.Post(dispatch.TableChange{Table: t})
 }
 
-func (h *Host) takeRoster(v platform.Value) {
+func (h *Host) takeRoster(v publication.Value) {
 	var r roster
 	if err := json.Unmarshal(v.Data, &r); err != nil {
 		h.log.Emit(event.TableRefused, event.Fields{Detail: "roster: " + err.Error()})
--- a/host/host.go
+++ b/host/host.go
@@ -44,7 +44,7 @@
 		services  adapters[target.Service]
 		tickets   *ticket.Ledger
 		mesh      *peer.Mesh // nil for a host without peers
-		published publication
+		published sheetCache
 	}
 
 	// An Observer is told of what happens, for metrics.
--- a/host/mesh.go
+++ b/host/mesh.go
@@ -16,7 +16,7 @@
 	"github.com/wigeonlink/wigeonlink/event"
 	"github.com/wigeonlink/wigeonlink/forecast"
 	"github.com/wigeonlink/wigeonlink/peer"
-	"github.com/wigeonlink/wigeonlink/platform"
+	"github.com/wigeonlink/wigeonlink/publication"
 	"github.com/wigeonlink/wigeonlink/share"
 	"github.com/wigeonlink/wigeonlink/table"
 	"github.com/wigeonlink/wigeonlink/wire"
@@ -26,8 +26,8 @@
 	// meshSide is the host as its peers see it.
 	meshSide struct{ *Host }
 
-	// publication is the sheet of the table in force, as it is passed on.
-	publication struct {
+	// sheetCache is the sheet of the table in force, as it is passed on.
+	sheetCache struct {
 		mu      sync.Mutex
 		version uint64
 		packed  []byte
@@ -192,7 +192,7 @@
 }
 
 // begin reports whether nobody is asking for a table, and marks that somebody is.
-func (p *publication) begin() bool {
+func (p *sheetCache) begin() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.asking {
@@ -202,7 +202,7 @@
 	return true
 }
 
-func (p *publication) end() {
+func (p *sheetCache) end() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.asking = false
@@ -238,15 +238,15 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "table from a peer")
 	}
-	sheet, err := io.ReadAll(io.LimitReader(r, platform.MostValue+1))
-	if err != nil || len(sheet) > platform.MostValue {
-		return nil, eris.Errorf("table from a peer: larger than %d bytes, or broken: %v", platform.MostValue, err)
+	sheet, err := io.ReadAll(io.LimitReader(r, publication.MostValue+1))
+	if err != nil || len(sheet) > publication.MostValue {
+		return nil, eris.Errorf("table from a peer: larger than %d bytes, or broken: %v", publication.MostValue, err)
 	}
 	return sheet, nil
 }
 
 // keep notes the sheet of a table, for peers.
-func (p *publication) keep(version uint64, sheet []byte) {
+func (p *sheetCache) keep(version uint64, sheet []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if version > p.version {
@@ -255,7 +255,7 @@
 }
 
 // newer returns the kept sheet if it is newer than have.
-func (p *publication) newer(have uint64) *wire.Table {
+func (p *sheetCache) newer(have uint64) *wire.Table {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.version <= have {
--- a/parts.go
+++ b/parts.go
@@ -17,7 +17,7 @@
 	"github.com/wigeonlink/wigeonlink/meter"
 	"github.com/wigeonlink/wigeonlink/operator"
 	"github.com/wigeonlink/wigeonlink/peer"
-	"github.com/wigeonlink/wigeonlink/platform"
+	"github.com/wigeonlink/wigeonlink/publication"
 	"github.com/wigeonlink/wigeonlink/ticket"
 )
 
@@ -128,7 +128,7 @@
 	l.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			for _, address := range a.settings.Platform {
-				go h.RunFeeds(ctx, platform.NewSource(address))
+				go h.RunFeeds(ctx, publication.NewSource(address))
 			}
 			return nil
 		},
--- a/platform/consul.go
+++ b/publication/consul.go
@@ -1,4 +1,4 @@
-package platform
+package publication
 
 import (
 	"context"
--- a/platform/platform.go
+++ b/publication/publication.go
@@ -1,6 +1,6 @@
-// Package platform reads what the platform publishes: the table and the roster of
+// Package publication reads what is published for all hosts: the table and the roster of
 // leaving targets. It only ever reads and watches.
-package platform
+package publication
 
 import (
 	"context"
