--- a/answer/kind.go
+++ b/answer/kind.go
@@ -66,6 +66,9 @@
 	KindTicketMismatch
 	KindTicketLost
 	KindFault
+	KindTimeout
+	KindBusy
+	KindBadRequest
 	kindEnd
 )
 
@@ -106,6 +109,9 @@
 	KindTicketMismatch:    {http.StatusConflict, "ticket_mismatch", "invalid_request_error", NotRun, 0, "the ticket belongs to another call; this one did not run"},
 	KindTicketLost:        {http.StatusConflict, "ticket_lost", "server_error", Unknown, 0, "the host that held the ticket is gone; it is not known whether the call ran"},
 	KindFault:             {http.StatusInternalServerError, "fault", "server_error", Unknown, 0, "an unexpected fault"},
+	KindTimeout:           {http.StatusGatewayTimeout, "timeout", "server_error", Unknown, 0, "the target did not answer in time; it is not known whether the request ran"},
+	KindBusy:              {http.StatusServiceUnavailable, "busy", "overloaded_error", NotRun, 500 * time.Millisecond, "this host holds too many large requests; this one did not run"},
+	KindBadRequest:        {http.StatusBadRequest, "bad_request", "invalid_request_error", NotRun, 0, "a header of the request is missing or cannot be read"},
 }
 
 var outcomes = [...]string{NotRun: "not_run", Partial: "partial", Unknown: "unknown"}
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -29,6 +29,9 @@
 		Expected float64       // output expected of the request, in tokens
 		Tail     float64       // organisation's weight of the tail, from 0 to 1
 		Plain    bool
+		Slots    int     // requests that the target serves at once; 0 means not known
+		Away     bool    // of another failure domain than the host
+		Trouble  float64 // share of attempts that failed lately
 	}
 
 	forecastChooser struct{}
@@ -59,12 +62,19 @@
 
 func (forecastChooser) Score(c *Candidate) float64 {
 	if c.Plain {
-		return c.Streams
+		return c.Streams + plainTrouble*c.Trouble + awayIf(c.Away, plainAway)
 	}
 	first := c.Prefill + c.Interval
 	slower := c.Expected * (c.Interval - c.Idle).Seconds()
 	others := c.Streams * c.Extra.Seconds()
-	return first.Seconds() + c.Tail*(slower+others)
+	return first.Seconds() + c.Tail*(slower+others) + engineTrouble*c.Trouble + awayIf(c.Away, engineAway)
+}
+
+func awayIf(away bool, cost float64) float64 {
+	if away {
+		return cost
+	}
+	return 0
 }
 
 const (
@@ -75,6 +85,11 @@
 	turnExcess  = 0.1  // excess from which an organisation's requests compete with all others
 	leastTurn   = 100 * time.Millisecond
 	stallExtra  = 0.75 // standard deviations more, at full weight of stalls
+
+	plainTrouble  = 12.0 // requests ahead that a target which always fails is worth avoiding for
+	plainAway     = 2.0  // requests ahead that staying in the failure domain is worth
+	engineTrouble = 8.0  // seconds that an engine which always fails is worth avoiding for
+	engineAway    = 3.0  // seconds that staying in the failure domain is worth
 )
 
 // choose returns the best target with room for q, or nil.
@@ -90,16 +105,24 @@
 	if n > sampleAbove {
 		count, step = sampleSize, stride(q.id, n)
 	}
+	r.basis = r.basisOf(q)
 	var best *targetState
 	lowest := math.Inf(1)
 	start := int(mix(uint64(q.id)+uint64(r.place)<<32) % uint64(n))
 	for i := range count {
 		at := (start + i*step) % n
 		t := ts[at]
-		if !t.open(r.now, r.options.fresh) || slices.Contains(q.tried, t) || !r.turn(at, rivals, rank) {
+		if !t.open(r.now, r.options.fresh) {
+			continue
+		}
+		r.basis.Open++
+		if slices.Contains(q.tried, t) || !r.turn(at, rivals, rank) {
 			continue
 		}
 		score, ok := r.score(q, t, &demand, excess)
+		if ok {
+			r.basis.Room++
+		}
 		if ok && (best == nil || score < lowest-tieWidth*math.Abs(lowest)) {
 			best, lowest = t, score
 		}
@@ -119,6 +142,9 @@
 		Expected: q.expected,
 		Tail:     tail,
 		Plain:    q.plain,
+		Slots:    t.spec.Slots,
+		Away:     r.away(t),
+		Trouble:  t.trouble.now(r.now),
 	}
 	if t.load.Total > 0 {
 		c.Reported = float64(t.load.Used) / float64(t.load.Total)
@@ -147,6 +173,9 @@
 	if r.crowdsPrompts(t, demand, c.Tail) {
 		return false
 	}
+	if t.spec.Slots > 0 && all.Streams+1 > float64(t.spec.Slots) {
+		return false
+	}
 	if all.Peak(demand, deviations) > memory && all.Streams > 0 {
 		return false
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -115,7 +115,7 @@
 	}
 	retried := r.reducer.Counts().Retried
 	r.Assert(retried > 0, qt.IsTrue)
-	r.Assert(float64(retried) <= retryShare*requests+retryBurst, qt.IsTrue, qt.Commentf("%d", retried))
+	r.Assert(float64(retried) <= defaultRetryShare*requests+defaultRetrySlack, qt.IsTrue, qt.Commentf("%d", retried))
 }
 
 func TestLeavingTargetGetsNoNewWork(t *testing.T) {
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/table"
 )
 
 type (
@@ -16,6 +17,21 @@
 		Answer   answer.Kind   // Refuse
 		Retry    time.Duration // Refuse: when to come back
 		At       time.Time     // Timer
+		To       table.Target  // Dispatch: the target as the list has it
+		Basis    Basis         // Dispatch, Refuse
+	}
+
+	// A Basis is what a decision rested on.
+	Basis struct {
+		Table   uint64        // version in force
+		Fleet   uint64        // revision of the list of targets; 0 if the table has them
+		Targets int           // of the pool
+		Open    int           // of these, the ones that take new work
+		Room    int           // of these, the ones with room
+		Streams float64       // on the chosen target before, as far as known
+		Held    time.Duration // that the request has waited on this host
+		Attempt int           // from 1
+		Away    bool          // whether the target is of another failure domain
 	}
 
 	// An EffectKind tells effects apart.
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -33,6 +33,7 @@
 		Shared       int    // tokens of that prefix
 		Limit        int    // largest output in tokens; 0 means none
 		Output       int    // output in tokens if it is known ahead; 0 means unknown
+		Attempts     int    // targets that it may be sent to; 0 means the reducer's own bound
 		Deadline     time.Time
 	}
 
@@ -69,6 +70,8 @@
 		Certainty target.Certainty
 		Delivered bool // whether the caller has got a part of the answer
 		Rebooted  bool // whether the engine is known to have restarted
+		Unsent    bool // whether no byte of the request has left this host
+		Answered  bool // whether the target answered with a failure of its own
 	}
 
 	// Gone says that the caller is no longer there.
@@ -96,6 +99,13 @@
 		Held   bool
 	}
 
+	// Fleet is the targets that live now. Once one has come, the targets of the
+	// table no longer count.
+	Fleet struct {
+		Revision uint64
+		Targets  map[string]table.Target
+	}
+
 	// Roster is the platform's list of targets that are leaving or gone.
 	Roster struct{ Leaving map[string]bool }
 
@@ -130,6 +140,7 @@
 	// included, this one's place among them, and how often they report.
 	Peers struct {
 		Count, Place int
+		All          int // live hosts of all failure domains; 0 means Count
 		Every        time.Duration
 	}
 
--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/wigeonlink/wigeonlink/answer"
@@ -16,17 +17,24 @@
 
 	// budget bounds retries to a share of the requests.
 	budget struct{ tokens float64 }
+
+	// trouble is the decayed share of attempts at a target that failed.
+	trouble struct {
+		share float64
+		at    time.Duration
+	}
 )
 
 const (
-	breakAfter   = 3                     // failures in a row
-	breakFirst   = time.Second           // first pause, doubled each time
-	breakMost    = 30 * time.Second      // longest pause
-	retryShare   = 0.1                   // retries earned by a request
-	retryBurst   = 10.0                  // retries that can be saved up
-	retryMost    = 3                     // attempts of a request
-	retryBackoff = 20 * time.Millisecond // before the second attempt, doubled each time
-	retryJitter  = 0.5                   // part of the backoff that varies
+	breakAfter    = 3                     // failures in a row
+	breakFirst    = time.Second           // first pause, doubled each time
+	breakMost     = 30 * time.Second      // longest pause
+	troubleWeight = 0.2                   // of one attempt in the share that fails
+	troubleLife   = 4 * time.Second       // time constant with which failures are forgiven
+	retryMost     = 3                     // targets that a request is sent to
+	mostTries     = 6                     // attempts of a request, those included that reached no target
+	retryBackoff  = 20 * time.Millisecond // before the second attempt, doubled each time
+	retryJitter   = 0.5                   // part of the backoff that varies
 )
 
 func (b *breaker) allows(now time.Duration) bool { return now >= b.until }
@@ -49,7 +57,7 @@
 }
 
 // earn and spend keep the retry budget.
-func (b *budget) earn() { b.tokens = min(b.tokens+retryShare, retryBurst) }
+func (b *budget) earn(share, most float64) { b.tokens = min(b.tokens+share, most) }
 
 func (b *budget) spend() bool {
 	if b.tokens < 1 {
@@ -59,17 +67,39 @@
 	return true
 }
 
+// now returns the share of failures as forgiven by a time.
+func (t *trouble) now(at time.Duration) float64 {
+	return t.share * math.Exp(-float64(at-t.at)/float64(troubleLife))
+}
+
+// add counts an attempt that failed by a degree from 0, not at all, to 1.
+func (t *trouble) add(degree float64, at time.Duration) {
+	t.share = t.now(at)
+	t.share += troubleWeight * (degree - t.share)
+	t.at = at
+}
+
+// retryBurst returns how many retries this host may save up for a pool: its part of
+// what all hosts may.
+func (r *Reducer) retryBurst() float64 { return r.options.retrySlack / float64(max(r.all, r.count)) }
+
 func (e Failed) reduce(r *Reducer) {
 	q := r.requests[e.ID]
 	if q == nil || q.phase != phaseSent {
 		return
 	}
 	t, p := q.target, q.pool
-	t.breaker.fail(r.now)
+	if !e.Answered {
+		t.breaker.fail(r.now)
+	}
+	t.trouble.add(1, r.now)
 	if e.Rebooted {
 		clear(t.prefixes)
 	}
 	r.leave(q)
+	if e.Unsent {
+		q.unsent++
+	}
 	q.tried = append(q.tried, t)
 	if r.mayRetry(q, e) {
 		r.retry(q)
@@ -81,15 +111,22 @@
 }
 
 // mayRetry reports whether a request may be sent once more: its last attempt
-// provably did not run or is provably over, or does no harm twice; its caller has
-// nothing of it, and it may be repeated at all.
+// provably did not run or is provably over, or does no harm twice, and its caller has
+// nothing of it. One that is not idempotent goes out again only if nothing of it left
+// this host, or if it was provably not run and its caller allows several targets.
 func (r *Reducer) mayRetry(q *request, e Failed) bool {
 	over := e.Certainty == target.CertainNotRun || e.Certainty == target.CertainLost && e.Rebooted
+	if q.once && !e.Unsent && (!q.again || e.Certainty != target.CertainNotRun) {
+		return false
+	}
 	repeatable := q.plain && !q.once
-	if !over && !repeatable || e.Delivered || q.once || q.attached || q.gone > 0 || r.stopping {
+	if !over && !repeatable || e.Delivered || q.attached || q.gone > 0 || r.stopping {
+		return false
+	}
+	if q.attempts >= mostTries || q.attempts-q.unsent >= q.sends || q.deadline <= r.now {
 		return false
 	}
-	return q.attempts < retryMost && len(q.tried) < len(q.pool.targets) && r.budget.spend()
+	return len(q.tried) < len(q.pool.targets) && (e.Unsent || q.pool.budget.spend())
 }
 
 // retry holds a request for another attempt after a backoff.
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -23,6 +23,9 @@
 		objective  bool
 		burst      int
 		fresh      time.Duration
+		reach      bool
+		retryShare float64
+		retrySlack float64
 	}
 
 	withDomain     string
@@ -36,6 +39,8 @@
 	withObjective  bool
 	withBurst      int
 	withFresh      time.Duration
+	withReach      bool
+	withRetries    struct{ share, slack float64 }
 	withEngine     struct{ base, per, prefill time.Duration }
 )
 
@@ -53,6 +58,8 @@
 func (o withObjective) apply(opts *options)  { opts.objective = bool(o) }
 func (o withBurst) apply(opts *options)      { opts.burst = int(o) }
 func (o withFresh) apply(opts *options)      { opts.fresh = time.Duration(o) }
+func (o withReach) apply(opts *options)      { opts.reach = bool(o) }
+func (o withRetries) apply(opts *options)    { opts.retryShare, opts.retrySlack = o.share, o.slack }
 
 // WithWindow sets the time constant with which use is forgotten.
 func WithWindow(d time.Duration) Option { return withWindow(d) }
@@ -81,6 +88,14 @@
 // work: an engine not heard of may have begun to leave. 0 means any age.
 func WithFresh(d time.Duration) Option { return withFresh(d) }
 
+// WithReach sets whether the targets of other failure domains are used too, at a cost:
+// a request that crosses a boundary ends with a cut of it.
+func WithReach(on bool) Option { return withReach(on) }
+
+// WithRetries bounds the attempts beyond the first that a pool gets from all hosts
+// together: a share of its requests, and a number that can be saved up.
+func WithRetries(share, slack float64) Option { return withRetries{share, slack} }
+
 // WithBurst sets how many prompt tokens a host lets an engine compute at once, as
 // far as it knows, for an organisation that weighs tail and stall alike; 0 means any
 // number.
@@ -109,6 +124,8 @@
 	defaultBurst      = 512 // tokens
 	defaultFresh      = 2500 * time.Millisecond
 	defaultConsortium = 0.25 // weight of an organisation's use of other pools
+	defaultRetryShare = 0.1  // retries earned by a request
+	defaultRetrySlack = 10.0 // retries that all hosts together can save up
 )
 
 func defaultOptions() options {
@@ -127,5 +144,7 @@
 		objective:  true,
 		burst:      defaultBurst,
 		fresh:      defaultFresh,
+		retryShare: defaultRetryShare,
+		retrySlack: defaultRetrySlack,
 	}
 }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -25,6 +25,7 @@
 	fairAt         time.Duration
 	fair           float64 // mean use by weight over the active organisations
 	highest        float64 // level of the organisation that has had the most
+	budget         budget  // of retries
 }
 
 const (
@@ -194,17 +195,21 @@
 	}
 	m.leftAt = r.now
 	q.attempts++
+	basis := r.basis
+	basis.Held, basis.Attempt = r.now-q.arrived, q.attempts
+	basis.Streams, basis.Away = t.demand(r.now).Streams, r.away(t)
 	if q.attempts > 1 {
 		r.counts.Retried++
 	}
 	t.breaker.tried(r.now)
 	r.placeAt(q, t)
-	r.emit(Effect{Kind: EffectDispatch, ID: q.id, Target: t.spec.Name, Priority: r.priority(m)})
+	r.emit(Effect{Kind: EffectDispatch, ID: q.id, Target: t.spec.Name, To: t.spec, Priority: r.priority(q), Basis: basis})
 }
 
 // priority returns the engine priority of an organisation's requests, lower first: the
 // more an organisation weighs stalls against the tail, the later it is preempted.
-func (r *Reducer) priority(m *organisation) int {
+func (r *Reducer) priority(q *request) int {
+	m := q.organisation
 	if !r.options.objective || m.spec.Tail+m.spec.Stall == 0 {
 		return priorityScale / 2
 	}
@@ -271,23 +276,28 @@
 	for _, p := range r.poolList {
 		p.targets = p.targets[:0]
 	}
-	for name, spec := range r.table.Targets {
-		if r.options.domain != "" && spec.Domain != r.options.domain {
+	declared := r.declared()
+	for name, spec := range declared {
+		if !r.options.reach && r.options.domain != "" && spec.Domain != r.options.domain {
+			delete(r.targets, name)
+			continue
+		}
+		p := r.pools[poolName(spec)]
+		if p == nil {
 			delete(r.targets, name)
 			continue
 		}
 		t := r.targets[name]
-		if t == nil {
+		if t == nil || !t.spec.Boot.Equal(spec.Boot) {
 			t = r.newTarget(spec)
 			r.targets[name] = t
 		}
 		t.spec = spec
-		t.leaving = r.leaving[name]
-		p := r.pools[poolName(spec)]
+		t.leaving = r.leaving[name] || spec.Leaving
 		p.targets = append(p.targets, t)
 	}
 	for name := range r.targets {
-		if _, ok := r.table.Targets[name]; !ok {
+		if _, ok := declared[name]; !ok {
 			delete(r.targets, name)
 		}
 	}
@@ -296,6 +306,26 @@
 	}
 }
 
+// declared returns the targets that the fleet or else the table lists.
+func (r *Reducer) declared() map[string]table.Target {
+	if r.fleet.Targets != nil {
+		return r.fleet.Targets
+	}
+	return r.table.Targets
+}
+
+func (e Fleet) reduce(r *Reducer) {
+	if e.Targets == nil {
+		return
+	}
+	r.fleet = e
+	if r.table == nil {
+		return
+	}
+	r.applyTargets()
+	r.drainAll()
+}
+
 func poolName(spec table.Target) string {
 	if spec.Kind == table.TargetService {
 		return spec.Service
--- a/dispatch/random_test.go
+++ b/dispatch/random_test.go
@@ -195,7 +195,11 @@
 	if delivered && certainty == target.CertainNotRun {
 		certainty = target.CertainLost
 	}
-	m.feed(t, Failed{ID: id, Certainty: certainty, Delivered: delivered, Rebooted: rapid.Bool().Draw(t, "rebooted")})
+	unsent := !delivered && certainty == target.CertainNotRun && rapid.Bool().Draw(t, "unsent")
+	if n, ok := m.once[id]; ok && unsent {
+		m.once[id] = n - 1
+	}
+	m.feed(t, Failed{ID: id, Certainty: certainty, Delivered: delivered, Rebooted: rapid.Bool().Draw(t, "rebooted"), Unsent: unsent})
 }
 
 func (m *machine) left(t *rapid.T) {
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -28,12 +28,14 @@
 	peerList         []*peer // as first seen
 	gone             []ID    // sent requests whose caller went, in that order
 	leaving          map[string]bool
-	count            int // live hosts of this domain
+	fleet            Fleet
+	basis            Basis // scratch of choose
+	all              int   // live hosts of all failure domains
+	count            int   // live hosts of this domain
 	place            int
 	turnLength       time.Duration
 	ledger           *share.Ledger
 	lengths          *length.Predictor
-	budget           budget
 	stopping         bool
 	wake             time.Duration
 	candidate        Candidate // scratch of score
@@ -57,6 +59,7 @@
 		requests:      map[ID]*request{},
 		peers:         map[string]*peer{},
 		count:         1,
+		all:           1,
 		turnLength:    leastTurn,
 	}
 	for _, o := range opts {
@@ -112,8 +115,8 @@
 		r.refuseNew(e, kind)
 		return
 	}
-	r.budget.earn()
 	q := r.newRequest(e)
+	q.pool.budget.earn(r.options.retryShare, r.retryBurst())
 	r.hold(q)
 	r.drain(q.pool)
 }
@@ -157,7 +160,14 @@
 			retry = r.rateWait(m, r.pools[e.Pool])
 		}
 	}
-	r.emit(Effect{Kind: EffectRefuse, ID: e.ID, Answer: kind, Retry: retry})
+	basis := Basis{Fleet: r.fleet.Revision}
+	if r.table != nil {
+		basis.Table = r.table.Version
+	}
+	if p := r.pools[e.Pool]; p != nil {
+		basis.Targets, basis.Open = len(p.targets), r.openTargets(p)
+	}
+	r.emit(Effect{Kind: EffectRefuse, ID: e.ID, Answer: kind, Retry: retry, Basis: basis})
 }
 
 func (e Stop) reduce(r *Reducer) { r.stopping = true }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -30,7 +30,10 @@
 
 		target   *targetState
 		tried    []*targetState
-		attempts int
+		attempts int           // those included that reached no target
+		unsent   int           // of these, the ones that did not
+		sends    int           // targets that it may be sent to
+		again    bool          // the caller allows several targets even if it is not idempotent
 		sent     time.Duration // when it was dispatched
 		tokens   int
 		last     time.Duration // when the last token came
@@ -71,6 +74,10 @@
 	q.organisation, q.pool = r.organisations[e.Organisation], r.pools[e.Pool]
 	q.prompt, q.shared, q.prefix = e.Prompt, e.Shared, e.Prefix
 	q.limit, q.output = e.Limit, e.Output
+	q.sends = retryMost
+	if e.Attempts > 0 {
+		q.sends, q.again = e.Attempts, e.Attempts > 1
+	}
 	q.arrived = r.now
 	q.deadline = r.now + r.options.patience
 	if !e.Deadline.IsZero() {
@@ -198,7 +205,9 @@
 		if retry == 0 {
 			retry = kind.Row().Retry
 		}
-		r.emit(Effect{Kind: EffectRefuse, ID: q.id, Answer: kind, Retry: retry})
+		basis := r.basisOf(q)
+		basis.Open = r.openTargets(q.pool)
+		r.emit(Effect{Kind: EffectRefuse, ID: q.id, Answer: kind, Retry: retry, Basis: basis})
 	}
 	r.forget(q)
 }
@@ -217,6 +226,7 @@
 		r.observe(q, e.Usage)
 	}
 	q.target.breaker.succeed()
+	q.target.trouble.add(0, r.now)
 	q.organisation.served++
 	p := q.pool
 	r.leave(q)
--- a/dispatch/target_state.go
+++ b/dispatch/target_state.go
@@ -26,6 +26,7 @@
 		ownAtLoad float64 // memory of this host's streams when the report came
 		prefixes  map[uint64]time.Duration
 		breaker   breaker
+		trouble   trouble
 		sequence  uint64 // of the last dispatch
 	}
 )
@@ -132,6 +133,33 @@
 	return t.loadAt > 0 && now-t.loadAt <= fresh
 }
 
+// away reports whether a target is of another failure domain than the host.
+func (r *Reducer) away(t *targetState) bool {
+	return r.options.domain != "" && t.spec.Domain != r.options.domain
+}
+
+// openTargets counts the targets of a pool that take new work.
+func (r *Reducer) openTargets(p *pool) int {
+	n := 0
+	for _, t := range p.targets {
+		if t.open(r.now, r.options.fresh) {
+			n++
+		}
+	}
+	return n
+}
+
+// basisOf returns what is known when a decision on q falls.
+func (r *Reducer) basisOf(q *request) Basis {
+	return Basis{
+		Table:   r.table.Version,
+		Fleet:   r.fleet.Revision,
+		Targets: len(q.pool.targets),
+		Held:    r.now - q.arrived,
+		Attempt: q.attempts,
+	}
+}
+
 func (e LoadReport) reduce(r *Reducer) {
 	t := r.targets[e.Target]
 	if t == nil {
@@ -162,7 +190,7 @@
 func (e Roster) reduce(r *Reducer) {
 	r.leaving = e.Leaving
 	for name, t := range r.targets {
-		t.leaving = e.Leaving[name]
+		t.leaving = e.Leaving[name] || t.spec.Leaving
 	}
 	r.drainAll()
 }
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -26,6 +26,8 @@
 	HostStopped  Number = 104
 	HostSlept    Number = 105
 	HostFault    Number = 106
+	LogThinned   Number = 107
+	HostReloaded Number = 108
 
 	RequestSubmitted  Number = 201
 	RequestDispatched Number = 202
@@ -37,6 +39,9 @@
 	RequestGone       Number = 208
 	RequestAttached   Number = 209
 	RequestSuperseded Number = 210
+	RequestAnswered   Number = 211
+	RequestMoved      Number = 212
+	MoveFailed        Number = 213
 
 	TargetLost     Number = 301
 	TargetReturned Number = 302
@@ -48,6 +53,9 @@
 	TableStale    Number = 403
 	PlatformLost  Number = 404
 	PlatformFound Number = 405
+	FleetChanged  Number = 406
+	FleetKept     Number = 407
+	EntryRefused  Number = 408
 
 	PeerUp       Number = 501
 	PeerDown     Number = 502
@@ -74,6 +82,8 @@
 	{HostStopped, "host stopped", hclog.Info, "Nothing was left to end."},
 	{HostSlept, "host slept", hclog.Warn, "The process was paused for longer than its leases and drops what it held."},
 	{HostFault, "host fault", hclog.Error, "An invariant does not hold, or a part of the host failed."},
+	{LogThinned, "log thinned", hclog.Warn, "Lines about single requests were left out to keep the volume bounded."},
+	{HostReloaded, "host reloaded", hclog.Info, "The settings were read again; the line says what changed."},
 	{RequestSubmitted, "request submitted", hclog.Debug, "A caller's request was accepted for a decision."},
 	{RequestDispatched, "request dispatched", hclog.Debug, "The request was sent to a target."},
 	{RequestRefused, "request refused", hclog.Info, "The request got a final answer other than its result."},
@@ -84,6 +94,9 @@
 	{RequestGone, "request gone", hclog.Info, "The caller went away before the end."},
 	{RequestAttached, "request attached", hclog.Info, "A caller resumed here a stream that it had begun elsewhere."},
 	{RequestSuperseded, "request superseded", hclog.Info, "Another host has taken the stream over."},
+	{RequestAnswered, "request answered", hclog.Debug, "A forwarded request got its final answer; the line says which and why."},
+	{RequestMoved, "request moved", hclog.Info, "A running stream goes on at another target, from a copy of its memory."},
+	{MoveFailed, "move failed", hclog.Warn, "A running stream could not be moved to another target."},
 	{TargetLost, "target lost", hclog.Warn, "A target no longer answers."},
 	{TargetReturned, "target returned", hclog.Info, "A target answers again."},
 	{TargetRebooted, "target rebooted", hclog.Warn, "A target's boot identifier has changed; its generations are lost."},
@@ -93,6 +106,9 @@
 	{TableStale, "table stale", hclog.Warn, "An older table than the one in force was published and ignored."},
 	{PlatformLost, "platform lost", hclog.Warn, "The configuration service does not answer; the last good values stay."},
 	{PlatformFound, "platform found", hclog.Info, "The configuration service answers again."},
+	{FleetChanged, "fleet changed", hclog.Info, "The list of targets in use has changed."},
+	{FleetKept, "fleet kept", hclog.Warn, "Targets are missing from the list after it could not be read; they stay in use for a short time."},
+	{EntryRefused, "entry refused", hclog.Warn, "A published entry cannot be read and names no target."},
 	{PeerUp, "peer up", hclog.Info, "A peer is live."},
 	{PeerDown, "peer down", hclog.Warn, "A peer is no longer live."},
 	{PeerRefused, "peer refused", hclog.Warn, "A message or connection from a peer was refused."},
--- a/event/log.go
+++ b/event/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 )
@@ -25,6 +26,7 @@
 		Peer         string `json:"peer,omitempty"`
 		Table        uint64 `json:"table,omitempty"` // version
 		Detail       string `json:"detail,omitempty"`
+		Values       []any  `json:"values,omitempty"` // names and values by turns: what a decision rested on
 	}
 
 	// A Log writes events to the log and keeps the latest in a ring.
@@ -35,12 +37,14 @@
 		mu     sync.Mutex
 		ring   []Record
 		next   uint64 // events so far
+		bound  bound
 	}
 
 	// An Option changes a Log.
 	Option interface{ apply(*Log) }
 
 	withSize   int
+	withRate   float64
 	withLogger struct{ logger hclog.Logger }
 	withClock  struct{ clock *Clock }
 )
@@ -56,6 +60,10 @@
 // WithClock sets the clock that stamps events.
 func WithClock(c *Clock) Option { return withClock{c} }
 
+// WithRate bounds the lines that are written in a second. The ring keeps all events.
+func WithRate(lines float64) Option { return withRate(lines) }
+
+func (o withRate) apply(l *Log)   { l.bound.rate = float64(o) }
 func (o withSize) apply(l *Log)   { l.ring = make([]Record, max(int(o), 1)) }
 func (o withLogger) apply(l *Log) { l.logger = o.logger }
 func (o withClock) apply(l *Log)  { l.clock = o.clock }
@@ -82,8 +90,15 @@
 	l.mu.Lock()
 	l.ring[l.next%uint64(len(l.ring))] = r
 	l.next++
+	wanted := k.Level >= l.logger.GetLevel()
+	now := time.Now()
+	write := wanted && l.bound.allows(k.Level, now)
+	thinned, noted := l.bound.note(now)
 	l.mu.Unlock()
-	if k.Level >= l.logger.GetLevel() {
+	if noted {
+		l.logger.Log(byNumber[LogThinned].Level, byNumber[LogThinned].Name, "event", int(LogThinned), "lines", thinned)
+	}
+	if write {
 		l.logger.Log(k.Level, k.Name, f.pairs(n)...)
 	}
 }
@@ -105,7 +120,7 @@
 		args = append(args, "table", f.Table)
 	}
 	add("detail", f.Detail)
-	return args
+	return append(args, f.Values...)
 }
 
 // Records returns the events in the ring, oldest first.
--- a/host/booking.go
+++ b/host/booking.go
@@ -15,13 +15,16 @@
 // cancelTimeout bounds how long a cancel is tried.
 const cancelTimeout = 5 * time.Second
 
-func (h *Host) newBooking(s dispatch.Submit) *Booking {
+func (h *Host) newBooking(name string, s dispatch.Submit) *Booking {
 	id := dispatch.ID(h.nextID.Add(1))
 	s.ID = id
+	if name == "" {
+		name = h.name + "-" + h.incarnate + "-" + strconv.FormatUint(uint64(id), 36)
+	}
 	return &Booking{
 		ID:       id,
 		Submit:   s,
-		Name:     h.name + "-" + h.incarnate + "-" + strconv.FormatUint(uint64(id), 36),
+		Name:     name,
 		host:     h,
 		verdicts: make(chan dispatch.Effect, verdictRoom),
 		cancel:   func() {},
@@ -30,17 +33,23 @@
 
 // Submit asks for a decision on a request. The booking must be finished by Refused
 // from Wait, or by one of Ended, Failed that is final, Superseded or Release.
-func (h *Host) Submit(s dispatch.Submit) *Booking {
-	b := h.newBooking(s)
+func (h *Host) Submit(s dispatch.Submit) *Booking { return h.SubmitAs("", s) }
+
+// SubmitAs is Submit under a name that the caller has given its request, by which the
+// time line shows it.
+func (h *Host) SubmitAs(name string, s dispatch.Submit) *Booking {
+	b := h.newBooking(name, s)
 	h.begin()
-	h.log.Emit(event.RequestSubmitted, event.Fields{Request: b.Name, Organisation: s.Organisation})
+	h.log.Emit(event.RequestSubmitted, event.Fields{Request: b.Name, Organisation: s.Organisation, Values: []any{
+		"pool", s.Pool, "route", s.Route, "prompt", s.Prompt, "limit", s.Limit, "once", s.Once,
+	}})
 	h.send(message{event: b.Submit, booking: b})
 	return b
 }
 
 // Attach books a stream that was begun on another host and is resumed here.
 func (h *Host) Attach(a dispatch.Attach) *Booking {
-	b := h.newBooking(dispatch.Submit{Organisation: a.Organisation, Pool: a.Pool, Prompt: a.Prompt})
+	b := h.newBooking("", dispatch.Submit{Organisation: a.Organisation, Pool: a.Pool, Prompt: a.Prompt})
 	a.ID = b.ID
 	b.target = a.Target
 	h.begin()
@@ -99,7 +108,10 @@
 			fields.Detail = r.Cause.Error()
 		}
 		b.host.log.Emit(event.RequestFailed, fields)
-		b.host.Post(dispatch.Failed{ID: b.ID, Certainty: r.Certainty, Delivered: r.Delivered > 0, Rebooted: r.Rebooted})
+		b.host.Post(dispatch.Failed{
+			ID: b.ID, Certainty: r.Certainty, Delivered: r.Delivered > 0, Rebooted: r.Rebooted,
+			Unsent: r.Unsent, Answered: r.Answered,
+		})
 		return true
 	case relay.EndSuperseded, relay.EndHandedOver:
 		b.host.log.Emit(event.RequestSuperseded, fields)
@@ -111,6 +123,12 @@
 	return false
 }
 
+// Drop tells that the caller went away and that its attempt has been ended.
+func (b *Booking) Drop() {
+	b.host.log.Emit(event.RequestGone, event.Fields{Request: b.Name, Organisation: b.Submit.Organisation, Target: b.target})
+	b.finish(dispatch.Dropped{ID: b.ID})
+}
+
 // finish hands in a last event, after which the loop no longer knows the booking.
 func (b *Booking) finish(e dispatch.Event) {
 	b.host.Post(e)
--- a/host/host.go
+++ b/host/host.go
@@ -13,6 +13,7 @@
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/event"
 	"github.com/wigeonlink/wigeonlink/peer"
+	"github.com/wigeonlink/wigeonlink/registry"
 	"github.com/wigeonlink/wigeonlink/relay"
 	"github.com/wigeonlink/wigeonlink/table"
 	"github.com/wigeonlink/wigeonlink/target"
@@ -34,6 +35,7 @@
 		bookings  map[dispatch.ID]*Booking
 		incarnate string
 		stopping  atomic.Bool
+		draining  atomic.Bool   // not ready, and still taking requests
 		leaving   chan struct{} // closed when the host stops
 		open      gate
 		observer  Observer
@@ -43,7 +45,11 @@
 		ticked    time.Time
 		services  adapters[target.Service]
 		tickets   *ticket.Ledger
-		mesh      *peer.Mesh // nil for a host without peers
+		mesh      *peer.Mesh       // nil for a host without peers
+		keeper    *registry.Keeper // nil for a host that watches a published table
+		listed    atomic.Bool      // whether a list of targets has come
+		asking    atomic.Bool      // whether a peer is being asked for what is published
+		walled    time.Time        // wall clock at the last tick
 		published sheetCache
 	}
 
@@ -157,7 +163,9 @@
 func (h *Host) Table() *table.Table { return h.inForce.Load() }
 
 // Ready reports whether the host takes requests.
-func (h *Host) Ready() bool { return h.Table() != nil && !h.stopping.Load() }
+func (h *Host) Ready() bool {
+	return h.Table() != nil && (h.keeper == nil || h.listed.Load()) && !h.draining.Load() && !h.stopping.Load()
+}
 
 // Leaving returns a channel that is closed when the host begins to stop.
 func (h *Host) Leaving() <-chan struct{} { return h.leaving }
@@ -235,10 +243,17 @@
 // awake notes a pause of the process. What the host held by then has expired by its
 // age: reports of targets and peers count no more until they are renewed.
 func (h *Host) awake(now time.Time) {
-	if slept := now.Sub(h.ticked); !h.ticked.IsZero() && slept > sleptFrom {
+	// The monotonic clock does not count a suspension of the machine; the wall clock
+	// does, and a step of it only costs a reading.
+	wall := now.Round(0)
+	slept := max(now.Sub(h.ticked), wall.Sub(h.walled))
+	if !h.ticked.IsZero() && slept > sleptFrom {
 		h.log.Emit(event.HostSlept, event.Fields{Detail: slept.String()})
+		if h.keeper != nil {
+			go h.keeper.Wake()
+		}
 	}
-	h.ticked = now
+	h.ticked, h.walled = now, wall
 }
 
 // endAll tells whoever still waits that the loop has ended.
@@ -318,11 +333,16 @@
 	switch f.Kind {
 	case dispatch.EffectDispatch:
 		b.target = f.Target
-		h.log.Emit(event.RequestDispatched, event.Fields{Request: b.Name, Organisation: b.Submit.Organisation, Target: f.Target})
+		h.log.Emit(event.RequestDispatched, event.Fields{
+			Request: b.Name, Organisation: b.Submit.Organisation, Target: f.Target, Values: h.basis(f.Basis),
+		})
 		b.tell(f)
 	case dispatch.EffectRefuse:
 		delete(h.bookings, f.ID)
-		h.log.Emit(event.RequestRefused, event.Fields{Request: b.Name, Organisation: b.Submit.Organisation, Detail: f.Answer.String()})
+		h.log.Emit(event.RequestRefused, event.Fields{
+			Request: b.Name, Organisation: b.Submit.Organisation, Detail: f.Answer.String(),
+			Values: append(h.basis(f.Basis), "retry_ms", f.Retry.Milliseconds()),
+		})
 		b.tell(f)
 	case dispatch.EffectResume:
 		b.Track.Kick()
@@ -333,6 +353,21 @@
 	}
 }
 
+// basis returns what a decision rested on, with its age, for the log.
+func (h *Host) basis(b dispatch.Basis) []any {
+	out := []any{
+		"attempt", b.Attempt, "held_ms", b.Held.Milliseconds(), "streams", b.Streams,
+		"targets", b.Targets, "open", b.Open, "room", b.Room, "table_in_force", b.Table,
+	}
+	if b.Away {
+		out = append(out, "away", true)
+	}
+	if h.keeper != nil {
+		out = append(out, "fleet", b.Fleet, "fleet_age_ms", h.keeper.Age().Milliseconds())
+	}
+	return out
+}
+
 // tell hands a verdict to the request's goroutine. There is room for every verdict
 // that a request can get.
 func (b *Booking) tell(f dispatch.Effect) {
--- a/host/mesh.go
+++ b/host/mesh.go
@@ -79,9 +79,13 @@
 // Beat fills in what a heartbeat says of the host.
 func (m meshSide) Beat(hb *wire.Heartbeat) {
 	hb.Stopping = m.stopping.Load()
-	if t := m.Table(); t != nil {
+	if t := m.Table(); t != nil && m.keeper == nil {
 		hb.Table = t.Version
 	}
+	if m.keeper != nil {
+		c := m.keeper.Confirmation()
+		hb.Revision, hb.Content, hb.Confirmed = c.Revision, c.Content, uint32(c.Age.Milliseconds())
+	}
 }
 
 // Report returns the host's soft state.
@@ -141,6 +145,10 @@
 
 // Heard takes in a peer's soft state.
 func (m meshSide) Heard(r *wire.Report) {
+	if r.News != nil {
+		m.hearPush(r)
+		return
+	}
 	in := dispatch.PeerReport{Origin: r.Host + "/" + r.Incarnation, Sequence: r.Sequence, Place: int(r.Place)}
 	for _, a := range r.Accounts {
 		in.Accounts = append(in.Accounts, share.Entry{
@@ -161,6 +169,18 @@
 	m.Post(in)
 }
 
+// hearPush takes in a reading that a peer passes on unasked.
+func (m meshSide) hearPush(r *wire.Report) {
+	if m.hearNews(r.Host, r.News, 0) {
+		return
+	}
+	for _, p := range m.peers() {
+		if p.Host == r.Host {
+			m.askNews(p)
+		}
+	}
+}
+
 // overPools adds up each organisation's use over its pools.
 func overPools(entries []share.Entry) []share.Entry {
 	var sums []share.Entry
@@ -181,7 +201,12 @@
 // Changed passes on how many hosts share the caps, and fetches a newer table.
 func (m meshSide) Changed() {
 	count, place := m.mesh.Split()
-	m.Post(dispatch.Peers{Count: count, Place: place, Every: m.mesh.ReportEvery()})
+	rank, all := m.mesh.Rank()
+	m.Post(dispatch.Peers{Count: count, Place: place, All: all, Every: m.mesh.ReportEvery()})
+	if m.keeper != nil {
+		m.keeper.SetRank(rank)
+		return
+	}
 	have := uint64(0)
 	if t := m.Table(); t != nil {
 		have = t.Version
@@ -267,6 +292,9 @@
 // Answer answers a peer's question.
 func (m meshSide) Answer(ctx context.Context, q *wire.Question) *wire.Answer {
 	switch {
+	case q.News && m.keeper != nil:
+		r, age := m.keeper.Whole()
+		return &wire.Answer{News: newsOut(r, age)}
 	case q.Table != nil:
 		return &wire.Answer{Table: m.published.newer(q.Table.Number)}
 	case q.Ticket != nil:
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -64,6 +64,9 @@
 		// Changed is told when peers came or went, or a peer's table is newer.
 		Changed()
 
+		// Published is told what a peer's heartbeat says of what is published.
+		Published(p Peer, hb *wire.Heartbeat)
+
 		// Answer answers a peer's question. nil closes the stream without one.
 		Answer(ctx context.Context, q *wire.Question) *wire.Answer
 	}
@@ -164,6 +167,14 @@
 	return m.view.Split(m.settings.Domain)
 }
 
+// Rank returns this host's place in an order of all live hosts in which the first ones
+// of each failure domain come first, and the number of live hosts.
+func (m *Mesh) Rank() (rank, all int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.Rank(m.settings.Domain)
+}
+
 // Newest returns the live peer with the highest table version above have.
 func (m *Mesh) Newest(have uint64) (Peer, bool) {
 	m.mu.Lock()
@@ -289,6 +300,33 @@
 	}
 }
 
+// BeatNow sends a heartbeat ahead of its time.
+func (m *Mesh) BeatNow() {
+	for _, l := range m.open() {
+		m.beatTo(l)
+	}
+}
+
+// Push sends something other than the regular report to all peers.
+func (m *Mesh) Push(ctx context.Context, r *wire.Report) {
+	r.Version, r.Host, r.Incarnation = wireVersion, m.settings.Host, m.settings.Incarnation
+	data, err := proto.Marshal(r)
+	if err != nil {
+		m.log.Emit(event.HostFault, event.Fields{Detail: "push: " + err.Error()})
+		return
+	}
+	for _, l := range m.open() {
+		m.sendReport(ctx, l, data)
+	}
+}
+
+// Join makes sure that there are links to some addresses, as when the settings change.
+func (m *Mesh) Join(ctx context.Context, addresses []netip.AddrPort) {
+	for _, a := range addresses {
+		m.connect(ctx, a)
+	}
+}
+
 // knownSample is how many addresses a heartbeat passes on.
 const knownSample = 3
 
--- a/peer/receive.go
+++ b/peer/receive.go
@@ -69,6 +69,7 @@
 		Address:     address,
 		Stopping:    hb.Stopping,
 		Table:       hb.Table,
+		Revision:    hb.Revision,
 	}
 	m.mu.Lock()
 	change, came := m.view.Hear(p, hb.Sequence, time.Now())
@@ -85,6 +86,7 @@
 	if came || change.Peer.Table > 0 {
 		m.handler.Changed()
 	}
+	m.handler.Published(p, hb)
 }
 
 func (m *Mesh) reports(ctx context.Context, conn *quic.Conn) {
--- a/peer/view.go
+++ b/peer/view.go
@@ -18,6 +18,7 @@
 		Address     netip.AddrPort
 		Stopping    bool
 		Table       uint64 // version in force
+		Revision    uint64 // newest of what is published that it knows
 		sequence    uint64
 		at          time.Time
 		gone        bool // no heartbeat for DeadAfter
@@ -123,6 +124,32 @@
 	return count, place
 }
 
+// Rank returns a host's place in an order of all live hosts in which the first ones of
+// each failure domain come first, and the number of live hosts. A stopping host comes
+// after all others.
+func (v *View) Rank(domain string) (rank, all int) {
+	live := append(v.Live(), Peer{Host: v.host, Domain: domain})
+	slices.SortFunc(live, func(a, b Peer) int { return strings.Compare(a.Host, b.Host) })
+	turns := map[string]int{}
+	own, before := 0, 0
+	for _, p := range live {
+		if p.Stopping {
+			continue
+		}
+		if p.Host == v.host {
+			own = turns[p.Domain]
+		}
+		turns[p.Domain]++
+	}
+	for name, n := range turns {
+		before += min(n, own)
+		if name < domain && n > own {
+			before++
+		}
+	}
+	return before, len(live)
+}
+
 // Newest returns the live peer with the highest table version above have.
 func (v *View) Newest(have uint64) (Peer, bool) {
 	var best Peer
--- /dev/null
+++ b/registry/view_test.go
@@ -0,0 +1,142 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wigeonlink/wigeonlink/table"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func targets(names ...string) []table.Target {
+	var out []table.Target
+	for _, n := range names {
+		out = append(out, table.Target{Name: n})
+	}
+	return out
+}
+
+func names(v *View) []string {
+	var out []string
+	for _, t := range v.Whole().Targets {
+		out = append(out, t.Name)
+	}
+	return out
+}
+
+// fresh returns a view that has just read some targets.
+func fresh(listed ...string) *View {
+	v := &View{}
+	v.Read(start, start, Reading{Whole: true, Revision: 10, Targets: targets(listed...), Sheet: &Sheet{3, []byte("s")}})
+	return v
+}
+
+func TestDueFollowsTheRank(t *testing.T) {
+	c := qt.New(t)
+	var v View
+	c.Assert(v.Due().IsZero(), qt.IsTrue)
+	v = *fresh("a")
+	c.Assert(v.Due(), qt.Equals, start.Add(ReadEvery))
+	v.Rank(1)
+	c.Assert(v.Due(), qt.Equals, start.Add(readAlone))
+	v.Rank(2)
+	c.Assert(v.Due(), qt.Equals, start.Add(readAlone+readStep))
+	v.Rank(70)
+	c.Assert(v.Due(), qt.Equals, start.Add(readLatest))
+}
+
+func TestFailuresAreSpacedOut(t *testing.T) {
+	c := qt.New(t)
+	v := fresh("a")
+	at := start.Add(time.Second)
+	for i := range 20 {
+		v.Fail(at)
+		wait := v.Due().Sub(at)
+		c.Assert(wait <= mostBackoff, qt.IsTrue)
+		c.Assert(wait >= firstBackoff, qt.IsTrue, qt.Commentf("failure %d", i))
+		at = v.Due()
+	}
+	v.Read(at, at, Reading{Base: 10, Revision: 11})
+	c.Assert(v.Failures(), qt.Equals, 0)
+}
+
+// A host that hears confirmations does not read; one that no longer hears them does.
+func TestConfirmationsTakeThePlaceOfReading(t *testing.T) {
+	c := qt.New(t)
+	v := fresh("a")
+	v.Rank(1)
+	now := start
+	for range 20 {
+		now = now.Add(ReadEvery)
+		c.Assert(v.Confirm(now, Confirmation{Revision: v.Revision() + 3, Content: 10, Age: 20 * time.Millisecond}), qt.IsTrue)
+		c.Assert(v.Due().After(now.Add(ReadEvery)), qt.IsTrue)
+	}
+	c.Assert(v.Age(now), qt.Equals, 20*time.Millisecond)
+	c.Assert(v.Confirm(now, Confirmation{Revision: 200, Content: 150}), qt.IsFalse)
+}
+
+func TestDeltaNeedsItsBase(t *testing.T) {
+	c := qt.New(t)
+	v := fresh("a")
+	_, ok := v.Hear(start, 0, Reading{Base: 12, Revision: 14, Targets: targets("b")})
+	c.Assert(ok, qt.IsFalse)
+	change, ok := v.Hear(start, 0, Reading{Base: 9, Revision: 14, Targets: targets("b"), Removed: []string{"a"}})
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(change.Targets, qt.IsTrue)
+	c.Assert(names(v), qt.DeepEquals, []string{"b"})
+	change, _ = v.Hear(start, 0, Reading{Base: 9, Revision: 13, Targets: targets("a")})
+	c.Assert(change.Stale, qt.IsTrue)
+	c.Assert(names(v), qt.DeepEquals, []string{"b"})
+}
+
+// An older configuration never replaces a newer one, in whatever order readings come.
+func TestConfigurationNeverReverts(t *testing.T) {
+	c := qt.New(t)
+	v := fresh()
+	c.Assert(v.Read(start, start, Reading{Base: 10, Revision: 20, Sheet: &Sheet{20, []byte("new")}}).Sheet, qt.IsTrue)
+	v.Read(start, start, Reading{Whole: true, Revision: 21, Sheet: &Sheet{3, []byte("old")}})
+	c.Assert(string(v.Sheet().Data), qt.Equals, "new")
+}
+
+// A removal in calm times counts at once. One that is seen when the source returns
+// after an absence is given time to be taken back.
+func TestMissingTargetsAfterAnAbsence(t *testing.T) {
+	c := qt.New(t)
+	v := fresh("a", "b", "c")
+	v.Read(start.Add(time.Second), start.Add(time.Second), Reading{Base: 10, Revision: 11, Removed: []string{"c"}})
+	c.Assert(names(v), qt.DeepEquals, []string{"a", "b"})
+
+	back := start.Add(8 * time.Second)
+	change := v.Read(back, back, Reading{Whole: true, Revision: 30})
+	c.Assert(change.Kept, qt.DeepEquals, []string{"a", "b"})
+	c.Assert(v.Targets(), qt.HasLen, 2)
+	c.Assert(names(v), qt.HasLen, 0) // peers are told what the source says
+
+	v.Read(back.Add(time.Second), back.Add(time.Second), Reading{Base: 30, Revision: 33, Targets: targets("a")})
+	c.Assert(v.Expire(back.Add(time.Second)).Targets, qt.IsFalse)
+	c.Assert(v.Expire(back.Add(returnGrace)).Targets, qt.IsTrue)
+	c.Assert(names(v), qt.DeepEquals, []string{"a"})
+	late := back.Add(returnGrace)
+	v.Read(late, late, Reading{Base: 33, Revision: 36})
+	v.Read(late.Add(time.Second), late.Add(time.Second), Reading{Base: 36, Revision: 40, Removed: []string{"a"}})
+	c.Assert(v.Targets(), qt.HasLen, 0)
+}
+
+// What waited in the sockets while the process was paused is not taken as fresh.
+func TestPausedHostReadsForItself(t *testing.T) {
+	c := qt.New(t)
+	v := fresh("a")
+	v.Rank(3)
+	woke := start.Add(5 * time.Second)
+	v.Wake(woke)
+	c.Assert(v.Confirm(woke, Confirmation{Revision: 12, Content: 10}), qt.IsTrue)
+	c.Assert(v.Due().After(woke), qt.IsFalse)
+	_, _ = v.Hear(woke, 0, Reading{Base: 10, Revision: 14, Targets: targets("b")})
+	c.Assert(names(v), qt.DeepEquals, []string{"a"})
+	v.Read(woke, woke, Reading{Base: 10, Revision: 15, Targets: targets("d")})
+	c.Assert(names(v), qt.DeepEquals, []string{"a", "d"})
+	c.Assert(v.Due().After(woke), qt.IsTrue)
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -50,6 +50,8 @@
 		Rebooted  bool
 		Delivered int // tokens, those before a resume included
 		Cause     error
+		Unsent    bool // no byte of the request has left this host
+		Answered  bool // the target answered with a failure of its own
 	}
 
 	// An Ending tells results apart.
@@ -312,10 +314,10 @@
 	r.begin()
 	now := time.Now()
 	gap := time.Duration(0)
-	if last := r.track.last.Load(); last != 0 {
-		gap = now.Sub(time.Unix(0, last))
+	if last := r.track.Last(); !last.IsZero() {
+		gap = now.Sub(last)
 	}
-	r.track.token(now, gap)
+	r.track.Advance(1, now, gap)
 	if r.sink == nil {
 		return nil
 	}
--- a/relay/track.go
+++ b/relay/track.go
@@ -12,7 +12,8 @@
 // a way to make it open a fresh connection. All methods may be called at any time.
 type Track struct {
 	tokens atomic.Int64
-	last   atomic.Int64 // Unix nanoseconds; 0 for none
+	last   atomic.Int64              // nanoseconds since first, plus 1; 0 for none
+	first  atomic.Pointer[time.Time] // when the first token came; keeps the monotonic clock
 	queued atomic.Bool
 	stalls atomic.Int64 // nanoseconds
 	kick   atomic.Pointer[func()]
@@ -27,7 +28,7 @@
 	if n == 0 {
 		return time.Time{}
 	}
-	return time.Unix(0, n)
+	return t.first.Load().Add(time.Duration(n - 1))
 }
 
 // Queued reports whether the engine said that the stream is not running.
@@ -45,9 +46,16 @@
 
 func (t *Track) begin(next int) { t.tokens.Store(int64(next)) }
 
-func (t *Track) token(now time.Time, gap time.Duration) {
-	t.tokens.Add(1)
-	t.last.Store(now.UnixNano())
+// Advance counts tokens that came at a time, a gap after the ones before.
+func (t *Track) Advance(tokens int, now time.Time, gap time.Duration) {
+	t.tokens.Add(int64(tokens))
+	first := t.first.Load()
+	if first == nil {
+		started := now // escapes to the heap only here
+		first = &started
+		t.first.Store(first)
+	}
+	t.last.Store(int64(now.Sub(*first)) + 1)
 	t.queued.Store(false)
 	if gap > StallFrom {
 		t.stalls.Add(int64(gap - StallFrom))
--- a/table/check.go
+++ b/table/check.go
@@ -63,14 +63,7 @@
 	c := &checker{
 		sheet: s,
 		first: map[string]int{},
-		table: &Table{
-			Organisations: map[string]Organisation{},
-			Models:        map[string]Model{},
-			Targets:       map[string]Target{},
-			Services:      map[string]Service{},
-			Limits:        map[LimitKey]Limit{},
-			byKey:         map[[sha256.Size]byte]string{},
-		},
+		table: NewTable(0),
 	}
 	kinds := defaultRowKinds()
 	slices.SortStableFunc(kinds, func(a, b rowKind) int { return a.priority - b.priority })
--- a/table/table.go
+++ b/table/table.go
@@ -6,8 +6,11 @@
 	"net/netip"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonlink/wigeonlink/route"
 )
 
 type (
@@ -20,6 +23,8 @@
 		Targets       map[string]Target
 		Services      map[string]Service
 		Limits        map[LimitKey]Limit
+		Routes        *route.Map // of forwarded requests; nil if there are none
+		Callers       Callers
 
 		byKey map[[sha256.Size]byte]string
 	}
@@ -33,6 +38,7 @@
 		Queue    int     // requests held at once on one host
 		Tail     float64 // weight of the tail of time between tokens
 		Stall    float64 // weight of stall time
+		Rank     int     // priority of its requests plus 1; 0 leaves it to the route
 		Key      [sha256.Size]byte
 	}
 
@@ -40,6 +46,24 @@
 	Model struct {
 		Name    string
 		Version string
+		Engine  Engine
+	}
+
+	// An Engine is what the engines of a model have in common. Zero fields are not
+	// known.
+	Engine struct {
+		Slots  int // sequences that run at once
+		Memory int // tokens
+		Stride int // tokens that an event of a stream holds
+	}
+
+	// Callers bounds what a caller may send, and how long it may take. Zero fields
+	// leave the host's own bounds in force.
+	Callers struct {
+		Header        int // bytes
+		Body          int // bytes
+		HeaderTimeout time.Duration
+		Idle          time.Duration
 	}
 
 	// A Target is one back end: an engine of a model, or a host of a service.
@@ -53,6 +77,9 @@
 		Memory  int  // tokens of engine memory
 		Checks  bool // whether it refuses an old fencing number
 		Weight  float64
+		Slots   int       // requests that it serves at once; 0 means not known
+		Boot    time.Time // start of its process; zero means not known
+		Leaving bool      // takes no new work and ends soon
 	}
 
 	// A TargetKind tells engines from hosts of plain services.
@@ -96,6 +123,38 @@
 	return "engine"
 }
 
+// Anonymous is the organisation of requests on routes that want no key.
+const Anonymous = "(anonymous)"
+
+// NewTable returns an empty table of a version, to be filled by whoever reads
+// declarations from something other than a sheet. It is not changed once it is in use.
+func NewTable(version uint64) *Table {
+	return &Table{
+		Version:       version,
+		Organisations: map[string]Organisation{},
+		Models:        map[string]Model{},
+		Targets:       map[string]Target{},
+		Services:      map[string]Service{},
+		Limits:        map[LimitKey]Limit{},
+		byKey:         map[[sha256.Size]byte]string{},
+	}
+}
+
+// AddOrganisation adds an organisation with its bearer keys. What it leaves open has
+// the sheet's defaults.
+func (t *Table) AddOrganisation(o Organisation, keys ...string) {
+	if o.Weight <= 0 {
+		o.Weight = 1
+	}
+	if o.Queue <= 0 {
+		o.Queue = defaultQueue
+	}
+	t.Organisations[o.Name] = o
+	for _, k := range keys {
+		t.byKey[HashKey(k)] = o.Name
+	}
+}
+
 // HashKey returns the form in which the table holds a bearer key.
 func HashKey(key string) [sha256.Size]byte { return sha256.Sum256([]byte(key)) }
 
