--- a/console/root.go
+++ b/console/root.go
@@ -7,6 +7,7 @@
 	"github.com/spf13/pflag"
 
 	"github.com/wigeonlink/wigeonlink"
+	"github.com/wigeonlink/wigeonlink/platform"
 	"github.com/wigeonlink/wigeonlink/settings"
 )
 
@@ -19,7 +20,7 @@
 		SilenceErrors: true,
 		Version:       wigeonlink.Version,
 	}
-	root.AddCommand(newServe(), newDemo(), newStandin(), newTable(), newLoad(), newTimeline(), newVersion())
+	root.AddCommand(newServe(), platform.NewCommand(), newDemo(), newStandin(), newTable(), newLoad(), newTimeline(), newVersion())
 	root.PersistentPreRunE = func(cmd *cobra.Command, _ []string) error {
 		known := variables(root)
 		return settings.FromEnvironment(cmd.Flags(), func(name string) bool { return known[name] })
@@ -32,6 +33,9 @@
 	known := map[string]bool{}
 	var walk func(*cobra.Command)
 	walk = func(c *cobra.Command) {
+		if name := c.Annotations[settings.Known]; name != "" {
+			known[name] = true
+		}
 		c.LocalFlags().VisitAll(func(f *pflag.Flag) { known[settings.Variable(f.Name)] = true })
 		for _, sub := range c.Commands() {
 			walk(sub)
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -278,6 +278,7 @@
 	}
 	declared := r.declared()
 	for name, spec := range declared {
+		spec = r.resolve(spec)
 		if !r.options.reach && r.options.domain != "" && spec.Domain != r.options.domain {
 			delete(r.targets, name)
 			continue
@@ -314,6 +315,19 @@
 	return r.table.Targets
 }
 
+// resolve completes a target whose list does not say what kind of pool it serves.
+func (r *Reducer) resolve(spec table.Target) table.Target {
+	m, ok := r.table.Models[spec.Service]
+	if spec.Kind != table.TargetService || !ok {
+		return spec
+	}
+	spec.Kind, spec.Model, spec.Service = table.TargetEngine, spec.Service, ""
+	if m.Engine.Memory > 0 {
+		spec.Memory = m.Engine.Memory
+	}
+	return spec
+}
+
 func (e Fleet) reduce(r *Reducer) {
 	if e.Targets == nil {
 		return
--- /dev/null
+++ b/forward.go
@@ -0,0 +1,116 @@
+package wigeonlink
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/fx"
+
+	"github.com/wigeonlink/wigeonlink/dispatch"
+	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/gateway"
+	"github.com/wigeonlink/wigeonlink/host"
+	"github.com/wigeonlink/wigeonlink/pause"
+	"github.com/wigeonlink/wigeonlink/registry"
+)
+
+// forwarding is what a host needs that forwards callers' requests by route.
+type forwarding struct {
+	source  registry.Source
+	dialect gateway.Dialect
+}
+
+const (
+	// lingerCheck is how often a stopping host looks whether it is done.
+	lingerCheck = 50 * time.Millisecond
+
+	// openHeader bounds the head of a request; the configuration may ask for less.
+	openHeader = 10 * time.Second
+)
+
+// WithForwarding makes the host forward callers' requests by the routes that a source
+// publishes, instead of serving the product's own interface.
+func WithForwarding(s registry.Source, d gateway.Dialect) Option { return &forwarding{s, d} }
+
+func (f *forwarding) apply(a *assembly) {
+	a.forward = f
+	a.parts = ForwardingParts()
+	a.host = append([]host.Option{host.WithDispatch(
+		dispatch.WithReach(true),
+		// Load reports are priced; what hosts tell each other takes their place.
+		dispatch.WithFresh(0),
+	)}, a.host...)
+}
+
+// ForwardingParts returns the stock parts of a host that forwards requests.
+func ForwardingParts() []Part {
+	return []Part{
+		{"log", 100, fx.Provide(newLog)},
+		{"meter", 200, fx.Provide(newMeter)},
+		{"host", 300, fx.Options(fx.Provide(newHost), fx.Invoke(keepRegistry), fx.Invoke(runHost))},
+		{"mesh", 350, fx.Invoke(runMesh)},
+		{"registry", 400, fx.Invoke(runRegistry)},
+		{"operator", 500, fx.Invoke(serveOperator)},
+		{"gateway", 600, fx.Invoke(serveGateway)},
+	}
+}
+
+func keepRegistry(a *assembly, h *host.Host) { h.Keep(a.forward.source) }
+
+func runRegistry(a *assembly, l fx.Lifecycle, h *host.Host) {
+	ctx, cancel := context.WithCancel(a.life)
+	l.Append(fx.Hook{
+		OnStart: func(context.Context) error { go h.Keeper().Run(ctx); return nil },
+		OnStop:  func(context.Context) error { cancel(); return nil },
+	})
+}
+
+func serveGateway(a *assembly, l fx.Lifecycle, h *host.Host) error {
+	g := gateway.NewGateway(h, a.forward.dialect, gateway.WithMemory(a.settings.Memory))
+	s := newServer(a, g)
+	s.ReadHeaderTimeout, s.IdleTimeout, s.ConnState = openHeader, 0, g.ConnState
+	ready := newServer(a, http.HandlerFunc(g.Ready))
+	at, err := net.Listen("tcp", a.settings.Ready.String())
+	if err != nil {
+		return eris.Wrap(err, "readiness address")
+	}
+	context.AfterFunc(a.life, func() { at.Close() })
+	l.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			h.Log().Emit(event.HostStarted, event.Fields{
+				Detail: a.caller.Addr().String(),
+				Values: []any{"version", Version, "domain", a.settings.Domain},
+			})
+			serve(h, ready, at)
+			serve(h, s, a.caller)
+			return nil
+		},
+		OnStop: func(ctx context.Context) error { return stopGateway(ctx, a, h, g, s) },
+	})
+	return nil
+}
+
+// stopGateway lets the callers' side go on until the balancer has noticed that the host
+// is no longer ready, then waits for what is still open.
+func stopGateway(ctx context.Context, a *assembly, h *host.Host, g *gateway.Gateway, s *http.Server) error {
+	began := time.Now()
+	h.Drain()
+	g.Drain()
+	ctx, cancel := context.WithTimeout(ctx, a.settings.Drain)
+	defer cancel()
+	pause.For(ctx, a.settings.Linger)
+	for h.Active() > 0 && ctx.Err() == nil {
+		pause.For(ctx, lingerCheck)
+	}
+	left := h.Active()
+	h.Log().Emit(event.HostStopped, event.Fields{Values: []any{"open", left, "after_ms", time.Since(began).Milliseconds()}})
+	if left > 0 {
+		s.Close()
+		return eris.Errorf("%d requests were still open after %s", left, a.settings.Drain)
+	}
+	// What is idle closes now; nothing is open.
+	return s.Close()
+}
--- a/host/host.go
+++ b/host/host.go
@@ -164,7 +164,7 @@
 
 // Ready reports whether the host takes requests.
 func (h *Host) Ready() bool {
-	return h.Table() != nil && (h.keeper == nil || h.listed.Load()) && !h.draining.Load() && !h.stopping.Load()
+	return h.Table() != nil && h.Listed() && !h.draining.Load() && !h.stopping.Load()
 }
 
 // Leaving returns a channel that is closed when the host begins to stop.
--- a/host/registry.go
+++ b/host/registry.go
@@ -30,6 +30,9 @@
 // takes them from elsewhere.
 func (h *Host) Keeper() *registry.Keeper { return h.keeper }
 
+// Listed reports whether the host knows the targets that live.
+func (h *Host) Listed() bool { return h.keeper == nil || h.listed.Load() }
+
 // TakeTable puts a configuration in force.
 func (k keeperSide) TakeTable(t *table.Table) { k.Post(dispatch.TableChange{Table: t}) }
 
@@ -141,12 +144,8 @@
 		Domain:  t.Domain,
 		Address: t.Address.String(),
 		Slots:   uint32(t.Slots),
-		Memory:  uint32(t.Memory),
 		Leaving: t.Leaving,
 	}
-	if t.Kind == table.TargetEngine {
-		out.Engine, out.Pool = true, t.Model
-	}
 	if !t.Boot.IsZero() {
 		out.Boot = t.Boot.UnixMilli()
 	}
@@ -162,12 +161,8 @@
 		Domain:  t.Domain,
 		Address: address,
 		Slots:   int(t.Slots),
-		Memory:  int(t.Memory),
 		Leaving: t.Leaving,
 	}
-	if t.Engine {
-		in.Kind, in.Model, in.Service = table.TargetEngine, t.Pool, ""
-	}
 	if t.Boot != 0 {
 		in.Boot = time.UnixMilli(t.Boot)
 	}
--- a/host/stop.go
+++ b/host/stop.go
@@ -25,3 +25,11 @@
 		return false
 	}
 }
+
+// Drain makes the host unready while it goes on taking requests: whoever sends callers
+// to it takes some time to notice.
+func (h *Host) Drain() {
+	if !h.draining.Swap(true) {
+		h.log.Emit(event.HostStopping, event.Fields{Values: []any{"open", h.Active()}})
+	}
+}
--- a/parts.go
+++ b/parts.go
@@ -64,7 +64,7 @@
 }
 
 func newLog(a *assembly) *event.Log {
-	return event.NewLog(a.settings.Name, event.WithLogger(a.logger))
+	return event.NewLog(a.settings.Name, event.WithLogger(a.logger), event.WithRate(a.settings.Lines))
 }
 
 func newMeter(l fx.Lifecycle) (*meter.Meter, error) {
--- a/registry/source.go
+++ b/registry/source.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -33,10 +34,10 @@
 		Base     uint64 // revision that it adds to
 		Whole    bool   // it replaces all that was known; Base does not count
 		Revision uint64
-		Sheet    *Sheet // nil if the configuration has not changed since Base
-		Targets  []table.Target
-		Removed  []string // names of targets
-		Refused  []string // what could not be read, for the log
+		Sheet    *Sheet         // nil if the configuration has not changed since Base
+		Targets  []table.Target // their Service is the pool, whether of engines or not
+		Removed  []string       // names of targets
+		Refused  []string       // what could not be read, for the log
 	}
 
 	// A Sheet is a configuration as it was published.
@@ -48,3 +49,20 @@
 
 // ErrHistory says that a source no longer knows what has changed since a revision.
 var ErrHistory = eris.New("the source no longer has this history")
+
+// Put adds a target to a reading; of two with one name the later counts.
+func (r *Reading) Put(t table.Target) {
+	r.drop(t.Name)
+	r.Targets = append(r.Targets, t)
+}
+
+// Remove adds to a reading that a target is gone; it takes back an earlier Put.
+func (r *Reading) Remove(name string) {
+	r.drop(name)
+	r.Removed = append(r.Removed, name)
+}
+
+func (r *Reading) drop(name string) {
+	r.Targets = slices.DeleteFunc(r.Targets, func(t table.Target) bool { return t.Name == name })
+	r.Removed = slices.DeleteFunc(r.Removed, func(n string) bool { return n == name })
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -33,8 +33,14 @@
 	}
 )
 
-// Prefix is what the names of the environment's settings begin with.
-const Prefix = "WIGEONLINK_"
+const (
+	// Prefix is what the names of the environment's settings begin with.
+	Prefix = "WIGEONLINK_"
+
+	// Known is the annotation under which a command names a variable of the prefix
+	// that it reads and that is not a flag's.
+	Known = "variable"
+)
 
 // Variable returns the environment variable of a flag.
 func Variable(flag string) string {
--- a/target/responses.go
+++ b/target/responses.go
@@ -75,6 +75,12 @@
 func (e *dialError) Error() string { return e.cause.Error() }
 func (e *dialError) Unwrap() error { return e.cause }
 
+// Unsent reports whether an error means that no byte of a request has left this host.
+func Unsent(err error) bool {
+	var dial *dialError
+	return errors.As(err, &dial)
+}
+
 // NewTransport returns a transport for calls to targets. A transport that is
 // not kept alive opens a connection for every call and so never sends a request
 // twice by itself.
--- a/target/service.go
+++ b/target/service.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"net/netip"
@@ -88,8 +87,7 @@
 	resp, err := s.client.Do(req)
 	if err != nil {
 		failed := &OrderError{Cause: eris.Wrap(err, "call")}
-		var dial *dialError
-		if errors.As(err, &dial) {
+		if Unsent(err) {
 			failed.Certainty = CertainNotRun
 		}
 		return Reply{}, failed
--- a/wigeonlink.go
+++ b/wigeonlink.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"time"
@@ -32,6 +33,10 @@
 		Credential credential.Source // certificates between hosts; nil means no peers
 		Drain      time.Duration     // how long a stop waits for open requests; 0 means DefaultDrain
 		Body       int64             // largest request body in bytes; 0 means the desk's default
+		Ready      netip.AddrPort    // where a forwarding host answers whether it takes requests
+		Linger     time.Duration     // how long a stopping forwarding host still takes requests
+		Memory     int64             // bytes of bodies that a forwarding host holds; 0 means any number
+		Lines      float64           // log lines a second; 0 means any number
 	}
 
 	// An Entry is one entry host.
@@ -63,6 +68,7 @@
 		life     context.Context
 		mesh     *peer.Mesh
 		wrap     func(net.PacketConn) net.PacketConn
+		forward  *forwarding // nil for a host with the product's own interface
 	}
 )
 
@@ -132,8 +138,7 @@
 		return eris.Wrap(err, "callers' address")
 	}
 	if a.operator, err = net.Listen("tcp", a.settings.Operator.String()); err != nil {
-		a.caller.Close()
-		return eris.Wrap(err, "operators' address")
+		return errors.Join(eris.Wrap(err, "operators' address"), a.caller.Close())
 	}
 	return nil
 }
