--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -102,7 +102,7 @@
 	}
 	q.tried = append(q.tried, t)
 	if r.mayRetry(q, e) {
-		r.retry(q)
+		r.retry(q, e.Unsent || e.Answered)
 	} else {
 		r.counts.Lost++
 		r.finish(q, failedKind(q, e), 0)
@@ -129,8 +129,14 @@
 	return len(q.tried) < len(q.pool.targets) && (e.Unsent || q.pool.budget.spend())
 }
 
-// retry holds a request for another attempt after a backoff.
-func (r *Reducer) retry(q *request) {
+// retry holds a request for another attempt, after a backoff unless the last target is
+// known to be done with it.
+func (r *Reducer) retry(q *request, atOnce bool) {
+	if atOnce {
+		q.notBefore, q.tokens = r.now, 0
+		r.hold(q)
+		return
+	}
 	full := float64(retryBackoff << (q.attempts - 1))
 	vary := float64(mix(uint64(q.id)<<8+uint64(q.attempts))%1024) / 1024
 	q.notBefore = r.now + time.Duration(full*(1-retryJitter*vary))
