--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -15,8 +15,9 @@
 		until    time.Duration
 	}
 
-	// budget bounds retries to a share of the requests.
-	budget struct{ tokens float64 }
+	// budget bounds retries to a share of the requests. The zero value has all that can
+	// be saved up.
+	budget struct{ used float64 }
 
 	// trouble is the decayed share of attempts at a target that failed.
 	trouble struct {
@@ -57,13 +58,13 @@
 }
 
 // earn and spend keep the retry budget.
-func (b *budget) earn(share, most float64) { b.tokens = min(b.tokens+share, most) }
+func (b *budget) earn(share float64) { b.used = max(b.used-share, 0) }
 
-func (b *budget) spend() bool {
-	if b.tokens < 1 {
+func (b *budget) spend(most float64) bool {
+	if b.used+1 > most {
 		return false
 	}
-	b.tokens--
+	b.used++
 	return true
 }
 
@@ -126,7 +127,7 @@
 	if q.attempts >= mostTries || q.attempts-q.unsent >= q.sends || q.deadline <= r.now {
 		return false
 	}
-	return len(q.tried) < len(q.pool.targets) && (e.Unsent || q.pool.budget.spend())
+	return len(q.tried) < len(q.pool.targets) && (e.Unsent || q.pool.budget.spend(r.retryBurst()))
 }
 
 // retry holds a request for another attempt, after a backoff unless the last target is
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -116,7 +116,7 @@
 		return
 	}
 	q := r.newRequest(e)
-	q.pool.budget.earn(r.options.retryShare, r.retryBurst())
+	q.pool.budget.earn(r.options.retryShare)
 	r.hold(q)
 	r.drain(q.pool)
 }
--- a/forward.go
+++ b/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -68,29 +67,23 @@
 	})
 }
 
-func serveGateway(a *assembly, l fx.Lifecycle, h *host.Host) error {
+func serveGateway(a *assembly, l fx.Lifecycle, h *host.Host) {
 	g := gateway.NewGateway(h, a.forward.dialect, gateway.WithMemory(a.settings.Memory))
 	s := newServer(a, g)
 	s.ReadHeaderTimeout, s.IdleTimeout, s.ConnState = openHeader, 0, g.ConnState
 	ready := newServer(a, http.HandlerFunc(g.Ready))
-	at, err := net.Listen("tcp", a.settings.Ready.String())
-	if err != nil {
-		return eris.Wrap(err, "readiness address")
-	}
-	context.AfterFunc(a.life, func() { at.Close() })
 	l.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			h.Log().Emit(event.HostStarted, event.Fields{
 				Detail: a.caller.Addr().String(),
 				Values: []any{"version", Version, "domain", a.settings.Domain},
 			})
-			serve(h, ready, at)
+			serve(h, ready, a.ready)
 			serve(h, s, a.caller)
 			return nil
 		},
 		OnStop: func(ctx context.Context) error { return stopGateway(ctx, a, h, g, s) },
 	})
-	return nil
 }
 
 // stopGateway lets the callers' side go on until the balancer has noticed that the host
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -42,6 +42,7 @@
 		Priority int // lower goes first
 		Prefix   uint64
 		Shared   int // tokens of the prompt that belong to Prefix
+		Held     int // tokens of memory that come with it, as copied from another engine
 
 		Generated int // tokens so far
 		Cached    int // prompt tokens found in the cache at first start
@@ -202,6 +203,9 @@
 				s.Cached = hit
 			}
 		}
+		if !s.preempted {
+			s.todo = min(s.todo, s.Prompt+s.Generated-s.Held)
+		}
 		s.todo = max(s.todo, 1)
 		b.running = append(b.running, s)
 	}
--- a/wigeonlink.go
+++ b/wigeonlink.go
@@ -45,6 +45,7 @@
 		host     *host.Host
 		caller   net.Listener
 		operator net.Listener
+		ready    net.Listener // nil but for a forwarding host
 		kill     context.CancelFunc
 		mesh     *peer.Mesh
 	}
@@ -65,6 +66,7 @@
 		parts    []Part
 		caller   net.Listener
 		operator net.Listener
+		ready    net.Listener
 		life     context.Context
 		mesh     *peer.Mesh
 		wrap     func(net.PacketConn) net.PacketConn
@@ -112,7 +114,7 @@
 	if a.settings.Name == "" {
 		a.settings.Name = a.caller.Addr().String()
 	}
-	e := &Entry{caller: a.caller, operator: a.operator}
+	e := &Entry{caller: a.caller, operator: a.operator, ready: a.ready}
 	a.life, e.kill = context.WithCancel(context.Background())
 	e.app = fx.New(
 		fx.NopLogger,
@@ -140,6 +142,12 @@
 	if a.operator, err = net.Listen("tcp", a.settings.Operator.String()); err != nil {
 		return errors.Join(eris.Wrap(err, "operators' address"), a.caller.Close())
 	}
+	if a.forward == nil {
+		return nil
+	}
+	if a.ready, err = net.Listen("tcp", a.settings.Ready.String()); err != nil {
+		return errors.Join(eris.Wrap(err, "readiness address"), a.caller.Close(), a.operator.Close())
+	}
 	return nil
 }
 
@@ -157,6 +165,9 @@
 	e.kill()
 	e.caller.Close()
 	e.operator.Close()
+	if e.ready != nil {
+		e.ready.Close()
+	}
 }
 
 // Host returns the host.
@@ -168,5 +179,8 @@
 // CallerURL returns where callers reach the host.
 func (e *Entry) CallerURL() string { return "http://" + e.caller.Addr().String() }
 
+// ReadyURL returns where a forwarding host answers whether it takes requests.
+func (e *Entry) ReadyURL() string { return "http://" + e.ready.Addr().String() }
+
 // OperatorURL returns where operators reach the host.
 func (e *Entry) OperatorURL() string { return "http://" + e.operator.Addr().String() }
