Running streams are moved off engines that are about to end

Load pattern: a sixth of the engines is taken away every 3.3 s with 1.5 to 2.1 s of notice, a report runs for 7 s.

--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -17,7 +17,7 @@
 		Answer   answer.Kind   // Refuse
 		Retry    time.Duration // Refuse: when to come back
 		At       time.Time     // Timer
-		To       table.Target  // Dispatch: the target as the list has it
+		To       table.Target  // Dispatch: the target as the list has it; Move: where to
 		Basis    Basis         // Dispatch, Refuse
 	}
 
@@ -45,9 +45,10 @@
 	EffectCancel                     // cancel the generation at the target
 	EffectRefuse                     // give the caller its final answer
 	EffectTimer                      // send a Tick at the time
+	EffectMove                       // move the running stream from the target to another
 )
 
-var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer"}
+var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move"}
 
 // String returns the kind's name.
 func (k EffectKind) String() string { return effectNames[k] }
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -24,6 +24,7 @@
 		burst      int
 		fresh      time.Duration
 		reach      bool
+		moves      bool
 		retryShare float64
 		retrySlack float64
 	}
@@ -40,6 +41,7 @@
 	withBurst      int
 	withFresh      time.Duration
 	withReach      bool
+	withMoves      bool
 	withRetries    struct{ share, slack float64 }
 	withEngine     struct{ base, per, prefill time.Duration }
 )
@@ -59,6 +61,7 @@
 func (o withBurst) apply(opts *options)      { opts.burst = int(o) }
 func (o withFresh) apply(opts *options)      { opts.fresh = time.Duration(o) }
 func (o withReach) apply(opts *options)      { opts.reach = bool(o) }
+func (o withMoves) apply(opts *options)      { opts.moves = bool(o) }
 func (o withRetries) apply(opts *options)    { opts.retryShare, opts.retrySlack = o.share, o.slack }
 
 // WithWindow sets the time constant with which use is forgotten.
@@ -92,6 +95,9 @@
 // a request that crosses a boundary ends with a cut of it.
 func WithReach(on bool) Option { return withReach(on) }
 
+// WithMoves sets whether running streams are moved off targets that are about to end.
+func WithMoves(on bool) Option { return withMoves(on) }
+
 // WithRetries bounds the attempts beyond the first that a pool gets from all hosts
 // together: a share of its requests, and a number that can be saved up.
 func WithRetries(share, slack float64) Option { return withRetries{share, slack} }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -299,6 +299,7 @@
 	}
 	for name := range r.targets {
 		if _, ok := declared[name]; !ok {
+			r.targets[name].leaving = true // its streams may still be moved
 			delete(r.targets, name)
 		}
 	}
@@ -337,6 +338,7 @@
 		return
 	}
 	r.applyTargets()
+	r.evacuate()
 	r.drainAll()
 }
 
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -45,7 +45,7 @@
 
 // Counts are totals since the reducer was made.
 type Counts struct {
-	Submitted, Dispatched, Retried, Refused, Ended, Lost, Resumed, Cancelled int
+	Submitted, Dispatched, Retried, Refused, Ended, Lost, Resumed, Cancelled, Moved, NotMoved int
 }
 
 // NewReducer returns a reducer without a table. It refuses requests until a
@@ -178,6 +178,7 @@
 	r.ledger.Expire(r.now)
 	r.expireHeld()
 	r.expireGone()
+	r.evacuate()
 	r.drainAll()
 }
 
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -46,6 +46,12 @@
 		demand   forecast.Demand
 		demandAt int     // tokens when demand was computed
 		rate     float64 // service units a second counted in the ledger
+
+		moving    *targetState    // where it is being moved to; nil for nowhere
+		reserved  forecast.Demand // that is kept there meanwhile
+		moveTries int             // from its present target
+		settled   bool            // no move is tried any more
+		rest      time.Duration   // expected, when last compared with others
 	}
 
 	// phase is where a request stands.
@@ -182,6 +188,7 @@
 
 // leave takes q off its target. The caller decides what becomes of q.
 func (r *Reducer) leave(q *request) {
+	r.unmove(q)
 	t := q.target
 	t.own.Sub(&q.demand)
 	t.unfilled -= q.unfilled
--- a/dispatch/target_state.go
+++ b/dispatch/target_state.go
@@ -27,6 +27,7 @@
 		prefixes  map[uint64]time.Duration
 		breaker   breaker
 		trouble   trouble
+		movesOut  int    // of this host's streams, under way
 		sequence  uint64 // of the last dispatch
 	}
 )
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -42,6 +42,7 @@
 	RequestAnswered   Number = 211
 	RequestMoved      Number = 212
 	MoveFailed        Number = 213
+	MoveAsked         Number = 214
 
 	TargetLost     Number = 301
 	TargetReturned Number = 302
@@ -97,6 +98,7 @@
 	{RequestAnswered, "request answered", hclog.Debug, "A forwarded request got its final answer; the line says which and why."},
 	{RequestMoved, "request moved", hclog.Info, "A running stream goes on at another target, from a copy of its memory."},
 	{MoveFailed, "move failed", hclog.Warn, "A running stream could not be moved to another target."},
+	{MoveAsked, "move asked", hclog.Info, "A stream's target is about to end; the stream is to go on at another."},
 	{TargetLost, "target lost", hclog.Warn, "A target no longer answers."},
 	{TargetReturned, "target returned", hclog.Info, "A target answers again."},
 	{TargetRebooted, "target rebooted", hclog.Warn, "A target's boot identifier has changed; its generations are lost."},
--- a/forward.go
+++ b/forward.go
@@ -20,6 +20,7 @@
 type forwarding struct {
 	source  registry.Source
 	dialect gateway.Dialect
+	mover   gateway.Mover
 }
 
 const (
@@ -31,8 +32,11 @@
 )
 
 // WithForwarding makes the host forward callers' requests by the routes that a source
-// publishes, instead of serving the product's own interface.
-func WithForwarding(s registry.Source, d gateway.Dialect) Option { return &forwarding{s, d} }
+// publishes, instead of serving the product's own interface. Without a mover streams
+// stay where they began.
+func WithForwarding(s registry.Source, d gateway.Dialect, m gateway.Mover) Option {
+	return &forwarding{s, d, m}
+}
 
 func (f *forwarding) apply(a *assembly) {
 	a.forward = f
@@ -41,6 +45,7 @@
 		dispatch.WithReach(true),
 		// Load reports are priced; what hosts tell each other takes their place.
 		dispatch.WithFresh(0),
+		dispatch.WithMoves(f.mover != nil),
 	)}, a.host...)
 }
 
@@ -68,7 +73,7 @@
 }
 
 func serveGateway(a *assembly, l fx.Lifecycle, h *host.Host) {
-	g := gateway.NewGateway(h, a.forward.dialect, gateway.WithMemory(a.settings.Memory))
+	g := gateway.NewGateway(h, a.forward.dialect, gateway.WithMemory(a.settings.Memory), gateway.WithMover(a.forward.mover))
 	s := newServer(a, g)
 	s.ReadHeaderTimeout, s.IdleTimeout, s.ConnState = openHeader, 0, g.ConnState
 	ready := newServer(a, http.HandlerFunc(g.Ready))
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -38,8 +38,9 @@
 func (c *call) attempt(ctx context.Context, v dispatch.Effect) relay.Result {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	c.abandon, c.priority = cancel, v.Priority
 	stop := c.boundTry(cancel)
-	resp, err := c.gateway.send.RoundTrip(c.order(ctx, v))
+	resp, err := c.gateway.send.RoundTrip(c.order(ctx, v, nil))
 	stop()
 	if err != nil {
 		return failed(ctx, err)
@@ -60,7 +61,7 @@
 		return failed(ctx, errEncoded)
 	}
 	if isEvents(resp) && resp.StatusCode < 300 {
-		return c.stream(ctx, cancel, resp)
+		return c.stream(ctx, v, resp)
 	}
 	return c.whole(ctx, resp)
 }
@@ -90,7 +91,7 @@
 
 // order returns the request for a target, the caller's own bytes but for what concerns
 // one connection and what the dialect sets.
-func (c *call) order(ctx context.Context, v dispatch.Effect) *http.Request {
+func (c *call) order(ctx context.Context, v dispatch.Effect, from *Copy) *http.Request {
 	header := target.PassHeader(c.r.Header)
 	header.Del("Expect")
 	if _, named := header["User-Agent"]; !named {
@@ -101,6 +102,7 @@
 		Target:       v.Target,
 		Organisation: c.organisation,
 		Priority:     v.Priority,
+		Copy:         from,
 	}
 	if c.route.Open {
 		o.Organisation = ""
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -48,6 +49,14 @@
 	events   events
 	arrived  time.Time     // when the last event came
 	longest  time.Duration // between two events
+	priority int
+	moves    int
+	refused  bool                    // the caller no longer takes the stream
+	abandon  context.CancelCauseFunc // ends the present attempt
+
+	mu   sync.Mutex
+	at   table.Target // that serves the stream
+	move *move        // under way; nil for none
 }
 
 // serve answers the request, or returns why it cannot.
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -47,6 +47,7 @@
 		Target       string        // name of the target that is meant
 		Organisation string        // empty if the route wants no key
 		Priority     int           // lower goes first; negative leaves it to the target
+		Copy         *Copy         // from which the request goes on; nil for a request's start
 	}
 
 	// A Reply is what the head of a target's answer says.
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -11,6 +11,7 @@
 	rest  []byte // a part of an event that is still coming
 	last  int    // identifier of the last whole event
 	whole int    // events seen
+	gap   bool   // an identifier did not follow the one before
 }
 
 var (
@@ -58,6 +59,9 @@
 		if err != nil {
 			continue
 		}
+		if e.whole > 0 && n != e.last+1 {
+			e.gap = true
+		}
 		e.last = n
 		e.whole++
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 		host    *host.Host
 		dialect Dialect
 		send    http.RoundTripper
+		mover   Mover // nil if streams are not moved
 		bodies  memory
 		idlers  *idlers
 		most    int64
@@ -29,6 +30,7 @@
 
 	withMemory int64
 	withSend   struct{ send http.RoundTripper }
+	withMover  struct{ mover Mover }
 )
 
 const (
@@ -54,6 +56,10 @@
 // WithSend replaces how requests go out. It must not send anything twice by itself.
 func WithSend(t http.RoundTripper) Option { return withSend{t} }
 
+// WithMover lets streams be moved between engines.
+func WithMover(m Mover) Option { return withMover{m} }
+
+func (o withMover) apply(g *Gateway)  { g.mover = o.mover }
 func (o withMemory) apply(g *Gateway) { g.bodies.most = int64(o) }
 func (o withSend) apply(g *Gateway)   { g.send = o.send }
 
@@ -137,6 +143,9 @@
 	if c.events.whole > 0 {
 		fields.Values = append(fields.Values, "events", c.events.whole, "longest_gap_ms", c.longest.Milliseconds())
 	}
+	if c.moves > 0 {
+		fields.Values = append(fields.Values, "moves", c.moves)
+	}
 	if e != nil {
 		fields.Detail = e.Error()
 		fields.Values = append(fields.Values, "outcome", e.Kind.Row().Outcome.String())
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -9,28 +9,65 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/relay"
 	"github.com/wigeonlink/wigeonlink/target"
 )
 
-// stream passes events on as they come, whole ones only.
-func (c *call) stream(ctx context.Context, cancel context.CancelCauseFunc, resp *http.Response) relay.Result {
+var errNotTaken = eris.New("the caller does not accept the stream, or an event is missing from it")
+
+// stream passes events on as they come, whole ones only, from wherever moves bring them.
+func (c *call) stream(ctx context.Context, v dispatch.Effect, resp *http.Response) relay.Result {
 	silence := c.silence()
-	watch := time.AfterFunc(silence, func() { cancel(errSilent) })
+	watch := time.AfterFunc(silence, func() { c.abandon(errSilent) })
 	defer watch.Stop()
+	c.mu.Lock()
+	c.at = v.To
+	c.mu.Unlock()
+	if c.gateway.mover != nil {
+		following, stop := context.WithCancel(ctx)
+		defer stop()
+		go c.follow(following)
+	}
+	for {
+		res, clean := c.read(ctx, resp, watch, silence)
+		resp.Body.Close()
+		if ctx.Err() != nil || c.refused {
+			return res
+		}
+		next := c.moved(ctx, clean)
+		if next == nil {
+			return c.close(resp, res, clean)
+		}
+		resp = next
+		watch.Reset(silence)
+	}
+}
+
+// close ends a stream that nothing continues.
+func (c *call) close(resp *http.Response, res relay.Result, clean bool) relay.Result {
+	if clean {
+		return c.endStream(resp)
+	}
+	return res
+}
+
+// read passes on one connection's events. clean reports whether the target ended it.
+func (c *call) read(ctx context.Context, resp *http.Response, watch *time.Timer, silence time.Duration) (res relay.Result, clean bool) {
 	control := http.NewResponseController(c.w)
 	buffer := make([]byte, copyBuffer)
 	for {
 		n, err := resp.Body.Read(buffer)
 		watch.Reset(silence)
 		if n > 0 && !c.forward(resp, control, buffer[:n]) {
-			return c.broken(ctx, eris.New("the caller does not accept the stream"))
+			c.refused = true
+			return c.broken(ctx, errNotTaken), false
 		}
 		if errors.Is(err, io.EOF) {
-			return c.endStream(resp)
+			return relay.Result{}, true
 		}
 		if err != nil {
-			return c.broken(ctx, eris.Wrap(err, "stream"))
+			return c.broken(ctx, eris.Wrap(err, "stream")), false
 		}
 	}
 }
@@ -45,6 +82,9 @@
 func (c *call) forward(resp *http.Response, control *http.ResponseController, data []byte) bool {
 	before := c.events.whole
 	whole := c.events.feed(data)
+	if c.events.gap {
+		return false // two runs must not be joined with something missing or twice
+	}
 	if whole == nil {
 		return true
 	}
--- a/host/booking.go
+++ b/host/booking.go
@@ -27,6 +27,7 @@
 		Name:     name,
 		host:     h,
 		verdicts: make(chan dispatch.Effect, verdictRoom),
+		moves:    make(chan dispatch.Effect, 1),
 		cancel:   func() {},
 	}
 }
@@ -143,6 +144,28 @@
 	_ = e.Cancel(ctx, generation)
 }
 
+// Moves returns the moves that the reducer asks for, one at a time.
+func (b *Booking) Moves() <-chan dispatch.Effect { return b.moves }
+
+// tellMove hands a move to whoever follows the booking's moves. There is at most one.
+func (b *Booking) tellMove(f dispatch.Effect) {
+	select {
+	case b.moves <- f:
+	default:
+	}
+}
+
+// Moved tells that the stream goes on where the last move was to bring it.
+func (b *Booking) Moved() {
+	b.host.send(message{ask: func(*dispatch.Reducer) { b.target = b.moving }})
+	b.host.Post(dispatch.Moved{ID: b.ID})
+}
+
+// NotMoved tells that the last move has failed. over says that no other can help.
+func (b *Booking) NotMoved(over bool) {
+	b.host.Post(dispatch.NotMoved{ID: b.ID, Over: over})
+}
+
 // OnCancel sets how the relay is ended when the reducer gives a generation up.
 func (b *Booking) OnCancel(cancel context.CancelFunc) {
 	b.host.send(message{ask: func(*dispatch.Reducer) { b.cancel = cancel }})
--- a/host/host.go
+++ b/host/host.go
@@ -69,6 +69,8 @@
 		verdicts chan dispatch.Effect
 		cancel   context.CancelFunc // ends the relay
 		target   string
+		moving   string // target that a move is to bring it to
+		moves    chan dispatch.Effect
 	}
 
 	// message is an event on its way to the reducer, or a question to the loop.
@@ -344,6 +346,12 @@
 			Values: append(h.basis(f.Basis), "retry_ms", f.Retry.Milliseconds()),
 		})
 		b.tell(f)
+	case dispatch.EffectMove:
+		b.moving = f.To.Name
+		h.log.Emit(event.MoveAsked, event.Fields{
+			Request: b.Name, Organisation: b.Submit.Organisation, Target: f.Target, Values: append(h.basis(f.Basis), "to", f.To.Name),
+		})
+		b.tellMove(f)
 	case dispatch.EffectResume:
 		b.Track.Kick()
 	case dispatch.EffectCancel:
