--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -94,6 +94,12 @@
 
 // choose returns the best target with room for q, or nil.
 func (r *Reducer) choose(q *request, excess float64) *targetState {
+	return r.chooseWithin(q, excess, 0)
+}
+
+// chooseWithin returns one of the targets with room for q whose cost is at most width
+// above the best one's, or nil.
+func (r *Reducer) chooseWithin(q *request, excess, width float64) *targetState {
 	ts := q.pool.targets
 	n := len(ts)
 	if n == 0 {
@@ -123,7 +129,7 @@
 		if ok {
 			r.basis.Room++
 		}
-		if ok && (best == nil || score < lowest-tieWidth*math.Abs(lowest)) {
+		if ok && (best == nil || score < lowest-max(width, tieWidth*math.Abs(lowest))) {
 			best, lowest = t, score
 		}
 	}
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -20,9 +20,13 @@
 )
 
 const (
-	// moveLeast is the expected rest of a run below which it is left to end in place: a
-	// move takes about as long.
-	moveLeast = 400 * time.Millisecond
+	// noticeLeast is how long a target goes on after the host has heard that it ends: the
+	// shortest notice is 1.5 s, and it is heard of up to 0.25 s late.
+	noticeLeast = 1200 * time.Millisecond
+
+	// endInPlace is the part of the notice left within which a run's expected end must
+	// lie for the run to stay: expected ends are rough.
+	endInPlace = 0.6
 
 	// moveTries bounds the targets to which one run is tried to be moved from one place.
 	moveTries = 3
@@ -31,8 +35,21 @@
 	// share the target's link, and a stopped run waits for those ahead of it.
 	movesAtOnce = 1
 
-	// moveEvery is how often runs that found no room elsewhere are looked at again.
-	moveEvery = 50 * time.Millisecond
+	// turnLatest is how long after a target's end was announced a host waits for the
+	// moves of other hosts at most.
+	turnLatest = 800 * time.Millisecond
+
+	// copySlack is the time that a move takes over the figure of its link, for the stop,
+	// the last copy and the start elsewhere.
+	copySlack = 1.15
+
+	// moveWidth is how many seconds of cost a move's place may be above the best: hosts
+	// that move at the same time do not know of each other, and spread that way.
+	moveWidth = 0.5
+
+	// moveEvery is how often runs that found no room elsewhere, or whose turn has not
+	// come, are looked at again.
+	moveEvery = 20 * time.Millisecond
 )
 
 // evacuate moves running streams off the targets that are about to end. The load pattern
@@ -44,14 +61,12 @@
 	}
 	candidates := r.endangered()
 	for _, q := range candidates {
-		if q.target.movesOut >= movesAtOnce {
+		if q.target.movesOut >= movesAtOnce || r.now < r.moveTurn(q.target) {
 			continue
 		}
-		t := r.choose(q, 0)
-		if t == nil {
-			continue
+		if t := r.chooseWithin(q, 0, moveWidth); t != nil {
+			r.move(q, t)
 		}
-		r.move(q, t)
 	}
 	if len(candidates) > 0 {
 		r.wakeBy(r.now + moveEvery)
@@ -80,7 +95,7 @@
 func (r *Reducer) shouldMove(q *request) bool {
 	return q.phase == phaseSent && !q.plain && q.target.leaving && q.tokens > 0 &&
 		q.moving == nil && q.moveTries < moveTries && !q.settled && q.gone == 0 &&
-		r.restOf(q) >= moveLeast
+		r.restOf(q) >= time.Duration(endInPlace*float64(q.target.leavingAt+noticeLeast-r.now))
 }
 
 // restOf returns the expected time until the end of a running stream.
@@ -110,7 +125,35 @@
 	basis := r.basis
 	basis.Held, basis.Attempt = r.now-q.arrived, q.moveTries
 	basis.Streams, basis.Away = t.demand(r.now).Streams, r.away(t)
-	r.emit(Effect{Kind: EffectMove, ID: q.id, Target: q.target.spec.Name, To: t.spec, Priority: r.priority(q), Basis: basis})
+	r.emit(Effect{
+		Kind: EffectMove, ID: q.id, Target: q.target.spec.Name, To: t.spec,
+		Priority: r.priority(q), Basis: basis,
+	})
+}
+
+// moveTurn returns when this host may begin to move its streams off an ending target.
+// All hosts hear of the end at the same time, and copies share the target's link: a last
+// copy that queued behind the first copies of others would leave its stream silent for
+// as long. So hosts go one after the other, in the order of their names, each after the
+// time that the streams of those before it take by their reports.
+func (r *Reducer) moveTurn(t *targetState) time.Duration {
+	engine := r.table.Models[t.spec.Model].Engine
+	if engine.Link == 0 {
+		return r.now
+	}
+	tokens := 0.0
+	for _, o := range r.peerList {
+		if o.origin >= r.options.origin {
+			continue
+		}
+		for i := range o.demands {
+			if o.demands[i].Target == t.spec.Name {
+				tokens += o.demands[i].Demand.Mean[0]
+			}
+		}
+	}
+	copies := tokens * float64(engine.TokenBytes) / float64(engine.Link) * copySlack
+	return t.leavingAt + min(time.Duration(copies*float64(time.Second)), turnLatest)
 }
 
 // unmove ends a move without a change of place.
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -25,6 +25,7 @@
 		fresh      time.Duration
 		reach      bool
 		moves      bool
+		origin     string
 		retryShare float64
 		retrySlack float64
 	}
@@ -42,6 +43,7 @@
 	withFresh      time.Duration
 	withReach      bool
 	withMoves      bool
+	withOrigin     string
 	withRetries    struct{ share, slack float64 }
 	withEngine     struct{ base, per, prefill time.Duration }
 )
@@ -98,6 +100,10 @@
 // WithMoves sets whether running streams are moved off targets that are about to end.
 func WithMoves(on bool) Option { return withMoves(on) }
 
+// WithOrigin sets the name under which the host's reports reach its peers.
+func WithOrigin(name string) Option      { return withOrigin(name) }
+func (o withOrigin) apply(opts *options) { opts.origin = string(o) }
+
 // WithRetries bounds the attempts beyond the first that a pool gets from all hosts
 // together: a share of its requests, and a number that can be saved up.
 func WithRetries(share, slack float64) Option { return withRetries{share, slack} }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -294,12 +294,12 @@
 			r.targets[name] = t
 		}
 		t.spec = spec
-		t.leaving = r.leaving[name] || spec.Leaving
+		t.setLeaving(r.leaving[name] || spec.Leaving, r.now)
 		p.targets = append(p.targets, t)
 	}
 	for name := range r.targets {
 		if _, ok := declared[name]; !ok {
-			r.targets[name].leaving = true // its streams may still be moved
+			r.targets[name].setLeaving(true, r.now) // its streams may still be moved
 			delete(r.targets, name)
 		}
 	}
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -17,6 +17,7 @@
 	for i := range e.Samples {
 		r.sample(&e.Samples[i])
 	}
+	r.evacuate()
 	for _, p := range r.poolList {
 		if p.held > 0 {
 			r.drain(p)
--- a/dispatch/target_state.go
+++ b/dispatch/target_state.go
@@ -27,8 +27,9 @@
 		prefixes  map[uint64]time.Duration
 		breaker   breaker
 		trouble   trouble
-		movesOut  int    // of this host's streams, under way
-		sequence  uint64 // of the last dispatch
+		leavingAt time.Duration // when the host heard that it is leaving
+		movesOut  int           // of this host's streams, under way
+		sequence  uint64        // of the last dispatch
 	}
 )
 
@@ -84,6 +85,14 @@
 	}
 }
 
+// setLeaving notes whether the target is leaving, and since when.
+func (t *targetState) setLeaving(leaving bool, now time.Duration) {
+	if leaving && !t.leaving {
+		t.leavingAt = now
+	}
+	t.leaving = leaving
+}
+
 // changed notes that the target's demand must be added up anew.
 func (t *targetState) changed() { t.totalEnd = 0 }
 
@@ -191,7 +200,7 @@
 func (e Roster) reduce(r *Reducer) {
 	r.leaving = e.Leaving
 	for name, t := range r.targets {
-		t.leaving = e.Leaving[name] || t.spec.Leaving
+		t.setLeaving(e.Leaving[name] || t.spec.Leaving, r.now)
 	}
 	r.drainAll()
 }
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -115,6 +116,8 @@
 	c.mu.Unlock()
 	detail := "no room at the other target"
 	switch {
+	case errors.Is(err, context.Canceled):
+		return // the stream has ended meanwhile
 	case err != nil:
 		detail = err.Error()
 	case copied.Over:
--- a/host/host.go
+++ b/host/host.go
@@ -142,6 +142,7 @@
 	for _, o := range opts {
 		o.apply(h)
 	}
+	h.decide = append(h.decide, dispatch.WithOrigin(h.origin()))
 	h.reducer = dispatch.NewReducer(h.decide...)
 	return h
 }
@@ -152,6 +153,9 @@
 func (nobody) Effect(dispatch.Effect)       {}
 func (nobody) Ended(*Booking, relay.Result) {}
 
+// origin names this run of the host to its peers.
+func (h *Host) origin() string { return h.name + "/" + h.incarnate }
+
 // Name returns the host's name.
 func (h *Host) Name() string { return h.name }
 
--- a/table/table.go
+++ b/table/table.go
@@ -55,6 +55,9 @@
 		Slots  int // sequences that run at once
 		Memory int // tokens
 		Stride int // tokens that an event of a stream holds
+
+		TokenBytes int64 // bytes of memory of a token
+		Link       int64 // bytes a second that a copy of memory gets
 	}
 
 	// Callers bounds what a caller may send, and how long it may take. Zero fields
