Stopping hosts ask callers to open new connections and let idle ones settle

TestRollingRestartUnderLoad once had one charge of unknown outcome: the stopping host closed an idle kept connection as the caller wrote a charge on it. Now answers of a host that is about to stop carry Connection: close, and idle connections close half a second after the last request, when callers that use them have left. One wrapper serves the product's own interface and forwarding hosts.

--- a/forward.go
+++ b/forward.go
@@ -74,7 +74,7 @@
 
 func serveGateway(a *assembly, l fx.Lifecycle, h *host.Host) {
 	g := gateway.NewGateway(h, a.forward.dialect, gateway.WithMemory(a.settings.Memory), gateway.WithMover(a.forward.mover))
-	s := newServer(a, g)
+	s := newServer(a, farewell(h, g))
 	s.ReadHeaderTimeout, s.IdleTimeout, s.ConnState = openHeader, 0, g.ConnState
 	ready := newServer(a, http.HandlerFunc(g.Ready))
 	l.Append(fx.Hook{
@@ -87,16 +87,15 @@
 			serve(h, s, a.caller)
 			return nil
 		},
-		OnStop: func(ctx context.Context) error { return stopGateway(ctx, a, h, g, s) },
+		OnStop: func(ctx context.Context) error { return stopGateway(ctx, a, h, s) },
 	})
 }
 
 // stopGateway lets the callers' side go on until the balancer has noticed that the host
 // is no longer ready, then waits for what is still open.
-func stopGateway(ctx context.Context, a *assembly, h *host.Host, g *gateway.Gateway, s *http.Server) error {
+func stopGateway(ctx context.Context, a *assembly, h *host.Host, s *http.Server) error {
 	began := time.Now()
 	h.Drain()
-	g.Drain()
 	ctx, cancel := context.WithTimeout(ctx, a.settings.Drain)
 	defer cancel()
 	pause.For(ctx, a.settings.Linger)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,7 +22,6 @@
 		bodies  memory
 		idlers  *idlers
 		most    int64
-		closing chan struct{} // closed when answers ask callers to open new connections
 	}
 
 	// An Option changes a Gateway.
@@ -65,7 +64,7 @@
 
 // NewGateway returns the gateway of a host.
 func NewGateway(h *host.Host, d Dialect, opts ...Option) *Gateway {
-	g := &Gateway{host: h, dialect: d, send: target.NewTransport(false), closing: make(chan struct{})}
+	g := &Gateway{host: h, dialect: d, send: target.NewTransport(false)}
 	g.bodies.most = defaultBodyRAM
 	g.idlers = newIdlers(g.idle)
 	for _, o := range opts {
@@ -77,19 +76,6 @@
 // ConnState follows the connections of the server that serves the gateway.
 func (g *Gateway) ConnState(c net.Conn, s http.ConnState) { g.idlers.change(c, s) }
 
-// Drain makes every answer ask its caller to open a new connection from now on. It is
-// called once.
-func (g *Gateway) Drain() { close(g.closing) }
-
-func (g *Gateway) drains() bool {
-	select {
-	case <-g.closing:
-		return true
-	default:
-		return false
-	}
-}
-
 func (g *Gateway) idle() time.Duration {
 	if t := g.host.Table(); t != nil && t.Callers.Idle > 0 {
 		return t.Callers.Idle
@@ -109,9 +95,6 @@
 // ServeHTTP forwards a request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{gateway: g, w: w, r: r, began: time.Now()}
-	if g.drains() {
-		w.Header().Set("Connection", "close")
-	}
 	err := c.serve()
 	if err == nil {
 		c.note(nil)
--- a/host/stop.go
+++ b/host/stop.go
@@ -26,6 +26,9 @@
 	}
 }
 
+// Draining reports whether the host is about to stop, or stopping.
+func (h *Host) Draining() bool { return h.draining.Load() || h.stopping.Load() }
+
 // Drain makes the host unready while it goes on taking requests: whoever sends callers
 // to it takes some time to notice.
 func (h *Host) Drain() {
--- a/parts.go
+++ b/parts.go
@@ -16,6 +16,7 @@
 	"github.com/wigeonlink/wigeonlink/host"
 	"github.com/wigeonlink/wigeonlink/meter"
 	"github.com/wigeonlink/wigeonlink/operator"
+	"github.com/wigeonlink/wigeonlink/pause"
 	"github.com/wigeonlink/wigeonlink/peer"
 	"github.com/wigeonlink/wigeonlink/publication"
 	"github.com/wigeonlink/wigeonlink/ticket"
@@ -32,7 +33,8 @@
 const (
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
-	mostHeader    = 32 << 10 // bytes
+	mostHeader    = 32 << 10               // bytes
+	idleSettle    = 500 * time.Millisecond // for callers to leave the connections of a stopping host
 )
 
 // DefaultParts returns the stock parts.
@@ -153,7 +155,7 @@
 }
 
 func serveDesk(a *assembly, l fx.Lifecycle, h *host.Host, d *desk.Desk) {
-	s := newServer(a, d.Handler())
+	s := newServer(a, farewell(h, d.Handler()))
 	l.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			h.Log().Emit(event.HostStarted, event.Fields{Detail: a.caller.Addr().String()})
@@ -167,11 +169,25 @@
 				s.Close()
 				return eris.Errorf("%d requests were still open after %s", h.Active(), a.settings.Drain)
 			}
+			// A connection that is closed as its caller writes on it leaves the caller
+			// without an answer; one that is in use gets its answer and closes first.
+			pause.For(drain, idleSettle)
 			return s.Shutdown(ctx)
 		},
 	})
 }
 
+// farewell asks callers of a host that is about to stop to open new connections, so that
+// few are left to be closed at its end.
+func farewell(h *host.Host, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if h.Draining() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func newServer(a *assembly, handler http.Handler) *http.Server {
 	s := &http.Server{
 		Handler:           handler,
