Streams are backed up as they grow, and go on where their backup is

Load pattern: engines that end without notice, or with too short a one for copies of all their streams over one link. A stream is opened at its backup while it still runs, then its old engine is let go of: the caller sees no pause. A stream that breaks off asks the reducer and goes on at its backup.

--- a/console/settings_test.go
+++ b/console/settings_test.go
@@ -14,14 +14,14 @@
 	"github.com/wigeonlink/wigeonlink/settings"
 )
 
-// settingRow is a flag's row in docs/OPERATING.md.
+// settingRow is a flag's row in docs/OPERATIONS.md.
 func settingRow(f *pflag.Flag) string {
 	return fmt.Sprintf("| `--%s` | `%s` | %s | %s |", f.Name, settings.Variable(f.Name), f.DefValue, f.Usage)
 }
 
 func TestSettingsAreInTheDocs(t *testing.T) {
 	c := qt.New(t)
-	page, err := os.ReadFile("../docs/OPERATING.md")
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	c.Assert(err, qt.IsNil)
 	var missing []string
 	newServe().Flags().VisitAll(func(f *pflag.Flag) {
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -18,7 +18,9 @@
 		Retry    time.Duration // Refuse: when to come back
 		At       time.Time     // Timer
 		To       table.Target  // Dispatch: the target as the list has it; Move: where to
-		Basis    Basis         // Dispatch, Refuse
+		Ready    bool          // Move: the memory is there already
+		Backup   table.Target  // Dispatch, Move: where the memory is copied as it grows; no name for nowhere
+		Basis    Basis         // Dispatch, Refuse, Move
 	}
 
 	// A Basis is what a decision rested on.
@@ -46,9 +48,10 @@
 	EffectRefuse                     // give the caller its final answer
 	EffectTimer                      // send a Tick at the time
 	EffectMove                       // move the running stream from the target to another
+	EffectStay                       // no move can help the broken stream
 )
 
-var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move"}
+var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay"}
 
 // String returns the kind's name.
 func (k EffectKind) String() string { return effectNames[k] }
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -5,12 +5,17 @@
 	"time"
 
 	"github.com/wigeonlink/wigeonlink/forecast"
+	"github.com/wigeonlink/wigeonlink/table"
 )
 
 type (
 	// Moved says that a running stream goes on at the target that a move named.
 	Moved struct{ ID ID }
 
+	// Broken says that a running stream has broken off at its target. A Move or a Stay
+	// follows.
+	Broken struct{ ID ID }
+
 	// NotMoved says that a move has failed. The stream goes on where it was, or a Failed
 	// follows.
 	NotMoved struct {
@@ -61,18 +66,30 @@
 	}
 	candidates := r.endangered()
 	for _, q := range candidates {
-		if q.target.movesOut >= movesAtOnce || r.now < r.moveTurn(q.target) {
-			continue
-		}
-		if t := r.chooseWithin(q, 0, moveWidth); t != nil {
-			r.move(q, t)
-		}
+		r.moveOff(q)
 	}
 	if len(candidates) > 0 {
 		r.wakeBy(r.now + moveEvery)
 	}
 }
 
+// moveOff asks for a stream's move off its target: to where its backup is, which takes no
+// copy and no turn, or else to the best place with room.
+func (r *Reducer) moveOff(q *request) {
+	if t := q.backup.target; r.usable(t) {
+		r.move(q, t, true)
+		return
+	}
+	if q.target.movesOut >= movesAtOnce || r.now < r.moveTurn(q.target) || !r.engineOf(q).Moves {
+		return
+	}
+	if t := r.chooseWithin(q, 0, moveWidth); t != nil {
+		r.move(q, t, false)
+	}
+}
+
+func (r *Reducer) engineOf(q *request) table.Engine { return r.table.Models[q.pool.name].Engine }
+
 // endangered returns the streams that should leave their targets, the ones with the
 // longest expected rest first: they are the surest to be lost, and the most work.
 func (r *Reducer) endangered() []*request {
@@ -94,7 +111,7 @@
 
 func (r *Reducer) shouldMove(q *request) bool {
 	return q.phase == phaseSent && !q.plain && q.target.leaving && q.tokens > 0 &&
-		q.moving == nil && q.moveTries < moveTries && !q.settled && q.gone == 0 &&
+		q.moving.target == nil && q.moveTries < moveTries && !q.settled && q.gone == 0 &&
 		r.restOf(q) >= time.Duration(endInPlace*float64(q.target.leavingAt+noticeLeast-r.now))
 }
 
@@ -115,20 +132,27 @@
 	return time.Duration(max(rest, 0) * float64(each))
 }
 
-// move asks for a move and keeps room for the stream where it goes.
-func (r *Reducer) move(q *request, t *targetState) {
-	q.moving, q.moveTries = t, q.moveTries+1
-	q.reserved = q.forecastOf()
-	t.own.Add(&q.reserved)
-	t.changed()
-	q.target.movesOut++
-	basis := r.basis
-	basis.Held, basis.Attempt = r.now-q.arrived, q.moveTries
+// move asks for a move and keeps room for the stream where it goes. ready says that the
+// memory is there already.
+func (r *Reducer) move(q *request, t *targetState, ready bool) {
+	q.moveTries++
+	q.moving.keep(t, q.forecastOf())
+	q.ready = ready
+	r.backUp(q, &q.next, t)
+	if !ready {
+		q.target.movesOut++
+	}
+	basis := r.basisOf(q)
+	basis.Attempt = q.moveTries
 	basis.Streams, basis.Away = t.demand(r.now).Streams, r.away(t)
-	r.emit(Effect{
-		Kind: EffectMove, ID: q.id, Target: q.target.spec.Name, To: t.spec,
+	e := Effect{
+		Kind: EffectMove, ID: q.id, Target: q.target.spec.Name, To: t.spec, Ready: ready,
 		Priority: r.priority(q), Basis: basis,
-	})
+	}
+	if q.next.target != nil {
+		e.Backup = q.next.target.spec
+	}
+	r.emit(e)
 }
 
 // moveTurn returns when this host may begin to move its streams off an ending target.
@@ -158,31 +182,33 @@
 
 // unmove ends a move without a change of place.
 func (r *Reducer) unmove(q *request) {
-	if q.moving == nil {
+	if q.moving.target == nil {
 		return
 	}
-	q.moving.own.Sub(&q.reserved)
-	q.moving.changed()
-	if q.target != nil {
+	if q.target != nil && !q.ready {
 		q.target.movesOut--
 	}
-	q.moving, q.reserved = nil, forecast.Demand{}
+	q.moving.free()
+	q.next.free()
 }
 
 func (e Moved) reduce(r *Reducer) {
 	q := r.requests[e.ID]
-	if q == nil || q.phase != phaseSent || q.moving == nil {
+	if q == nil || q.phase != phaseSent || q.moving.target == nil {
 		return
 	}
-	from, to := q.target, q.moving
+	from, to, next := q.target, q.moving.target, q.next
+	q.next = reservation{}
 	r.unmove(q)
+	q.backup.free()
+	q.backup = next
 	from.own.Sub(&q.demand)
 	from.running--
 	if from.running == 0 {
 		from.own = forecast.Demand{}
 	}
-	from.changed()
 	from.unfilled -= q.unfilled
+	from.changed()
 	q.unfilled = 0
 	q.target, q.demand = to, forecast.Demand{}
 	to.running++
@@ -194,12 +220,31 @@
 
 func (e NotMoved) reduce(r *Reducer) {
 	q := r.requests[e.ID]
-	if q == nil || q.phase != phaseSent || q.moving == nil {
+	if q == nil || q.phase != phaseSent || q.moving.target == nil {
 		return
 	}
-	q.tried = append(q.tried, q.moving)
-	q.settled = e.Over
+	q.tried = append(q.tried, q.moving.target)
+	if q.ready {
+		q.backup.free()
+	}
+	q.settled = e.Over && !q.ready
 	r.unmove(q)
 	r.counts.NotMoved++
 	r.evacuate()
 }
+
+// A Broken answers with a move to where the stream's backup is, or with the word that
+// there is none.
+func (e Broken) reduce(r *Reducer) {
+	q := r.requests[e.ID]
+	switch {
+	case q == nil || q.phase != phaseSent:
+	case q.moving.target != nil:
+		// The move that is under way is the answer.
+	case r.usable(q.backup.target):
+		q.target.trouble.add(1, r.now)
+		r.move(q, q.backup.target, true)
+	default:
+		r.emit(Effect{Kind: EffectStay, ID: q.id, Target: q.target.spec.Name})
+	}
+}
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -26,6 +26,7 @@
 		reach      bool
 		moves      bool
 		origin     string
+		backups    float64
 		retryShare float64
 		retrySlack float64
 	}
@@ -44,6 +45,7 @@
 	withReach      bool
 	withMoves      bool
 	withOrigin     string
+	withBackups    float64
 	withRetries    struct{ share, slack float64 }
 	withEngine     struct{ base, per, prefill time.Duration }
 )
@@ -100,6 +102,11 @@
 // WithMoves sets whether running streams are moved off targets that are about to end.
 func WithMoves(on bool) Option { return withMoves(on) }
 
+// WithBackups sets the part of an engine's memory up to which the memory of streams on
+// other engines is backed up there; 0 means no backups.
+func WithBackups(part float64) Option     { return withBackups(part) }
+func (o withBackups) apply(opts *options) { opts.backups = float64(o) }
+
 // WithOrigin sets the name under which the host's reports reach its peers.
 func WithOrigin(name string) Option      { return withOrigin(name) }
 func (o withOrigin) apply(opts *options) { opts.origin = string(o) }
@@ -136,6 +143,9 @@
 	defaultBurst      = 512 // tokens
 	defaultFresh      = 2500 * time.Millisecond
 	defaultConsortium = 0.25 // weight of an organisation's use of other pools
+	// DefaultBackups leaves most of an engine's memory to what runs there.
+	DefaultBackups = 0.5
+
 	defaultRetryShare = 0.1  // retries earned by a request
 	defaultRetrySlack = 10.0 // retries that all hosts together can save up
 )
@@ -156,6 +166,7 @@
 		objective:  true,
 		burst:      defaultBurst,
 		fresh:      defaultFresh,
+		backups:    DefaultBackups,
 		retryShare: defaultRetryShare,
 		retrySlack: defaultRetrySlack,
 	}
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -75,8 +75,10 @@
 	now := max(r.now, r.since(at))
 	report := PeerReport{Place: r.place, Accounts: r.ledger.Report(now)}
 	for name, t := range r.targets {
-		if t.running > 0 {
-			report.Demands = append(report.Demands, TargetDemand{name, t.own})
+		d := t.own
+		d.Add(&t.kept)
+		if t.running > 0 || d.Mean[0] > 0.5 {
+			report.Demands = append(report.Demands, TargetDemand{name, d})
 		}
 	}
 	for _, p := range r.poolList {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -203,7 +203,12 @@
 	}
 	t.breaker.tried(r.now)
 	r.placeAt(q, t)
-	r.emit(Effect{Kind: EffectDispatch, ID: q.id, Target: t.spec.Name, To: t.spec, Priority: r.priority(q), Basis: basis})
+	r.backUp(q, &q.backup, t)
+	e := Effect{Kind: EffectDispatch, ID: q.id, Target: t.spec.Name, To: t.spec, Priority: r.priority(q), Basis: basis}
+	if q.backup.target != nil {
+		e.Backup = q.backup.target.spec
+	}
+	r.emit(e)
 }
 
 // priority returns the engine priority of an organisation's requests, lower first: the
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -47,11 +47,13 @@
 		demandAt int     // tokens when demand was computed
 		rate     float64 // service units a second counted in the ledger
 
-		moving    *targetState    // where it is being moved to; nil for nowhere
-		reserved  forecast.Demand // that is kept there meanwhile
-		moveTries int             // from its present target
-		settled   bool            // no move is tried any more
-		rest      time.Duration   // expected, when last compared with others
+		backup    reservation   // where its memory is copied as it grows
+		moving    reservation   // where it is being moved to
+		next      reservation   // of its backup, once it is there
+		ready     bool          // the move needs no copy
+		moveTries int           // from its present target
+		settled   bool          // no move is tried any more
+		rest      time.Duration // expected, when last compared with others
 	}
 
 	// phase is where a request stands.
@@ -189,6 +191,7 @@
 // leave takes q off its target. The caller decides what becomes of q.
 func (r *Reducer) leave(q *request) {
 	r.unmove(q)
+	q.backup.free()
 	t := q.target
 	t.own.Sub(&q.demand)
 	t.unfilled -= q.unfilled
--- a/dispatch/target_state.go
+++ b/dispatch/target_state.go
@@ -17,6 +17,7 @@
 		running   int // requests of this host
 		unfilled  int // prompt tokens of this host not known to be computed
 		own       forecast.Demand
+		kept      forecast.Demand // memory reserved for this host's streams elsewhere
 		others    forecast.Demand // of the streams of other hosts
 		total     forecast.Demand // of all streams, known or inferred
 		totalEnd  time.Duration   // until when total holds; 0 means that it must be added up
@@ -109,6 +110,7 @@
 // beyond the known streams is taken to behave like them.
 func (t *targetState) addUp(now time.Duration) forecast.Demand {
 	d := t.own
+	d.Add(&t.kept)
 	d.Add(&t.others)
 	t.totalEnd = math.MaxInt64
 	if t.loadAt == 0 || now-t.loadAt > loadExpiry {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -38,7 +38,7 @@
 func (c *call) attempt(ctx context.Context, v dispatch.Effect) relay.Result {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	c.abandon, c.priority = cancel, v.Priority
+	c.abandon = cancel
 	stop := c.boundTry(cancel)
 	resp, err := c.gateway.send.RoundTrip(c.order(ctx, v, nil))
 	stop()
@@ -104,6 +104,9 @@
 		Priority:     v.Priority,
 		Copy:         from,
 	}
+	if v.Backup.Name != "" {
+		o.Backup = v.Backup.Address
+	}
 	if c.route.Open {
 		o.Organisation = ""
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -8,7 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -49,14 +49,12 @@
 	events   events
 	arrived  time.Time     // when the last event came
 	longest  time.Duration // between two events
-	priority int
 	moves    int
 	refused  bool                    // the caller no longer takes the stream
 	abandon  context.CancelCauseFunc // ends the present attempt
 
-	mu   sync.Mutex
-	at   table.Target // that serves the stream
-	move *move        // under way; nil for none
+	journey   journey
+	lastEvent atomic.Int64 // identifier of the last event that the caller has
 }
 
 // serve answers the request, or returns why it cannot.
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"time"
 )
 
@@ -43,11 +44,12 @@
 
 	// An Order is what a target is told with a request.
 	Order struct {
-		Within       time.Duration // what is left of the caller's time
-		Target       string        // name of the target that is meant
-		Organisation string        // empty if the route wants no key
-		Priority     int           // lower goes first; negative leaves it to the target
-		Copy         *Copy         // from which the request goes on; nil for a request's start
+		Within       time.Duration  // what is left of the caller's time
+		Target       string         // name of the target that is meant
+		Organisation string         // empty if the route wants no key
+		Priority     int            // lower goes first; negative leaves it to the target
+		Copy         *Copy          // from which the request goes on; nil for a request's start
+		Backup       netip.AddrPort // engine to which its memory is copied as it grows; invalid for none
 	}
 
 	// A Reply is what the head of a target's answer says.
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -6,12 +6,14 @@
 )
 
 // events splits a stream of server-sent events at the boundaries between events, so
-// that a caller never gets a part of one. The zero value is at the start of a stream.
+// that a caller never gets a part of one, and sees that none is missing or comes twice.
+// The zero value is at the start of a stream.
 type events struct {
-	rest  []byte // a part of an event that is still coming
-	last  int    // identifier of the last whole event
-	whole int    // events seen
-	gap   bool   // an identifier did not follow the one before
+	rest     []byte // a part of an event that is still coming
+	last     int    // identifier of the last whole event
+	whole    int    // events passed on
+	gap      bool   // an identifier did not follow the one before
+	rejoined bool   // the stream goes on elsewhere: what was passed on may come again
 }
 
 var (
@@ -20,6 +22,9 @@
 	eventNumber = []byte("id:")
 )
 
+// rejoin forgets the part of an event that was coming: the stream goes on elsewhere.
+func (e *events) rejoin() { e.rest, e.rejoined = nil, true }
+
 // feed takes in bytes and returns the whole events among all that came so far, nil if
 // there is none. The result is valid until the next call.
 func (e *events) feed(data []byte) []byte {
@@ -30,10 +35,9 @@
 		return nil
 	}
 	whole := all[:end]
-	e.count(whole)
 	// What is left moves to memory of its own, as whole is still in use.
 	e.rest = append([]byte(nil), all[end:]...)
-	return whole
+	return e.pass(whole)
 }
 
 // boundary returns the length of the whole events at the start of data.
@@ -48,21 +52,71 @@
 	return end
 }
 
-// count notes the identifiers of whole events.
-func (e *events) count(whole []byte) {
-	for line := range bytes.Lines(whole) {
-		text, ok := bytes.CutPrefix(line, eventNumber)
-		if !ok {
-			continue
+// pass notes the identifiers of whole events, and leaves out those that came before.
+func (e *events) pass(whole []byte) []byte {
+	if !e.rejoined {
+		for line := range bytes.Lines(whole) {
+			if n, ok := identifier(line); ok {
+				e.note(n)
+			}
 		}
-		n, err := strconv.Atoi(string(bytes.TrimSpace(text)))
-		if err != nil {
+		return whole
+	}
+	kept := whole[:0]
+	for len(whole) > 0 {
+		one := whole[:first(whole)]
+		whole = whole[len(one):]
+		n, ok := eventID(one)
+		if ok && n <= e.last {
 			continue
 		}
-		if e.whole > 0 && n != e.last+1 {
-			e.gap = true
+		if ok {
+			e.note(n)
 		}
-		e.last = n
-		e.whole++
+		kept = append(kept, one...)
+	}
+	if len(kept) == 0 {
+		return nil
+	}
+	return kept
+}
+
+// first returns the length of the first event of some whole ones.
+func first(whole []byte) int {
+	end := len(whole)
+	if i := bytes.Index(whole, eventEnd); i >= 0 {
+		end = i + len(eventEnd)
+	}
+	if i := bytes.Index(whole[:end], eventEndCR); i >= 0 {
+		end = i + len(eventEndCR)
+	}
+	return end
+}
+
+// eventID returns the identifier of one event.
+func eventID(one []byte) (int, bool) {
+	for line := range bytes.Lines(one) {
+		if n, ok := identifier(line); ok {
+			return n, true
+		}
+	}
+	return 0, false
+}
+
+// identifier returns the number on a line, if it is an identifier's.
+func identifier(line []byte) (int, bool) {
+	text, ok := bytes.CutPrefix(line, eventNumber)
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.Atoi(string(bytes.TrimSpace(text)))
+	return n, err == nil
+}
+
+func (e *events) note(n int) {
+	if e.whole > 0 && n != e.last+1 {
+		e.gap = true
 	}
+	e.last = n
+	e.whole++
 }
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -36,54 +36,108 @@
 
 	// A Copy names the memory from which a request goes on.
 	Copy struct {
-		From   netip.AddrPort // engine that made it
-		Handle string
-		After  int // identifier of the last event that the caller has
+		At     netip.AddrPort // engine that made it; the engine that holds it, if it is a backup
+		Handle string         // identifier of the request, if it is a backup
+		After  int            // identifier of the last event that the caller has
 	}
 
 	// move is one move of a stream, under way.
 	move struct {
+		effect   dispatch.Effect
 		from, to table.Target
 		began    time.Time
+		done     chan struct{} // closed when nothing more is asked of the engines
+
 		mu       sync.Mutex
-		handle   string        // of the newest copy at the other engine
-		stopping bool          // the run may have been stopped
-		kept     bool          // the copy is at the engine that the run left
-		over     bool          // the engine had no such run
-		done     chan struct{} // closed when nothing more is asked of the engine
-		err      error
+		handle   string         // of the newest copy at the other engine
+		stopping bool           // the run may have been stopped
+		kept     bool           // the copy is at the engine that the run left
+		over     bool           // the engine had no such run
+		next     *http.Response // of the stream where it goes on, begun while the old one ran
+	}
+
+	// journey is where a stream is and where it goes. The reader of the stream and the
+	// follower of its moves share it.
+	journey struct {
+		mu      sync.Mutex
+		at      table.Target
+		source  *http.Response // that is being read
+		present *move          // nil for none
+		over    bool           // the stream has ended
+		ended   chan *move     // moves that are done, for a reader that has nothing to read
 	}
 )
 
 const (
 	copyTimeout  = 3 * time.Second        // a copy waits for others on the same links
 	dropTimeout  = 500 * time.Millisecond // freeing a copy that lapses by itself anyway
-	settleWait   = time.Second            // for a last copy once its stream has closed
+	settleWait   = time.Second            // for a move, once its stream has closed
 	resumeWithin = time.Second            // for the head of an answer that goes on from a copy
 )
 
 var errNotMoved = eris.New("the run could not go on from the copy of its memory")
 
-// follow carries out the moves that the reducer asks for, until ctx ends.
-func (c *call) follow(ctx context.Context) {
+// follow carries out the moves that the reducer asks for, until following ends. What it
+// opens for the reader lives as long as attempt.
+func (c *call) follow(following, attempt context.Context) {
 	for {
 		select {
-		case <-ctx.Done():
+		case <-following.Done():
 			return
 		case f := <-c.booking.Moves():
-			c.carryOut(ctx, f)
+			if f.Kind == dispatch.EffectStay {
+				c.tellEnded(nil)
+				continue
+			}
+			m := &move{effect: f, to: f.To, began: time.Now(), done: make(chan struct{})}
+			c.journey.mu.Lock()
+			m.from, c.journey.present = c.journey.at, m
+			c.journey.mu.Unlock()
+			if f.Ready {
+				c.switchOver(attempt, m)
+			} else {
+				c.carryOver(following, m)
+			}
+			close(m.done)
+			c.tellEnded(m)
 		}
 	}
 }
 
-// carryOut copies a run's memory ahead, then stops the run and copies what is new. The
+// tellEnded wakes a reader that waits for a move; nil says that there is none.
+func (c *call) tellEnded(m *move) {
+	select {
+	case c.journey.ended <- m:
+	default:
+	}
+}
+
+// switchOver opens the stream at its backup while it still runs, and then lets go of its
+// old engine: the caller sees no pause.
+func (c *call) switchOver(ctx context.Context, m *move) {
+	resp, err := c.open(ctx, m, m.to, Copy{At: m.to.Address, Handle: c.envelope.ID})
+	c.journey.mu.Lock()
+	defer c.journey.mu.Unlock()
+	if err != nil || c.journey.over {
+		if resp != nil {
+			resp.Body.Close()
+		}
+		c.journey.present = nil
+		if err != nil && ctx.Err() == nil {
+			c.logMove(event.MoveFailed, m, err.Error())
+			c.booking.NotMoved(false)
+		}
+		return
+	}
+	m.mu.Lock()
+	m.next = resp
+	m.mu.Unlock()
+	c.journey.source.Body.Close()
+}
+
+// carryOver copies a run's memory ahead, then stops the run and copies what is new. The
 // reader of the stream goes on from there.
-func (c *call) carryOut(ctx context.Context, f dispatch.Effect) {
-	c.mu.Lock()
-	m := &move{from: c.at, to: f.To, began: time.Now(), done: make(chan struct{})}
-	c.move = m
-	c.mu.Unlock()
-	defer close(m.done)
+func (c *call) carryOver(ctx context.Context, m *move) {
 	first, err := c.copy(ctx, m, false)
 	if err != nil || first.Over || first.Kept || first.Handle == "" {
 		c.noMove(m, first, err)
@@ -93,9 +147,12 @@
 	m.handle, m.stopping = first.Handle, true
 	m.mu.Unlock()
 	last, err := c.copy(ctx, m, true)
+	if err != nil {
+		c.logMove(event.MoveFailed, m, "last copy: "+err.Error())
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.err, m.over, m.kept = err, last.Over, last.Kept
+	m.over, m.kept = last.Over, last.Kept
 	if last.Handle != "" {
 		m.handle = last.Handle
 	}
@@ -109,11 +166,11 @@
 
 // noMove tells that a stream stays where it is.
 func (c *call) noMove(m *move, copied Copied, err error) {
-	c.mu.Lock()
-	if c.move == m {
-		c.move = nil
+	c.journey.mu.Lock()
+	if c.journey.present == m {
+		c.journey.present = nil
 	}
-	c.mu.Unlock()
+	c.journey.mu.Unlock()
 	detail := "no room at the other target"
 	switch {
 	case errors.Is(err, context.Canceled):
@@ -130,24 +187,22 @@
 func (c *call) logMove(n event.Number, m *move, detail string) {
 	c.gateway.host.Log().Emit(n, event.Fields{
 		Request: c.envelope.ID, Organisation: c.organisation, Target: m.from.Name, Detail: detail,
-		Values: []any{"to", m.to.Name, "ms", time.Since(m.began).Milliseconds()},
+		Values: []any{"to", m.to.Name, "backup", m.effect.Ready, "ms", time.Since(m.began).Milliseconds()},
 	})
 }
 
-// moved opens the stream anew where a move has brought it, after it has closed at its
-// old target. It returns nil if no move explains the end.
-func (c *call) moved(ctx context.Context, clean bool) *http.Response {
-	c.mu.Lock()
-	m := c.move
-	c.move = nil
-	c.mu.Unlock()
+// onward returns the stream where it goes on, after it has closed at its old target, or
+// nil if it does not. clean reports whether the target ended it as if it were whole.
+func (c *call) onward(ctx context.Context, clean bool) *http.Response {
+	m := c.takeMove()
+	if m == nil && !clean {
+		m = c.askOnward(ctx)
+		c.takeMove()
+	}
 	if m == nil {
 		return nil
 	}
-	m.mu.Lock()
-	stopping := m.stopping
-	m.mu.Unlock()
-	if clean && !stopping {
+	if clean && !m.begun() {
 		c.drop(m)
 		return nil
 	}
@@ -158,53 +213,107 @@
 		return nil
 	}
 	m.mu.Lock()
-	handle, kept, over := m.handle, m.kept, m.over
+	next, handle, kept, over := m.next, m.handle, m.kept, m.over
 	m.mu.Unlock()
-	if handle == "" || over && clean {
-		c.booking.NotMoved(true)
+	if next != nil {
+		c.settle(m, m.to, false)
+		return next
+	}
+	if m.effect.Ready || handle == "" || over && clean {
+		if !m.effect.Ready {
+			c.booking.NotMoved(true)
+		}
 		return nil
 	}
 	return c.resume(ctx, m, handle, kept)
 }
 
-// resume sends the request on to where the copy is.
+// takeMove returns the move that is under way, which is the caller's from now on.
+func (c *call) takeMove() *move {
+	c.journey.mu.Lock()
+	defer c.journey.mu.Unlock()
+	m := c.journey.present
+	c.journey.present = nil
+	return m
+}
+
+// begun reports whether the stream's old engine may have been told to end it.
+func (m *move) begun() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stopping || m.next != nil
+}
+
+// askOnward asks the reducer where a stream that has broken off goes on.
+func (c *call) askOnward(ctx context.Context) *move {
+	if c.gateway.mover == nil {
+		return nil
+	}
+	select {
+	case <-c.journey.ended: // of an earlier move
+	default:
+	}
+	c.booking.Broken()
+	select {
+	case m := <-c.journey.ended:
+		return m
+	case <-time.After(settleWait):
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+// resume goes on from a copy whose run has been stopped.
 func (c *call) resume(ctx context.Context, m *move, handle string, kept bool) *http.Response {
 	to := m.to
 	if kept {
 		to = m.from
 	}
-	v := dispatch.Effect{Target: to.Name, To: to, Priority: c.priority}
-	waiting := time.AfterFunc(resumeWithin, func() { c.abandon(errNotMoved) })
-	defer waiting.Stop()
-	copied := &Copy{From: m.from.Address, Handle: handle, After: c.events.last}
-	resp, err := c.gateway.send.RoundTrip(c.order(ctx, v, copied))
+	resp, err := c.open(ctx, m, to, Copy{At: m.from.Address, Handle: handle})
 	if err != nil {
 		c.logMove(event.MoveFailed, m, err.Error())
 		c.booking.NotMoved(true)
 		return nil
 	}
+	c.settle(m, to, kept)
+	return resp
+}
+
+// open sends the request to where a copy of its memory is.
+func (c *call) open(ctx context.Context, m *move, to table.Target, from Copy) (*http.Response, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	waiting := time.AfterFunc(resumeWithin, func() { cancel(errNotMoved) })
+	from.After = int(c.lastEvent.Load())
+	v := dispatch.Effect{Target: to.Name, To: to, Priority: m.effect.Priority, Backup: m.effect.Backup}
+	resp, err := c.gateway.send.RoundTrip(c.order(ctx, v, &from))
+	if !waiting.Stop() && err == nil {
+		resp.Body.Close()
+		return nil, errNotMoved
+	}
+	if err != nil {
+		cancel(err)
+		return nil, err
+	}
 	reply := c.gateway.dialect.Reply(resp.StatusCode, resp.Header)
 	if reply.NotRun || !reply.Proved || reply.ID != "" && reply.ID != c.envelope.ID || !isEvents(resp) || resp.StatusCode >= 300 {
 		resp.Body.Close()
-		c.logMove(event.MoveFailed, m, errNotMoved.Error()+": "+resp.Status)
-		c.booking.NotMoved(true)
-		return nil
+		cancel(errNotMoved)
+		return nil, eris.Wrap(errNotMoved, resp.Status)
 	}
-	c.events.rest = nil // the start of an event that comes again
-	c.settle(m, to, kept)
-	return resp
+	return resp, nil
 }
 
 // settle notes where a stream goes on.
 func (c *call) settle(m *move, to table.Target, kept bool) {
+	c.events.rejoin()
 	if kept {
 		c.logMove(event.MoveFailed, m, "the run goes on at its old target")
 		c.booking.NotMoved(false)
 		return
 	}
-	c.mu.Lock()
-	c.at = to
-	c.mu.Unlock()
+	c.journey.mu.Lock()
+	c.journey.at = to
+	c.journey.mu.Unlock()
 	c.target, c.moves = to.Name, c.moves+1
 	c.logMove(event.RequestMoved, m, "")
 	c.booking.Moved()
@@ -212,6 +321,9 @@
 
 // drop frees the copy of a stream that has ended without it.
 func (c *call) drop(m *move) {
+	if m.effect.Ready {
+		return // backups are freed by the end of their run
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), dropTimeout+copyTimeout)
 		defer cancel()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -21,29 +21,47 @@
 	silence := c.silence()
 	watch := time.AfterFunc(silence, func() { c.abandon(errSilent) })
 	defer watch.Stop()
-	c.mu.Lock()
-	c.at = v.To
-	c.mu.Unlock()
+	c.journey.at, c.journey.source = v.To, resp
+	c.journey.ended = make(chan *move, 1)
 	if c.gateway.mover != nil {
 		following, stop := context.WithCancel(ctx)
 		defer stop()
-		go c.follow(following)
+		go c.follow(following, ctx)
 	}
+	defer c.arrive()
 	for {
 		res, clean := c.read(ctx, resp, watch, silence)
 		resp.Body.Close()
 		if ctx.Err() != nil || c.refused {
 			return res
 		}
-		next := c.moved(ctx, clean)
+		watch.Reset(silence)
+		next := c.onward(ctx, clean)
 		if next == nil {
 			return c.close(resp, res, clean)
 		}
 		resp = next
+		c.journey.mu.Lock()
+		c.journey.source = resp
+		c.journey.mu.Unlock()
 		watch.Reset(silence)
 	}
 }
 
+// arrive notes that the stream has ended, and lets go of what was opened for it since.
+func (c *call) arrive() {
+	c.journey.mu.Lock()
+	defer c.journey.mu.Unlock()
+	c.journey.over = true
+	if m := c.journey.present; m != nil {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if m.next != nil {
+			m.next.Body.Close()
+		}
+	}
+}
+
 // close ends a stream that nothing continues.
 func (c *call) close(resp *http.Response, res relay.Result, clean bool) relay.Result {
 	if clean {
@@ -89,6 +107,7 @@
 		return true
 	}
 	c.progress(c.events.whole - before)
+	c.lastEvent.Store(int64(c.events.last))
 	if !c.written {
 		c.head(resp.StatusCode, resp.Header)
 		c.begin(resp.StatusCode)
--- a/host/booking.go
+++ b/host/booking.go
@@ -27,7 +27,7 @@
 		Name:     name,
 		host:     h,
 		verdicts: make(chan dispatch.Effect, verdictRoom),
-		moves:    make(chan dispatch.Effect, 1),
+		moves:    make(chan dispatch.Effect, verdictRoom),
 		cancel:   func() {},
 	}
 }
@@ -147,7 +147,8 @@
 // Moves returns the moves that the reducer asks for, one at a time.
 func (b *Booking) Moves() <-chan dispatch.Effect { return b.moves }
 
-// tellMove hands a move to whoever follows the booking's moves. There is at most one.
+// tellMove hands a move to whoever follows the booking's moves. There is room for every
+// one that is not yet carried out.
 func (b *Booking) tellMove(f dispatch.Effect) {
 	select {
 	case b.moves <- f:
@@ -161,6 +162,9 @@
 	b.host.Post(dispatch.Moved{ID: b.ID})
 }
 
+// Broken asks where a stream that has broken off goes on. A move or a stay follows.
+func (b *Booking) Broken() { b.host.Post(dispatch.Broken{ID: b.ID}) }
+
 // NotMoved tells that the last move has failed. over says that no other can help.
 func (b *Booking) NotMoved(over bool) {
 	b.host.Post(dispatch.NotMoved{ID: b.ID, Over: over})
--- a/host/host.go
+++ b/host/host.go
@@ -340,7 +340,8 @@
 	case dispatch.EffectDispatch:
 		b.target = f.Target
 		h.log.Emit(event.RequestDispatched, event.Fields{
-			Request: b.Name, Organisation: b.Submit.Organisation, Target: f.Target, Values: h.basis(f.Basis),
+			Request: b.Name, Organisation: b.Submit.Organisation, Target: f.Target,
+			Values: append(h.basis(f.Basis), "backup", f.Backup.Name),
 		})
 		b.tell(f)
 	case dispatch.EffectRefuse:
@@ -353,9 +354,11 @@
 	case dispatch.EffectMove:
 		b.moving = f.To.Name
 		h.log.Emit(event.MoveAsked, event.Fields{
-			Request: b.Name, Organisation: b.Submit.Organisation, Target: f.Target, Values: append(h.basis(f.Basis), "to", f.To.Name),
+			Request: b.Name, Organisation: b.Submit.Organisation, Target: f.Target, Values: append(h.basis(f.Basis), "to", f.To.Name, "backup", f.Ready, "next_backup", f.Backup.Name),
 		})
 		b.tellMove(f)
+	case dispatch.EffectStay:
+		b.tellMove(f)
 	case dispatch.EffectResume:
 		b.Track.Kick()
 	case dispatch.EffectCancel:
--- a/table/table.go
+++ b/table/table.go
@@ -58,6 +58,8 @@
 
 		TokenBytes int64 // bytes of memory of a token
 		Link       int64 // bytes a second that a copy of memory gets
+		Moves      bool  // running streams can be moved
+		Backups    bool  // the memory of streams can be copied as it grows
 	}
 
 	// Callers bounds what a caller may send, and how long it may take. Zero fields
