--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -207,7 +207,7 @@
 		Origin:   "p/1",
 		Sequence: 2,
 		Accounts: []share.Entry{{Account: share.Account{Organisation: "organisation-0"}, Use: 10, Holding: 5}},
-		Demands:  []TargetDemand{{"engine-0000", forecast.Demand{Streams: 3}}},
+		Demands:  []TargetDemand{{Target: "engine-0000", Demand: forecast.Demand{Streams: 3}}},
 	}
 	r.do(0, report)
 	r.do(0, report) // a repeat
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -31,7 +31,7 @@
 
 	// endInPlace is the part of the notice left within which a run's expected end must
 	// lie for the run to stay: expected ends are rough.
-	endInPlace = 0.6
+	endInPlace = 0.35
 
 	// moveTries bounds the targets to which one run is tried to be moved from one place.
 	moveTries = 3
--- /dev/null
+++ b/dispatch/evacuate_test.go
@@ -0,0 +1,249 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/forecast"
+	"github.com/wigeonlink/wigeonlink/table"
+	"github.com/wigeonlink/wigeonlink/target"
+)
+
+// fleetRig is a rig whose targets are listed apart from the table: engines of 34,288
+// tokens, half of them in the host's failure domain.
+type fleetRig struct {
+	*rig
+	fleet    map[string]table.Target
+	revision uint64
+}
+
+const (
+	tokenBytes = 163_840
+	linkSpeed  = 3_000_000_000 // bytes a second
+)
+
+func newFleetRig(t *testing.T, engines int, opts ...Option) *fleetRig {
+	r := &rig{C: qt.New(t), now: benchEpoch}
+	r.reducer = NewReducer(append([]Option{
+		WithFresh(0), WithReach(true), WithDomain("north"), WithMoves(true), WithOrigin("b/1"), WithBurst(0),
+		WithEngine(7*time.Millisecond, 300*time.Microsecond, 0),
+	}, opts...)...)
+	tab := table.NewTable(1)
+	tab.AddOrganisation(table.Organisation{Name: "one"})
+	tab.Models["model"] = table.Model{Name: "model", Engine: table.Engine{
+		Slots: 24, Memory: 34_288, TokenBytes: tokenBytes, Link: linkSpeed, Moves: true, Backups: true,
+	}}
+	tab.Services["plain"] = table.Service{Name: "plain"}
+	f := &fleetRig{rig: r, fleet: map[string]table.Target{}}
+	for i := range engines {
+		domain := "north"
+		if i%2 == 1 {
+			domain = "south"
+		}
+		name := fmt.Sprintf("engine-%d", i)
+		f.fleet[name] = table.Target{Name: name, Kind: table.TargetService, Service: "model", Domain: domain, Slots: 24}
+	}
+	r.do(0, TableChange{Table: tab})
+	f.list(0)
+	return f
+}
+
+// list makes the present fleet known.
+func (f *fleetRig) list(after time.Duration) []Effect {
+	f.revision++
+	fleet := make(map[string]table.Target, len(f.fleet))
+	for name, t := range f.fleet {
+		fleet[name] = t
+	}
+	return f.do(after, Fleet{Revision: f.revision, Targets: fleet})
+}
+
+func (f *fleetRig) leave(name string) []Effect {
+	t := f.fleet[name]
+	t.Leaving = true
+	f.fleet[name] = t
+	return f.list(0)
+}
+
+// stream submits a generation and lets it come to some tokens.
+func (f *fleetRig) stream(id ID, tokens int) string {
+	f.do(time.Millisecond, Submit{ID: id, Organisation: "one", Pool: "model", Once: true, Route: "reports", Prompt: 3000, Limit: 2200, Attempts: 1})
+	to := f.mustBe(EffectDispatch).Target
+	f.run(id, tokens)
+	return to
+}
+
+// run lets a stream go on until it has some tokens, at 7 ms each.
+func (f *fleetRig) run(id ID, tokens int) {
+	for n := 8; n <= tokens; n += 8 {
+		f.do(56*time.Millisecond, Progress{Samples: []Sample{{ID: id, Tokens: n, Last: f.now.Add(56 * time.Millisecond)}}})
+	}
+}
+
+func (f *fleetRig) moves() []Effect {
+	var out []Effect
+	for _, e := range f.effects {
+		if e.Kind == EffectMove {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// The pattern of the users' sites: an engine with several streams is announced to end.
+// One stream after the other is moved, and each to a place that stays.
+func TestStreamsLeaveAnEndingEngineOneByOne(t *testing.T) {
+	f := newFleetRig(t, 4, WithBackups(0))
+	at := map[string][]ID{}
+	for id := range ID(8) {
+		name := f.stream(id+1, 40)
+		at[name] = append(at[name], id+1)
+	}
+	ending := ""
+	for name, ids := range at {
+		if len(ids) > len(at[ending]) {
+			ending = name
+		}
+	}
+	f.Assert(len(at[ending]) >= 2, qt.IsTrue)
+	f.leave(ending)
+	for range at[ending] {
+		m := f.moves()
+		f.Assert(m, qt.HasLen, 1)
+		f.Assert(m[0].Target, qt.Equals, ending)
+		f.Assert(m[0].To.Name, qt.Not(qt.Equals), ending)
+		f.Assert(m[0].Ready, qt.IsFalse)
+		f.do(200*time.Millisecond, Moved{ID: m[0].ID})
+	}
+	f.Assert(f.moves(), qt.HasLen, 0)
+	f.Assert(f.reducer.Counts().Moved, qt.Equals, len(at[ending]))
+}
+
+// Hosts hear of an engine's end together. One waits for the copies of those before it,
+// but not for those after it, and not for ever.
+func TestHostsTakeTurnsAtAnEndingEngine(t *testing.T) {
+	const tokens = 9000.0 // of another host's streams there: half a second of copies
+	cases := []struct {
+		origin string
+		tokens float64
+		wait   time.Duration
+	}{
+		{"a/1", tokens, 565 * time.Millisecond},
+		{"c/1", tokens, 0},
+		{"a/1", 10 * tokens, turnLatest},
+	}
+	for _, tc := range cases {
+		f := newFleetRig(t, 4, WithBackups(0))
+		name := f.stream(1, 40)
+		demand := forecast.Demand{Streams: 3}
+		for i := range demand.Mean {
+			demand.Mean[i] = tc.tokens
+		}
+		f.do(0, PeerReport{Origin: tc.origin, Sequence: 1, Demands: []TargetDemand{{Target: name, Demand: demand}}})
+		f.leave(name)
+		waited := time.Duration(0)
+		for len(f.moves()) == 0 {
+			f.Assert(waited < 2*time.Second, qt.IsTrue)
+			f.do(moveEvery, Tick{})
+			waited += moveEvery
+		}
+		f.Assert(waited >= tc.wait && waited <= tc.wait+2*moveEvery, qt.IsTrue, qt.Commentf("%s: %s", tc.origin, waited))
+	}
+}
+
+// A move that fails is tried elsewhere, a few times; one that finds its run over is not.
+func TestFailedMoves(t *testing.T) {
+	f := newFleetRig(t, 6, WithBackups(0))
+	name := f.stream(1, 40)
+	f.leave(name)
+	tried := map[string]bool{name: true}
+	for range moveTries {
+		m := f.moves()
+		f.Assert(m, qt.HasLen, 1)
+		f.Assert(tried[m[0].To.Name], qt.IsFalse)
+		tried[m[0].To.Name] = true
+		f.do(10*time.Millisecond, NotMoved{ID: 1})
+	}
+	f.Assert(f.moves(), qt.HasLen, 0)
+
+	f = newFleetRig(t, 6, WithBackups(0))
+	f.leave(f.stream(1, 40))
+	f.do(10*time.Millisecond, NotMoved{ID: 1, Over: true})
+	f.do(100*time.Millisecond, Tick{})
+	f.Assert(f.moves(), qt.HasLen, 0)
+}
+
+// A stream that begins on an engine whose end is known already is moved once it runs.
+func TestLateStarterIsMoved(t *testing.T) {
+	f := newFleetRig(t, 4, WithBackups(0))
+	f.do(0, Submit{ID: 1, Organisation: "one", Pool: "model", Once: true, Prompt: 3000, Limit: 2200})
+	name := f.mustBe(EffectDispatch).Target
+	f.leave(name)
+	f.Assert(f.moves(), qt.HasLen, 0)
+	f.do(300*time.Millisecond, Progress{Samples: []Sample{{ID: 1, Tokens: 4, Last: f.now}}})
+	f.Assert(f.moves(), qt.HasLen, 1)
+}
+
+// An engine that dies without notice: the stream goes on at its backup, or is told that
+// it has none.
+func TestBrokenStreamGoesOnAtItsBackup(t *testing.T) {
+	f := newFleetRig(t, 4, WithBackups(0.6))
+	f.do(0, Submit{ID: 1, Organisation: "one", Pool: "model", Once: true, Prompt: 3000, Limit: 2200})
+	d := f.mustBe(EffectDispatch)
+	f.Assert(d.Backup.Name, qt.Not(qt.Equals), "")
+	f.Assert(d.Backup.Name, qt.Not(qt.Equals), d.Target)
+	f.run(1, 40)
+	f.do(0, Broken{ID: 1})
+	m := f.mustBe(EffectMove)
+	f.Assert(m.Ready, qt.IsTrue)
+	f.Assert(m.To.Name, qt.Equals, d.Backup.Name)
+	f.do(50*time.Millisecond, Moved{ID: 1})
+
+	delete(f.fleet, m.Backup.Name)
+	f.list(0)
+	f.do(0, Broken{ID: 1})
+	f.mustBe(EffectStay)
+	f.do(0, Ended{ID: 1, Usage: target.Usage{Output: 60}})
+}
+
+// Own failure domain first; others when it has no room.
+func TestOtherDomainsAreUsedWhenTheOwnIsFull(t *testing.T) {
+	f := newFleetRig(t, 4, WithBackups(0))
+	domains := map[string]int{}
+	for id := range ID(24) {
+		f.do(time.Millisecond, Submit{ID: id + 1, Organisation: "one", Pool: "model", Once: true, Prompt: 3000, Limit: 200, Output: 200})
+		if d, ok := f.of(EffectDispatch); ok {
+			domains[d.To.Domain]++
+			if domains["south"] == 1 {
+				f.Assert(domains["north"] >= 12, qt.IsTrue, qt.Commentf("%v", domains))
+			}
+		}
+	}
+	f.Assert(domains["south"] > 0, qt.IsTrue)
+}
+
+// Nothing of the request left the host: it goes to another target, whatever its kind and
+// its bound on targets. What was sent does not.
+func TestUnsentChargeGoesElsewhere(t *testing.T) {
+	f := newFleetRig(t, 0)
+	for _, name := range []string{"p1", "p2"} {
+		f.fleet[name] = table.Target{Name: name, Kind: table.TargetService, Service: "plain", Domain: "north"}
+	}
+	f.list(0)
+	charge := Submit{ID: 1, Organisation: "one", Pool: "plain", Plain: true, Once: true, Attempts: 1}
+	f.do(0, charge)
+	first := f.mustBe(EffectDispatch).Target
+	f.do(0, Failed{ID: 1, Certainty: target.CertainNotRun, Unsent: true})
+	f.Assert(f.mustBe(EffectDispatch).Target, qt.Not(qt.Equals), first)
+	f.do(0, Failed{ID: 1})
+	f.Assert(f.mustBe(EffectRefuse).Answer, qt.Equals, answer.KindUnknownOutcome)
+
+	charge.ID = 2
+	f.do(0, charge)
+	f.do(0, Failed{ID: 2, Certainty: target.CertainNotRun, Answered: true})
+	f.Assert(f.mustBe(EffectRefuse).Answer, qt.Equals, answer.KindRefused)
+}
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -126,6 +126,7 @@
 	TargetDemand struct {
 		Target string
 		Demand forecast.Demand
+		Kept   float64 // tokens of memory reserved for streams on other targets
 	}
 
 	// A HeldCount is the number of an organisation's requests held on one host for want
--- a/dispatch/invariant.go
+++ b/dispatch/invariant.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"github.com/rotisserie/eris"
 )
@@ -33,9 +34,36 @@
 	if err := r.checkTargets(running); err != nil {
 		return err
 	}
+	if err := r.checkReservations(); err != nil {
+		return err
+	}
 	return r.checkPools()
 }
 
+// checkReservations verifies that memory is kept on targets for exactly the streams that
+// have a backup or a move.
+func (r *Reducer) checkReservations() error {
+	kept := map[*targetState]float64{}
+	moves := map[*targetState]int{}
+	for _, q := range r.requests {
+		for _, v := range []*reservation{&q.backup, &q.moving, &q.next} {
+			if v.target != nil {
+				kept[v.target] += v.demand.Mean[0]
+			}
+		}
+		if q.moving.target != nil && !q.ready {
+			moves[q.target]++
+		}
+	}
+	for name, t := range r.targets {
+		if math.Abs(t.kept.Mean[0]-kept[t]) > leastTokens || t.movesOut != moves[t] {
+			return eris.Errorf("target %s: %g tokens kept, %d moves; the books have %g, %d",
+				name, kept[t], moves[t], t.kept.Mean[0], t.movesOut)
+		}
+	}
+	return nil
+}
+
 func (r *Reducer) checkOrganisations(inflight, held map[*organisation]int) error {
 	for name, m := range r.organisations {
 		if m.inflight != inflight[m] || m.heldTotal != held[m] {
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -143,8 +143,9 @@
 	defaultBurst      = 512 // tokens
 	defaultFresh      = 2500 * time.Millisecond
 	defaultConsortium = 0.25 // weight of an organisation's use of other pools
-	// DefaultBackups leaves most of an engine's memory to what runs there.
-	DefaultBackups = 0.5
+	// DefaultBackups is no backups: on crowded engines their memory costs more than
+	// they save (docs/MEASUREMENTS.md).
+	DefaultBackups = 0.0
 
 	defaultRetryShare = 0.1  // retries earned by a request
 	defaultRetrySlack = 10.0 // retries that all hosts together can save up
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -33,7 +33,8 @@
 	*o = peer{origin: e.Origin, sequence: e.Sequence, place: e.Place, at: r.now, demands: e.Demands, held: e.Held}
 	for i := range o.demands {
 		if t := r.targets[o.demands[i].Target]; t != nil {
-			t.others.Add(&o.demands[i].Demand)
+			whole := o.demands[i].whole()
+			t.others.Add(&whole)
 			t.changed()
 		}
 	}
@@ -41,6 +42,18 @@
 	r.drainAll()
 }
 
+// leastTokens is less memory than any stream holds: what is left of sums that cancel.
+const leastTokens = 0.5
+
+// whole returns a demand with the memory that is reserved beside it.
+func (d *TargetDemand) whole() forecast.Demand {
+	all := d.Demand
+	for i := range all.Mean {
+		all.Mean[i] += d.Kept
+	}
+	return all
+}
+
 // withdraw takes a peer's demands out of the targets.
 func (r *Reducer) withdraw(o *peer) {
 	for i := range o.demands {
@@ -48,9 +61,10 @@
 		if t == nil {
 			continue
 		}
-		t.others.Sub(&o.demands[i].Demand)
+		whole := o.demands[i].whole()
+		t.others.Sub(&whole)
 		t.changed()
-		if t.others.Streams < 0.5 {
+		if t.others.Streams < 0.5 && t.others.Mean[0] < leastTokens {
 			t.others = forecast.Demand{}
 		}
 	}
@@ -75,10 +89,8 @@
 	now := max(r.now, r.since(at))
 	report := PeerReport{Place: r.place, Accounts: r.ledger.Report(now)}
 	for name, t := range r.targets {
-		d := t.own
-		d.Add(&t.kept)
-		if t.running > 0 || d.Mean[0] > 0.5 {
-			report.Demands = append(report.Demands, TargetDemand{name, d})
+		if t.running > 0 || t.kept.Mean[0] > leastTokens {
+			report.Demands = append(report.Demands, TargetDemand{name, t.own, t.kept.Mean[0]})
 		}
 	}
 	for _, p := range r.poolList {
--- a/dispatch/random_test.go
+++ b/dispatch/random_test.go
@@ -11,6 +11,7 @@
 	"github.com/wigeonlink/wigeonlink/answer"
 	"github.com/wigeonlink/wigeonlink/forecast"
 	"github.com/wigeonlink/wigeonlink/share"
+	"github.com/wigeonlink/wigeonlink/table"
 	"github.com/wigeonlink/wigeonlink/target"
 )
 
@@ -23,7 +24,8 @@
 	held    map[ID]bool
 	sent    map[ID]string // target
 	tokens  map[ID]int
-	once    map[ID]int // attempts of requests that may run once
+	once    map[ID]int    // attempts of requests that may run once
+	moving  map[ID]string // targets that requests are being moved to
 	leaving map[string]bool
 	limit   int
 	version uint64
@@ -31,7 +33,9 @@
 
 func newMachine(t *rapid.T) *machine {
 	m := &machine{
-		reducer: NewReducer(WithFresh(0), WithPatience(3*time.Second), WithGrace(time.Second)),
+		reducer: NewReducer(WithFresh(0), WithPatience(3*time.Second), WithGrace(time.Second),
+			WithMoves(rapid.Bool().Draw(t, "moves")), WithBackups(rapid.SampledFrom([]float64{0, 0.5}).Draw(t, "backups"))),
+		moving:  map[ID]string{},
 		now:     benchEpoch,
 		held:    map[ID]bool{},
 		sent:    map[ID]string{},
@@ -62,6 +66,10 @@
 		g.Memory = 3000
 		tab.Targets[name] = g
 	}
+	for name, model := range tab.Models {
+		model.Engine = table.Engine{Moves: true, Backups: true, TokenBytes: 1000, Link: 10_000_000}
+		tab.Models[name] = model
+	}
 	m.feed(t, TableChange{Table: &tab})
 }
 
@@ -89,6 +97,15 @@
 			t.Fatalf("%d called not run after %d tokens", f.ID, m.tokens[f.ID])
 		}
 		delete(m.held, f.ID)
+	case EffectMove:
+		if m.moving[f.ID] != "" || m.sent[f.ID] != f.Target || f.To.Name == f.Target || m.leaving[f.To.Name] {
+			t.Fatalf("move of %d from %s to %s; it is at %q and moving to %q", f.ID, f.Target, f.To.Name, m.sent[f.ID], m.moving[f.ID])
+		}
+		m.moving[f.ID] = f.To.Name
+	case EffectStay:
+		if m.moving[f.ID] != "" {
+			t.Fatalf("%d is moving and told to stay", f.ID)
+		}
 	case EffectCancel, EffectResume:
 		if m.sent[f.ID] != f.Target {
 			t.Fatalf("%s of %d at %s, it is at %q", f.Kind, f.ID, f.Target, m.sent[f.ID])
@@ -129,6 +146,11 @@
 
 // pick draws one of the sent requests, 0 if there is none.
 func (m *machine) pick(t *rapid.T) ID {
+	for id := range m.moving {
+		if _, ok := m.sent[id]; !ok {
+			delete(m.moving, id) // its request has ended
+		}
+	}
 	ids := make([]ID, 0, len(m.sent))
 	for id := ID(1); id <= m.nextID; id++ {
 		if _, ok := m.sent[id]; ok {
@@ -202,6 +224,27 @@
 	m.feed(t, Failed{ID: id, Certainty: certainty, Delivered: delivered, Rebooted: rapid.Bool().Draw(t, "rebooted"), Unsent: unsent})
 }
 
+// moved ends a move, or breaks a stream.
+func (m *machine) moved(t *rapid.T) {
+	id := m.pick(t)
+	if id == 0 {
+		return
+	}
+	to := m.moving[id]
+	switch how := rapid.IntRange(0, 2).Draw(t, "end of a move"); {
+	case how == 0:
+		m.feed(t, Broken{ID: id})
+	case to == "":
+	case how == 1:
+		delete(m.moving, id)
+		m.sent[id] = to
+		m.feed(t, Moved{ID: id})
+	default:
+		delete(m.moving, id)
+		m.feed(t, NotMoved{ID: id, Over: rapid.Bool().Draw(t, "over")})
+	}
+}
+
 func (m *machine) left(t *rapid.T) {
 	id := m.pick(t)
 	if id == 0 {
@@ -233,7 +276,7 @@
 			Sequence: rapid.Uint64Range(1, 100).Draw(t, "sequence"),
 			Place:    1,
 			Accounts: []share.Entry{{Account: share.Account{Organisation: "organisation-0", Pool: "model-0"}, Use: rapid.Float64().Draw(t, "use")}},
-			Demands:  []TargetDemand{{engine, forecast.Demand{Streams: 2, Mean: [forecast.Horizons]float64{500, 500, 400}}}},
+			Demands:  []TargetDemand{{engine, forecast.Demand{Streams: 2, Mean: [forecast.Horizons]float64{500, 500, 400}}, rapid.Float64Range(0, 900).Draw(t, "kept")}},
 			Held:     []HeldCount{{"organisation-1", "model-0", 3, time.Second}},
 		})
 	case 3:
@@ -254,7 +297,7 @@
 
 func runMachine(t *rapid.T) {
 	m := newMachine(t)
-	steps := []func(*rapid.T){m.submit, m.submit, m.submit, m.progress, m.progress, m.ended, m.failed, m.left, m.outside, m.wait}
+	steps := []func(*rapid.T){m.submit, m.submit, m.submit, m.progress, m.progress, m.ended, m.failed, m.left, m.outside, m.wait, m.moved}
 	for range rapid.IntRange(1, 300).Draw(t, "events") {
 		steps[rapid.IntRange(0, len(steps)-1).Draw(t, "step")](t)
 	}
--- a/forward.go
+++ b/forward.go
@@ -12,6 +12,7 @@
 	"github.com/wigeonlink/wigeonlink/event"
 	"github.com/wigeonlink/wigeonlink/gateway"
 	"github.com/wigeonlink/wigeonlink/host"
+	"github.com/wigeonlink/wigeonlink/meter"
 	"github.com/wigeonlink/wigeonlink/pause"
 	"github.com/wigeonlink/wigeonlink/registry"
 )
@@ -72,8 +73,8 @@
 	})
 }
 
-func serveGateway(a *assembly, l fx.Lifecycle, h *host.Host) {
-	g := gateway.NewGateway(h, a.forward.dialect, gateway.WithMemory(a.settings.Memory), gateway.WithMover(a.forward.mover))
+func serveGateway(a *assembly, l fx.Lifecycle, h *host.Host, m *meter.Meter) {
+	g := gateway.NewGateway(h, a.forward.dialect, gateway.WithMemory(a.settings.Memory), gateway.WithMover(a.forward.mover), gateway.WithObserver(m))
 	s := newServer(a, farewell(h, g))
 	s.ReadHeaderTimeout, s.IdleTimeout, s.ConnState = openHeader, 0, g.ConnState
 	ready := newServer(a, http.HandlerFunc(g.Ready))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,17 +19,37 @@
 		dialect Dialect
 		send    http.RoundTripper
 		mover   Mover // nil if streams are not moved
+		observe Observer
 		bodies  memory
 		idlers  *idlers
 		most    int64
 	}
 
+	// An Observer is told how requests ended, for metrics.
+	Observer interface{ Answered(Report) }
+
+	// A Report is how a request ended.
+	Report struct {
+		Kind    string        // of the route; empty if there is none
+		Status  int           // that the caller got; 0 if it got none
+		Code    string        // of the error; empty if there is none
+		First   time.Duration // until the first byte for the caller
+		Whole   time.Duration
+		Longest time.Duration // pause between two events of a stream
+		Events  int
+		Moves   int
+	}
+
 	// An Option changes a Gateway.
 	Option interface{ apply(*Gateway) }
 
 	withMemory int64
 	withSend   struct{ send http.RoundTripper }
 	withMover  struct{ mover Mover }
+
+	withObserver struct{ observer Observer }
+
+	nobody struct{}
 )
 
 const (
@@ -58,13 +78,19 @@
 // WithMover lets streams be moved between engines.
 func WithMover(m Mover) Option { return withMover{m} }
 
-func (o withMover) apply(g *Gateway)  { g.mover = o.mover }
-func (o withMemory) apply(g *Gateway) { g.bodies.most = int64(o) }
-func (o withSend) apply(g *Gateway)   { g.send = o.send }
+// WithObserver sets who is told how requests ended.
+func WithObserver(o Observer) Option { return withObserver{o} }
+
+func (nobody) Answered(Report) {}
+
+func (o withObserver) apply(g *Gateway) { g.observe = o.observer }
+func (o withMover) apply(g *Gateway)    { g.mover = o.mover }
+func (o withMemory) apply(g *Gateway)   { g.bodies.most = int64(o) }
+func (o withSend) apply(g *Gateway)     { g.send = o.send }
 
 // NewGateway returns the gateway of a host.
 func NewGateway(h *host.Host, d Dialect, opts ...Option) *Gateway {
-	g := &Gateway{host: h, dialect: d, send: target.NewTransport(false)}
+	g := &Gateway{host: h, dialect: d, send: target.NewTransport(false), observe: nobody{}}
 	g.bodies.most = defaultBodyRAM
 	g.idlers = newIdlers(g.idle)
 	for _, o := range opts {
@@ -113,8 +139,27 @@
 	}
 }
 
+// report describes a request's end for metrics.
+func (c *call) report(e *answer.Error) Report {
+	r := Report{
+		Status: c.status, First: c.first, Whole: time.Since(c.began),
+		Longest: c.longest, Events: c.events.whole, Moves: c.moves,
+	}
+	if c.route != nil {
+		r.Kind = c.route.Kind.String()
+	}
+	if e != nil {
+		r.Code = e.Kind.String()
+		if !c.written {
+			r.Status = e.Kind.Row().Status
+		}
+	}
+	return r
+}
+
 // note writes the line about a request's end.
 func (c *call) note(e *answer.Error) {
+	c.gateway.observe.Answered(c.report(e))
 	fields := event.Fields{Request: c.envelope.ID, Organisation: c.organisation, Target: c.target, Table: c.version}
 	fields.Values = []any{
 		"status", c.status, "ms", time.Since(c.began).Milliseconds(), "first_ms", c.first.Milliseconds(),
--- a/host/mesh.go
+++ b/host/mesh.go
@@ -118,7 +118,7 @@
 const shapeUnit = 8.0
 
 func demandOut(d *dispatch.TargetDemand) *wire.Demand {
-	out := &wire.Demand{Target: d.Target, Streams: float32(d.Demand.Streams)}
+	out := &wire.Demand{Target: d.Target, Streams: float32(d.Demand.Streams), Kept: float32(d.Kept)}
 	for i := range forecast.Horizons {
 		out.Shape = appendTokens(out.Shape, d.Demand.Mean[i])
 		out.Shape = appendTokens(out.Shape, math.Sqrt(d.Demand.Variance[i]))
@@ -132,7 +132,7 @@
 }
 
 func demandIn(d *wire.Demand) dispatch.TargetDemand {
-	in := dispatch.TargetDemand{Target: d.Target, Demand: forecast.Demand{Streams: float64(d.Streams)}}
+	in := dispatch.TargetDemand{Target: d.Target, Demand: forecast.Demand{Streams: float64(d.Streams)}, Kept: float64(d.Kept)}
 	const size = 4 // bytes of a horizon
 	for i := range min(forecast.Horizons, len(d.Shape)/size) {
 		at := d.Shape[size*i:]
--- /dev/null
+++ b/meter/forward.go
@@ -0,0 +1,51 @@
+package meter
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/wigeonlink/wigeonlink/gateway"
+)
+
+// addForwarding adds the instruments of forwarded requests.
+func (m *Meter) addForwarding(scope metric.Meter) error {
+	histograms := []struct {
+		to         *metric.Float64Histogram
+		name, text string
+	}{
+		{&m.first, "wigeonlink.request.first", "Time until a forwarded request's first byte for its caller, by kind"},
+		{&m.whole, "wigeonlink.request.whole", "Time until a forwarded request's end, by kind and status"},
+		{&m.pause, "wigeonlink.stream.pause", "Longest pause between two events of a stream"},
+	}
+	var err error
+	for _, h := range histograms {
+		*h.to, err = scope.Float64Histogram(h.name, metric.WithUnit("s"), metric.WithDescription(h.text),
+			metric.WithExplicitBucketBoundaries(0.005, 0.01, 0.025, 0.05, 0.1, 0.18, 0.25, 0.5, 1, 2, 4, 8, 16, 32))
+		if err != nil {
+			return eris.Wrap(err, h.name)
+		}
+	}
+	m.moves, err = scope.Int64Counter("wigeonlink.stream.moves", metric.WithDescription("Changes of engine of running streams"))
+	return eris.Wrap(err, "moves")
+}
+
+// Answered counts a forwarded request's end.
+func (m *Meter) Answered(r gateway.Report) {
+	ctx := context.Background()
+	kind := attribute.String("kind", r.Kind)
+	if r.First > 0 {
+		m.first.Record(ctx, r.First.Seconds(), metric.WithAttributes(kind))
+	}
+	m.whole.Record(ctx, r.Whole.Seconds(), metric.WithAttributes(kind,
+		attribute.String("status", strconv.Itoa(r.Status)), attribute.String("code", r.Code)))
+	if r.Events > 1 {
+		m.pause.Record(ctx, r.Longest.Seconds())
+	}
+	if r.Moves > 0 {
+		m.moves.Add(ctx, int64(r.Moves))
+	}
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -31,6 +31,10 @@
 		tokens   metric.Int64Counter
 		stalls   metric.Float64Counter
 		stall    metric.Float64Histogram
+		first    metric.Float64Histogram
+		whole    metric.Float64Histogram
+		pause    metric.Float64Histogram
+		moves    metric.Int64Counter
 	}
 
 	// snapshot is what the gauges show, read from the reducer at once.
@@ -79,6 +83,9 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "stall time")
 	}
+	if err = m.addForwarding(scope); err != nil {
+		return nil, err
+	}
 	m.stall, err = scope.Float64Histogram("wigeonlink.stall.per_answer", metric.WithUnit("s"), metric.WithDescription("Stall time of an answer"))
 	return m, eris.Wrap(err, "stall time")
 }
