--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,7 +22,6 @@
 		observe Observer
 		bodies  memory
 		idlers  *idlers
-		most    int64
 	}
 
 	// An Observer is told how requests ended, for metrics.
--- a/host/host.go
+++ b/host/host.go
@@ -49,6 +49,7 @@
 		keeper    *registry.Keeper // nil for a host that watches a published table
 		listed    atomic.Bool      // whether a list of targets has come
 		asking    atomic.Bool      // whether a peer is being asked for what is published
+		apart     bool             // readings are neither passed on to peers nor taken from them
 		walled    time.Time        // wall clock at the last tick
 		published sheetCache
 	}
@@ -87,6 +88,7 @@
 	withObserver  struct{ observer Observer }
 	withLoadEvery time.Duration
 	withEngines   func(netip.AddrPort) target.Engine
+	withSharing   bool
 	withDomain    string
 )
 
@@ -111,6 +113,10 @@
 // WithDomain sets the failure domain of the host and of the targets that it uses.
 func WithDomain(name string) Option { return withDomain(name) }
 
+// WithSharing sets whether what is published is shared with peers. A host that does not
+// share reads for itself.
+func WithSharing(on bool) Option { return withSharing(on) }
+
 // WithEngines replaces the adapter to engines.
 func WithEngines(f func(netip.AddrPort) target.Engine) Option { return withEngines(f) }
 
@@ -118,6 +124,7 @@
 func (o withObserver) apply(h *Host)  { h.observer = o.observer }
 func (o withLoadEvery) apply(h *Host) { h.loadEvery = time.Duration(o) }
 func (o withEngines) apply(h *Host)   { h.engines.make = o }
+func (o withSharing) apply(h *Host)   { h.apart = !bool(o) }
 func (o withDomain) apply(h *Host) {
 	h.domain = string(o)
 	h.decide = append(h.decide, dispatch.WithDomain(string(o)))
--- a/host/mesh.go
+++ b/host/mesh.go
@@ -82,7 +82,7 @@
 	if t := m.Table(); t != nil && m.keeper == nil {
 		hb.Table = t.Version
 	}
-	if m.keeper != nil {
+	if m.shares() {
 		c := m.keeper.Confirmation()
 		hb.Revision, hb.Content, hb.Confirmed = c.Revision, c.Content, uint32(c.Age.Milliseconds())
 	}
@@ -204,7 +204,9 @@
 	rank, all := m.mesh.Rank()
 	m.Post(dispatch.Peers{Count: count, Place: place, All: all, Every: m.mesh.ReportEvery()})
 	if m.keeper != nil {
-		m.keeper.SetRank(rank)
+		if m.shares() {
+			m.keeper.SetRank(rank)
+		}
 		return
 	}
 	have := uint64(0)
--- a/host/registry.go
+++ b/host/registry.go
@@ -42,23 +42,26 @@
 	k.Post(dispatch.Fleet{Revision: revision, Targets: targets})
 }
 
+// shares reports whether the host and its peers tell each other what is published.
+func (h *Host) shares() bool { return h.keeper != nil && h.mesh != nil && !h.apart }
+
 // Tell passes a reading on to the peers.
 func (k keeperSide) Tell(r registry.Reading, age time.Duration) {
-	if k.mesh != nil {
+	if k.shares() {
 		go k.mesh.Push(context.Background(), &wire.Report{News: newsOut(r, age)})
 	}
 }
 
 // Confirmed tells the peers that nothing has changed.
 func (k keeperSide) Confirmed() {
-	if k.mesh != nil {
+	if k.shares() {
 		go k.mesh.BeatNow()
 	}
 }
 
 // Published takes in what a peer's heartbeat says of what is published.
 func (m meshSide) Published(p peer.Peer, hb *wire.Heartbeat) {
-	if m.keeper == nil || hb.Revision == 0 {
+	if !m.shares() || hb.Revision == 0 {
 		return
 	}
 	known := m.keeper.Confirm(registry.Confirmation{
@@ -94,7 +97,7 @@
 // hearNews takes in a reading that a peer passes on. It reports false if the whole must
 // be asked for.
 func (h *Host) hearNews(from string, n *wire.News, transit time.Duration) bool {
-	if h.keeper == nil {
+	if !h.shares() {
 		return true
 	}
 	r, age := newsIn(n)
