Targets missing from the list come last; unreached ones leave time for another

Missing targets now cost more than any listed one, a dial gives up after 250 ms, and a request is sent again as long as its caller waits.

--- a/dispatch/backup.go
+++ b/dispatch/backup.go
@@ -65,7 +65,7 @@
 		if cost > r.options.backups {
 			continue
 		}
-		cost += awayIf(r.away(t), backupAway) + t.trouble.now(r.now)
+		cost += costIf(r.away(t), backupAway) + t.trouble.now(r.now)
 		if best == nil || cost < lowest {
 			best, lowest = t, cost
 		}
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -32,6 +32,7 @@
 		Slots    int     // requests that the target serves at once; 0 means not known
 		Away     bool    // of another failure domain than the host
 		Trouble  float64 // share of attempts that failed lately
+		Missing  bool    // from the list, and perhaps gone
 	}
 
 	forecastChooser struct{}
@@ -62,16 +63,16 @@
 
 func (forecastChooser) Score(c *Candidate) float64 {
 	if c.Plain {
-		return c.Streams + plainTrouble*c.Trouble + awayIf(c.Away, plainAway)
+		return c.Streams + plainTrouble*c.Trouble + costIf(c.Away, plainAway) + costIf(c.Missing, plainMissing)
 	}
 	first := c.Prefill + c.Interval
 	slower := c.Expected * (c.Interval - c.Idle).Seconds()
 	others := c.Streams * c.Extra.Seconds()
-	return first.Seconds() + c.Tail*(slower+others) + engineTrouble*c.Trouble + awayIf(c.Away, engineAway)
+	return first.Seconds() + c.Tail*(slower+others) + engineTrouble*c.Trouble + costIf(c.Away, engineAway) + costIf(c.Missing, engineMissing)
 }
 
-func awayIf(away bool, cost float64) float64 {
-	if away {
+func costIf(is bool, cost float64) float64 {
+	if is {
 		return cost
 	}
 	return 0
@@ -90,6 +91,8 @@
 	plainAway     = 2.0  // requests ahead that staying in the failure domain is worth
 	engineTrouble = 8.0  // seconds that an engine which always fails is worth avoiding for
 	engineAway    = 3.0  // seconds that staying in the failure domain is worth
+	plainMissing  = 40.0 // requests ahead that a target which is on the list is worth
+	engineMissing = 30.0 // seconds that an engine which is on the list is worth
 )
 
 // choose returns the best target with room for q, or nil.
@@ -151,6 +154,7 @@
 		Slots:    t.spec.Slots,
 		Away:     r.away(t),
 		Trouble:  t.trouble.now(r.now),
+		Missing:  t.spec.Missing,
 	}
 	if t.load.Total > 0 {
 		c.Reported = float64(t.load.Used) / float64(t.load.Total)
--- a/dispatch/evacuate_test.go
+++ b/dispatch/evacuate_test.go
@@ -247,3 +247,38 @@
 	f.do(0, Failed{ID: 2, Certainty: target.CertainNotRun, Answered: true})
 	f.Assert(f.mustBe(EffectRefuse).Answer, qt.Equals, answer.KindRefused)
 }
+
+// The pattern of a store that was away: a target is missing from the list when it
+// returns. It is used only if there is no other.
+func TestMissingTargetComesLast(t *testing.T) {
+	f := newFleetRig(t, 0)
+	f.fleet["gone"] = table.Target{Name: "gone", Kind: table.TargetService, Service: "plain", Domain: "north", Missing: true}
+	f.fleet["listed"] = table.Target{Name: "listed", Kind: table.TargetService, Service: "plain", Domain: "south"}
+	f.list(0)
+	for id := range ID(10) {
+		f.do(time.Millisecond, Submit{ID: id + 1, Organisation: "one", Pool: "plain", Plain: true, Once: true, Attempts: 1})
+		f.Assert(f.mustBe(EffectDispatch).Target, qt.Equals, "listed")
+	}
+	delete(f.fleet, "listed")
+	f.list(0)
+	f.do(0, Submit{ID: 99, Organisation: "one", Pool: "plain", Plain: true, Once: true, Attempts: 1})
+	f.Assert(f.mustBe(EffectDispatch).Target, qt.Equals, "gone")
+}
+
+// A target that cannot be reached uses up the time in which a request may be held; the
+// request still goes to another while its caller waits.
+func TestUnreachedTargetLeavesTimeForAnother(t *testing.T) {
+	f := newFleetRig(t, 0)
+	for _, name := range []string{"p1", "p2"} {
+		f.fleet[name] = table.Target{Name: name, Kind: table.TargetService, Service: "plain", Domain: "north"}
+	}
+	f.list(0)
+	f.do(0, Submit{
+		ID: 1, Organisation: "one", Pool: "plain", Plain: true, Once: true, Attempts: 1,
+		Deadline: f.now.Add(300 * time.Millisecond), End: f.now.Add(time.Second),
+	})
+	f.do(500*time.Millisecond, Failed{ID: 1, Certainty: target.CertainNotRun, Unsent: true})
+	f.mustBe(EffectDispatch)
+	f.do(600*time.Millisecond, Failed{ID: 1, Certainty: target.CertainNotRun, Unsent: true})
+	f.Assert(f.mustBe(EffectRefuse).Answer, qt.Equals, answer.KindRefused)
+}
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -24,17 +24,18 @@
 	Submit struct {
 		ID           ID
 		Organisation string
-		Pool         string // model, or service
-		Plain        bool   // a call of a plain service
-		Once         bool   // not idempotent: never tried a second time
-		Route        string // what kind of call it is, for learning lengths
-		Prompt       int    // tokens
-		Prefix       uint64 // hash of the prompt's shareable prefix; 0 means none
-		Shared       int    // tokens of that prefix
-		Limit        int    // largest output in tokens; 0 means none
-		Output       int    // output in tokens if it is known ahead; 0 means unknown
-		Attempts     int    // targets that it may be sent to; 0 means the reducer's own bound
-		Deadline     time.Time
+		Pool         string    // model, or service
+		Plain        bool      // a call of a plain service
+		Once         bool      // not idempotent: never tried a second time
+		Route        string    // what kind of call it is, for learning lengths
+		Prompt       int       // tokens
+		Prefix       uint64    // hash of the prompt's shareable prefix; 0 means none
+		Shared       int       // tokens of that prefix
+		Limit        int       // largest output in tokens; 0 means none
+		Output       int       // output in tokens if it is known ahead; 0 means unknown
+		Attempts     int       // targets that it may be sent to; 0 means the reducer's own bound
+		Deadline     time.Time // by which it must be sent
+		End          time.Time // of the caller's patience, until which it may be sent again; zero means Deadline
 	}
 
 	// Attach is a generation that another host started and a caller resumes here.
--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -27,15 +27,16 @@
 )
 
 const (
-	breakAfter    = 3                     // failures in a row
-	breakFirst    = time.Second           // first pause, doubled each time
-	breakMost     = 30 * time.Second      // longest pause
-	troubleWeight = 0.2                   // of one attempt in the share that fails
-	troubleLife   = 4 * time.Second       // time constant with which failures are forgiven
-	retryMost     = 3                     // targets that a request is sent to
-	mostTries     = 6                     // attempts of a request, those included that reached no target
-	retryBackoff  = 20 * time.Millisecond // before the second attempt, doubled each time
-	retryJitter   = 0.5                   // part of the backoff that varies
+	breakAfter    = 3                      // failures in a row
+	breakFirst    = time.Second            // first pause, doubled each time
+	breakMost     = 30 * time.Second       // longest pause
+	troubleWeight = 0.2                    // of one attempt in the share that fails
+	troubleLife   = 4 * time.Second        // time constant with which failures are forgiven
+	retryMost     = 3                      // targets that a request is sent to
+	mostTries     = 6                      // attempts of a request, those included that reached no target
+	retryBackoff  = 20 * time.Millisecond  // before the second attempt, doubled each time
+	retryWait     = 100 * time.Millisecond // that a request may be held again for a further attempt
+	retryJitter   = 0.5                    // part of the backoff that varies
 )
 
 func (b *breaker) allows(now time.Duration) bool { return now >= b.until }
@@ -124,7 +125,7 @@
 	if !over && !repeatable || e.Delivered || q.attached || q.gone > 0 || r.stopping {
 		return false
 	}
-	if q.attempts >= mostTries || q.attempts-q.unsent >= q.sends || q.deadline <= r.now {
+	if q.attempts >= mostTries || q.attempts-q.unsent >= q.sends || q.end <= r.now {
 		return false
 	}
 	return len(q.tried) < len(q.pool.targets) && (e.Unsent || q.pool.budget.spend(r.retryBurst()))
@@ -133,6 +134,7 @@
 // retry holds a request for another attempt, after a backoff unless the last target is
 // known to be done with it.
 func (r *Reducer) retry(q *request, atOnce bool) {
+	q.deadline = max(q.deadline, min(r.now+retryWait, q.end))
 	if atOnce {
 		q.notBefore, q.tokens = r.now, 0
 		r.hold(q)
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -27,6 +27,7 @@
 		expected                      float64       // output in tokens
 		rank                          time.Duration // order among the organisation's held
 		notBefore                     time.Duration // end of a retry's backoff
+		end                           time.Duration // of its caller's patience
 
 		target   *targetState
 		tried    []*targetState
@@ -91,6 +92,10 @@
 	if !e.Deadline.IsZero() {
 		q.deadline = min(q.deadline, r.since(e.Deadline))
 	}
+	q.end = q.deadline
+	if !e.End.IsZero() {
+		q.end = max(q.deadline, r.since(e.End))
+	}
 	q.rank = r.now
 	if !q.plain {
 		q.key = length.Key{Organisation: e.Organisation, Model: e.Pool, Route: e.Route}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -138,6 +138,7 @@
 		Limit:        c.envelope.Limit,
 		Attempts:     max(c.route.Attempts, 1),
 		Deadline:     c.began.Add(time.Until(c.deadline) / startPart),
+		End:          c.deadline,
 	}
 	if n := len(c.envelope.Parts); n > 1 {
 		h := fnv.New64a()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,7 +89,7 @@
 
 // NewGateway returns the gateway of a host.
 func NewGateway(h *host.Host, d Dialect, opts ...Option) *Gateway {
-	g := &Gateway{host: h, dialect: d, send: target.NewTransport(false), observe: nobody{}}
+	g := &Gateway{host: h, dialect: d, send: target.NewPromptTransport(), observe: nobody{}}
 	g.bodies.most = defaultBodyRAM
 	g.idlers = newIdlers(g.idle)
 	for _, o := range opts {
--- a/registry/keeper.go
+++ b/registry/keeper.go
@@ -224,7 +224,7 @@
 	if c.Sheet {
 		k.applySheet(from, age)
 	}
-	if c.Targets || c.Sheet {
+	if c.Targets || c.Sheet || len(c.Kept) > 0 {
 		k.handler.TakeFleet(k.view.Revision(), k.view.Targets())
 	}
 	if c.Targets {
--- a/registry/view.go
+++ b/registry/view.go
@@ -129,6 +129,11 @@
 func (v *View) Targets() map[string]table.Target {
 	out := make(map[string]table.Target, len(v.targets))
 	maps.Copy(out, v.targets)
+	for name := range v.kept {
+		t := out[name]
+		t.Missing = true
+		out[name] = t
+	}
 	return out
 }
 
--- a/table/table.go
+++ b/table/table.go
@@ -85,6 +85,7 @@
 		Slots   int       // requests that it serves at once; 0 means not known
 		Boot    time.Time // start of its process; zero means not known
 		Leaving bool      // takes no new work and ends soon
+		Missing bool      // no longer listed, but perhaps only for want of news
 	}
 
 	// A TargetKind tells engines from hosts of plain services.
--- a/target/responses.go
+++ b/target/responses.go
@@ -58,9 +58,10 @@
 
 const (
 	dialTimeout   = 500 * time.Millisecond
-	answerTimeout = 5 * time.Second // until the head of a short answer
-	streamBuffer  = 16 << 10        // bytes
-	loadLimit     = 1 << 20         // bytes
+	promptDial    = 250 * time.Millisecond // a hundred round trips, and a host's pause of a tenth of a second
+	answerTimeout = 5 * time.Second        // until the head of a short answer
+	streamBuffer  = 16 << 10               // bytes
+	loadLimit     = 1 << 20                // bytes
 )
 
 var (
@@ -84,8 +85,14 @@
 // NewTransport returns a transport for calls to targets. A transport that is
 // not kept alive opens a connection for every call and so never sends a request
 // twice by itself.
-func NewTransport(keep bool) *http.Transport {
-	d := &net.Dialer{Timeout: dialTimeout}
+func NewTransport(keep bool) *http.Transport { return newTransport(keep, dialTimeout) }
+
+// NewPromptTransport returns a transport that opens a connection for every call and
+// gives up soon on a target that does not take it, so that another can be tried.
+func NewPromptTransport() *http.Transport { return newTransport(false, promptDial) }
+
+func newTransport(keep bool, timeout time.Duration) *http.Transport {
+	d := &net.Dialer{Timeout: timeout}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := d.DialContext(ctx, network, address)
