--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -83,9 +83,11 @@
 	sampleAbove = 64   // targets above which a sample is scored
 	sampleSize  = 16   // targets in a sample
 	tailLimit   = 2.2  // time between tokens over an empty engine's, at full weight of the tail
+	mostTurns   = 3    // hosts, or groups of hosts, that take turns at a target
 	turnExcess  = 0.1  // excess from which an organisation's requests compete with all others
 	leastTurn   = 100 * time.Millisecond
-	stallExtra  = 0.75 // standard deviations more, at full weight of stalls
+	mostTurn    = 300 * time.Millisecond // a fraction of the time to first token that callers expect
+	stallExtra  = 0.75                   // standard deviations more, at full weight of stalls
 
 	plainTrouble  = 12.0 // requests ahead that a target which always fails is worth avoiding for
 	plainAway     = 2.0  // requests ahead that staying in the failure domain is worth
@@ -201,6 +203,11 @@
 	if p.plain || !r.options.hold {
 		return 1, 0
 	}
+	defer func() {
+		// With many hosts a turn each would take longer than callers wait.
+		count = min(count, mostTurns)
+		rank %= count
+	}()
 	count = 1
 	for _, o := range r.peerList {
 		if !r.competes(o, p, excess) {
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -106,5 +106,5 @@
 func (e Peers) reduce(r *Reducer) {
 	r.count, r.place = max(e.Count, 1), e.Place
 	r.all = max(e.All, r.count)
-	r.turnLength = max(e.Every, leastTurn)
+	r.turnLength = min(max(e.Every, leastTurn), mostTurn)
 }
