Many hosts draw a few targets each instead of all taking the same one

Load pattern: 67 hosts know the same of 48 engines, up to a second late, and each takes the one that was best then. Beyond 16 hosts a request compares about three targets of each failure domain, others for each request and host; if none has room, all. Sites of up to 16 hosts are as before.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -82,6 +82,8 @@
 	tieWidth    = 0.02 // scores this close, relatively, are a tie
 	sampleAbove = 64   // targets above which a sample is scored
 	sampleSize  = 16   // targets in a sample
+	crowd       = 16   // hosts from which on they no longer all look at all targets
+	fewChoices  = 3    // targets of a failure domain that a host of a crowd compares
 	tailLimit   = 2.2  // time between tokens over an empty engine's, at full weight of the tail
 	mostTurns   = 3    // hosts, or groups of hosts, that take turns at a target
 	turnExcess  = 0.1  // excess from which an organisation's requests compete with all others
@@ -110,6 +112,20 @@
 	if n == 0 {
 		return nil
 	}
+	if r.all > crowd {
+		if t := r.chooseAmong(q, excess, width, fewChoices); t != nil {
+			return t
+		}
+	}
+	return r.chooseAmong(q, excess, width, n)
+}
+
+// chooseAmong is chooseWithin among about as many targets of each failure domain, others
+// for each request and host. The load pattern that it answers: many hosts know the same
+// of the targets, some time late, and would all take the one that was best then.
+func (r *Reducer) chooseAmong(q *request, excess, width float64, choices int) *targetState {
+	ts := q.pool.targets
+	n := len(ts)
 	demand := q.forecastOf()
 	rivals, rank := r.contenders(q.pool, excess)
 	count, step := n, 1
@@ -119,7 +135,7 @@
 	r.basis = r.basisOf(q)
 	var best *targetState
 	lowest := math.Inf(1)
-	start := int(mix(uint64(q.id)+uint64(r.place)<<32) % uint64(n))
+	start := int(mix(uint64(q.id)+r.salt<<32) % uint64(n))
 	for i := range count {
 		at := (start + i*step) % n
 		t := ts[at]
@@ -127,6 +143,9 @@
 			continue
 		}
 		r.basis.Open++
+		if choices < n && r.drawn(q, at)*q.pool.inDomain(t) >= float64(choices) {
+			continue
+		}
 		if slices.Contains(q.tried, t) || !r.turn(at, rivals, rank) {
 			continue
 		}
@@ -141,6 +160,15 @@
 	return best
 }
 
+// drawn returns a number from 0 to 1 that depends on the request, the target's place and
+// the host.
+func (r *Reducer) drawn(q *request, at int) float64 {
+	return float64(mix(uint64(q.id)<<20^uint64(at)<<52^r.salt)>>11) / (1 << 53)
+}
+
+// inDomain returns how many targets of a pool are in the same failure domain as one.
+func (p *pool) inDomain(t *targetState) float64 { return float64(p.domains[t.spec.Domain]) }
+
 // score costs a target, and reports whether it has room.
 func (r *Reducer) score(q *request, t *targetState, demand *forecast.Demand, excess float64) (float64, bool) {
 	all := t.demand(r.now)
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -17,6 +17,7 @@
 	name           string
 	plain          bool
 	targets        []*targetState
+	domains        map[string]int // targets by failure domain
 	queues         []*organisationQueue
 	byOrganisation map[*organisation]*organisationQueue
 	held           int
@@ -280,6 +281,7 @@
 func (r *Reducer) applyTargets() {
 	for _, p := range r.poolList {
 		p.targets = p.targets[:0]
+		p.domains = map[string]int{}
 	}
 	declared := r.declared()
 	for name, spec := range declared {
@@ -301,6 +303,7 @@
 		t.spec = spec
 		t.setLeaving(r.leaving[name] || spec.Leaving, r.now)
 		p.targets = append(p.targets, t)
+		p.domains[spec.Domain]++
 	}
 	for name := range r.targets {
 		if _, ok := declared[name]; !ok {
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -29,9 +29,10 @@
 	gone             []ID    // sent requests whose caller went, in that order
 	leaving          map[string]bool
 	fleet            Fleet
-	basis            Basis // scratch of choose
-	all              int   // live hosts of all failure domains
-	count            int   // live hosts of this domain
+	basis            Basis  // scratch of choose
+	salt             uint64 // tells this host's draws from other hosts'
+	all              int    // live hosts of all failure domains
+	count            int    // live hosts of this domain
 	place            int
 	turnLength       time.Duration
 	ledger           *share.Ledger
@@ -65,6 +66,7 @@
 	for _, o := range opts {
 		o.apply(&r.options)
 	}
+	r.salt = mix(uint64(table.Hash(r.options.origin)))
 	r.ledger = share.NewLedger(r.options.window)
 	r.lengths = length.NewPredictor(length.WithMedian(r.options.median))
 	return r
