A stopping host refuses at once what would not end before it does

The reducer now refuses what is not sure to end by then, with 0.1 s to come back, and goes on serving the rest.

--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -149,6 +149,7 @@
 	// Tick lets time pass.
 	Tick struct{}
 
-	// Stop ends the taking of new requests.
-	Stop struct{}
+	// Stop ends the taking of new requests, but for those that are sure to end by a
+	// time; a zero time leaves none.
+	Stop struct{ Until time.Time }
 )
--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -122,7 +122,7 @@
 		return false
 	}
 	repeatable := q.plain && !q.once
-	if !over && !repeatable || e.Delivered || q.attached || q.gone > 0 || r.stopping {
+	if !over && !repeatable || e.Delivered || q.attached || q.gone > 0 || r.stopping && r.now >= r.stopUntil {
 		return false
 	}
 	if q.attempts >= mostTries || q.attempts-q.unsent >= q.sends || q.end <= r.now {
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -38,12 +38,23 @@
 	ledger           *share.Ledger
 	lengths          *length.Predictor
 	stopping         bool
+	stopUntil        time.Duration // by when what a stopping host takes must end; 0 means it takes nothing
 	wake             time.Duration
 	candidate        Candidate // scratch of score
 	effects          []Effect
 	counts           Counts
 }
 
+const (
+	// stopRetry is when a caller that a stopping host refuses may come back: other hosts
+	// are there at once.
+	stopRetry = 100 * time.Millisecond
+
+	// stopPace is how many times slower than an empty engine one is taken to be when a
+	// stream must end in time.
+	stopPace = 3
+)
+
 // Counts are totals since the reducer was made.
 type Counts struct {
 	Submitted, Dispatched, Retried, Refused, Ended, Lost, Resumed, Cancelled, Moved, NotMoved int
@@ -126,7 +137,7 @@
 // admissible returns why a request cannot be held, or KindNone.
 func (r *Reducer) admissible(e Submit) answer.Kind {
 	switch {
-	case r.stopping:
+	case r.stopping && !r.endsInTime(e):
 		return answer.KindStopping
 	case r.table == nil:
 		return answer.KindNotReady
@@ -158,6 +169,9 @@
 		if kind == answer.KindQueueFull {
 			retry = r.drainTime(m)
 		}
+		if kind == answer.KindStopping {
+			retry = stopRetry
+		}
 		if kind == answer.KindRateLimited {
 			retry = r.rateWait(m, r.pools[e.Pool])
 		}
@@ -172,7 +186,28 @@
 	r.emit(Effect{Kind: EffectRefuse, ID: e.ID, Answer: kind, Retry: retry, Basis: basis})
 }
 
-func (e Stop) reduce(r *Reducer) { r.stopping = true }
+func (e Stop) reduce(r *Reducer) {
+	r.stopping, r.stopUntil = true, 0
+	if !e.Until.IsZero() {
+		r.stopUntil = r.since(e.Until)
+	}
+}
+
+// endsInTime reports whether a new request is sure to end before a stopping host does.
+// The load pattern that it answers: whoever sends callers to a host goes on doing so for
+// seconds after it has said that it stops, and a long stream would be cut.
+func (r *Reducer) endsInTime(e Submit) bool {
+	left := r.stopUntil - r.now
+	if r.stopUntil == 0 || left <= 0 {
+		return false
+	}
+	if e.Plain {
+		return !e.End.IsZero() && r.since(e.End) <= r.stopUntil
+	}
+	tokens := max(e.Limit, e.Output)
+	run := time.Duration(tokens)*stopPace*r.options.base + time.Duration(e.Prompt)*stopPace*r.options.prefill
+	return tokens > 0 && run <= left
+}
 
 // A Tick expires what is too old and tries the held again.
 func (e Tick) reduce(r *Reducer) {
--- a/forward.go
+++ b/forward.go
@@ -96,7 +96,7 @@
 // is no longer ready, then waits for what is still open.
 func stopGateway(ctx context.Context, a *assembly, h *host.Host, s *http.Server) error {
 	began := time.Now()
-	h.Drain()
+	h.Drain(began.Add(a.settings.Drain))
 	ctx, cancel := context.WithTimeout(ctx, a.settings.Drain)
 	defer cancel()
 	pause.For(ctx, a.settings.Linger)
--- a/host/stop.go
+++ b/host/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/event"
@@ -29,10 +30,11 @@
 // Draining reports whether the host is about to stop, or stopping.
 func (h *Host) Draining() bool { return h.draining.Load() || h.stopping.Load() }
 
-// Drain makes the host unready while it goes on taking requests: whoever sends callers
-// to it takes some time to notice.
-func (h *Host) Drain() {
+// Drain makes the host unready while it goes on taking requests that are sure to end
+// before it does: whoever sends callers to it takes some time to notice.
+func (h *Host) Drain(until time.Time) {
 	if !h.draining.Swap(true) {
-		h.log.Emit(event.HostStopping, event.Fields{Values: []any{"open", h.Active()}})
+		h.log.Emit(event.HostStopping, event.Fields{Values: []any{"open", h.Active(), "until_ms", time.Until(until).Milliseconds()}})
+		h.Post(dispatch.Stop{Until: until})
 	}
 }
