--- a/console/serve.go
+++ b/console/serve.go
@@ -31,10 +31,9 @@
 }
 
 const (
-	startTimeout = 15 * time.Second
-	leastDrain   = time.Second
-	mostDrain    = time.Hour
-	mostBody     = 64 << 20 // bytes
+	leastDrain = time.Second
+	mostDrain  = time.Hour
+	mostBody   = 64 << 20 // bytes
 )
 
 func newServe() *cobra.Command {
@@ -132,9 +131,7 @@
 	if err != nil {
 		return err
 	}
-	starting, cancel := context.WithTimeout(cmd.Context(), startTimeout)
-	defer cancel()
-	if err := e.Start(starting); err != nil {
+	if err := e.Start(cmd.Context()); err != nil {
 		return err
 	}
 	<-cmd.Context().Done()
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -132,6 +132,8 @@
 	version := gauge("wigeonlink.table.version", "Version of the table in force")
 	retried := gauge("wigeonlink.retried", "Attempts beyond the first")
 	resumed := gauge("wigeonlink.resumed", "Fresh connections asked for because of a stall")
+	reads := gauge("wigeonlink.registry.reads", "Readings of the service that publishes, by kind")
+	age := gauge("wigeonlink.registry.age", "Seconds since the published state was last confirmed")
 	if failed != nil {
 		return failed
 	}
@@ -140,6 +142,13 @@
 		o.ObserveFloat64(version, float64(s.version))
 		o.ObserveFloat64(retried, float64(s.counts.Retried))
 		o.ObserveFloat64(resumed, float64(s.counts.Resumed))
+		if k := h.Keeper(); k != nil {
+			r := k.Reads()
+			o.ObserveFloat64(reads, float64(r.Changes), metric.WithAttributes(attribute.String("kind", "changes")))
+			o.ObserveFloat64(reads, float64(r.Whole), metric.WithAttributes(attribute.String("kind", "whole")))
+			o.ObserveFloat64(reads, float64(r.Failed), metric.WithAttributes(attribute.String("kind", "failed")))
+			o.ObserveFloat64(age, k.Age().Seconds())
+		}
 		for _, row := range s.shares {
 			by := metric.WithAttributes(attribute.String("organisation", row.Organisation))
 			o.ObserveFloat64(promised, row.Promised, by)
@@ -153,7 +162,7 @@
 			o.ObserveFloat64(open, truth(row.Open), by)
 		}
 		return nil
-	}, promised, got, held, inflight, peak, open, version, retried, resumed)
+	}, promised, got, held, inflight, peak, open, version, retried, resumed, reads, age)
 	return eris.Wrap(err, "gauges")
 }
 
--- a/wigeonlink.go
+++ b/wigeonlink.go
@@ -131,8 +131,10 @@
 	return e, nil
 }
 
-// stopSlack is what a stop may take beyond its drain.
-const stopSlack = 10 * time.Second
+const (
+	stopSlack    = 10 * time.Second // that a stop may take beyond its drain
+	startTimeout = 15 * time.Second // for all parts to start
+)
 
 func (a *assembly) listen() error {
 	var err error
@@ -152,7 +154,11 @@
 }
 
 // Start makes the host serve.
-func (e *Entry) Start(ctx context.Context) error { return eris.Wrap(e.app.Start(ctx), "start") }
+func (e *Entry) Start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	return eris.Wrap(e.app.Start(ctx), "start")
+}
 
 // Stop takes no new requests, waits for the open ones, and ends the host.
 func (e *Entry) Stop(ctx context.Context) error {
