A service that cannot be reached is refused at once and tried again soon

Now what no target can take in time is refused at once with the time of the next try, and that is 2 s away at most. Replayed by TestUnreachableServiceIsRefusedAtOnce.

--- a/dispatch/evacuate_test.go
+++ b/dispatch/evacuate_test.go
@@ -282,3 +282,38 @@
 	f.do(600*time.Millisecond, Failed{ID: 1, Certainty: target.CertainNotRun, Unsent: true})
 	f.Assert(f.mustBe(EffectRefuse).Answer, qt.Equals, answer.KindRefused)
 }
+
+// The pattern of a cut: no target of a service can be reached. After a few failures callers
+// are told at once when to come back, and the targets are tried again soon after the cut.
+func TestUnreachableServiceIsRefusedAtOnce(t *testing.T) {
+	f := newFleetRig(t, 0)
+	f.fleet["p1"] = table.Target{Name: "p1", Kind: table.TargetService, Service: "plain", Domain: "south"}
+	f.list(0)
+	id := ID(0)
+	ask := func() {
+		id++
+		f.do(time.Millisecond, Submit{
+			ID: id, Organisation: "one", Pool: "plain", Plain: true, Once: true, Attempts: 1,
+			Deadline: f.now.Add(300 * time.Millisecond), End: f.now.Add(time.Second),
+		})
+	}
+	for range 20 {
+		ask()
+		if _, ok := f.of(EffectDispatch); ok {
+			f.do(250*time.Millisecond, Failed{ID: id, Certainty: target.CertainNotRun, Unsent: true})
+		}
+	}
+	ask()
+	refused := f.mustBe(EffectRefuse)
+	f.Assert(refused.Answer, qt.Equals, answer.KindNoTarget)
+	f.Assert(refused.Retry > 0 && refused.Retry <= breakMost, qt.IsTrue, qt.Commentf("%s", refused.Retry))
+
+	f.do(breakMost, Tick{})
+	ask()
+	f.mustBe(EffectDispatch)
+	f.do(10*time.Millisecond, Ended{ID: id})
+	for range 5 {
+		ask()
+		f.mustBe(EffectDispatch)
+	}
+}
--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -29,7 +29,7 @@
 const (
 	breakAfter    = 3                      // failures in a row
 	breakFirst    = time.Second            // first pause, doubled each time
-	breakMost     = 30 * time.Second       // longest pause
+	breakMost     = 2 * time.Second        // longest pause: a target that is back is tried by then
 	troubleWeight = 0.2                    // of one attempt in the share that fails
 	troubleLife   = 4 * time.Second        // time constant with which failures are forgiven
 	retryMost     = 3                      // targets that a request is sent to
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -50,6 +50,9 @@
 	// are there at once.
 	stopRetry = 100 * time.Millisecond
 
+	// leastAdvice keeps callers from coming back in step with the first try of a target.
+	leastAdvice = 50 * time.Millisecond
+
 	// stopPace is how many times slower than an empty engine one is taken to be when a
 	// stream must end in time.
 	stopPace = 3
@@ -154,12 +157,32 @@
 		return answer.KindQueueFull
 	case !e.Plain && !p.couldFit(e.Prompt):
 		return answer.KindNoTarget
+	case r.hopeless(e, p):
+		return answer.KindNoTarget
 	case !r.takeRate(m, p):
 		return answer.KindRateLimited
 	}
 	return answer.KindNone
 }
 
+// hopeless reports whether all targets of a pool are known not to take a request before
+// it must be sent. The load pattern that it answers: a failure domain that is cut off from
+// all targets of a service, whose callers wait for nothing.
+func (r *Reducer) hopeless(e Submit, p *pool) bool {
+	return len(p.targets) > 0 && !e.Deadline.IsZero() && r.soonest(p) > r.since(e.Deadline)
+}
+
+// soonest returns when the first target of a pool may take work again, as far as is known.
+func (r *Reducer) soonest(p *pool) time.Duration {
+	soonest := time.Duration(math.MaxInt64)
+	for _, t := range p.targets {
+		if !t.leaving && !t.load.Leaving {
+			soonest = min(soonest, max(t.breaker.until, r.now))
+		}
+	}
+	return soonest
+}
+
 // refuseNew answers a request that was never held.
 func (r *Reducer) refuseNew(e Submit, kind answer.Kind) {
 	r.counts.Refused++
@@ -169,6 +192,11 @@
 		if kind == answer.KindQueueFull {
 			retry = r.drainTime(m)
 		}
+		if kind == answer.KindNoTarget {
+			if at := r.soonest(r.pools[e.Pool]); at < math.MaxInt64 {
+				retry = max(at-r.now, leastAdvice)
+			}
+		}
 		if kind == answer.KindStopping {
 			retry = stopRetry
 		}
