--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -157,7 +157,7 @@
 		return answer.KindQueueFull
 	case !e.Plain && !p.couldFit(e.Prompt):
 		return answer.KindNoTarget
-	case r.hopeless(e, p):
+	case r.unservable(e, p):
 		return answer.KindNoTarget
 	case !r.takeRate(m, p):
 		return answer.KindRateLimited
@@ -165,10 +165,10 @@
 	return answer.KindNone
 }
 
-// hopeless reports whether all targets of a pool are known not to take a request before
+// unservable reports whether all targets of a pool are known not to take a request before
 // it must be sent. The load pattern that it answers: a failure domain that is cut off from
 // all targets of a service, whose callers wait for nothing.
-func (r *Reducer) hopeless(e Submit, p *pool) bool {
+func (r *Reducer) unservable(e Submit, p *pool) bool {
 	return len(p.targets) > 0 && !e.Deadline.IsZero() && r.soonest(p) > r.since(e.Deadline)
 }
 
--- a/forward.go
+++ b/forward.go
@@ -75,7 +75,7 @@
 
 func serveGateway(a *assembly, l fx.Lifecycle, h *host.Host, m *meter.Meter) {
 	g := gateway.NewGateway(h, a.forward.dialect, gateway.WithMemory(a.settings.Memory), gateway.WithMover(a.forward.mover), gateway.WithObserver(m))
-	s := newServer(a, farewell(h, g))
+	s := newServer(a, closeWhenDraining(h, g))
 	s.ReadHeaderTimeout, s.IdleTimeout, s.ConnState = openHeader, 0, g.ConnState
 	ready := newServer(a, http.HandlerFunc(g.Ready))
 	l.Append(fx.Hook{
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -53,7 +53,7 @@
 	refused  bool                    // the caller no longer takes the stream
 	abandon  context.CancelCauseFunc // ends the present attempt
 
-	journey   journey
+	placement placement
 	lastEvent atomic.Int64 // identifier of the last event that the caller has
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,13 +15,13 @@
 type (
 	// A Gateway is the HTTP side of a host that forwards requests by route.
 	Gateway struct {
-		host    *host.Host
-		dialect Dialect
-		send    http.RoundTripper
-		mover   Mover // nil if streams are not moved
-		observe Observer
-		bodies  memory
-		idlers  *idlers
+		host      *host.Host
+		dialect   Dialect
+		send      http.RoundTripper
+		mover     Mover // nil if streams are not moved
+		observe   Observer
+		bodies    memory
+		idleConns *idleConns
 	}
 
 	// An Observer is told how requests ended, for metrics.
@@ -48,7 +48,7 @@
 
 	withObserver struct{ observer Observer }
 
-	nobody struct{}
+	noObserver struct{}
 )
 
 const (
@@ -80,7 +80,7 @@
 // WithObserver sets who is told how requests ended.
 func WithObserver(o Observer) Option { return withObserver{o} }
 
-func (nobody) Answered(Report) {}
+func (noObserver) Answered(Report) {}
 
 func (o withObserver) apply(g *Gateway) { g.observe = o.observer }
 func (o withMover) apply(g *Gateway)    { g.mover = o.mover }
@@ -89,9 +89,9 @@
 
 // NewGateway returns the gateway of a host.
 func NewGateway(h *host.Host, d Dialect, opts ...Option) *Gateway {
-	g := &Gateway{host: h, dialect: d, send: target.NewPromptTransport(), observe: nobody{}}
+	g := &Gateway{host: h, dialect: d, send: target.NewPromptTransport(), observe: noObserver{}}
 	g.bodies.most = defaultBodyRAM
-	g.idlers = newIdlers(g.idle)
+	g.idleConns = newIdleConns(g.idle)
 	for _, o := range opts {
 		o.apply(g)
 	}
@@ -99,7 +99,7 @@
 }
 
 // ConnState follows the connections of the server that serves the gateway.
-func (g *Gateway) ConnState(c net.Conn, s http.ConnState) { g.idlers.change(c, s) }
+func (g *Gateway) ConnState(c net.Conn, s http.ConnState) { g.idleConns.change(c, s) }
 
 func (g *Gateway) idle() time.Duration {
 	if t := g.host.Table(); t != nil && t.Callers.Idle > 0 {
--- a/gateway/idle.go
+++ b/gateway/idle.go
@@ -7,21 +7,21 @@
 	"time"
 )
 
-// idlers closes callers' connections that have been idle for as long as the
+// idleConns closes callers' connections that have been idle for as long as the
 // configuration allows. The allowance may change while a connection is idle; the longer
 // of the two counts, since its caller may know either.
-type idlers struct {
+type idleConns struct {
 	mu      sync.Mutex
 	timers  map[net.Conn]*time.Timer
 	allowed func() time.Duration
 }
 
-func newIdlers(allowed func() time.Duration) *idlers {
-	return &idlers{timers: map[net.Conn]*time.Timer{}, allowed: allowed}
+func newIdleConns(allowed func() time.Duration) *idleConns {
+	return &idleConns{timers: map[net.Conn]*time.Timer{}, allowed: allowed}
 }
 
 // change is the ConnState of a server.
-func (s *idlers) change(c net.Conn, state http.ConnState) {
+func (s *idleConns) change(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if t := s.timers[c]; t != nil {
@@ -38,7 +38,7 @@
 }
 
 // expire closes a connection, or waits on if the allowance has grown.
-func (s *idlers) expire(c net.Conn, began time.Time, first time.Duration, again func()) {
+func (s *idleConns) expire(c net.Conn, began time.Time, first time.Duration, again func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.timers[c] == nil {
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -56,9 +56,9 @@
 		next     *http.Response // of the stream where it goes on, begun while the old one ran
 	}
 
-	// journey is where a stream is and where it goes. The reader of the stream and the
+	// placement is where a stream is and where it goes. The reader of the stream and the
 	// follower of its moves share it.
-	journey struct {
+	placement struct {
 		mu      sync.Mutex
 		at      table.Target
 		source  *http.Response // that is being read
@@ -90,9 +90,9 @@
 				continue
 			}
 			m := &move{effect: f, to: f.To, began: time.Now(), done: make(chan struct{})}
-			c.journey.mu.Lock()
-			m.from, c.journey.present = c.journey.at, m
-			c.journey.mu.Unlock()
+			c.placement.mu.Lock()
+			m.from, c.placement.present = c.placement.at, m
+			c.placement.mu.Unlock()
 			if f.Ready {
 				c.switchOver(attempt, m)
 			} else {
@@ -107,7 +107,7 @@
 // tellEnded wakes a reader that waits for a move; nil says that there is none.
 func (c *call) tellEnded(m *move) {
 	select {
-	case c.journey.ended <- m:
+	case c.placement.ended <- m:
 	default:
 	}
 }
@@ -116,13 +116,13 @@
 // old engine: the caller sees no pause.
 func (c *call) switchOver(ctx context.Context, m *move) {
 	resp, err := c.open(ctx, m, m.to, Copy{At: m.to.Address, Handle: c.envelope.ID})
-	c.journey.mu.Lock()
-	defer c.journey.mu.Unlock()
-	if err != nil || c.journey.over {
+	c.placement.mu.Lock()
+	defer c.placement.mu.Unlock()
+	if err != nil || c.placement.over {
 		if resp != nil {
 			resp.Body.Close()
 		}
-		c.journey.present = nil
+		c.placement.present = nil
 		if err != nil && ctx.Err() == nil {
 			c.logMove(event.MoveFailed, m, err.Error())
 			c.booking.NotMoved(false)
@@ -132,7 +132,7 @@
 	m.mu.Lock()
 	m.next = resp
 	m.mu.Unlock()
-	c.journey.source.Body.Close()
+	c.placement.source.Body.Close()
 }
 
 // carryOver copies a run's memory ahead, then stops the run and copies what is new. The
@@ -166,11 +166,11 @@
 
 // noMove tells that a stream stays where it is.
 func (c *call) noMove(m *move, copied Copied, err error) {
-	c.journey.mu.Lock()
-	if c.journey.present == m {
-		c.journey.present = nil
+	c.placement.mu.Lock()
+	if c.placement.present == m {
+		c.placement.present = nil
 	}
-	c.journey.mu.Unlock()
+	c.placement.mu.Unlock()
 	detail := "no room at the other target"
 	switch {
 	case errors.Is(err, context.Canceled):
@@ -191,12 +191,12 @@
 	})
 }
 
-// onward returns the stream where it goes on, after it has closed at its old target, or
+// nextSource returns the stream where it goes on, after it has closed at its old target, or
 // nil if it does not. clean reports whether the target ended it as if it were whole.
-func (c *call) onward(ctx context.Context, clean bool) *http.Response {
+func (c *call) nextSource(ctx context.Context, clean bool) *http.Response {
 	m := c.takeMove()
 	if m == nil && !clean {
-		m = c.askOnward(ctx)
+		m = c.askNextSource(ctx)
 		c.takeMove()
 	}
 	if m == nil {
@@ -230,10 +230,10 @@
 
 // takeMove returns the move that is under way, which is the caller's from now on.
 func (c *call) takeMove() *move {
-	c.journey.mu.Lock()
-	defer c.journey.mu.Unlock()
-	m := c.journey.present
-	c.journey.present = nil
+	c.placement.mu.Lock()
+	defer c.placement.mu.Unlock()
+	m := c.placement.present
+	c.placement.present = nil
 	return m
 }
 
@@ -244,18 +244,18 @@
 	return m.stopping || m.next != nil
 }
 
-// askOnward asks the reducer where a stream that has broken off goes on.
-func (c *call) askOnward(ctx context.Context) *move {
+// askNextSource asks the reducer where a stream that has broken off goes on.
+func (c *call) askNextSource(ctx context.Context) *move {
 	if c.gateway.mover == nil {
 		return nil
 	}
 	select {
-	case <-c.journey.ended: // of an earlier move
+	case <-c.placement.ended: // of an earlier move
 	default:
 	}
 	c.booking.Broken()
 	select {
-	case m := <-c.journey.ended:
+	case m := <-c.placement.ended:
 		return m
 	case <-time.After(settleWait):
 	case <-ctx.Done():
@@ -311,9 +311,9 @@
 		c.booking.NotMoved(false)
 		return
 	}
-	c.journey.mu.Lock()
-	c.journey.at = to
-	c.journey.mu.Unlock()
+	c.placement.mu.Lock()
+	c.placement.at = to
+	c.placement.mu.Unlock()
 	c.target, c.moves = to.Name, c.moves+1
 	c.logMove(event.RequestMoved, m, "")
 	c.booking.Moved()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -21,14 +21,14 @@
 	silence := c.silence()
 	watch := time.AfterFunc(silence, func() { c.abandon(errSilent) })
 	defer watch.Stop()
-	c.journey.at, c.journey.source = v.To, resp
-	c.journey.ended = make(chan *move, 1)
+	c.placement.at, c.placement.source = v.To, resp
+	c.placement.ended = make(chan *move, 1)
 	if c.gateway.mover != nil {
 		following, stop := context.WithCancel(ctx)
 		defer stop()
 		go c.follow(following, ctx)
 	}
-	defer c.arrive()
+	defer c.finishStream()
 	for {
 		res, clean := c.read(ctx, resp, watch, silence)
 		resp.Body.Close()
@@ -36,24 +36,24 @@
 			return res
 		}
 		watch.Reset(silence)
-		next := c.onward(ctx, clean)
+		next := c.nextSource(ctx, clean)
 		if next == nil {
 			return c.close(resp, res, clean)
 		}
 		resp = next
-		c.journey.mu.Lock()
-		c.journey.source = resp
-		c.journey.mu.Unlock()
+		c.placement.mu.Lock()
+		c.placement.source = resp
+		c.placement.mu.Unlock()
 		watch.Reset(silence)
 	}
 }
 
-// arrive notes that the stream has ended, and lets go of what was opened for it since.
-func (c *call) arrive() {
-	c.journey.mu.Lock()
-	defer c.journey.mu.Unlock()
-	c.journey.over = true
-	if m := c.journey.present; m != nil {
+// finishStream notes that the stream has ended, and lets go of what was opened for it since.
+func (c *call) finishStream() {
+	c.placement.mu.Lock()
+	defer c.placement.mu.Unlock()
+	c.placement.over = true
+	if m := c.placement.present; m != nil {
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		if m.next != nil {
--- a/host/host.go
+++ b/host/host.go
@@ -49,7 +49,7 @@
 		keeper    *registry.Keeper // nil for a host that watches a published table
 		listed    atomic.Bool      // whether a list of targets has come
 		asking    atomic.Bool      // whether a peer is being asked for what is published
-		apart     bool             // readings are neither passed on to peers nor taken from them
+		unshared  bool             // readings are neither passed on to peers nor taken from them
 		walled    time.Time        // wall clock at the last tick
 		published sheetCache
 	}
@@ -124,7 +124,7 @@
 func (o withObserver) apply(h *Host)  { h.observer = o.observer }
 func (o withLoadEvery) apply(h *Host) { h.loadEvery = time.Duration(o) }
 func (o withEngines) apply(h *Host)   { h.engines.make = o }
-func (o withSharing) apply(h *Host)   { h.apart = !bool(o) }
+func (o withSharing) apply(h *Host)   { h.unshared = !bool(o) }
 func (o withDomain) apply(h *Host) {
 	h.domain = string(o)
 	h.decide = append(h.decide, dispatch.WithDomain(string(o)))
@@ -141,7 +141,7 @@
 		bookings:  map[dispatch.ID]*Booking{},
 		incarnate: strconv.FormatInt(time.Now().UnixNano(), 36),
 		loadEvery: defaultLoadPoll,
-		observer:  nobody{},
+		observer:  noObserver{},
 		tickets:   ticket.NewLedger(),
 	}
 	h.engines.make = target.NewResponses
@@ -154,11 +154,11 @@
 	return h
 }
 
-// nobody observes nothing.
-type nobody struct{}
+// noObserver observes nothing.
+type noObserver struct{}
 
-func (nobody) Effect(dispatch.Effect)       {}
-func (nobody) Ended(*Booking, relay.Result) {}
+func (noObserver) Effect(dispatch.Effect)       {}
+func (noObserver) Ended(*Booking, relay.Result) {}
 
 // origin names this run of the host to its peers.
 func (h *Host) origin() string { return h.name + "/" + h.incarnate }
--- a/host/registry.go
+++ b/host/registry.go
@@ -43,7 +43,7 @@
 }
 
 // shares reports whether the host and its peers tell each other what is published.
-func (h *Host) shares() bool { return h.keeper != nil && h.mesh != nil && !h.apart }
+func (h *Host) shares() bool { return h.keeper != nil && h.mesh != nil && !h.unshared }
 
 // Tell passes a reading on to the peers.
 func (k keeperSide) Tell(r registry.Reading, age time.Duration) {
--- a/parts.go
+++ b/parts.go
@@ -155,7 +155,7 @@
 }
 
 func serveDesk(a *assembly, l fx.Lifecycle, h *host.Host, d *desk.Desk) {
-	s := newServer(a, farewell(h, d.Handler()))
+	s := newServer(a, closeWhenDraining(h, d.Handler()))
 	l.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			h.Log().Emit(event.HostStarted, event.Fields{Detail: a.caller.Addr().String()})
@@ -177,9 +177,9 @@
 	})
 }
 
-// farewell asks callers of a host that is about to stop to open new connections, so that
+// closeWhenDraining asks callers of a host that is about to stop to open new connections, so that
 // few are left to be closed at its end.
-func farewell(h *host.Host, next http.Handler) http.Handler {
+func closeWhenDraining(h *host.Host, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if h.Draining() {
 			w.Header().Set("Connection", "close")
--- a/registry/view.go
+++ b/registry/view.go
@@ -21,7 +21,7 @@
 		kept      map[string]time.Time // missing targets that stay in use, and until when
 		confirmed time.Time            // when the source was last known to say so
 		returned  time.Time            // when the source came back after an absence
-		deaf      time.Time            // until when peers are not believed
+		distrust  time.Time            // until when peers are not believed
 		failures  int                  // readings in a row that failed
 		failed    time.Time
 		rank      int
@@ -68,9 +68,9 @@
 	// listed again: signs of life lapse while the source is away.
 	returnGrace = 2200 * time.Millisecond
 
-	// deafFor is how long after a pause of the process peers are not believed: what
+	// distrustFor is how long after a pause of the process peers are not believed: what
 	// waited in the sockets is as old as the pause.
-	deafFor = 300 * time.Millisecond
+	distrustFor = 300 * time.Millisecond
 
 	firstBackoff = 100 * time.Millisecond // after a failed reading, doubled each time
 	mostBackoff  = 800 * time.Millisecond // a source that is back is noticed by then
@@ -84,7 +84,7 @@
 	if v.confirmed.IsZero() && v.failures == 0 {
 		return time.Time{}
 	}
-	due := v.confirmed.Add(v.patience())
+	due := v.confirmed.Add(v.readAge())
 	if v.failures > 0 {
 		backoff := min(firstBackoff<<min(v.failures-1, 10), mostBackoff)
 		due = later(due, v.failed.Add(backoff))
@@ -92,8 +92,8 @@
 	return due
 }
 
-// patience returns the age of the last confirmation at which the host reads.
-func (v *View) patience() time.Duration {
+// readAge returns the age of the last confirmation at which the host reads.
+func (v *View) readAge() time.Duration {
 	if v.rank == 0 {
 		return ReadEvery
 	}
@@ -151,7 +151,7 @@
 func (v *View) Wake(now time.Time) {
 	v.confirmed = time.Time{}
 	v.failures = 0
-	v.deaf = now.Add(deafFor)
+	v.distrust = now.Add(distrustFor)
 }
 
 // Read takes in a reading of the source that was begun at a time.
@@ -163,7 +163,7 @@
 // Hear takes in a reading that a peer passes on. It reports false if something in
 // between is missing, so that the whole must be asked for.
 func (v *View) Hear(now time.Time, age time.Duration, r Reading) (Change, bool) {
-	if now.Before(v.deaf) {
+	if now.Before(v.distrust) {
 		return Change{Stale: true}, true
 	}
 	if !r.Whole && r.Base > v.revision {
@@ -176,7 +176,7 @@
 // host does not.
 func (v *View) Confirm(now time.Time, c Confirmation) bool {
 	switch {
-	case now.Before(v.deaf) || c.Revision < v.revision:
+	case now.Before(v.distrust) || c.Revision < v.revision:
 		return true
 	case c.Content > v.revision:
 		return false
