A target whose entry lapses and comes back is the same one

Cause: a target that left the list and was listed again got new books, while its streams stayed in the old ones, marked as leaving; on the users' platform entries lapse for a second or two while the store is away. Targets that still have streams keep their books, and no move or backup goes to the name where the stream is.

--- a/dispatch/backup.go
+++ b/dispatch/backup.go
@@ -58,7 +58,7 @@
 	var best *targetState
 	lowest := 0.0
 	for _, t := range q.pool.targets {
-		if t == at || t == q.target || !t.open(r.now, r.options.fresh) {
+		if t == at || q.isAt(t) || !t.open(r.now, r.options.fresh) {
 			continue
 		}
 		cost := t.demand(r.now).Peak(&demand, 0) / float64(max(t.spec.Memory, 1))
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -146,7 +146,7 @@
 		if choices < n && r.drawn(q, at)*q.pool.inDomain(t) >= float64(choices) {
 			continue
 		}
-		if slices.Contains(q.tried, t) || !r.turn(at, rivals, rank) {
+		if q.isAt(t) || slices.Contains(q.tried, t) || !r.turn(at, rivals, rank) {
 			continue
 		}
 		score, ok := r.score(q, t, &demand, excess)
@@ -160,6 +160,12 @@
 	return best
 }
 
+// isAt reports whether a request runs at a target, or at one of the same name that was
+// there before it.
+func (q *request) isAt(t *targetState) bool {
+	return q.target != nil && q.target.spec.Name == t.spec.Name
+}
+
 // drawn returns a number from 0 to 1 that depends on the request, the target's place and
 // the host.
 func (r *Reducer) drawn(q *request, at int) float64 {
--- a/dispatch/evacuate_test.go
+++ b/dispatch/evacuate_test.go
@@ -317,3 +317,44 @@
 		f.mustBe(EffectDispatch)
 	}
 }
+
+// A target whose entry lapses and comes back is the same one: what runs there stays, and
+// is never moved to where it is.
+func TestTargetThatComesBackKeepsItsStreams(t *testing.T) {
+	f := newFleetRig(t, 1, WithBackups(0))
+	name := f.stream(1, 40)
+	entry := f.fleet[name]
+	delete(f.fleet, name)
+	f.list(0)
+	f.Assert(f.moves(), qt.HasLen, 0)
+	f.fleet[name] = entry
+	f.list(time.Second)
+	f.do(time.Second, Tick{})
+	f.Assert(f.moves(), qt.HasLen, 0)
+
+	entry.Boot = time.Unix(5, 0) // a process that started since
+	delete(f.fleet, name)
+	f.list(0)
+	f.fleet[name] = entry
+	f.list(time.Second)
+	f.do(time.Second, Tick{})
+	f.Assert(f.moves(), qt.HasLen, 0)
+	f.do(0, Ended{ID: 1, Usage: target.Usage{Output: 60}})
+	f.do(0, Submit{ID: 2, Organisation: "one", Pool: "model", Once: true, Prompt: 30, Limit: 200})
+	f.Assert(f.mustBe(EffectDispatch).To.Boot.Equal(entry.Boot), qt.IsTrue)
+}
+
+// The same target has the books of before.
+func TestTargetThatComesBackKeepsItsBooks(t *testing.T) {
+	f := newFleetRig(t, 1, WithBackups(0))
+	name := f.stream(1, 40)
+	before := f.reducer.targets[name]
+	entry := f.fleet[name]
+	delete(f.fleet, name)
+	f.list(0)
+	f.fleet[name] = entry
+	f.list(time.Second)
+	f.Assert(f.reducer.targets[name] == before, qt.IsTrue)
+	f.Assert(before.leaving, qt.IsFalse)
+	f.Assert(before.running, qt.Equals, 1)
+}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -296,10 +296,14 @@
 			continue
 		}
 		t := r.targets[name]
+		if t == nil {
+			t = r.retired[name] // it was missing for a while
+			delete(r.retired, name)
+		}
 		if t == nil || !t.spec.Boot.Equal(spec.Boot) {
 			t = r.newTarget(spec)
-			r.targets[name] = t
 		}
+		r.targets[name] = t
 		t.spec = spec
 		t.setLeaving(r.leaving[name] || spec.Leaving, r.now)
 		p.targets = append(p.targets, t)
@@ -307,8 +311,7 @@
 	}
 	for name := range r.targets {
 		if _, ok := declared[name]; !ok {
-			r.targets[name].setLeaving(true, r.now) // its streams may still be moved
-			delete(r.targets, name)
+			r.retire(name)
 		}
 	}
 	for _, p := range r.poolList {
@@ -350,6 +353,22 @@
 	r.drainAll()
 }
 
+// retire takes a target out of use. Its streams go on and may be moved, and it is the same
+// target if it is listed again.
+func (r *Reducer) retire(name string) {
+	t := r.targets[name]
+	t.setLeaving(true, r.now)
+	delete(r.targets, name)
+	for old, o := range r.retired {
+		if o.running == 0 {
+			delete(r.retired, old)
+		}
+	}
+	if t.running > 0 {
+		r.retired[name] = t
+	}
+}
+
 func poolName(spec table.Target) string {
 	if spec.Kind == table.TargetService {
 		return spec.Service
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -22,6 +22,7 @@
 	pools            map[string]*pool
 	poolList         []*pool // by name
 	targets          map[string]*targetState
+	retired          map[string]*targetState // no longer listed, with streams of this host
 	requests         map[ID]*request
 	free             []*request
 	peers            map[string]*peer
@@ -71,6 +72,7 @@
 		organisations: map[string]*organisation{},
 		pools:         map[string]*pool{},
 		targets:       map[string]*targetState{},
+		retired:       map[string]*targetState{},
 		requests:      map[ID]*request{},
 		peers:         map[string]*peer{},
 		count:         1,
