--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -158,7 +158,7 @@
 
 // pass writes a target's answer as it is.
 func (f *failure) pass(c *call) {
-	c.head(f.status, f.header)
+	c.head(f.header)
 	if c.r.Method != http.MethodHead && bodyAllowed(f.status) {
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(f.data)))
 	}
@@ -173,7 +173,7 @@
 
 // rest passes on an answer too long to be held.
 func (c *call) rest(ctx context.Context, resp *http.Response, f *failure) relay.Result {
-	c.head(f.status, f.header)
+	c.head(f.header)
 	if resp.ContentLength >= 0 {
 		c.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
@@ -189,7 +189,7 @@
 }
 
 // head copies the headers of a target's answer, and keeps net/http from adding any.
-func (c *call) head(_ int, header http.Header) {
+func (c *call) head(header http.Header) {
 	h := c.w.Header()
 	for name, values := range target.PassHeader(header) {
 		h[name] = values
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -109,7 +109,7 @@
 	c.progress(c.events.whole - before)
 	c.lastEvent.Store(int64(c.events.last))
 	if !c.written {
-		c.head(resp.StatusCode, resp.Header)
+		c.head(resp.Header)
 		c.begin(resp.StatusCode)
 	}
 	// Writers that have no deadlines, as in tests, are never slow.
@@ -137,7 +137,7 @@
 // endStream ends a stream that its target has ended.
 func (c *call) endStream(resp *http.Response) relay.Result {
 	if !c.written {
-		c.head(resp.StatusCode, resp.Header)
+		c.head(resp.Header)
 		c.begin(resp.StatusCode)
 	}
 	// What follows the last event is the target's own and passed on as it is.
--- a/registry/keeper.go
+++ b/registry/keeper.go
@@ -147,6 +147,7 @@
 func (k *Keeper) Hear(r Reading, age time.Duration, peer string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.noteRefused(r, peer)
 	now := time.Now()
 	c, ok := k.view.Hear(now, age, r)
 	k.refresh(now)
@@ -181,9 +182,7 @@
 		k.lost = false
 		k.log.Emit(event.PlatformFound, event.Fields{Values: []any{"revision", r.Revision, "failures", k.view.Failures()}})
 	}
-	for _, text := range r.Refused {
-		k.log.Emit(event.EntryRefused, event.Fields{Detail: text})
-	}
+	k.noteRefused(r, "")
 	c := k.view.Read(now, began, r)
 	k.refresh(now)
 	k.change(c, "source", now.Sub(began))
@@ -195,6 +194,14 @@
 	}
 }
 
+// noteRefused says what of a reading could not be read, and which peer passed it on, if
+// one did.
+func (k *Keeper) noteRefused(r Reading, peer string) {
+	for _, text := range r.Refused {
+		k.log.Emit(event.EntryRefused, event.Fields{Peer: peer, Detail: text})
+	}
+}
+
 // ask reads what has changed, or all if nothing is known or the history is gone.
 func (k *Keeper) ask(ctx context.Context, after uint64) (Reading, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
