--- a/forward.go
+++ b/forward.go
@@ -15,6 +15,7 @@
 	"github.com/wigeonlink/wigeonlink/meter"
 	"github.com/wigeonlink/wigeonlink/pause"
 	"github.com/wigeonlink/wigeonlink/registry"
+	"github.com/wigeonlink/wigeonlink/target"
 )
 
 // forwarding is what a host needs that forwards callers' requests by route.
@@ -22,6 +23,7 @@
 	source  registry.Source
 	dialect gateway.Dialect
 	mover   gateway.Mover
+	gateway []gateway.Option
 }
 
 const (
@@ -35,8 +37,8 @@
 // WithForwarding makes the host forward callers' requests by the routes that a source
 // publishes, instead of serving the product's own interface. Without a mover streams
 // stay where they began.
-func WithForwarding(s registry.Source, d gateway.Dialect, m gateway.Mover) Option {
-	return &forwarding{s, d, m}
+func WithForwarding(s registry.Source, d gateway.Dialect, m gateway.Mover, opts ...gateway.Option) Option {
+	return &forwarding{s, d, m, opts}
 }
 
 func (f *forwarding) apply(a *assembly) {
@@ -74,7 +76,13 @@
 }
 
 func serveGateway(a *assembly, l fx.Lifecycle, h *host.Host, m *meter.Meter) {
-	g := gateway.NewGateway(h, a.forward.dialect, gateway.WithMemory(a.settings.Memory), gateway.WithMover(a.forward.mover), gateway.WithObserver(m))
+	opts := append([]gateway.Option{
+		gateway.WithSend(target.NewPromptTransport(a.network)),
+		gateway.WithMemory(a.settings.Memory),
+		gateway.WithMover(a.forward.mover),
+		gateway.WithObserver(m),
+	}, a.forward.gateway...)
+	g := gateway.NewGateway(h, a.forward.dialect, opts...)
 	s := newServer(a, closeWhenDraining(h, g))
 	s.ReadHeaderTimeout, s.IdleTimeout, s.ConnState = openHeader, 0, g.ConnState
 	ready := newServer(a, http.HandlerFunc(g.Ready))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"github.com/wigeonlink/wigeonlink/answer"
 	"github.com/wigeonlink/wigeonlink/event"
 	"github.com/wigeonlink/wigeonlink/host"
+	"github.com/wigeonlink/wigeonlink/network"
 	"github.com/wigeonlink/wigeonlink/target"
 )
 
@@ -89,7 +90,7 @@
 
 // NewGateway returns the gateway of a host.
 func NewGateway(h *host.Host, d Dialect, opts ...Option) *Gateway {
-	g := &Gateway{host: h, dialect: d, send: target.NewPromptTransport(), observe: noObserver{}}
+	g := &Gateway{host: h, dialect: d, send: target.NewPromptTransport(network.System{}), observe: noObserver{}}
 	g.bodies.most = defaultBodyRAM
 	g.idleConns = newIdleConns(g.idle)
 	for _, o := range opts {
--- a/host_test.go
+++ b/host_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/wigeonlink/wigeonlink"
 	"github.com/wigeonlink/wigeonlink/demo"
 	"github.com/wigeonlink/wigeonlink/load"
+	"github.com/wigeonlink/wigeonlink/network"
 	"github.com/wigeonlink/wigeonlink/standin"
 	"github.com/wigeonlink/wigeonlink/table"
 )
@@ -26,16 +28,22 @@
 
 // links hands out a link for every host that is made, and keeps them in order.
 type links struct {
+	network.System
 	mu  sync.Mutex
 	all []*link
 }
 
-func (ls *links) wrap(p net.PacketConn) net.PacketConn {
+// ListenPacket opens the system's address behind a link.
+func (ls *links) ListenPacket(at netip.AddrPort) (net.PacketConn, error) {
+	p, err := ls.System.ListenPacket(at)
+	if err != nil {
+		return nil, err
+	}
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 	l := &link{PacketConn: p, cut: map[string]bool{}}
 	ls.all = append(ls.all, l)
-	return l
+	return l, nil
 }
 
 // WriteTo drops the packets to addresses that are cut off.
@@ -58,7 +66,7 @@
 
 func startLinked(c *qt.C) (*demo.Consortium, *links) {
 	ls := &links{}
-	return startPeers(c, demo.WithEntry(wigeonlink.WithWrap(ls.wrap))), ls
+	return startPeers(c, demo.WithEntry(wigeonlink.WithNetwork(ls))), ls
 }
 
 func lives(consortium *demo.Consortium, at int) int { return len(consortium.Entry(at).Mesh().Live()) }
--- a/parts.go
+++ b/parts.go
@@ -107,7 +107,7 @@
 		Listen:     a.settings.Peer,
 		Seeds:      a.settings.Peers,
 		Credential: a.settings.Credential,
-		Wrap:       a.wrap,
+		Network:    a.network,
 	})
 	if err != nil {
 		return err
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -15,6 +15,7 @@
 
 	"github.com/wigeonlink/wigeonlink/credential"
 	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/network"
 	"github.com/wigeonlink/wigeonlink/pause"
 	"github.com/wigeonlink/wigeonlink/wire"
 )
@@ -46,8 +47,8 @@
 		Listen      netip.AddrPort
 		Seeds       []netip.AddrPort // of hosts to begin with; others are learnt
 		Credential  credential.Source
-		Budget      int                                 // bytes of reports a second; 0 means DefaultBudget
-		Wrap        func(net.PacketConn) net.PacketConn // for tests of faulty links; nil means none
+		Budget      int // bytes of reports a second; 0 means DefaultBudget
+		Network     network.Network
 	}
 
 	// A Handler is the host behind a mesh.
@@ -118,7 +119,7 @@
 	if err != nil {
 		return nil, err
 	}
-	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(s.Listen))
+	packets, err := s.Network.ListenPacket(s.Listen)
 	if err != nil {
 		return nil, eris.Wrap(err, "peers' address")
 	}
@@ -130,18 +131,14 @@
 		handler:  h,
 		log:      log,
 		config:   config,
-		address:  udp.LocalAddr().(*net.UDPAddr).AddrPort(),
+		address:  packets.LocalAddr().(*net.UDPAddr).AddrPort(),
 		view:     NewView(s.Host),
 		links:    map[netip.AddrPort]*link{},
 	}
 	m.limit.Store(int64(leastReport))
-	var packets net.PacketConn = udp
-	if s.Wrap != nil {
-		packets = s.Wrap(udp)
-	}
 	m.transport = &quic.Transport{Conn: packets}
 	if m.listener, err = m.transport.Listen(config, quicConfig); err != nil {
-		udp.Close()
+		packets.Close()
 		return nil, eris.Wrap(err, "peers' address")
 	}
 	return m, nil
--- a/target/responses.go
+++ b/target/responses.go
@@ -17,6 +17,8 @@
 	"github.com/prometheus/common/model"
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fastjson"
+
+	"github.com/wigeonlink/wigeonlink/network"
 )
 
 type (
@@ -85,17 +87,26 @@
 // NewTransport returns a transport for calls to targets. A transport that is
 // not kept alive opens a connection for every call and so never sends a request
 // twice by itself.
-func NewTransport(keep bool) *http.Transport { return newTransport(keep, dialTimeout) }
+func NewTransport(n network.Network, keep bool) *http.Transport {
+	return newTransport(n, keep, dialTimeout)
+}
 
 // NewPromptTransport returns a transport that opens a connection for every call and
 // gives up soon on a target that does not take it, so that another can be tried.
-func NewPromptTransport() *http.Transport { return newTransport(false, promptDial) }
+func NewPromptTransport(n network.Network) *http.Transport {
+	return newTransport(n, false, promptDial)
+}
 
-func newTransport(keep bool, timeout time.Duration) *http.Transport {
-	d := &net.Dialer{Timeout: timeout}
+func newTransport(n network.Network, keep bool, timeout time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := d.DialContext(ctx, network, address)
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			to, err := netip.ParseAddrPort(address)
+			if err != nil {
+				return nil, &dialError{err}
+			}
+			ctx, cancel := context.WithTimeout(ctx, timeout)
+			defer cancel()
+			c, err := n.Dial(ctx, to)
 			if err != nil {
 				return nil, &dialError{err}
 			}
@@ -114,8 +125,8 @@
 func NewResponses(address netip.AddrPort) Engine {
 	return &responses{
 		base:   "http://" + address.String(),
-		client: &http.Client{Transport: NewTransport(false)},
-		kept:   &http.Client{Transport: NewTransport(true)},
+		client: &http.Client{Transport: NewTransport(network.System{}, false)},
+		kept:   &http.Client{Transport: NewTransport(network.System{}, true)},
 	}
 }
 
--- a/target/service.go
+++ b/target/service.go
@@ -9,6 +9,8 @@
 	"net/url"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/wigeonlink/wigeonlink/network"
 )
 
 type (
@@ -56,7 +58,7 @@
 	return &plainService{
 		base: url.URL{Scheme: "http", Host: address.String()},
 		client: &http.Client{
-			Transport:     NewTransport(false),
+			Transport:     NewTransport(network.System{}, false),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
--- a/wigeonlink.go
+++ b/wigeonlink.go
@@ -16,6 +16,7 @@
 
 	"github.com/wigeonlink/wigeonlink/credential"
 	"github.com/wigeonlink/wigeonlink/host"
+	"github.com/wigeonlink/wigeonlink/network"
 	"github.com/wigeonlink/wigeonlink/peer"
 )
 
@@ -53,10 +54,10 @@
 	// An Option changes an Entry.
 	Option interface{ apply(*assembly) }
 
-	withLogger struct{ logger hclog.Logger }
-	withHost   []host.Option
-	withPart   Part
-	withWrap   func(net.PacketConn) net.PacketConn
+	withLogger  struct{ logger hclog.Logger }
+	withHost    []host.Option
+	withPart    Part
+	withNetwork struct{ network network.Network }
 
 	// assembly is what an Entry is made from.
 	assembly struct {
@@ -69,7 +70,7 @@
 		ready    net.Listener
 		life     context.Context
 		mesh     *peer.Mesh
-		wrap     func(net.PacketConn) net.PacketConn
+		network  network.Network
 		forward  *forwarding // nil for a host with the product's own interface
 	}
 )
@@ -89,19 +90,19 @@
 // WithPart adds a part, or replaces the stock part of the same name.
 func WithPart(p Part) Option { return withPart(p) }
 
-// WithWrap puts something around the host's packets to its peers. It is meant for
-// tests of faulty links.
-func WithWrap(f func(net.PacketConn) net.PacketConn) Option { return withWrap(f) }
+// WithNetwork replaces the network of the system for callers, operators and peers, and
+// for a forwarding host's targets. It is meant for tests of faulty links.
+func WithNetwork(n network.Network) Option { return withNetwork{n} }
 
-func (o withWrap) apply(a *assembly)   { a.wrap = o }
-func (o withLogger) apply(a *assembly) { a.logger = o.logger }
-func (o withHost) apply(a *assembly)   { a.host = append(a.host, o...) }
-func (o withPart) apply(a *assembly)   { a.parts = replacePart(a.parts, Part(o)) }
+func (o withNetwork) apply(a *assembly) { a.network = o.network }
+func (o withLogger) apply(a *assembly)  { a.logger = o.logger }
+func (o withHost) apply(a *assembly)    { a.host = append(a.host, o...) }
+func (o withPart) apply(a *assembly)    { a.parts = replacePart(a.parts, Part(o)) }
 
 // NewEntry opens the addresses of an entry host and assembles its parts. Start
 // makes it serve.
 func NewEntry(s Settings, opts ...Option) (*Entry, error) {
-	a := &assembly{settings: s, logger: hclog.NewNullLogger(), parts: DefaultParts()}
+	a := &assembly{settings: s, logger: hclog.NewNullLogger(), parts: DefaultParts(), network: network.System{}}
 	for _, o := range opts {
 		o.apply(a)
 	}
@@ -138,16 +139,16 @@
 
 func (a *assembly) listen() error {
 	var err error
-	if a.caller, err = net.Listen("tcp", a.settings.Caller.String()); err != nil {
+	if a.caller, err = a.network.Listen(a.settings.Caller); err != nil {
 		return eris.Wrap(err, "callers' address")
 	}
-	if a.operator, err = net.Listen("tcp", a.settings.Operator.String()); err != nil {
+	if a.operator, err = a.network.Listen(a.settings.Operator); err != nil {
 		return errors.Join(eris.Wrap(err, "operators' address"), a.caller.Close())
 	}
 	if a.forward == nil {
 		return nil
 	}
-	if a.ready, err = net.Listen("tcp", a.settings.Ready.String()); err != nil {
+	if a.ready, err = a.network.Listen(a.settings.Ready); err != nil {
 		return errors.Join(eris.Wrap(err, "readiness address"), a.caller.Close(), a.operator.Close())
 	}
 	return nil
