A stopped stream goes on at its old engine if the other cannot take it

Change: if the destination was not reached, or says that it did not go on, the run goes on at its old engine from the same copy; the reducer looks for another place.

--- a/gateway/move.go
+++ b/gateway/move.go
@@ -75,7 +75,10 @@
 	resumeWithin = time.Second            // for the head of an answer that goes on from a copy
 )
 
-var errNotMoved = eris.New("the run could not go on from the copy of its memory")
+var (
+	errNotMoved   = eris.New("the run could not go on from the copy of its memory")
+	errNotResumed = eris.New("the target says that it did not go on with the run")
+)
 
 // follow carries out the moves that the reducer asks for, until following ends. What it
 // opens for the reader lives as long as attempt.
@@ -269,13 +272,20 @@
 	if kept {
 		to = m.from
 	}
-	resp, err := c.open(ctx, m, to, Copy{At: m.from.Address, Handle: handle})
+	from := Copy{At: m.from.Address, Handle: handle}
+	resp, err := c.open(ctx, m, to, from)
+	if !kept && (target.Unsent(err) || errors.Is(err, errNotResumed)) {
+		// The engine that stopped the run has its memory still, and nothing used the copy.
+		c.logMove(event.MoveFailed, m, err.Error())
+		kept = true
+		resp, err = c.open(ctx, m, m.from, from)
+	}
 	if err != nil {
 		c.logMove(event.MoveFailed, m, err.Error())
 		c.booking.NotMoved(true)
 		return nil
 	}
-	c.settle(m, to, kept)
+	c.settle(m, m.to, kept)
 	return resp
 }
 
@@ -298,6 +308,9 @@
 	if reply.NotRun || !reply.Proved || reply.ID != "" && reply.ID != c.envelope.ID || !isEvents(resp) || resp.StatusCode >= 300 {
 		resp.Body.Close()
 		cancel(errNotMoved)
+		if reply.NotRun {
+			return nil, eris.Wrap(errNotResumed, resp.Status)
+		}
 		return nil, eris.Wrap(errNotMoved, resp.Status)
 	}
 	return resp, nil
