A run is stopped for its last copy only when its links are quiet

Cause, from lines 212 with the times of each copy (new there): a stream that moves alone pauses for 63 ms; one whose last copy waits behind the first copies of others, at the engine that ends or at the one it goes to, pauses for 0.2 to 1.3 s and is late. Turns do not help at destinations, and two engines end at a time.

The decision is copyPlan, apart from I/O.

--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -16,7 +16,7 @@
 		Priority int           // Dispatch
 		Answer   answer.Kind   // Refuse
 		Retry    time.Duration // Refuse: when to come back
-		At       time.Time     // Timer
+		At       time.Time     // Timer; Move: by when the run is to be stopped
 		To       table.Target  // Dispatch: the target as the list has it; Move: where to
 		Ready    bool          // Move: the memory is there already
 		Backup   table.Target  // Dispatch, Move: where the memory is copied as it grows; no name for nowhere
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -48,6 +48,9 @@
 	// the last copy and the start elsewhere.
 	copySlack = 1.15
 
+	// switchTime is kept of the notice for a last copy and the start elsewhere.
+	switchTime = 200 * time.Millisecond
+
 	// moveWidth is how many seconds of cost a move's place may be above the best: hosts
 	// that move at the same time do not know of each other, and spread that way.
 	moveWidth = 0.5
@@ -148,6 +151,7 @@
 	e := Effect{
 		Kind: EffectMove, ID: q.id, Target: q.target.spec.Name, To: t.spec, Ready: ready,
 		Priority: r.priority(q), Basis: basis,
+		At: r.epoch.Add(q.target.leavingAt + noticeLeast - switchTime),
 	}
 	if q.next.target != nil {
 		e.Backup = q.next.target.spec
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -46,6 +46,8 @@
 		effect   dispatch.Effect
 		from, to table.Target
 		began    time.Time
+		copied   time.Time     // when the first copy was done
+		stopped  time.Time     // when the last copy was done
 		done     chan struct{} // closed when nothing more is asked of the engines
 
 		mu       sync.Mutex
@@ -141,21 +143,30 @@
 // carryOver copies a run's memory ahead, then stops the run and copies what is new. The
 // reader of the stream goes on from there.
 func (c *call) carryOver(ctx context.Context, m *move) {
-	first, err := c.copy(ctx, m, false)
-	if err != nil || first.Over || first.Kept || first.Handle == "" {
-		c.noMove(m, first, err)
-		return
+	plan := copyPlan{gap: c.route.Gap, latest: m.effect.At}
+	for {
+		began := time.Now()
+		ahead, err := c.copy(ctx, m, false)
+		if err != nil || ahead.Over || ahead.Kept || ahead.Handle == "" {
+			c.noMove(m, ahead, err)
+			return
+		}
+		m.mu.Lock()
+		m.handle, m.copied = ahead.Handle, time.Now()
+		m.stopping = plan.stop(m.copied, m.copied.Sub(began))
+		stopping := m.stopping
+		m.mu.Unlock()
+		if stopping {
+			break
+		}
 	}
-	m.mu.Lock()
-	m.handle, m.stopping = first.Handle, true
-	m.mu.Unlock()
 	last, err := c.copy(ctx, m, true)
 	if err != nil {
 		c.logMove(event.MoveFailed, m, "last copy: "+err.Error())
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.over, m.kept = last.Over, last.Kept
+	m.over, m.kept, m.stopped = last.Over, last.Kept, time.Now()
 	if last.Handle != "" {
 		m.handle = last.Handle
 	}
@@ -188,9 +199,13 @@
 }
 
 func (c *call) logMove(n event.Number, m *move, detail string) {
+	values := []any{"to", m.to.Name, "backup", m.effect.Ready, "ms", time.Since(m.began).Milliseconds()}
+	if !m.stopped.IsZero() {
+		values = append(values, "copy_ms", m.copied.Sub(m.began).Milliseconds(),
+			"last_ms", m.stopped.Sub(m.copied).Milliseconds(), "resume_ms", time.Since(m.stopped).Milliseconds())
+	}
 	c.gateway.host.Log().Emit(n, event.Fields{
-		Request: c.envelope.ID, Organisation: c.organisation, Target: m.from.Name, Detail: detail,
-		Values: []any{"to", m.to.Name, "backup", m.effect.Ready, "ms", time.Since(m.began).Milliseconds()},
+		Request: c.envelope.ID, Organisation: c.organisation, Target: m.from.Name, Detail: detail, Values: values,
 	})
 }
 
