Ending engines divide the others among them, and link time costs

Cause: two engines end at a time and are moved off to the same third one, mostly the newest, whose link then carries both one after the other; and a copy to another failure domain takes twice as long on both links, which the choice did not count.

Change: every host divides the targets that stay among the ending ones by the list alone; the time on the links is part of a move's cost.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -209,7 +209,11 @@
 	}
 	c.Extra = time.Duration(fresh) * r.options.prefill
 	c.Prefill = c.Extra + time.Duration(t.unfilled)*r.options.prefill
-	return r.options.chooser.Score(c), true
+	cost := r.options.chooser.Score(c)
+	if q.target != nil {
+		cost += r.moveCost(q, t)
+	}
+	return cost, true
 }
 
 // roomy reports whether a target's forecast leaves room for one more demand.
--- /dev/null
+++ b/dispatch/lane_test.go
@@ -0,0 +1,43 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// The pattern of the users' sites: two engines end at once, and streams of both are moved
+// at the same time. No two of them go to the same engine while there are others.
+func TestStreamsOfTwoEndingEnginesGoToDifferentOnes(t *testing.T) {
+	f := newFleetRig(t, 8)
+	at := map[string][]ID{}
+	for id := range ID(16) {
+		name := f.stream(id+1, 40)
+		at[name] = append(at[name], id+1)
+	}
+	var ending []string
+	for name, ids := range at {
+		if len(ids) >= 2 && f.fleet[name].Domain == "north" && len(ending) < 2 {
+			ending = append(ending, name)
+		}
+	}
+	f.Assert(ending, qt.HasLen, 2)
+	for _, name := range ending {
+		e := f.fleet[name]
+		e.Leaving = true
+		f.fleet[name] = e
+	}
+	f.list(0)
+	for range 2 {
+		m := f.moves()
+		f.Assert(m, qt.HasLen, 2)
+		f.Assert(m[0].To.Name, qt.Not(qt.Equals), m[1].To.Name)
+		f.Check(m[0].To.Domain, qt.Equals, "north")
+		f.Check(m[1].To.Domain, qt.Equals, "north")
+		f.do(200*time.Millisecond, Moved{ID: m[0].ID})
+		first := f.moves()
+		f.do(0, Moved{ID: m[1].ID})
+		f.effects = append(first, f.effects...)
+	}
+}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -18,6 +18,7 @@
 	plain          bool
 	targets        []*targetState
 	domains        map[string]int // targets by failure domain
+	lanes          int            // targets that streams are being moved off
 	queues         []*organisationQueue
 	byOrganisation map[*organisation]*organisationQueue
 	held           int
@@ -316,6 +317,7 @@
 	}
 	for _, p := range r.poolList {
 		slices.SortFunc(p.targets, func(a, b *targetState) int { return strings.Compare(a.spec.Name, b.spec.Name) })
+		r.assignLanes(p)
 	}
 }
 
