Hosts no longer take turns at an ending engine

Cause: hosts waited by each other's reports for links that were idle, since copyPlan now keeps a run from being stopped while it would wait.

Change: each host begins at once.

--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -40,14 +40,6 @@
 	// share the target's link, and a stopped run waits for those ahead of it.
 	movesAtOnce = 1
 
-	// turnLatest is how long after a target's end was announced a host waits for the
-	// moves of other hosts at most.
-	turnLatest = 800 * time.Millisecond
-
-	// copySlack is the time that a move takes over the figure of its link, for the stop,
-	// the last copy and the start elsewhere.
-	copySlack = 1.15
-
 	// switchTime is kept of the notice for a last copy and the start elsewhere.
 	switchTime = 200 * time.Millisecond
 
@@ -55,8 +47,7 @@
 	// that move at the same time do not know of each other, and spread that way.
 	moveWidth = 0.5
 
-	// moveEvery is how often runs that found no room elsewhere, or whose turn has not
-	// come, are looked at again.
+	// moveEvery is how often runs that found no room elsewhere are looked at again.
 	moveEvery = 20 * time.Millisecond
 )
 
@@ -83,7 +74,7 @@
 		r.move(q, t, true)
 		return
 	}
-	if q.target.movesOut >= movesAtOnce || r.now < r.moveTurn(q.target) || !r.engineOf(q).Moves {
+	if q.target.movesOut >= movesAtOnce || !r.engineOf(q).Moves {
 		return
 	}
 	if t := r.chooseWithin(q, 0, moveWidth); t != nil {
@@ -159,31 +150,6 @@
 	r.emit(e)
 }
 
-// moveTurn returns when this host may begin to move its streams off an ending target.
-// All hosts hear of the end at the same time, and copies share the target's link: a last
-// copy that queued behind the first copies of others would leave its stream silent for
-// as long. So hosts go one after the other, in the order of their names, each after the
-// time that the streams of those before it take by their reports.
-func (r *Reducer) moveTurn(t *targetState) time.Duration {
-	engine := r.table.Models[t.spec.Model].Engine
-	if engine.Link == 0 {
-		return r.now
-	}
-	tokens := 0.0
-	for _, o := range r.peerList {
-		if o.origin >= r.options.origin {
-			continue
-		}
-		for i := range o.demands {
-			if o.demands[i].Target == t.spec.Name {
-				tokens += o.demands[i].Demand.Mean[0]
-			}
-		}
-	}
-	copies := tokens * float64(engine.TokenBytes) / float64(engine.Link) * copySlack
-	return t.leavingAt + min(time.Duration(copies*float64(time.Second)), turnLatest)
-}
-
 // unmove ends a move without a change of place.
 func (r *Reducer) unmove(q *request) {
 	if q.moving.target == nil {
