--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -49,9 +49,10 @@
 	EffectTimer                      // send a Tick at the time
 	EffectMove                       // move the running stream from the target to another
 	EffectStay                       // no move can help the broken stream
+	EffectAsk                        // ask the target whether it is leaving; a Told follows if it answers
 )
 
-var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay"}
+var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay", "ask"}
 
 // String returns the kind's name.
 func (k EffectKind) String() string { return effectNames[k] }
--- a/dispatch/target_state.go
+++ b/dispatch/target_state.go
@@ -29,6 +29,7 @@
 		breaker   breaker
 		trouble   trouble
 		leavingAt time.Duration // when the host heard that it is leaving
+		askedAt   time.Duration // when it was last asked whether it is leaving
 		movesOut  int           // of this host's streams, under way
 		lane      int           // place among the ending targets, or among those of its domain that stay
 		sequence  uint64        // of the last dispatch
--- a/forward.go
+++ b/forward.go
@@ -44,6 +44,9 @@
 func (f *forwarding) apply(a *assembly) {
 	a.forward = f
 	a.parts = ForwardingParts()
+	if asker, ok := f.mover.(host.Asker); ok {
+		a.host = append([]host.Option{host.WithAsker(asker)}, a.host...)
+	}
 	a.host = append([]host.Option{host.WithDispatch(
 		dispatch.WithReach(true),
 		// Load reports are priced; what hosts tell each other takes their place.
--- /dev/null
+++ b/host/ask.go
@@ -0,0 +1,33 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"github.com/wigeonlink/wigeonlink/dispatch"
+	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/table"
+)
+
+// askTimeout bounds how long a target is asked; the next question comes then.
+const askTimeout = 400 * time.Millisecond
+
+// blind tells the reducer how old the list of targets is, if targets can be asked instead.
+func (h *Host) blind(timer *time.Timer) {
+	if h.asker != nil && h.keeper != nil && h.Listed() {
+		h.reduce(dispatch.Blind{Age: h.keeper.Age()}, timer)
+	}
+}
+
+// ask asks a target whether it is leaving.
+func (h *Host) ask(t table.Target) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	leaving, left, err := h.asker.Leaving(ctx, t.Address)
+	if err != nil || !leaving {
+		// What cannot be reached shows in its streams; the counters have every question.
+		return
+	}
+	h.log.Emit(event.TargetTold, event.Fields{Target: t.Name, Values: []any{"left_ms", left.Milliseconds()}})
+	h.Post(dispatch.Told{Target: t.Name, Leaving: true, Left: left})
+}
--- a/host/host.go
+++ b/host/host.go
@@ -52,6 +52,7 @@
 		unshared  bool             // readings are neither passed on to peers nor taken from them
 		walled    time.Time        // wall clock at the last tick
 		published sheetCache
+		asker     Asker // nil if targets cannot be asked
 	}
 
 	// An Observer is told of what happens, for metrics.
@@ -81,6 +82,13 @@
 		ask     func(*dispatch.Reducer)
 	}
 
+	// An Asker asks targets about themselves.
+	Asker interface {
+		// Leaving reports whether the target at an address is about to end, and when; 0
+		// if it does not say.
+		Leaving(ctx context.Context, at netip.AddrPort) (bool, time.Duration, error)
+	}
+
 	// An Option changes a Host.
 	Option interface{ apply(*Host) }
 
@@ -89,6 +97,7 @@
 	withLoadEvery time.Duration
 	withEngines   func(netip.AddrPort) target.Engine
 	withSharing   bool
+	withAsker     struct{ asker Asker }
 	withDomain    string
 )
 
@@ -117,6 +126,9 @@
 // share reads for itself.
 func WithSharing(on bool) Option { return withSharing(on) }
 
+// WithAsker lets the host ask targets about themselves when it cannot read of them.
+func WithAsker(a Asker) Option { return withAsker{a} }
+
 // WithEngines replaces the adapter to engines.
 func WithEngines(f func(netip.AddrPort) target.Engine) Option { return withEngines(f) }
 
@@ -124,6 +136,7 @@
 func (o withObserver) apply(h *Host)  { h.observer = o.observer }
 func (o withLoadEvery) apply(h *Host) { h.loadEvery = time.Duration(o) }
 func (o withEngines) apply(h *Host)   { h.engines.make = o }
+func (o withAsker) apply(h *Host)     { h.asker = o.asker }
 func (o withSharing) apply(h *Host)   { h.unshared = !bool(o) }
 func (o withDomain) apply(h *Host) {
 	h.domain = string(o)
@@ -241,6 +254,7 @@
 		case now := <-ticker.C:
 			h.awake(now)
 			h.reduce(h.progress(), timer)
+			h.blind(timer)
 			if now.Sub(checked) >= checkEvery {
 				checked = now
 				h.reduce(dispatch.Tick{}, timer)
@@ -339,6 +353,10 @@
 		timer.Reset(time.Until(f.At))
 		return
 	}
+	if f.Kind == dispatch.EffectAsk {
+		go h.ask(f.To)
+		return
+	}
 	b := h.bookings[f.ID]
 	if b == nil {
 		return
