--- /dev/null
+++ b/experiment/table.go
@@ -0,0 +1,50 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+)
+
+// WriteTable prints the rows for a terminal.
+func WriteTable(w io.Writer, rows []Row) {
+	t := table.NewWriter()
+	t.SetOutputMirror(w)
+	t.SetStyle(table.StyleLight)
+	header := table.Row{}
+	for _, name := range columns {
+		header = append(header, name)
+	}
+	t.AppendHeader(header)
+	last := 0.0
+	for i := range rows {
+		if i > 0 && rows[i].Load != last {
+			t.AppendSeparator()
+		}
+		last = rows[i].Load
+		row := table.Row{}
+		for _, cell := range rows[i].cells() {
+			row = append(row, cell)
+		}
+		t.AppendRow(row)
+	}
+	t.Render()
+}
+
+var columns = []string{
+	"load", "policy", "tokens", "whole", "refused", "preempted", "stall", "first p50", "first p99", "between p50", "between p99", "share error",
+}
+
+func (r *Row) cells() []string {
+	return []string{
+		fmt.Sprintf("%g", r.Load), r.Policy, fmt.Sprint(r.Tokens), fmt.Sprint(r.Whole), fmt.Sprint(r.Refused), fmt.Sprint(r.Preemptions),
+		r.Stall.Round(100 * time.Millisecond).String(), milliseconds(r.First[0]), milliseconds(r.First[1]),
+		milliseconds(r.Between[0]), milliseconds(r.Between[1]), fmt.Sprintf("%.1f%%", 100*r.Shares),
+	}
+}
+
+func milliseconds(d time.Duration) string {
+	return fmt.Sprintf("%.1f ms", float64(d)/float64(time.Millisecond))
+}
--- a/trial/result.go
+++ b/trial/result.go
@@ -52,3 +52,27 @@
 }
 
 func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 7)) }
+
+// Add adds what another trial measured.
+func (r *Result) Add(o *Result) {
+	r.Events += o.Events
+	r.Submitted += o.Submitted
+	r.Whole += o.Whole
+	r.Refused += o.Refused
+	r.Tokens += o.Tokens
+	r.Preemptions += o.Preemptions
+	r.Resumes += o.Resumes
+	r.Stall += o.Stall
+	r.First.Merge(o.First)
+	r.Between.Merge(o.Between)
+	for name, part := range o.Organisations {
+		m := r.organisation(name)
+		m.Tokens += part.Tokens
+		m.Refused += part.Refused
+		m.Service += part.Service
+		m.Stall += part.Stall
+		m.First.Merge(part.First)
+		m.Between.Merge(part.Between)
+	}
+	r.Counts = append(r.Counts, o.Counts...)
+}
