--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -229,7 +229,7 @@
 	if all.Peak(demand, deviations) > memory && all.Streams > 0 {
 		return false
 	}
-	limit := tailLimit / math.Max(c.Tail, 0.1)
+	limit := tailLimit / max(c.Tail, 0.1)
 	return c.Interval.Seconds() <= limit*c.Idle.Seconds() || all.Streams < 1
 }
 
@@ -278,6 +278,9 @@
 // so that no two fill the same room. Clocks that differ, or hosts that differ about
 // who contends, only cost a turn's exclusiveness.
 func (r *Reducer) turn(at, count, rank int) bool {
+	if count == 1 {
+		return true
+	}
 	slot := int(r.epoch.Add(r.now).UnixNano() / int64(r.turnLength))
 	return (slot+at)%count == rank
 }
--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -71,6 +71,9 @@
 
 // now returns the share of failures as forgiven by a time.
 func (t *trouble) now(at time.Duration) float64 {
+	if t.share == 0 {
+		return 0 // as of nearly all targets
+	}
 	return t.share * math.Exp(-float64(at-t.at)/float64(troubleLife))
 }
 
--- a/dispatch/organisation.go
+++ b/dispatch/organisation.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -123,7 +122,7 @@
 func (r *Reducer) level(m *organisation, p *pool) float64 {
 	here := r.ledger.Level(share.Account{Organisation: m.spec.Name, Pool: p.name}, r.now) / r.weight(m, p)
 	all := r.ledger.Level(share.Account{Organisation: m.spec.Name}, r.now) / m.spec.Weight
-	return here + r.options.consortium*math.Max(all-here, 0)
+	return here + r.options.consortium*max(all-here, 0)
 }
 
 // drainTime returns how long an organisation's queue takes to drain, as advice.
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
 	"github.com/wigeonlink/wigeonlink/forecast"
@@ -51,7 +50,7 @@
 		rows = append(rows, ShareRow{
 			Organisation: m.spec.Name,
 			Promised:     m.spec.Weight / weights,
-			Got:          rate / math.Max(service, 1e-9),
+			Got:          rate / max(service, 1e-9),
 			Service:      rate,
 			Inflight:     m.inflight,
 			Held:         m.heldTotal,
--- a/forecast/demand.go
+++ b/forecast/demand.go
@@ -70,10 +70,10 @@
 
 // Sub takes o out of d. Rounding never leaves less than nothing.
 func (d *Demand) Sub(o *Demand) {
-	d.Streams = math.Max(d.Streams-o.Streams, 0)
+	d.Streams = max(d.Streams-o.Streams, 0)
 	for i := range d.Mean {
-		d.Mean[i] = math.Max(d.Mean[i]-o.Mean[i], 0)
-		d.Variance[i] = math.Max(d.Variance[i]-o.Variance[i], 0)
+		d.Mean[i] = max(d.Mean[i]-o.Mean[i], 0)
+		d.Variance[i] = max(d.Variance[i]-o.Variance[i], 0)
 	}
 }
 
@@ -95,7 +95,7 @@
 	for i := range d.Mean {
 		m := d.Mean[i] + extra.Mean[i]
 		v := d.Variance[i] + extra.Variance[i]
-		peak = math.Max(peak, m+deviations*math.Sqrt(v))
+		peak = max(peak, m+deviations*math.Sqrt(v))
 	}
 	return peak
 }
--- a/length/histogram.go
+++ b/length/histogram.go
@@ -89,7 +89,7 @@
 	all := above + strength*w
 	for i := range c {
 		above -= float64(h.counts[i])
-		c[i] = float32((math.Max(above, 0) + strength*w*float64(parent[i])) / all)
+		c[i] = float32((max(above, 0) + strength*w*float64(parent[i])) / all)
 	}
 	return c
 }
@@ -127,7 +127,7 @@
 	if s < tiny {
 		return n / (n + h)
 	}
-	return math.Min(c.Survival(n+h)/s, 1)
+	return min(c.Survival(n+h)/s, 1)
 }
 
 // Quantile returns the length that a share q of outputs longer than n does not
@@ -136,7 +136,7 @@
 	want := c.Survival(n) * (1 - q)
 	low, high := n, edges[Buckets-1]
 	if c.Survival(high) > want || high < n {
-		return math.Max(high, n)
+		return max(high, n)
 	}
 	for high-low > 0.5 {
 		mid := (low + high) / 2
--- a/share/ledger.go
+++ b/share/ledger.go
@@ -75,7 +75,7 @@
 
 func (l *Ledger) decay(u use, now time.Duration) float64 {
 	age := now - u.at
-	if age <= 0 {
+	if age <= 0 || u.value == 0 {
 		return u.value
 	}
 	return u.value * math.Exp(-float64(age)/float64(l.window))
@@ -87,9 +87,9 @@
 		u = &use{}
 		m[a] = u
 	}
-	u.value = math.Max(l.decay(*u, now)+amount, 0)
+	u.value = max(l.decay(*u, now)+amount, 0)
 	u.at = max(u.at, now)
-	u.holding = math.Max(u.holding+holding, 0)
+	u.holding = max(u.holding+holding, 0)
 }
 
 // Charge adds service used through this host, to the pool's account and to the
@@ -133,7 +133,14 @@
 // use, and what it consumes now as if that went on for Horizon. The past alone lags
 // by the length of a generation; the present alone punishes every burst.
 func (l *Ledger) Level(a Account, now time.Duration) float64 {
-	return (l.Use(a, now) + l.Holding(a)*Horizon.Seconds()) / (l.window + Horizon).Seconds()
+	used, holding := 0.0, 0.0
+	for _, accounts := range [...]map[Account]*use{l.own, l.pooled} {
+		if u := accounts[a]; u != nil {
+			used += l.decay(*u, now)
+			holding += u.holding
+		}
+	}
+	return (used + holding*Horizon.Seconds()) / (l.window + Horizon).Seconds()
 }
 
 // Rate returns an account's use as service units a second.
