Peers that are gone for good are no longer dialled

A host dialled the address of every peer that it had ever heard of every 0.3 s. Now a link that is no seed's is given up after two minutes without a connection; seeds and gossip lead back to a host that was only away.

--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -83,6 +83,7 @@
 		address netip.AddrPort
 		conn    atomic.Pointer[quic.Conn]
 		cancel  context.CancelFunc
+		stays   bool // it is dialled for ever
 	}
 )
 
@@ -101,6 +102,7 @@
 	mostReport    = time.Second
 	reportTimeout = 500 * time.Millisecond
 	mostLinks     = 1024
+	linkLife      = 2 * time.Minute // without a connection, until a host is taken to be gone for good
 	mostStreams   = 256
 )
 
@@ -185,9 +187,7 @@
 	ended.Go(func() { m.accept(ctx) })
 	ended.Go(func() { m.beat(ctx) })
 	ended.Go(func() { m.report(ctx) })
-	for _, a := range m.settings.Seeds {
-		m.connect(ctx, a)
-	}
+	m.Join(ctx, m.settings.Seeds)
 	<-ctx.Done()
 	m.listener.Close()
 	ended.Wait()
@@ -195,15 +195,21 @@
 	m.transport.Conn.Close()
 }
 
-// connect makes sure that there is a link to an address.
-func (m *Mesh) connect(ctx context.Context, a netip.AddrPort) {
+// connect makes sure that there is a link to an address. One that does not stay is given up
+// when it has had no connection for long: hosts are replaced, and the seeds, or peers that
+// know it, lead to a host that is only cut off.
+func (m *Mesh) connect(ctx context.Context, a netip.AddrPort, stays bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if a == m.address || !a.IsValid() || m.links[a] != nil || len(m.links) >= mostLinks {
+	if l := m.links[a]; l != nil {
+		l.stays = l.stays || stays
+		return
+	}
+	if a == m.address || !a.IsValid() || len(m.links) >= mostLinks {
 		return
 	}
 	sub, cancel := context.WithCancel(ctx)
-	l := &link{address: a, cancel: cancel}
+	l := &link{address: a, cancel: cancel, stays: stays}
 	m.links[a] = l
 	go m.keep(sub, l)
 }
@@ -211,7 +217,7 @@
 // keep dials a link over and over. A connection that has fallen silent ends by its
 // idle timeout and is replaced.
 func (m *Mesh) keep(ctx context.Context, l *link) {
-	for ctx.Err() == nil {
+	for seen := time.Now(); ctx.Err() == nil && !m.giveUp(l, seen); {
 		dialing, cancel := context.WithTimeout(ctx, dialTimeout)
 		conn, err := m.transport.Dial(dialing, net.UDPAddrFromAddrPort(l.address), m.config, quicConfig)
 		cancel()
@@ -225,11 +231,31 @@
 				_ = conn.CloseWithError(0, "stopping")
 			}
 			l.conn.Store(nil)
+			seen = time.Now()
 		}
 		pause.For(ctx, redialPause)
 	}
 }
 
+// giveUp drops a link that has had no connection since a time long ago.
+func (m *Mesh) giveUp(l *link, seen time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if l.stays || time.Since(seen) < linkLife {
+		return false
+	}
+	l.cancel()
+	delete(m.links, l.address)
+	return true
+}
+
+// Links returns the number of addresses that the mesh is connected to or dials.
+func (m *Mesh) Links() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.links)
+}
+
 // open returns the links that have a connection.
 func (m *Mesh) open() []*link {
 	m.mu.Lock()
@@ -320,7 +346,7 @@
 // Join makes sure that there are links to some addresses, as when the settings change.
 func (m *Mesh) Join(ctx context.Context, addresses []netip.AddrPort) {
 	for _, a := range addresses {
-		m.connect(ctx, a)
+		m.connect(ctx, a, true)
 	}
 }
 
--- a/peer/receive.go
+++ b/peer/receive.go
@@ -77,10 +77,10 @@
 	if came {
 		m.log.Emit(event.PeerUp, event.Fields{Peer: p.Host, Detail: p.Incarnation})
 	}
-	m.connect(ctx, address)
+	m.connect(ctx, address, false)
 	for _, known := range hb.Known {
 		if a, err := netip.ParseAddrPort(known); err == nil {
-			m.connect(ctx, a)
+			m.connect(ctx, a, false)
 		}
 	}
 	if came || change.Peer.Table > 0 {
