--- a/network/conn.go
+++ b/network/conn.go
@@ -30,6 +30,7 @@
 		finished bool // the writer closed its end, after the chunks
 		closed   bool // the reader closed its end
 		broken   bool // reset
+		silent   bool // what is written is lost, and the end as well
 		readBy   time.Time
 		writeBy  time.Time
 	}
@@ -130,6 +131,10 @@
 			s.mu.Unlock()
 			return written, os.ErrDeadlineExceeded
 		}
+		if s.silent {
+			s.mu.Unlock()
+			return len(b), nil
+		}
 		if n := min(len(b)-written, window-s.unread); n > 0 {
 			data := append([]byte(nil), b[written:written+n]...)
 			s.chunks = append(s.chunks, chunk{data, time.Now().Add(s.network.delay)})
@@ -166,7 +171,7 @@
 			return 0, nil
 		}
 		until := s.readBy
-		if !cut && len(s.chunks) > 0 {
+		if !cut && !s.silent && len(s.chunks) > 0 {
 			if at := s.chunks[0].at; time.Until(at) <= 0 {
 				n := s.take(b)
 				s.mu.Unlock()
@@ -175,7 +180,7 @@
 				until = at
 			}
 		}
-		if !cut && len(s.chunks) == 0 && s.finished {
+		if !cut && !s.silent && len(s.chunks) == 0 && s.finished {
 			s.mu.Unlock()
 			return 0, io.EOF
 		}
--- a/network/virtual.go
+++ b/network/virtual.go
@@ -87,6 +87,15 @@
 	}
 }
 
+// Silence lets the connections of a machine carry nothing more. Nobody is told, and new ones
+// work.
+func (v *Virtual) Silence(address netip.Addr) {
+	for _, c := range v.connsOf(address) {
+		c.out.update(func(s *stream) { s.silent = true })
+		c.in.update(func(s *stream) { s.silent = true })
+	}
+}
+
 // Close breaks every connection and closes every address.
 func (v *Virtual) Close() {
 	v.mu.Lock()
--- a/network/virtual_test.go
+++ b/network/virtual_test.go
@@ -102,6 +102,25 @@
 	})
 }
 
+// A silent connection swallows what is written; a new one works.
+func TestSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		v := network.NewVirtual(delay)
+		defer v.Close()
+		near, far := connect(c, v)
+		v.Silence(there)
+		_, err := near.Write([]byte("lost"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(far.SetReadDeadline(time.Now().Add(time.Minute)), qt.IsNil)
+		_, err = far.Read(make([]byte, 1))
+		c.Assert(err, qt.ErrorIs, os.ErrDeadlineExceeded)
+		fresh, err := v.At(here).Dial(context.Background(), port)
+		c.Assert(err, qt.IsNil)
+		c.Assert(fresh.Close(), qt.IsNil)
+	})
+}
+
 func TestReset(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
