--- a/dispatch/ask.go
+++ b/dispatch/ask.go
@@ -54,7 +54,7 @@
 	if e.Left > 0 {
 		t.leavingAt = r.now + e.Left - noticeLeast
 	}
-	for _, p := range r.poolList {
+	if p := r.pools[poolName(t.spec)]; p != nil {
 		r.assignLanes(p)
 	}
 	r.evacuate()
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -12,12 +12,12 @@
 	Effect struct {
 		Kind     EffectKind
 		ID       ID
-		Target   string        // Dispatch, Cancel
+		Target   string        // Dispatch, Cancel, Ask; Move, Stay: where the stream is
 		Priority int           // Dispatch
 		Answer   answer.Kind   // Refuse
 		Retry    time.Duration // Refuse: when to come back
 		At       time.Time     // Timer; Move: by when the run is to be stopped
-		To       table.Target  // Dispatch: the target as the list has it; Move: where to
+		To       table.Target  // Dispatch: the target as the list has it; Ask: the same; Move: where to
 		Ready    bool          // Move: the memory is there already
 		Backup   table.Target  // Dispatch, Move: where the memory is copied as it grows; no name for nowhere
 		Basis    Basis         // Dispatch, Refuse, Move
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -112,7 +112,7 @@
 	{FleetChanged, "fleet changed", hclog.Info, "The list of targets in use has changed."},
 	{FleetKept, "fleet kept", hclog.Warn, "Targets are missing from the list after it could not be read; they stay in use for a short time."},
 	{EntryRefused, "entry refused", hclog.Warn, "A published entry cannot be read and names no target."},
-	{TargetTold, "target told", hclog.Info, "A target said of itself that it is leaving, while the list of targets could not be read."},
+	{TargetTold, "target told", hclog.Info, "A target that was asked, since the list of targets could not be read, is leaving or did not answer."},
 	{PeerUp, "peer up", hclog.Info, "A peer is live."},
 	{PeerDown, "peer down", hclog.Warn, "A peer is no longer live."},
 	{PeerRefused, "peer refused", hclog.Warn, "A message or connection from a peer was refused."},
--- a/forward.go
+++ b/forward.go
@@ -36,7 +36,8 @@
 
 // WithForwarding makes the host forward callers' requests by the routes that a source
 // publishes, instead of serving the product's own interface. Without a mover streams
-// stay where they began.
+// stay where they began; one that is a host.Asker, too, lets the host ask targets whether
+// they are leaving.
 func WithForwarding(s registry.Source, d gateway.Dialect, m gateway.Mover, opts ...gateway.Option) Option {
 	return &forwarding{s, d, m, opts}
 }
--- a/host/ask.go
+++ b/host/ask.go
@@ -24,10 +24,14 @@
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
 	leaving, left, err := h.asker.Leaving(ctx, t.Address)
-	if err != nil || !leaving {
-		// What cannot be reached shows in its streams; the counters have every question.
+	switch {
+	case err != nil:
+		// Nothing follows from silence: the streams there show whether it lives.
+		h.log.Emit(event.TargetTold, event.Fields{Target: t.Name, Detail: err.Error()})
+		return
+	case !leaving:
 		return
 	}
-	h.log.Emit(event.TargetTold, event.Fields{Target: t.Name, Values: []any{"left_ms", left.Milliseconds()}})
+	h.log.Emit(event.TargetTold, event.Fields{Target: t.Name, Values: []any{"leaving", true, "left_ms", left.Milliseconds()}})
 	h.Post(dispatch.Told{Target: t.Name, Leaving: true, Left: left})
 }
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -48,7 +48,7 @@
 		Seeds       []netip.AddrPort // of hosts to begin with; others are learnt
 		Credential  credential.Source
 		Budget      int // bytes of reports a second; 0 means DefaultBudget
-		Network     network.Network
+		Network     network.Network // must be set
 	}
 
 	// A Handler is the host behind a mesh.
