--- a/audit/audit.go
+++ b/audit/audit.go
@@ -12,8 +12,8 @@
 )
 
 type (
-	// An Audit collects observations. The zero value checks against the zero Bounds; use
-	// NewAudit. It may be used by several goroutines.
+	// An Audit collects observations. NewAudit makes one. It may be used by several
+	// goroutines.
 	Audit struct {
 		bounds Bounds
 
--- a/audit/request.go
+++ b/audit/request.go
@@ -52,8 +52,8 @@
 	}
 }
 
-// since returns from when the request concerns its host, for the question whether a failure
-// touches it.
+// touched reports whether a failure of the request's host touches it, from when it was sent
+// to a time.
 func (q *request) touched(a *Audit, to time.Time) bool {
 	return a.disturbed(q.asked.Host, q.askedAt, to)
 }
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -86,7 +86,8 @@
 	if err := c.Render(chart.SVG, &svg); err != nil {
 		return "", eris.Wrapf(err, "plot of %s", m.title)
 	}
-	return template.HTML(svg.String()), nil //nolint:gosec // our own drawing of numbers
+	// The drawing is made of numbers and of names that are the program's own.
+	return template.HTML(svg.String()), nil
 }
 
 // highest returns the top of a plot's axis: a line at 0 needs one, too.
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -47,7 +47,7 @@
 		Listen      netip.AddrPort
 		Seeds       []netip.AddrPort // of hosts to begin with; others are learnt
 		Credential  credential.Source
-		Budget      int // bytes of reports a second; 0 means DefaultBudget
+		Budget      int             // bytes of reports a second; 0 means DefaultBudget
 		Network     network.Network // must be set
 	}
 
