--- a/gateway/move.go
+++ b/gateway/move.go
@@ -199,10 +199,13 @@
 }
 
 func (c *call) logMove(n event.Number, m *move, detail string) {
+	m.mu.Lock()
+	copied, stopped := m.copied, m.stopped
+	m.mu.Unlock()
 	values := []any{"to", m.to.Name, "backup", m.effect.Ready, "ms", time.Since(m.began).Milliseconds()}
-	if !m.stopped.IsZero() {
-		values = append(values, "copy_ms", m.copied.Sub(m.began).Milliseconds(),
-			"last_ms", m.stopped.Sub(m.copied).Milliseconds(), "resume_ms", time.Since(m.stopped).Milliseconds())
+	if !stopped.IsZero() {
+		values = append(values, "copy_ms", copied.Sub(m.began).Milliseconds(),
+			"last_ms", stopped.Sub(copied).Milliseconds(), "resume_ms", time.Since(stopped).Milliseconds())
 	}
 	c.gateway.host.Log().Emit(n, event.Fields{
 		Request: c.envelope.ID, Organisation: c.organisation, Target: m.from.Name, Detail: detail, Values: values,
