--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -95,10 +96,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b *request) int {
-		if a.rest != b.rest {
-			return int(b.rest - a.rest)
-		}
-		return int(a.id) - int(b.id)
+		return cmp.Or(cmp.Compare(b.rest, a.rest), cmp.Compare(a.id, b.id))
 	})
 	return out
 }
--- a/dispatch/lane.go
+++ b/dispatch/lane.go
@@ -14,6 +14,9 @@
 	// laneCost is how many seconds of an engine's time it is worth not to share a link
 	// with the streams of another ending target.
 	laneCost = 0.8
+
+	// awayCopies is how many times as long a copy to another failure domain takes.
+	awayCopies = 2
 )
 
 // assignLanes divides the targets of a pool that stay among those that end: streams that leave
@@ -58,6 +61,3 @@
 	}
 	return time.Duration(bytes / float64(engine.Link) * float64(time.Second))
 }
-
-// awayCopies is how many times as long a copy to another failure domain takes.
-const awayCopies = 2
--- a/dispatch/organisation.go
+++ b/dispatch/organisation.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -146,17 +147,7 @@
 }
 
 func byRank(a, b *request) int {
-	switch {
-	case a.rank < b.rank:
-		return -1
-	case a.rank > b.rank:
-		return 1
-	case a.id < b.id:
-		return -1
-	case a.id > b.id:
-		return 1
-	}
-	return 0
+	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.id, b.id))
 }
 
 // unhold takes a request out of its queue.
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -106,15 +107,7 @@
 	slices.SortStableFunc(p.order, byLevel)
 }
 
-func byLevel(a, b *organisationQueue) int {
-	switch {
-	case a.level < b.level:
-		return -1
-	case a.level > b.level:
-		return 1
-	}
-	return 0
-}
+func byLevel(a, b *organisationQueue) int { return cmp.Compare(a.level, b.level) }
 
 // sink restores the order after the first queue's level has changed.
 func (r *Reducer) sink(p *pool) {
--- a/forward.go
+++ b/forward.go
@@ -71,13 +71,7 @@
 
 func keepRegistry(a *assembly, h *host.Host) { h.Keep(a.forward.source) }
 
-func runRegistry(a *assembly, l fx.Lifecycle, h *host.Host) {
-	ctx, cancel := context.WithCancel(a.life)
-	l.Append(fx.Hook{
-		OnStart: func(context.Context) error { go h.Keeper().Run(ctx); return nil },
-		OnStop:  func(context.Context) error { cancel(); return nil },
-	})
-}
+func runRegistry(a *assembly, l fx.Lifecycle, h *host.Host) { background(a, l, h.Keeper().Run) }
 
 func serveGateway(a *assembly, l fx.Lifecycle, h *host.Host, m *meter.Meter) {
 	opts := append([]gateway.Option{
--- a/host/mesh.go
+++ b/host/mesh.go
@@ -31,7 +31,6 @@
 		mu      sync.Mutex
 		version uint64
 		packed  []byte
-		asking  bool
 	}
 )
 
@@ -213,31 +212,14 @@
 	if t := m.Table(); t != nil {
 		have = t.Version
 	}
-	if p, ok := m.mesh.Newest(have); ok && m.published.begin() {
+	if p, ok := m.mesh.Newest(have); ok && m.asking.CompareAndSwap(false, true) {
 		go m.fetch(p, have)
 	}
 }
 
-// begin reports whether nobody is asking for a table, and marks that somebody is.
-func (p *sheetCache) begin() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.asking {
-		return false
-	}
-	p.asking = true
-	return true
-}
-
-func (p *sheetCache) end() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.asking = false
-}
-
-// fetch asks a peer for its table.
+// fetch asks a peer for its table, one question at a time.
 func (h *Host) fetch(p peer.Peer, have uint64) {
-	defer h.published.end()
+	defer h.asking.Store(false)
 	ctx, cancel := context.WithTimeout(context.Background(), tableTimeout)
 	defer cancel()
 	a, _, err := h.mesh.Ask(ctx, p, &wire.Question{Table: &wire.Table{Version: 1, Number: have}})
--- a/parts.go
+++ b/parts.go
@@ -89,14 +89,17 @@
 	return h, m.Watch(h)
 }
 
-func runHost(a *assembly, l fx.Lifecycle, h *host.Host) {
+// background runs f from the host's start to its stop, which does not wait for f.
+func background(a *assembly, l fx.Lifecycle, f func(context.Context)) {
 	ctx, cancel := context.WithCancel(a.life)
 	l.Append(fx.Hook{
-		OnStart: func(context.Context) error { go h.Run(ctx); return nil },
+		OnStart: func(context.Context) error { go f(ctx); return nil },
 		OnStop:  func(context.Context) error { cancel(); return nil },
 	})
 }
 
+func runHost(a *assembly, l fx.Lifecycle, h *host.Host) { background(a, l, h.Run) }
+
 // runMesh connects the host with its peers. A host without credentials has none.
 func runMesh(a *assembly, l fx.Lifecycle, h *host.Host) error {
 	if a.settings.Credential == nil {
@@ -126,16 +129,9 @@
 }
 
 func runFeeds(a *assembly, l fx.Lifecycle, h *host.Host) {
-	ctx, cancel := context.WithCancel(a.life)
-	l.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			for _, address := range a.settings.Platform {
-				go h.RunFeeds(ctx, publication.NewSource(address))
-			}
-			return nil
-		},
-		OnStop: func(context.Context) error { cancel(); return nil },
-	})
+	for _, address := range a.settings.Platform {
+		background(a, l, func(ctx context.Context) { h.RunFeeds(ctx, publication.NewSource(address)) })
+	}
 }
 
 func serveOperator(a *assembly, l fx.Lifecycle, h *host.Host, m *meter.Meter) {
--- a/registry/keeper.go
+++ b/registry/keeper.go
@@ -231,12 +231,14 @@
 	if c.Sheet {
 		k.applySheet(from, age)
 	}
-	if c.Targets || c.Sheet || len(c.Kept) > 0 {
-		k.handler.TakeFleet(k.view.Revision(), k.view.Targets())
+	if !c.Targets && !c.Sheet && len(c.Kept) == 0 {
+		return
 	}
+	targets := k.view.Targets()
+	k.handler.TakeFleet(k.view.Revision(), targets)
 	if c.Targets {
 		k.log.Emit(event.FleetChanged, event.Fields{Values: []any{
-			"targets", len(k.view.Targets()), "revision", k.view.Revision(), "from", from, "age_ms", age.Milliseconds(),
+			"targets", len(targets), "revision", k.view.Revision(), "from", from, "age_ms", age.Milliseconds(),
 		}})
 	}
 }
