Policies, organisations and share error in one place for experiments and benchmarks

The experiment had written again what the benchmarks of trial had. Sums go in the order of the organisations, so that equal runs give equal figures to the last bit.

--- a/experiment/plan.go
+++ b/experiment/plan.go
@@ -4,14 +4,12 @@
 
 import (
 	"context"
-	"fmt"
 	"runtime"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/standin"
 	"github.com/wigeonlink/wigeonlink/trial"
 )
@@ -28,14 +26,7 @@
 		Seeds    int
 		Span     time.Duration
 		Reclaim  time.Duration // between two engines that are taken away; 0 means none are
-		Policies []Policy
-	}
-
-	// A Policy is a way to place requests.
-	Policy struct {
-		Name    string
-		Oracle  bool // it knows the lengths of outputs ahead
-		Options []dispatch.Option
+		Policies []trial.Policy
 	}
 
 	// A Row is what one policy did at one load, over all seeds.
@@ -61,28 +52,11 @@
 	linkDelay   = 500 * time.Microsecond
 )
 
-// weights are the promised shares of the organisations, a few of them large.
-var weights = [...]float64{30, 20, 15, 10, 5, 5, 5, 4, 3, 3}
-
 // DefaultPlan returns a small deployment at loads around its capacity.
 func DefaultPlan() Plan {
 	return Plan{
 		Hosts: 8, Engines: 12, Memory: 48_000, Prompt: 400, Median: 120,
-		Loads: []float64{0.7, 0.9, 1, 1.2}, Seeds: 1, Span: time.Minute, Policies: Policies(),
-	}
-}
-
-// Policies returns the product's policy, the same knowing all lengths, and the baselines.
-func Policies() []Policy {
-	plain := func(c dispatch.Chooser) []dispatch.Option {
-		return []dispatch.Option{dispatch.WithHold(false), dispatch.WithChooser(c), dispatch.WithObjective(false)}
-	}
-	return []Policy{
-		{Name: "forecast"},
-		{Name: "oracle", Oracle: true},
-		{Name: "least-requests", Options: plain(dispatch.NewLeastRequests())},
-		{Name: "least-reported", Options: plain(dispatch.NewLeastReported())},
-		{Name: "round-robin", Options: plain(dispatch.NewRoundRobin())},
+		Loads: []float64{0.7, 0.9, 1, 1.2}, Seeds: 1, Span: time.Minute, Policies: trial.Policies(),
 	}
 }
 
@@ -127,7 +101,7 @@
 }
 
 // play runs one policy at one load with every seed.
-func (p *Plan) play(ctx context.Context, policy *Policy, load float64) (Row, error) {
+func (p *Plan) play(ctx context.Context, policy *trial.Policy, load float64) (Row, error) {
 	row := Row{Policy: policy.Name, Load: load}
 	var sum trial.Result
 	for seed := range p.Seeds {
@@ -152,19 +126,17 @@
 	row.Preemptions, row.Stall = sum.Preemptions, sum.Stall
 	row.First = [2]time.Duration{sum.First.Quantile(0.5), sum.First.Quantile(0.99)}
 	row.Between = [2]time.Duration{sum.Between.Quantile(0.5), sum.Between.Quantile(0.99)}
-	row.Shares = shareError(&sum)
+	row.Shares = sum.ShareError(consortium())
 	return row, nil
 }
 
-func (p *Plan) config(policy *Policy, load float64, seed uint64) trial.Config {
+func (p *Plan) config(policy *trial.Policy, load float64, seed uint64) trial.Config {
 	c := trial.Config{
 		Hosts: p.Hosts, Engines: p.Engines, Spec: standin.Spec{Memory: p.Memory}, Load: load,
 		Span: p.Span, Warm: p.Span / warmPart, Seed: seed, Median: p.Median, PromptMean: p.Prompt,
 		Oracle: policy.Oracle, Options: policy.Options,
-		LoadEvery: loadEvery, LoadLag: loadLag, PeerEvery: reportEvery, Link: linkDelay,
-	}
-	for i, w := range weights {
-		c.Organisations = append(c.Organisations, trial.Organisation{Name: organisationName(i), Weight: w, Part: w / 100, Tail: 1, Stall: 1})
+		Organisations: consortium(),
+		LoadEvery:     loadEvery, LoadLag: loadLag, PeerEvery: reportEvery, Link: linkDelay,
 	}
 	if p.Reclaim > 0 {
 		for at, i := p.Reclaim, 0; at < p.Span; at, i = at+p.Reclaim, i+1 {
@@ -174,24 +146,5 @@
 	return c
 }
 
-func organisationName(i int) string { return fmt.Sprintf("organisation-%d", i) }
-
-// shareError returns the largest relative difference between an organisation's part of the
-// service and its promised one.
-func shareError(r *trial.Result) float64 {
-	total, worst := 0.0, 0.0
-	for _, o := range r.Organisations {
-		total += o.Service
-	}
-	if total == 0 {
-		return 0
-	}
-	for i, w := range weights {
-		o := r.Organisations[organisationName(i)]
-		if o == nil {
-			return 1
-		}
-		worst = max(worst, max(o.Service/total/(w/100)-1, 1-o.Service/total/(w/100)))
-	}
-	return worst
-}
+// consortium returns the organisations of every trial.
+func consortium() []trial.Organisation { return trial.Consortium(1, 1) }
--- a/trial/policy_bench_test.go
+++ b/trial/policy_bench_test.go
@@ -29,24 +29,13 @@
 	loads   = []float64{0.7, 0.9, 1.0, 1.2}
 )
 
-// organisations returns ten organisations, a few of them large, that send what they are
-// promised.
-func organisations(u user) []Organisation {
-	weights := []float64{30, 20, 15, 10, 5, 5, 5, 4, 3, 3}
-	ms := make([]Organisation, len(weights))
-	for i, w := range weights {
-		ms[i] = Organisation{Name: fmt.Sprintf("organisation-%d", i), Weight: w, Part: w / 100, Tail: u.tail, Stall: u.stall}
-	}
-	return ms
-}
-
 // config returns the trial of a user at a load.
 func (u user) config(load float64, opts ...dispatch.Option) Config {
 	return Config{
 		Hosts:         u.hosts,
 		Engines:       u.engines,
 		Spec:          crowded,
-		Organisations: organisations(u),
+		Organisations: Consortium(u.tail, u.stall),
 		Load:          load,
 		Span:          90 * time.Second,
 		Warm:          30 * time.Second,
@@ -74,18 +63,6 @@
 	return r
 }
 
-// baselines are the policies compared with, in the same run.
-func baselines() map[string][]dispatch.Option {
-	off := func(c dispatch.Chooser) []dispatch.Option {
-		return []dispatch.Option{dispatch.WithHold(false), dispatch.WithChooser(c), dispatch.WithObjective(false)}
-	}
-	return map[string][]dispatch.Option{
-		"round-robin":    off(dispatch.NewRoundRobin()),
-		"least-requests": off(dispatch.NewLeastRequests()),
-		"least-reported": off(dispatch.NewLeastReported()),
-	}
-}
-
 func ratio(a, b float64) float64 {
 	if b == 0 {
 		if a == 0 {
@@ -120,18 +97,14 @@
 
 func comparePolicies(b *testing.B, u user, load float64) {
 	b.Helper()
-	ours := mustRun(b, u.config(load))
-	base := map[string]Result{}
-	for name, opts := range baselines() {
-		base[name] = mustRun(b, u.config(load, opts...))
-		logResult(b, name, base[name])
+	played := map[string]Result{}
+	for _, p := range Policies() {
+		c := u.config(load, p.Options...)
+		c.Oracle = p.Oracle
+		played[p.Name] = mustRun(b, c)
+		logResult(b, p.Name, played[p.Name])
 	}
-	known := u.config(load)
-	known.Oracle = true
-	oracle := mustRun(b, known)
-	logResult(b, "oracle", oracle)
-	logResult(b, "ours", ours)
-	least := base["least-requests"]
+	ours, oracle, least := played["forecast"], played["oracle"], played["least-requests"]
 	b.ReportMetric(ratio(float64(ours.Preemptions), float64(least.Preemptions)), "preempt-ratio")
 	b.ReportMetric(ratio(ours.Stall.Seconds(), least.Stall.Seconds()), "stall-ratio")
 	b.ReportMetric(ratio(ours.Between.Quantile(0.99).Seconds(), least.Between.Quantile(0.99).Seconds()), "tbt-p99-ratio")
--- a/trial/result.go
+++ b/trial/result.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -76,3 +77,26 @@
 	}
 	r.Counts = append(r.Counts, o.Counts...)
 }
+
+// ShareError returns the largest relative difference between an organisation's part of the
+// service and its promise; 0 if there was no service.
+func (r *Result) ShareError(organisations []Organisation) float64 {
+	total, weight := 0.0, 0.0
+	seen := map[string]bool{} // an organisation may have several streams of calls
+	for i := range organisations {
+		if o := &organisations[i]; !seen[o.Name] {
+			seen[o.Name] = true
+			total += r.organisation(o.Name).Service
+			weight += o.Weight
+		}
+	}
+	if total == 0 {
+		return 0
+	}
+	worst := 0.0
+	for i := range organisations {
+		o := &organisations[i]
+		worst = max(worst, math.Abs(r.organisation(o.Name).Service/total/(o.Weight/weight)-1))
+	}
+	return worst
+}
--- a/trial/share_bench_test.go
+++ b/trial/share_bench_test.go
@@ -1,7 +1,6 @@
 package trial
 
 import (
-	"math"
 	"testing"
 	"time"
 
@@ -33,26 +32,6 @@
 	return c
 }
 
-// shareError returns the largest relative difference between an organisation's part of the
-// service and its promise.
-func shareError(c Config, r Result) float64 {
-	total, weights := 0.0, 0.0
-	seen := map[string]bool{}
-	for _, m := range c.Organisations {
-		if !seen[m.Name] {
-			total += r.Organisations[m.Name].Service
-			weights += m.Weight
-		}
-		seen[m.Name] = true
-	}
-	worst := 0.0
-	for _, m := range c.Organisations {
-		got := r.Organisations[m.Name].Service / total
-		worst = math.Max(worst, math.Abs(got/(m.Weight/weights)-1))
-	}
-	return worst
-}
-
 // firstOfSmall returns the time to first token of the organisations that do not flood.
 func firstOfSmall(r Result) latency.Histogram {
 	all := latency.NewHistogram()
@@ -99,7 +78,7 @@
 	for _, q := range []float64{0.5, 0.9, 0.95, 0.99, 0.999} {
 		b.Logf("small organisations' time to first token: p%g %s without the flood, %s with it", 100*q, without.Quantile(q), with.Quantile(q))
 	}
-	b.ReportMetric(100*shareError(c, r), "share-error-pct")
+	b.ReportMetric(100*r.ShareError(c.Organisations), "share-error-pct")
 	b.ReportMetric(with.Quantile(0.99).Seconds()/without.Quantile(0.99).Seconds(), "small-ttft-ratio")
 	b.ReportMetric(with.Quantile(0.99).Seconds()*1000, "small-ttft-p99-ms")
 	b.ReportMetric(float64(flooded.Preemptions), "preemptions")
