audit: late work is judged once, at the end, and by its own time

It was judged at the end of the work and again at the check, so a breach could be listed twice. A target's end counts as an excuse only up to the moment that is judged, which is stricter than before; a test holds it.

--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -83,3 +83,20 @@
 		})
 	}
 }
+
+// Work for a caller that has left is judged by its own time: that its target ends later is no
+// excuse.
+func TestLateWorkIsSeenThoughItsTargetEnds(t *testing.T) {
+	a := audit.NewAudit(bounds)
+	lookup := charge
+	lookup.Repeatable = true
+	for _, s := range []seen{
+		{0, lookup}, {1, reached}, {1, ran}, {2, audit.Quit{ID: "c"}},
+		{2 * time.Second, audit.Ceased{ID: "c", Target: "t"}}, {3 * time.Second, audit.Ended{Target: "t"}},
+	} {
+		a.Note(began.Add(s.after), s.what)
+	}
+	breaches := a.Check(began.Add(time.Minute))
+	qt.Assert(t, breaches, qt.HasLen, 1)
+	qt.Assert(t, breaches[0].Promise, qt.Equals, audit.PromiseReleased)
+}
--- a/audit/request.go
+++ b/audit/request.go
@@ -69,7 +69,7 @@
 	q.reached = append(q.reached, arrival{o.Target, at})
 	if left, leaving := a.leaving[o.Target]; leaving {
 		late := left.Add(a.bounds.Drain + a.bounds.Slack)
-		if at.After(late) && !a.disturbed(Source, left, at) && !a.disturbed(q.asked.Host, left, at) {
+		if at.After(late) && a.calm(q.asked.Host, left, at) {
 			a.breach(PromiseDrained, o.ID, at, "reached %s %s after its leaving", o.Target, at.Sub(left))
 		}
 	}
@@ -145,7 +145,6 @@
 			r.to, r.broken = at, o.Broken
 		}
 	}
-	q.checkReleased(a, at)
 }
 
 // checkReleased asserts that work ends soon after its caller has left.
@@ -156,20 +155,25 @@
 	late := q.quit.Add(a.bounds.Release)
 	for i := range q.runs {
 		r := &q.runs[i]
-		if r.from.Before(q.quit) && r.to.IsZero() && now.After(late) && !q.touched(a, now) && !a.gone(r, q.askedAt, now) {
-			a.breach(PromiseReleased, q.asked.ID, now, "%s still works on it %s after its caller left", r.target, now.Sub(q.quit))
-			r.to = now
-		}
-		if r.to.After(late) && r.from.Before(q.quit) && !q.touched(a, r.to) && !a.gone(r, q.askedAt, r.to) {
-			a.breach(PromiseReleased, q.asked.ID, r.to, "%s worked on it until %s after its caller left", r.target, r.to.Sub(q.quit))
+		to := r.until(now)
+		if r.from.Before(q.quit) && to.After(late) && !q.touched(a, to) && !a.gone(r, q.askedAt, to) {
+			a.breach(PromiseReleased, q.asked.ID, to, "%s worked on it until %s after its caller left, or longer", r.target, to.Sub(q.quit))
 		}
 	}
 }
 
+// until returns when the work ended, or now if it goes on.
+func (r *run) until(now time.Time) time.Time {
+	if r.to.IsZero() {
+		return now
+	}
+	return r.to
+}
+
 // gone reports whether the target of a run has ended or failed meanwhile.
 func (a *Audit) gone(r *run, from, to time.Time) bool {
-	_, ended := a.ended[r.target]
-	return ended || a.disturbed(r.target, from, to)
+	at, ended := a.ended[r.target]
+	return ended && !at.After(to) || a.disturbed(r.target, from, to)
 }
 
 func (o Passed) note(a *Audit, at time.Time) {
@@ -225,8 +229,12 @@
 // overdue reports whether a request was asked so long after a change that it must be in
 // force, with neither the source nor the request's host in trouble since.
 func (a *Audit) overdue(q *request, changed time.Time) bool {
-	return q.askedAt.After(changed.Add(a.bounds.Apply)) &&
-		!a.disturbed(Source, changed, q.askedAt) && !a.disturbed(q.asked.Host, changed, q.askedAt)
+	return q.askedAt.After(changed.Add(a.bounds.Apply)) && a.calm(q.asked.Host, changed, q.askedAt)
+}
+
+// calm reports whether neither the source nor a host was in trouble.
+func (a *Audit) calm(host string, from, to time.Time) bool {
+	return !a.disturbed(Source, from, to) && !a.disturbed(host, from, to)
 }
 
 // checkEnd asserts that a request ends with an answer, and in time, unless its host or the
@@ -289,10 +297,7 @@
 	}
 	for i := 1; i < len(q.runs); i++ {
 		before, at := &q.runs[i-1], q.runs[i].from
-		to := before.to
-		if to.IsZero() {
-			to = now
-		}
+		to := before.until(now)
 		if to.Sub(at) > a.bounds.Overlap && !a.gone(before, at, to) && !q.touched(a, to) {
 			a.breach(PromiseOnce, q.asked.ID, at, "goes on at %s while %s worked on it for %s more", q.runs[i].target, before.target, to.Sub(at))
 		}
