--- a/network/virtual_test.go
+++ b/network/virtual_test.go
@@ -23,6 +23,16 @@
 	port  = netip.AddrPortFrom(there, 80)
 )
 
+// inVirtual runs a test on a network in virtual time.
+func inVirtual(t *testing.T, f func(c *qt.C, v *network.Virtual)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		v := network.NewVirtual(delay)
+		defer v.Close()
+		f(qt.New(t), v)
+	})
+}
+
 // connect returns both ends of a connection.
 func connect(c *qt.C, v *network.Virtual) (near, far net.Conn) {
 	l, err := v.At(there).Listen(port)
@@ -43,10 +53,7 @@
 
 // Bytes take the delay, and those sent into a cut come after it.
 func TestCutHoldsBytesUp(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		v := network.NewVirtual(delay)
-		defer v.Close()
+	inVirtual(t, func(c *qt.C, v *network.Virtual) {
 		near, far := connect(c, v)
 		began := time.Now()
 		_, err := near.Write([]byte("one"))
@@ -74,10 +81,7 @@
 
 // A writer waits for a reader that does not read.
 func TestWriterWaits(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		v := network.NewVirtual(delay)
-		defer v.Close()
+	inVirtual(t, func(c *qt.C, v *network.Virtual) {
 		near, far := connect(c, v)
 		c.Assert(near.SetWriteDeadline(time.Now().Add(time.Second)), qt.IsNil)
 		n, err := near.Write(make([]byte, 1<<20))
@@ -88,10 +92,7 @@
 }
 
 func TestDial(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		v := network.NewVirtual(delay)
-		defer v.Close()
+	inVirtual(t, func(c *qt.C, v *network.Virtual) {
 		_, err := v.At(here).Dial(context.Background(), port)
 		c.Assert(err, qt.ErrorMatches, "dial 10.0.0.2:80: connection refused")
 		v.Cut(there, here, true)
@@ -104,10 +105,7 @@
 
 // A silent connection swallows what is written; a new one works.
 func TestSilence(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		v := network.NewVirtual(delay)
-		defer v.Close()
+	inVirtual(t, func(c *qt.C, v *network.Virtual) {
 		near, far := connect(c, v)
 		v.Silence(there)
 		_, err := near.Write([]byte("lost"))
@@ -122,10 +120,7 @@
 }
 
 func TestReset(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		v := network.NewVirtual(delay)
-		defer v.Close()
+	inVirtual(t, func(c *qt.C, v *network.Virtual) {
 		near, far := connect(c, v)
 		v.Reset(there)
 		for _, end := range []net.Conn{near, far} {
@@ -137,10 +132,7 @@
 
 // Datagrams sent into a cut are lost.
 func TestDatagrams(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		v := network.NewVirtual(delay)
-		defer v.Close()
+	inVirtual(t, func(c *qt.C, v *network.Virtual) {
 		a, err := v.At(here).ListenPacket(netip.AddrPortFrom(here, 0))
 		c.Assert(err, qt.IsNil)
 		b, err := v.At(there).ListenPacket(port)
