Follow a store that was restored from a backup

Cause: revisions were taken to increase for ever. After a restore the reader ignored all updates with a lower revision, or, once the new revisions had passed its own, missed the changes before them.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -50,15 +50,16 @@
 	TargetRebooted Number = 303
 	TargetLeaving  Number = 304
 
-	TableApplied  Number = 401
-	TableRefused  Number = 402
-	TableStale    Number = 403
-	PlatformLost  Number = 404
-	PlatformFound Number = 405
-	FleetChanged  Number = 406
-	FleetKept     Number = 407
-	EntryRefused  Number = 408
-	TargetTold    Number = 409
+	TableApplied   Number = 401
+	TableRefused   Number = 402
+	TableStale     Number = 403
+	PlatformLost   Number = 404
+	PlatformFound  Number = 405
+	FleetChanged   Number = 406
+	FleetKept      Number = 407
+	EntryRefused   Number = 408
+	TargetTold     Number = 409
+	SourceRestored Number = 410
 
 	PeerUp       Number = 501
 	PeerDown     Number = 502
@@ -114,6 +115,7 @@
 	{FleetKept, "fleet kept", hclog.Warn, "Targets are missing from the list of targets, which could not be read before; they stay in use for a grace period."},
 	{EntryRefused, "entry refused", hclog.Warn, "A published entry cannot be parsed and provides no target."},
 	{TargetTold, "target told", hclog.Info, "A target was queried because the list of targets cannot be read; it is leaving, or the query failed."},
+	{SourceRestored, "source restored", hclog.Warn, "The configuration service has begun a new era: it lost its last changes and assigns their revisions again."},
 	{PeerUp, "peer up", hclog.Info, "A peer is live."},
 	{PeerDown, "peer down", hclog.Warn, "A peer is no longer live."},
 	{PeerRefused, "peer refused", hclog.Warn, "A message or connection from a peer was rejected."},
--- a/host/mesh.go
+++ b/host/mesh.go
@@ -89,7 +89,7 @@
 	}
 	if h.sharesUpdates() {
 		c := h.syncer.Confirmation()
-		hb.Revision, hb.Content, hb.Confirmed = c.Revision, c.ContentRevision, uint32(c.Age.Milliseconds())
+		hb.Era, hb.Revision, hb.Content, hb.Confirmed = c.Era, c.Revision, c.ContentRevision, uint32(c.Age.Milliseconds())
 	}
 }
 
--- a/host/registry.go
+++ b/host/registry.go
@@ -67,6 +67,7 @@
 		return
 	}
 	upToDate := h.syncer.Confirm(registry.Confirmation{
+		Era:             hb.Era,
 		Revision:        hb.Revision,
 		ContentRevision: hb.Content,
 		Age:             time.Duration(hb.Confirmed) * time.Millisecond,
@@ -112,6 +113,7 @@
 // source confirmed it.
 func updateToWire(r registry.Update, age time.Duration) *wire.News {
 	n := &wire.News{
+		Era:      r.Era,
 		Base:     r.Base,
 		Whole:    r.Full,
 		Revision: r.Revision,
@@ -130,7 +132,7 @@
 // updateFromWire returns the update in a message and its age. Parts that cannot be parsed are left out
 // and noted in ParseErrors.
 func updateFromWire(n *wire.News) (registry.Update, time.Duration) {
-	r := registry.Update{Base: n.Base, Full: n.Whole, Revision: n.Revision, Removed: n.Removed}
+	r := registry.Update{Era: n.Era, Base: n.Base, Full: n.Whole, Revision: n.Revision, Removed: n.Removed}
 	if n.Published > 0 {
 		if data, err := decompress(n.Sheet); err == nil {
 			r.Config = &registry.Config{Revision: n.Published, Data: data}
--- a/registry/source.go
+++ b/registry/source.go
@@ -16,14 +16,16 @@
 
 type (
 	// A Source is a read-only service that publishes the configuration and the targets
-	// under one increasing revision.
+	// under one revision. The revision increases within an era. A source that is restored
+	// from a backup begins a new era, in which revisions of the one before are used again.
 	Source interface {
 		// Read returns a full snapshot.
 		Read(ctx context.Context) (Update, error)
 
 		// Watch returns the changes after a revision. It waits until there is a change
 		// or the wait time is over. ErrCompacted means that the source no longer has
-		// these changes, and that Read must be called instead.
+		// these changes, and that Read must be called instead. If the Era of the result is
+		// not that of the revision, the changes do not apply to it.
 		Watch(ctx context.Context, after uint64, wait time.Duration) (Update, error)
 
 		// Table parses the Data of a Config.
@@ -33,6 +35,7 @@
 	// An Update is a full snapshot of the published state or a delta between two revisions.
 	// A host gets it from the source or from a peer.
 	Update struct {
+		Era         uint64         // era of the source to which the revisions belong; 0 if it does not report one
 		Base        uint64         // revision that a delta applies to; ignored if Full is set
 		Full        bool           // a full snapshot, which replaces the previous state
 		Revision    uint64         // revision of the published state after the update
--- a/registry/syncer.go
+++ b/registry/syncer.go
@@ -174,10 +174,10 @@
 // peers.
 func (s *Syncer) read(ctx context.Context) {
 	s.mu.Lock()
-	after := s.view.Revision()
+	era, after := s.view.Era(), s.view.Revision()
 	s.mu.Unlock()
 	began := time.Now()
-	r, err := s.fetch(ctx, after)
+	r, err := s.fetch(ctx, era, after)
 	if ctx.Err() != nil {
 		return
 	}
@@ -197,6 +197,9 @@
 		s.sourceLost = false
 		s.log.Emit(event.PlatformFound, event.Fields{Values: []any{"revision", r.Revision, "failures", s.view.FailureCount()}})
 	}
+	if r.Era > era && after > 0 {
+		s.log.Emit(event.SourceRestored, event.Fields{Values: []any{"era", r.Era, "revision", r.Revision, "previous", after}})
+	}
 	s.logParseErrors(r, "")
 	c := s.view.ApplySourceUpdate(now, began, r)
 	s.updateConfirmedAt(now)
@@ -218,15 +221,15 @@
 	}
 }
 
-// fetch reads the changes after a revision from the source. It reads the full state if the
-// revision is 0 or the source returns ErrCompacted.
-func (s *Syncer) fetch(ctx context.Context, after uint64) (Update, error) {
+// fetch reads the changes after a revision of an era from the source. It reads the full state if
+// the revision is 0, the source returns ErrCompacted or it is in another era.
+func (s *Syncer) fetch(ctx context.Context, era, after uint64) (Update, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	if after > 0 {
 		s.countRead(func(r *ReadCounts) { r.Changes++ })
 		r, err := s.source.Watch(ctx, after, watchWait)
-		if !errors.Is(err, ErrCompacted) {
+		if err != nil && !errors.Is(err, ErrCompacted) || err == nil && r.Era == era {
 			return r, err
 		}
 	}
--- a/registry/view.go
+++ b/registry/view.go
@@ -15,6 +15,7 @@
 	// take the current time as an argument and do no I/O. It is not safe for concurrent
 	// use. The zero value is empty.
 	View struct {
+		era              uint64 // newest era of the source
 		revision         uint64 // revision of the newest update or confirmation
 		contentRevision  uint64 // revision of the last change of the configuration or the targets; lease renewals do not count
 		config           Config
@@ -26,6 +27,13 @@
 		failureCount     int                  // consecutive failed reads
 		lastFailure      time.Time            // time of the last failed read
 		rank             int                  // position among the hosts that read the source, from 0
+		departed         map[string]departure // targets of the current era that were leaving or removed, by name
+	}
+
+	// A departure records that a target was leaving or removed.
+	departure struct {
+		startTime time.Time // identifies the target's process
+		at        time.Time
 	}
 
 	// A Change describes what an update, or the expiry of retained targets, changed in a
@@ -40,6 +48,7 @@
 	// A Confirmation states that a source had a revision at a time, and that its content
 	// has not changed since an earlier revision. Hosts send it in heartbeats.
 	Confirmation struct {
+		Era             uint64        // era of the source to which the revisions belong
 		Revision        uint64        // newest revision that the sender has
 		ContentRevision uint64        // revision at which the content last changed
 		Age             time.Duration // time since the source last confirmed the sender's state
@@ -79,6 +88,10 @@
 	// pause.
 	ignorePeersFor = 300 * time.Millisecond
 
+	// departureMemory is the time for which the departure of a target is remembered. It is above
+	// the age of the backup from which a source is restored, some seconds.
+	departureMemory = time.Minute
+
 	minBackoff = 100 * time.Millisecond // delay after the first failed read; doubles with each further one
 	maxBackoff = 800 * time.Millisecond // longest delay between two attempts, and so until a recovered source is read
 )
@@ -116,6 +129,9 @@
 	return b
 }
 
+// Era returns the newest era of the source that the view has seen.
+func (v *View) Era() uint64 { return v.era }
+
 // Revision returns the newest revision that the view has, 0 before the first update.
 func (v *View) Revision() uint64 { return v.revision }
 
@@ -178,7 +194,10 @@
 	if now.Before(v.ignorePeersUntil) {
 		return Change{Stale: true}, true
 	}
-	if !r.Full && r.Base > v.revision {
+	if !r.Full && r.Era > v.era {
+		return Change{}, false
+	}
+	if !r.Full && r.Era == v.era && r.Base > v.revision {
 		return Change{}, r.Revision <= v.revision
 	}
 	return v.apply(now, now.Add(-age), r), true
@@ -189,9 +208,9 @@
 // that this host lacks.
 func (v *View) Confirm(now time.Time, c Confirmation) bool {
 	switch {
-	case now.Before(v.ignorePeersUntil) || c.Revision < v.revision:
+	case now.Before(v.ignorePeersUntil) || c.Era < v.era || c.Era == v.era && c.Revision < v.revision:
 		return true
-	case c.ContentRevision > v.revision:
+	case c.Era > v.era || c.ContentRevision > v.revision:
 		return false
 	}
 	v.revision = c.Revision
@@ -201,12 +220,12 @@
 
 // Confirmation returns the Confirmation of this view, for the host's heartbeats.
 func (v *View) Confirmation(now time.Time) Confirmation {
-	return Confirmation{Revision: v.revision, ContentRevision: v.contentRevision, Age: v.Age(now)}
+	return Confirmation{Era: v.era, Revision: v.revision, ContentRevision: v.contentRevision, Age: v.Age(now)}
 }
 
 // Snapshot returns the full state as an update for a peer, without retained targets.
 func (v *View) Snapshot() Update {
-	r := Update{Full: true, Revision: v.revision}
+	r := Update{Full: true, Era: v.era, Revision: v.revision}
 	if v.config.Revision > 0 {
 		config := v.config
 		r.Config = &config
@@ -229,13 +248,16 @@
 	v.confirmedAt = laterTime(v.confirmedAt, at)
 }
 
-// apply applies an update that the source confirmed at the given time, unless its revision is
-// older than the view's.
+// apply applies an update that the source confirmed at the given time, unless its era or its
+// revision is older than the view's. Only a full update can begin a new era.
 func (v *View) apply(now, at time.Time, r Update) Change {
-	if r.Revision < v.revision {
+	if r.Era < v.era || r.Era == v.era && r.Revision < v.revision || r.Era > v.era && !r.Full {
 		return Change{Stale: true}
 	}
 	v.recordConfirmation(now, at)
+	if r.Era > v.era {
+		v.beginEra(now, &r)
+	}
 	var c Change
 	if r.Config != nil && r.Config.Revision > v.config.Revision {
 		v.config = *r.Config
@@ -246,11 +268,12 @@
 		removed = v.unlisted(r.Targets)
 	}
 	for _, t := range r.Targets {
-		c.Targets = v.upsert(t) || c.Targets
+		c.Targets = v.upsert(now, t) || c.Targets
 	}
 	for _, name := range removed {
 		c.Targets = v.remove(now, name, &c) || c.Targets
 	}
+	v.forgetDepartures(now)
 	v.revision = r.Revision
 	if c.Config || c.Targets || len(c.Retained) > 0 {
 		v.contentRevision = r.Revision
@@ -275,9 +298,47 @@
 	return out
 }
 
+// beginEra prepares the view for a full update with which a new era of the source begins. The
+// source has lost its last changes and lists targets as they were before: targets that have left
+// since are marked as leaving in the update, and targets that it does not list yet are retained
+// for recoveryGrace. A configuration of the update replaces the view's whatever its revision.
+func (v *View) beginEra(now time.Time, r *Update) {
+	if v.Initialized() {
+		v.recoveredAt = now
+	}
+	v.era, v.contentRevision = r.Era, 0
+	v.config.Revision = 0
+	for i := range r.Targets {
+		t := &r.Targets[i]
+		d, ok := v.departed[t.Name]
+		t.Leaving = t.Leaving || ok && d.startTime.Equal(t.StartTime)
+	}
+}
+
+// recordDeparture remembers that a target is leaving or was removed. The departure of a target
+// that a later update lists as ready is forgotten: its process lives and has renewed its entry.
+func (v *View) recordDeparture(now time.Time, t table.Target) {
+	if v.departed == nil {
+		v.departed = map[string]departure{}
+	}
+	v.departed[t.Name] = departure{startTime: t.StartTime, at: now}
+}
+
+// forgetDepartures deletes the departures that are older than departureMemory.
+func (v *View) forgetDepartures(now time.Time) {
+	maps.DeleteFunc(v.departed, func(_ string, d departure) bool { return now.Sub(d.at) >= departureMemory })
+}
+
 // upsert adds or replaces a target. It reports whether the target was new or different.
-func (v *View) upsert(t table.Target) bool {
+func (v *View) upsert(now time.Time, t table.Target) bool {
 	delete(v.retained, t.Name)
+	if t.Leaving {
+		if d, ok := v.departed[t.Name]; !ok || !d.startTime.Equal(t.StartTime) {
+			v.recordDeparture(now, t)
+		}
+	} else {
+		delete(v.departed, t.Name)
+	}
 	if old, ok := v.targets[t.Name]; ok && old == t {
 		return false
 	}
@@ -297,6 +358,7 @@
 	}
 	until := v.recoveredAt.Add(recoveryGrace)
 	if v.recoveredAt.IsZero() || !now.Before(until) {
+		v.recordDeparture(now, v.targets[name])
 		delete(v.targets, name)
 		delete(v.retained, name)
 		return true
--- a/registry/view_test.go
+++ b/registry/view_test.go
@@ -145,3 +145,73 @@
 	c.Assert(snapshotNames(v), qt.DeepEquals, []string{"a", "d"})
 	c.Assert(v.Due().After(woke), qt.IsTrue)
 }
+
+// A source that was restored from a backup begins a new era with lower revisions. The view must
+// adopt its full state, also an older configuration, and targets that were added after the backup
+// must remain in use until they have renewed their entries.
+func TestRestoredSourceReplacesState(t *testing.T) {
+	c := qt.New(t)
+	v := newTestView("a")
+	v.ApplySourceUpdate(start, start, Update{Base: 10, Revision: 40, Targets: targets("new"), Config: &Config{35, []byte("lost")}})
+	now := start.Add(time.Second)
+	change := v.ApplySourceUpdate(now, now, Update{Era: 1, Full: true, Revision: 20, Targets: targets("a"), Config: &Config{3, []byte("s")}})
+	c.Assert(change.Stale, qt.IsFalse)
+	c.Assert(change.Config, qt.IsTrue)
+	c.Assert(change.Retained, qt.DeepEquals, []string{"new"})
+	c.Assert(v.Revision(), qt.Equals, uint64(20))
+	c.Assert(v.Expire(now.Add(recoveryGrace)).Targets, qt.IsTrue)
+	c.Assert(snapshotNames(v), qt.DeepEquals, []string{"a"})
+
+	// A second restore, before the targets have renewed their entries.
+	now = now.Add(recoveryGrace)
+	v.ApplySourceUpdate(now, now, Update{Era: 2, Full: true, Revision: 18, Targets: targets("b")})
+	c.Assert(v.Era(), qt.Equals, uint64(2))
+	c.Assert(snapshotNames(v), qt.DeepEquals, []string{"b"})
+}
+
+// Revisions are ordered only within an era: after a restore, updates and confirmations of peers
+// that still have the old era must be ignored, and a peer with a newer era must be asked for the
+// full state, whatever the revisions.
+func TestPeersOfAnotherEra(t *testing.T) {
+	c := qt.New(t)
+	fresh := newTestView("a")
+	fresh.ApplySourceUpdate(start, start, Update{Era: 1, Full: true, Revision: 5, Targets: targets("a")})
+	change, ok := fresh.ApplyPeerUpdate(start, 0, Update{Base: 4, Revision: 90, Targets: targets("old")})
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(change.Stale, qt.IsTrue)
+	c.Assert(fresh.Confirm(start, Confirmation{Revision: 95, ContentRevision: 90}), qt.IsTrue)
+	c.Assert(fresh.Revision(), qt.Equals, uint64(5))
+
+	late := newTestView("a")
+	c.Assert(late.Confirm(start, fresh.Confirmation(start)), qt.IsFalse)
+	_, ok = late.ApplyPeerUpdate(start, 0, Update{Era: 1, Base: 5, Revision: 30, Targets: targets("b")})
+	c.Assert(ok, qt.IsFalse)
+	_, ok = late.ApplyPeerUpdate(start, 0, fresh.Snapshot())
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(late.Revision(), qt.Equals, uint64(5))
+}
+
+// A backup lists targets that have left since it was made. They must not get new requests, except
+// a target whose process renews its entry after the restore.
+func TestDepartedTargetsStayOutAfterRestore(t *testing.T) {
+	c := qt.New(t)
+	v := newTestView("left", "lapsed", "drained", "replaced")
+	now := start.Add(time.Second)
+	drained := table.Target{Name: "drained", Leaving: true}
+	v.ApplySourceUpdate(now, now, Update{Base: 10, Revision: 20, Targets: []table.Target{drained}, Removed: []string{"left", "lapsed", "replaced"}})
+	restored := targets("left", "lapsed", "drained", "replaced")
+	restored[3].StartTime = now // another process under the same name
+	v.ApplySourceUpdate(now, now, Update{Era: 1, Full: true, Revision: 12, Targets: restored})
+	leaving := func() []string {
+		var out []string
+		for _, t := range v.Snapshot().Targets {
+			if t.Leaving {
+				out = append(out, t.Name)
+			}
+		}
+		return out
+	}
+	c.Assert(leaving(), qt.DeepEquals, []string{"drained", "lapsed", "left"})
+	v.ApplySourceUpdate(now, now, Update{Era: 1, Base: 12, Revision: 14, Targets: targets("lapsed")})
+	c.Assert(leaving(), qt.DeepEquals, []string{"drained", "left"})
+}
