--- a/components.go
+++ b/components.go
@@ -112,6 +112,7 @@
 	m, err := h.Join(peer.Settings{
 		Domain:     a.settings.Domain,
 		Listen:     a.settings.PeerAddress,
+		Weight:     a.settings.Weight,
 		Seeds:      a.settings.SeedPeers,
 		Credential: a.settings.Credential,
 		Network:    a.network,
--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -82,17 +82,13 @@
 }
 
 const (
-	tieTolerance              = 0.02                   // fraction by which two costs may differ and still count as equal
-	sampleThreshold           = 64                     // number of targets of a pool above which only a sample of them is scored
-	sampleSize                = 16                     // number of targets in the sample
-	maxHostsFullScan          = 16                     // number of live hosts above which each host scores only a subset of the targets
-	choicesPerDomain          = 3                      // expected number of targets per failure domain in that subset
-	maxIntervalRatio          = 2.2                    // largest ratio of the expected time between tokens to that of a single stream, at tail weight 1
-	maxTurnGroups             = 3                      // largest number of groups into which competing hosts are divided for turns at a target
-	competeWithAllShareExcess = 0.1                    // share excess above which an organisation's requests compete with those of all others
-	minTurn                   = 100 * time.Millisecond // shortest turn
-	maxTurn                   = 300 * time.Millisecond // longest turn; a fraction of the time to first token that callers expect
-	stallMemoryDeviations     = 0.75                   // standard deviations added to options.memoryDeviations at stall weight 1
+	tieTolerance          = 0.02 // fraction by which two costs may differ and still count as equal
+	sampleThreshold       = 64   // number of targets of a pool above which only a sample of them is scored
+	sampleSize            = 16   // number of targets in the sample
+	maxHostsFullScan      = 16   // number of live hosts above which each host scores only a subset of the targets
+	choicesPerDomain      = 3    // expected number of targets per failure domain in that subset
+	maxIntervalRatio      = 2.2  // largest ratio of the expected time between tokens to that of a single stream, at tail weight 1
+	stallMemoryDeviations = 0.75 // standard deviations added to options.memoryDeviations at stall weight 1
 
 	plainFailureCost      = 12.0 // cost of a failure rate of 1, in requests in flight
 	plainOtherDomainCost  = 2.0  // cost of another failure domain, in requests in flight
@@ -116,7 +112,7 @@
 	if n == 0 {
 		return nil
 	}
-	if r.allHosts > maxHostsFullScan {
+	if r.allHosts > maxHostsFullScan && !r.coordinates {
 		if t := r.chooseFromSubset(q, shareExcess, tolerance, choicesPerDomain); t != nil {
 			return t
 		}
@@ -132,7 +128,6 @@
 	ts := q.pool.targets
 	n := len(ts)
 	demand := q.forecastDemand()
-	competing, rank := r.competingHosts(q.pool, shareExcess)
 	count, step := n, 1
 	if n > sampleThreshold {
 		count, step = sampleSize, coprimeStride(q.id, n)
@@ -151,7 +146,7 @@
 		if choices < n && r.hashFraction(q, index)*q.pool.targetsInDomain(t) >= float64(choices) {
 			continue
 		}
-		if q.runsAt(t) || slices.Contains(q.triedTargets, t) || !r.hasTurn(index, competing, rank) {
+		if q.runsAt(t) || slices.Contains(q.triedTargets, t) {
 			continue
 		}
 		score, ok := r.score(q, t, &demand, shareExcess)
@@ -239,62 +234,6 @@
 	return c.Interval.Seconds() <= limit*c.IdleInterval.Seconds() || total.Streams < 1
 }
 
-// competingHosts returns the number of hosts, this one included, that hold requests competing
-// for the pool's capacity with a request of an organisation with the given share excess, and this
-// host's rank among them. The number is limited to maxTurnGroups. An organisation whose share
-// excess is above competeWithAllShareExcess competes with all others; the other organisations
-// compete only with each other.
-func (r *Reducer) competingHosts(p *pool, shareExcess float64) (count, rank int) {
-	if p.plain || !r.options.hold {
-		return 1, 0
-	}
-	defer func() {
-		// If each of many hosts had a turn of its own, callers would wait too long.
-		count = min(count, maxTurnGroups)
-		rank %= count
-	}()
-	count = 1
-	for _, other := range r.peerList {
-		if !r.competes(other, p, shareExcess) {
-			continue
-		}
-		count++
-		if other.hostIndex < r.hostIndex {
-			rank++
-		}
-	}
-	return count, rank
-}
-
-// competes reports whether a peer holds a request for the pool that competes with a request of an
-// organisation with the given share excess.
-func (r *Reducer) competes(other *peer, p *pool, shareExcess float64) bool {
-	for i := range other.held {
-		if other.held[i].Pool != p.name {
-			continue
-		}
-		org := r.organisations[other.held[i].Organisation]
-		if shareExcess > competeWithAllShareExcess || org != nil && r.shareExcess(r.normalisedRate(org, p), other.held[i].BacklogAge, p) <= competeWithAllShareExcess {
-			return true
-		}
-	}
-	return false
-}
-
-// hasTurn reports whether this host may now dispatch to the target with the given index in the pool.
-// count is the number of competing hosts, and rank is this host's position among them from 0, in the
-// order of their host indexes; see competingHosts. The hosts take turns at each target. A turn
-// lasts about one report interval, which keeps two hosts from filling the same free capacity
-// before they see each other's dispatches. If clocks are skewed, or hosts disagree about which
-// hosts compete, turns overlap or leave gaps; nothing else is affected.
-func (r *Reducer) hasTurn(index, count, rank int) bool {
-	if count == 1 {
-		return true
-	}
-	slot := int(r.epoch.Add(r.now).UnixNano() / int64(r.turnDuration))
-	return (slot+index)%count == rank
-}
-
 // exceedsPrefillBurst reports whether a further prompt would raise the prompt tokens of this host
 // that wait for prefill on t above the limit. Several prompts computed in one step delay the
 // running streams of the target. The limit shrinks as the organisation's weight of tail latency
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -11,16 +11,18 @@
 	// An Effect is an action that the host must carry out.
 	Effect struct {
 		Kind       EffectKind
-		ID         ID
-		Target     string        // name of the target; Move, NoMove: of the one that runs the stream now
-		Priority   int           // Dispatch, Move: engine priority, lower first
-		Answer     answer.Kind   // Refuse: kind of the refusal sent to the caller
-		RetryAfter time.Duration // Refuse: delay after which the caller may retry
-		At         time.Time     // Timer: time of the Tick; Move: time by which the generation must be stopped at the old target
-		To         table.Target  // Dispatch, QueryLeaving: the listed entry of the target; Move: destination
-		ToBackup   bool          // Move: whether the destination is the stream's backup, which already holds a copy of its memory
-		Backup     table.Target  // Dispatch, Move: target to which the stream's memory is copied while it runs; an empty name means none
-		Basis      Basis         // Dispatch, Refuse, Move: state on which the decision was based
+		ID         ID                // Placed: on the host that asked
+		Target     string            // name of the target; Move, NoMove: of the one that runs the stream now
+		Priority   int               // Dispatch, Move: engine priority, lower first
+		Answer     answer.Kind       // Refuse: kind of the refusal sent to the caller
+		RetryAfter time.Duration     // Refuse: delay after which the caller may retry
+		At         time.Time         // Timer: time of the Tick; Move: time by which the generation must be stopped at the old target
+		To         table.Target      // Dispatch, QueryLeaving: the listed entry of the target; Move: destination
+		ToBackup   bool              // Move: whether the destination is the stream's backup, which already holds a copy of its memory
+		Backup     table.Target      // Dispatch, Move: target to which the stream's memory is copied while it runs; an empty name means none
+		Remote     string            // Placed, Move: host and incarnation of the request, if it is another host's; empty otherwise
+		Placement  *PlacementRequest // Place
+		Basis      Basis             // Dispatch, Refuse, Move: state on which the decision was based
 	}
 
 	// A Basis is the state on which a decision to dispatch, refuse or move a request was based.
@@ -50,9 +52,11 @@
 	EffectMove                           // move the running stream from the target to another one
 	EffectNoMove                         // the stream has broken off and has no usable backup to continue at
 	EffectQueryLeaving                   // ask the target whether it is leaving; its reply is passed to Reduce as a LeavingReply
+	EffectPlace                          // ask a coordinator for a target; its reply is passed to Reduce as Placed or PlacementFailed
+	EffectPlaced                         // tell another host the target of its request, or the refusal
 )
 
-var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay", "ask"}
+var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay", "ask", "place", "placed"}
 
 // String returns the name of the kind.
 func (k EffectKind) String() string { return effectNames[k] }
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -77,7 +77,7 @@
 
 // startMove starts to move a stream off its target if there is a destination for it: its backup, or
 // else the target with capacity at the lowest cost, up to moveCostTolerance. A move to the backup
-// needs no copy; neither maxConcurrentMoves nor the turns of competing hosts limit it.
+// needs no copy; maxConcurrentMoves does not limit it.
 func (r *Reducer) startMove(q *request) {
 	if t := q.backup.target; r.canRunAt(t) {
 		r.emitMove(q, t, true)
@@ -114,7 +114,7 @@
 // shouldMove reports whether q is a stream with at least one token that runs at a leaving target,
 // is not expected to end there in time, and may start another move.
 func (r *Reducer) shouldMove(q *request) bool {
-	return q.phase == phaseDispatched && !q.plain && q.target.leaving && q.tokens > 0 &&
+	return q.phase == phaseDispatched && !q.plain && q.target.leaving && !r.movesElsewhere(q) && q.tokens > 0 &&
 		q.moveReservation.target == nil && q.moveAttempts < maxMoveAttempts && !q.moveFailedFinally && q.disconnectedAt == 0 &&
 		r.remainingTime(q) >= time.Duration(finishInPlaceFraction*float64(q.target.leavingNoticeAt+minLeavingNotice-r.now))
 }
@@ -157,6 +157,10 @@
 	if q.nextBackup.target != nil {
 		e.Backup = q.nextBackup.target.spec
 	}
+	if q.remote != nil {
+		q.remote.orderedAt = r.now
+		e.Remote, e.ID = q.remote.origin, q.remote.id
+	}
 	r.emit(e)
 }
 
@@ -179,11 +183,19 @@
 	if q == nil || q.phase != phaseDispatched || q.moveReservation.target == nil {
 		return
 	}
-	from, to, next := q.target, q.moveReservation.target, q.nextBackup
+	to, next := q.moveReservation.target, q.nextBackup
 	q.nextBackup = reservation{}
 	r.endMove(q)
 	q.backup.release()
 	q.backup = next
+	r.changeTarget(q, to)
+	r.counts.Moved++
+	r.evacuate()
+}
+
+// changeTarget records that a stream runs at another target now.
+func (r *Reducer) changeTarget(q *request, to *targetState) {
+	from := q.target
 	from.localDemand.Sub(&q.demand)
 	from.running--
 	if from.running == 0 {
@@ -196,8 +208,6 @@
 	to.running++
 	r.updateDemand(q)
 	q.lastToken, q.moveAttempts = r.now, 0
-	r.counts.Moved++
-	r.evacuate()
 }
 
 // reduce ends the move and excludes its destination from further moves of the stream. It may start
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -145,9 +145,10 @@
 
 	// LiveHosts reports the numbers of live hosts and this host's index among them.
 	LiveHosts struct {
-		Hosts, HostIndex int           // live hosts of this failure domain, this one included, and this host's index among them
-		AllHosts         int           // live hosts of all failure domains; 0 means Hosts
-		ReportInterval   time.Duration // interval between reports of a host
+		Hosts, HostIndex int  // live hosts of this failure domain, this one included, and this host's index among them
+		AllHosts         int  // live hosts of all failure domains; 0 means Hosts
+		Delegated        bool // whether another host, the coordinator, places the requests of this host
+		Coordinates      bool // whether this host is the coordinator of its failure domain
 	}
 
 	// Tick advances the time: expired state is removed and held requests are tried again.
--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -107,10 +107,12 @@
 		t.breaker.recordFailure(r.now)
 	}
 	t.failureRate.record(1, r.now)
+	r.recordFailure(t, e.Answered)
 	if e.Rebooted {
 		clear(t.prefixes)
 	}
 	r.detach(q)
+	q.placement = placementNone
 	if e.Unsent {
 		q.unsentAttempts++
 	}
--- a/dispatch/organisation.go
+++ b/dispatch/organisation.go
@@ -49,7 +49,10 @@
 // over the live hosts of the failure domain; the remainder goes to the hosts with the lowest
 // indexes. The parts add up to the cap without coordination while all hosts have the same list of
 // live hosts.
-func (r *Reducer) localCap(limit int) int {
+func (r *Reducer) localCap(limit int, p *pool) int {
+	if r.coordinates && !p.plain {
+		return limit
+	}
 	n := limit / r.hosts
 	if r.hostIndex < limit%r.hosts {
 		n++
@@ -111,11 +114,11 @@
 // atInflightCap reports whether an organisation has as many requests in flight from this host as
 // its cap over all pools or its cap in the pool allows.
 func (r *Reducer) atInflightCap(org *organisation, p *pool) bool {
-	if c := org.spec.MaxInFlight; c > 0 && org.inflight >= r.localCap(c) {
+	if c := org.spec.MaxInFlight; c > 0 && org.inflight >= r.localCap(c, p) {
 		return true
 	}
 	c := r.limitOf(org, p).MaxInFlight
-	return c > 0 && p.queueOf(org).inflight >= r.localCap(c)
+	return c > 0 && p.queueOf(org).inflight >= r.localCap(c, p)
 }
 
 // weight returns the weight by which an organisation's share of a pool is determined: the one for
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wigeonlink/wigeonlink/forecast"
+	"github.com/wigeonlink/wigeonlink/table"
 )
 
 // peer holds the latest report of another host of this failure domain.
@@ -92,13 +93,16 @@
 	now := max(r.now, r.sinceEpoch(at))
 	report := PeerReport{HostIndex: r.hostIndex, Accounts: r.ledger.Report(now)}
 	for name, t := range r.targets {
+		if r.delegated && t.spec.Kind != table.TargetService {
+			continue // the coordinator reports the demand of the hosts' streams
+		}
 		if t.running > 0 || t.reserved.MeanMemory[0] > negligibleTokens {
 			report.Demands = append(report.Demands, TargetDemand{name, t.localDemand, t.reserved.MeanMemory[0]})
 		}
 	}
 	for _, p := range r.poolList {
 		for _, queue := range p.queues {
-			if len(queue.held) > 0 && !r.atInflightCap(queue.organisation, p) {
+			if len(queue.held) > 0 && !r.delegates(p) && !r.atInflightCap(queue.organisation, p) {
 				report.HeldCounts = append(report.HeldCounts, HeldCount{queue.organisation.spec.Name, p.name, len(queue.held), r.now - queue.lastEmpty})
 			}
 		}
@@ -106,10 +110,9 @@
 	return report
 }
 
-// reduce replaces the numbers of live hosts, and derives the duration of a turn (see hasTurn) from
-// the report interval.
+// reduce replaces the numbers of live hosts and the role of this host.
 func (e LiveHosts) reduce(r *Reducer) {
 	r.hosts, r.hostIndex = max(e.Hosts, 1), e.HostIndex
+	r.delegated, r.coordinates = e.Delegated, e.Coordinates
 	r.allHosts = max(e.AllHosts, r.hosts)
-	r.turnDuration = min(max(e.ReportInterval, minTurn), maxTurn)
 }
--- /dev/null
+++ b/dispatch/placement.go
@@ -0,0 +1,197 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wigeonlink/wigeonlink/answer"
+)
+
+// In a failure domain with several hosts, one of them, the coordinator, places the requests of all:
+// each host alone sees a fraction of the load, and what hosts tell each other is old when it
+// arrives, so that several fill the same free memory, or leave it unused. This file is the part of
+// the host that asks; coordinator.go is that of the host that answers.
+
+type (
+	// Placed is a coordinator's reply to an EffectPlace.
+	Placed struct {
+		ID         ID
+		Target     string        // empty if the request is refused
+		Refusal    answer.Kind   // KindNone if there is a target
+		RetryAfter time.Duration // of a refusal
+	}
+
+	// PlacementFailed reports that no coordinator has replied to an EffectPlace. The host places
+	// the request itself.
+	PlacementFailed struct{ ID ID }
+
+	// MoveOrder is a coordinator's order to move a stream of this host to another target.
+	MoveOrder struct {
+		ID       ID
+		From, To string // names of the targets
+	}
+
+	// A PlacementRequest asks a coordinator for the target of a request.
+	PlacementRequest struct {
+		Origin            string // host and incarnation that ask
+		ID                ID     // of the request on that host
+		Organisation      string
+		Pool              string
+		Route             string
+		PromptTokens      int
+		PrefixHash        uint64
+		PrefixTokens      int
+		MaxOutputTokens   int
+		KnownOutputTokens int
+		Excluded          []string      // names of targets that are not to be chosen
+		Remaining         time.Duration // time in which the request must be dispatched
+		Waited            time.Duration // time since the request arrived
+		Attempt           int           // number of the dispatch, from 1
+	}
+
+	// StreamState describes a running stream of a host to its coordinators.
+	StreamState struct {
+		ID                        ID
+		Organisation, Pool, Route string
+		Target                    string
+		PromptTokens, Tokens      int // prompt, and output delivered so far
+		MaxOutput, KnownOutput    int // 0 means none and unknown
+		Moving                    bool
+	}
+
+	// TargetFailures counts attempts at a target that failed.
+	TargetFailures struct {
+		Target      string
+		Unreachable int // without an answer of the target
+		Answered    int // with an error of the target
+	}
+)
+
+// delegates reports whether a coordinator places the requests for a pool.
+func (r *Reducer) delegates(p *pool) bool { return r.delegated && r.options.hold && !p.plain }
+
+// askForHeld emits EffectPlace for the held requests of a pool that a coordinator is to place and
+// that are not in backoff.
+func (r *Reducer) askForHeld(p *pool) {
+	for _, queue := range p.queues {
+		for _, q := range queue.held {
+			switch {
+			case q.placement != placementNone || q.remote != nil:
+			case q.notBefore > r.now:
+				r.wakeBy(q.notBefore)
+			default:
+				q.placement = placementAsked
+				r.emit(Effect{Kind: EffectPlace, ID: q.id, Placement: r.placementRequest(q)})
+			}
+		}
+	}
+}
+
+// placementRequest returns the question about a held request. Targets that this host cannot reach
+// are excluded, whatever the coordinator believes of them.
+func (r *Reducer) placementRequest(q *request) *PlacementRequest {
+	a := &PlacementRequest{
+		Origin: r.options.origin, ID: q.id, Organisation: q.organisation.spec.Name, Pool: q.pool.name, Route: q.lengthKey.Route,
+		PromptTokens: q.prompt, PrefixHash: q.prefix, PrefixTokens: q.prefixTokens, MaxOutputTokens: q.maxOutput, KnownOutputTokens: q.knownOutput,
+		Remaining: q.holdDeadline - r.now, Waited: r.now - q.arrived, Attempt: q.attempts + 1,
+	}
+	for _, t := range q.triedTargets {
+		a.Excluded = append(a.Excluded, t.spec.Name)
+	}
+	for _, t := range q.pool.targets {
+		if !t.breaker.allows(r.now) && !slices.Contains(a.Excluded, t.spec.Name) {
+			a.Excluded = append(a.Excluded, t.spec.Name)
+		}
+	}
+	return a
+}
+
+// reduce dispatches the request to the target that the coordinator chose, or refuses it. A target
+// that this host does not list, or knows to be leaving, is excluded and the coordinator asked again.
+func (e Placed) reduce(r *Reducer) {
+	q := r.requests[e.ID]
+	if q == nil || q.phase != phaseHeld || q.placement != placementAsked {
+		return
+	}
+	q.placement = placementNone
+	if e.Refusal != answer.KindNone {
+		r.dequeue(q)
+		r.refuse(q, e.Refusal, e.RetryAfter)
+		return
+	}
+	t := r.targets[e.Target]
+	if t == nil || !t.acceptsWork(r.now, 0) || slices.Contains(q.triedTargets, t) {
+		if t != nil {
+			q.triedTargets = append(q.triedTargets, t)
+		}
+		q.notBefore = r.now + placementRetryInterval
+		r.wakeBy(q.notBefore)
+		return
+	}
+	q.placement = placementRemote
+	r.basis = r.newBasis(q)
+	r.dispatch(q, t)
+}
+
+// reduce makes this host place the request.
+func (e PlacementFailed) reduce(r *Reducer) {
+	q := r.requests[e.ID]
+	if q == nil || q.phase != phaseHeld || q.placement != placementAsked {
+		return
+	}
+	q.placement = placementLocal
+	r.dispatchHeld(q.pool)
+}
+
+// reduce starts the move, unless the stream runs elsewhere by now or is being moved.
+func (e MoveOrder) reduce(r *Reducer) {
+	q, t := r.requests[e.ID], r.targets[e.To]
+	if q == nil || q.phase != phaseDispatched || q.target.spec.Name != e.From || q.moveReservation.target != nil || !r.canRunAt(t) {
+		return
+	}
+	if !q.target.leaving {
+		q.target.setLeaving(true, r.now)
+	}
+	r.emitMove(q, t, false)
+}
+
+// movesElsewhere reports whether a coordinator decides about the moves of q.
+func (r *Reducer) movesElsewhere(q *request) bool {
+	return r.delegated && q.placement == placementRemote
+}
+
+// RunningStreams returns the streams of this host that a coordinator has placed, and the failed
+// attempts since the previous call.
+func (r *Reducer) RunningStreams() ([]StreamState, []TargetFailures) {
+	var out []StreamState
+	for _, q := range r.requests {
+		if q.phase != phaseDispatched || q.plain || q.remote != nil {
+			continue
+		}
+		out = append(out, StreamState{
+			ID: q.id, Organisation: q.organisation.spec.Name, Pool: q.pool.name, Route: q.lengthKey.Route, Target: q.target.spec.Name,
+			PromptTokens: q.prompt, Tokens: q.tokens, MaxOutput: q.maxOutput, KnownOutput: q.knownOutput,
+			Moving: q.moveReservation.target != nil,
+		})
+	}
+	failures := r.failures
+	r.failures = nil
+	return out, failures
+}
+
+// recordFailure counts a failed attempt for the next report to the coordinators.
+func (r *Reducer) recordFailure(t *targetState, answered bool) {
+	if !r.delegated {
+		return
+	}
+	i := slices.IndexFunc(r.failures, func(f TargetFailures) bool { return f.Target == t.spec.Name })
+	if i < 0 {
+		i = len(r.failures)
+		r.failures = append(r.failures, TargetFailures{Target: t.spec.Name})
+	}
+	if answered {
+		r.failures[i].Answered++
+	} else {
+		r.failures[i].Unreachable++
+	}
+}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -75,6 +75,9 @@
 	if p.held == 0 {
 		return
 	}
+	if r.delegates(p) {
+		r.askForHeld(p)
+	}
 	r.sortQueues(p)
 	bypassed := 0
 	for len(p.queueOrder) > 0 && bypassed < maxBypassedOrganisations {
@@ -121,10 +124,13 @@
 	}
 }
 
-// nextReady returns the first request of a queue that is not in retry backoff, or nil. It requests
-// a Tick for the end of the backoffs that it passes.
+// nextReady returns the first request of a queue that is not in retry backoff and that this host
+// places, or nil. It requests a Tick for the end of the backoffs that it passes.
 func (r *Reducer) nextReady(queue *organisationQueue) *request {
 	for _, q := range queue.held {
+		if q.placement == placementAsked || q.placement == placementNone && q.remote == nil && r.delegates(q.pool) {
+			continue
+		}
 		if q.notBefore <= r.now {
 			return q
 		}
@@ -207,6 +213,11 @@
 	}
 	t.breaker.recordAttempt(r.now)
 	r.assign(q, t)
+	if q.remote != nil {
+		r.basis = basis
+		r.emitPlaced(q)
+		return
+	}
 	r.chooseBackup(q, &q.backup, t)
 	e := Effect{Kind: EffectDispatch, ID: q.id, Target: t.spec.Name, To: t.spec, Priority: r.priority(q), Basis: basis}
 	if q.backup.target != nil {
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -29,13 +29,17 @@
 	peerList         []*peer                 // in order of their first report
 	disconnected     []ID                    // dispatched requests whose caller disconnected, in that order
 	leavingTargets   map[string]bool         // latest LeavingTargets event
+	remoteHosts      map[string]*remoteHost  // hosts whose streams this host records, by origin
+	lastRemoteID     uint64                  // number in the ID of the latest request of another host
+	delegated        bool                    // whether a coordinator places the requests of this host
+	coordinates      bool                    // whether this host places the requests of its failure domain
+	failures         []TargetFailures        // failed attempts since the latest RunningStreams
 	fleet            Fleet                   // latest Fleet event
 	basis            Basis                   // basis of the decision in progress; set by chooseFromSubset
 	salt             uint64                  // hash of the origin; makes pseudo-random choices of different hosts differ
 	allHosts         int                     // live hosts of all failure domains
 	hosts            int                     // live hosts of this failure domain
 	hostIndex        int                     // index of this host among the live hosts of this failure domain
-	turnDuration     time.Duration           // duration of a host's turn at a target; see hasTurn
 	ledger           *share.Ledger
 	lengths          *length.Predictor
 	stopping         bool          // whether a Stop event has arrived
@@ -87,9 +91,9 @@
 		retired:       map[string]*targetState{},
 		requests:      map[ID]*request{},
 		peers:         map[string]*peer{},
+		remoteHosts:   map[string]*remoteHost{},
 		hosts:         1,
 		allHosts:      1,
-		turnDuration:  minTurn,
 	}
 	for _, o := range opts {
 		o.apply(&r.options)
@@ -238,6 +242,14 @@
 	if !e.Until.IsZero() {
 		r.stopDeadline = r.sinceEpoch(e.Until)
 	}
+	for _, o := range r.remoteHosts {
+		for _, q := range o.requests {
+			if q.phase == phaseHeld { // another coordinator takes over
+				r.dequeue(q)
+				r.refuse(q, answer.KindStopping, stoppingRetryAfter)
+			}
+		}
+	}
 }
 
 // endsBeforeStop reports whether a new request is sure to end before the host stops. Load
@@ -260,6 +272,7 @@
 // streams off leaving targets and dispatches held requests.
 func (e Tick) reduce(r *Reducer) {
 	r.expirePeers()
+	r.expireRemote()
 	r.ledger.Expire(r.now)
 	r.expireHeld()
 	r.cancelDisconnected()
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/wigeonlink/wigeonlink/answer"
@@ -21,6 +22,8 @@
 		nonIdempotent bool
 		plain         bool
 		attached      bool // whether the generation was started through another host and is resumed here
+		placement     placement
+		remote        *remoteState // nil for a request of this host
 
 		prompt, prefixTokens, maxOutput, knownOutput int           // in tokens; a maxOutput of 0 means no limit, a knownOutput of 0 unknown
 		prefix                                       uint64        // hash of the shareable prefix; 0 means none
@@ -185,7 +188,29 @@
 		t.pendingPrefill += q.pendingPrefill
 		t.recordPrefix(q.prefix, r.now)
 	}
-	r.ledger.Charge(q.organisation.spec.Name, q.pool.name, promptTokenCost*float64(q.prompt), r.now)
+	r.charge(q, promptTokenCost*float64(q.prompt))
+}
+
+// charge charges service units to q's organisation.
+func (r *Reducer) charge(q *request, units float64) {
+	if r.accountsFor(q) {
+		r.ledger.Charge(q.organisation.spec.Name, q.pool.name, units, r.now)
+	}
+}
+
+// setServiceRate sets q's part of its organisation's current rate in the ledger.
+func (r *Reducer) setServiceRate(q *request, rate float64) {
+	if !r.accountsFor(q) {
+		rate = 0
+	}
+	r.ledger.AddRate(q.organisation.spec.Name, q.pool.name, rate-q.serviceUnitRate, r.now)
+	q.serviceUnitRate = rate
+}
+
+// accountsFor reports whether this host's ledger holds the use of q: the coordinator accounts for
+// the streams that it has placed, and a host that stands by for none of another host.
+func (r *Reducer) accountsFor(q *request) bool {
+	return q.placement != placementRemote && (q.remote == nil || r.coordinates)
 }
 
 // updateDemand recomputes q's part of its target's demand and of its organisation's current rate in
@@ -196,9 +221,7 @@
 	q.demandTokens = q.tokens
 	q.target.localDemand.Add(&q.demand)
 	q.target.invalidateTotalDemand()
-	rate := q.serviceRate()
-	r.ledger.AddRate(q.organisation.spec.Name, q.pool.name, rate-q.serviceUnitRate, r.now)
-	q.serviceUnitRate = rate
+	r.setServiceRate(q, q.serviceRate())
 }
 
 // detach removes q from its target and ends its move, if one is in progress. The function that
@@ -217,14 +240,21 @@
 	q.organisation.inflight--
 	q.pool.inflight--
 	q.pool.queueOf(q.organisation).inflight--
-	r.ledger.AddRate(q.organisation.spec.Name, q.pool.name, -q.serviceUnitRate, r.now)
-	q.demand, q.serviceUnitRate, q.pendingPrefill, q.target = forecast.Demand{}, 0, 0, nil
+	r.setServiceRate(q, 0)
+	q.demand, q.pendingPrefill, q.target = forecast.Demand{}, 0, nil
 }
 
 // refuse ends a request that is neither held nor dispatched any more: it emits the refusal, unless
 // kind is KindNone, and removes the request. A zero retry stands for the default retry delay of
 // kind.
 func (r *Reducer) refuse(q *request, kind answer.Kind, retry time.Duration) {
+	if q.remote != nil {
+		if kind != answer.KindNone {
+			r.emit(Effect{Kind: EffectPlaced, Remote: q.remote.origin, ID: q.remote.id, Answer: kind, RetryAfter: cmp.Or(retry, kind.Properties().RetryDelay)})
+		}
+		r.forget(q)
+		return
+	}
 	if kind != answer.KindNone {
 		r.counts.Refused++
 		q.organisation.refused++
@@ -248,7 +278,7 @@
 	r.counts.Ended++
 	r.chargeTokens(q, max(e.Usage.Output, q.tokens))
 	if e.Usage.Cached > 0 {
-		r.ledger.Charge(q.organisation.spec.Name, q.pool.name, -promptTokenCost*float64(min(e.Usage.Cached, q.prompt)), r.now)
+		r.charge(q, -promptTokenCost*float64(min(e.Usage.Cached, q.prompt)))
 	}
 	if !q.plain {
 		r.recordUsage(q, e.Usage)
@@ -282,8 +312,10 @@
 	}
 	cost := float64(added) * tokenCost(q.prompt+q.tokens+added/2)
 	q.tokens = tokens
-	q.organisation.tokens += added
-	r.ledger.Charge(q.organisation.spec.Name, q.pool.name, cost, r.now)
+	if q.remote == nil {
+		q.organisation.tokens += added
+	}
+	r.charge(q, cost)
 }
 
 // reduce records the attached generation as running at its target. The event is ignored if its
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -44,6 +44,9 @@
 	RequestMoved      Number = 212
 	MoveFailed        Number = 213
 	MoveAsked         Number = 214
+	RequestPlaced     Number = 215
+	PlacementDecided  Number = 216
+	PlacementLost     Number = 217
 
 	TargetLost     Number = 301
 	TargetReturned Number = 302
@@ -61,10 +64,11 @@
 	TargetTold     Number = 409
 	SourceRestored Number = 410
 
-	PeerUp       Number = 501
-	PeerDown     Number = 502
-	PeerRefused  Number = 503
-	PeerReplaced Number = 504
+	PeerUp              Number = 501
+	PeerDown            Number = 502
+	PeerRefused         Number = 503
+	PeerReplaced        Number = 504
+	CoordinatorsChanged Number = 505
 
 	TicketIssued   Number = 601
 	TicketExecuted Number = 602
@@ -102,6 +106,9 @@
 	{RequestMoved, "request moved", hclog.Info, "A running stream continues at another target from a copy of its KV cache."},
 	{MoveFailed, "move failed", hclog.Warn, "A running stream could not be moved to another target."},
 	{MoveAsked, "move asked", hclog.Info, "A stream's target is about to stop; a move of the stream to another target was requested."},
+	{RequestPlaced, "request placed", hclog.Debug, "The coordinator answered with a target for a request, or refused it."},
+	{PlacementDecided, "placement decided", hclog.Debug, "This host, as coordinator, chose a target for another host's request, or refused it."},
+	{PlacementLost, "placement lost", hclog.Warn, "No coordinator answered; this host places the request itself."},
 	{TargetLost, "target lost", hclog.Warn, "A target no longer responds to load queries."},
 	{TargetReturned, "target returned", hclog.Info, "A target responds to load queries again, or is no longer leaving."},
 	{TargetRebooted, "target rebooted", hclog.Warn, "A target's boot identifier has changed; its generations are lost."},
@@ -120,6 +127,7 @@
 	{PeerDown, "peer down", hclog.Warn, "A peer is no longer live."},
 	{PeerRefused, "peer refused", hclog.Warn, "A message or connection from a peer was rejected."},
 	{PeerReplaced, "peer replaced", hclog.Info, "A connection to a peer was lost and is dialed again."},
+	{CoordinatorsChanged, "coordinators changed", hclog.Info, "Other hosts place the requests of this failure domain, or stand by to do so."},
 	{TicketIssued, "ticket issued", hclog.Debug, "A ticket for one call was issued."},
 	{TicketExecuted, "ticket executed", hclog.Debug, "The call of a ticket was sent."},
 	{TicketBurnt, "ticket burnt", hclog.Debug, "An unused ticket was revoked; its call can no longer run."},
--- a/host/host.go
+++ b/host/host.go
@@ -47,14 +47,17 @@
 		lastTick        time.Time         // time of the last tick, on the monotonic clock
 		services        adapterCache[target.Service]
 		tickets         *ticket.Ledger
-		mesh            *peer.Mesh       // nil for a host without peers
-		syncer          *registry.Syncer // nil for a host that watches a published table
-		hasTargets      atomic.Bool      // whether the syncer has passed on a list of targets
-		fetching        atomic.Bool      // whether a fetch of the table or the published state from a peer is in progress
-		sharingDisabled bool             // updates of the published state are neither sent to peers nor accepted from them
-		lastWallClock   time.Time        // wall clock time of the last tick
-		tableCache      tableCache       // newest published table, for peers
-		statusQuerier   StatusQuerier    // nil if targets cannot be queried
+		mesh            *peer.Mesh                        // nil for a host without peers
+		syncer          *registry.Syncer                  // nil for a host that watches a published table
+		hasTargets      atomic.Bool                       // whether the syncer has passed on a list of targets
+		fetching        atomic.Bool                       // whether a fetch of the table or the published state from a peer is in progress
+		sharingDisabled bool                              // updates of the published state are neither sent to peers nor accepted from them
+		lastWallClock   time.Time                         // wall clock time of the last tick
+		forwarded       atomic.Pointer[publishedRevision] // of the latest update that was passed on to hosts of the domain; nil if none
+		placements      placements
+		suspects        suspects
+		tableCache      tableCache    // newest published table, for peers
+		statusQuerier   StatusQuerier // nil if targets cannot be queried
 	}
 
 	// An Observer records metrics. The host calls Effect on the event loop for each effect of
@@ -375,6 +378,10 @@
 		go h.queryLeaving(f.To)
 		return
 	}
+	if f.Remote != "" {
+		h.performRemote(f)
+		return
+	}
 	r := h.requests[f.ID]
 	if r == nil {
 		return
@@ -387,6 +394,8 @@
 			Values: append(h.basisValues(f.Basis), "backup", f.Backup.Name),
 		})
 		r.deliver(f)
+	case dispatch.EffectPlace:
+		go h.place(f.Placement, r.Name)
 	case dispatch.EffectRefuse:
 		delete(h.requests, f.ID)
 		h.log.Emit(event.RequestRefused, event.Fields{
@@ -411,6 +420,17 @@
 	}
 }
 
+// performRemote performs an effect for a request of another host.
+func (h *Host) performRemote(f dispatch.Effect) {
+	switch f.Kind {
+	case dispatch.EffectPlaced:
+		h.logPlacement(f)
+		h.placements.deliver(f)
+	case dispatch.EffectMove:
+		h.orderMove(f)
+	}
+}
+
 // basisValues returns the inputs of a decision of the reducer, and the age of the list of targets,
 // as key-value pairs for the event log.
 func (h *Host) basisValues(b dispatch.Basis) []any {
--- a/host/mesh.go
+++ b/host/mesh.go
@@ -18,7 +18,6 @@
 	"github.com/wigeonlink/wigeonlink/peer"
 	"github.com/wigeonlink/wigeonlink/publication"
 	"github.com/wigeonlink/wigeonlink/share"
-	"github.com/wigeonlink/wigeonlink/table"
 	"github.com/wigeonlink/wigeonlink/wire"
 )
 
@@ -36,10 +35,6 @@
 )
 
 const (
-	// tableWatchersPerDomain is the number of hosts of a failure domain that watch the published
-	// table. The other hosts fetch it from peers.
-	tableWatchersPerDomain = 2
-
 	tableFetchTimeout = 5 * time.Second
 	reportTTL         = 2 * time.Second // age at which receivers discard a report of soft state
 )
@@ -63,27 +58,14 @@
 	return h.mesh.Live()
 }
 
-// WatchesTable reports whether this host is one of the tableWatchersPerDomain hosts of its failure
-// domain that watch the published table. These are the live hosts with the lowest hashes of their
-// names; a host without live peers is always one of them.
-func (h *Host) WatchesTable() bool {
-	if h.mesh == nil {
-		return true
-	}
-	before := 0
-	own := table.HashName(h.name)
-	for _, p := range h.mesh.Live() {
-		if p.Domain == h.domain && !p.Stopping && table.HashName(p.Host) < own {
-			before++
-		}
-	}
-	return before < tableWatchersPerDomain
-}
+// WatchesTable reports whether this host is one of the coordinators of its failure domain, which
+// watch the published table. A host without live peers is always one of them.
+func (h *Host) WatchesTable() bool { return h.mesh == nil || h.mesh.Coordinates() }
 
 // FillHeartbeat sets the fields of a heartbeat that describe the host's state: whether it is stopping,
 // the version of its published table, and its registry.Confirmation.
 func (h peerHandler) FillHeartbeat(hb *wire.Heartbeat) {
-	hb.Stopping = h.stopping.Load()
+	hb.Stopping = h.Draining()
 	if t := h.Table(); t != nil && h.syncer == nil {
 		hb.Table = t.Version
 	}
@@ -157,9 +139,16 @@
 // HandleReport passes a peer's report of soft state to the reducer, or applies its broadcast of an
 // update of the published state.
 func (h peerHandler) HandleReport(r *wire.Report) {
-	if r.News != nil {
+	switch {
+	case r.News != nil:
 		h.handleBroadcastUpdate(r)
 		return
+	case r.Streams != nil:
+		h.handleStreams(r)
+		return
+	case len(r.Orders) > 0:
+		h.handleOrders(r)
+		return
 	}
 	in := dispatch.PeerReport{Origin: r.Host + "/" + r.Incarnation, Sequence: r.Sequence, HostIndex: int(r.Place)}
 	for _, a := range r.Accounts {
@@ -185,6 +174,7 @@
 // a delta to a revision that this host does not have, it fetches the full state from the peer.
 func (h peerHandler) handleBroadcastUpdate(r *wire.Report) {
 	if h.applyPeerUpdate(r.Host, r.News, 0) {
+		h.forwardUpdate(r)
 		return
 	}
 	for _, p := range h.livePeers() {
@@ -215,12 +205,15 @@
 // them, to the reducer. With a Syncer it also updates the host's rank among the hosts that read the
 // source; otherwise it fetches the table of a peer that has a newer one.
 func (h peerHandler) HandlePeerChange() {
-	count, position := h.mesh.CapSplit()
-	rank, all := h.mesh.Rank()
-	h.Post(dispatch.LiveHosts{Hosts: count, HostIndex: position, AllHosts: all, ReportInterval: h.mesh.ReportInterval()})
+	share, directory := h.mesh.Share(), h.mesh.Directory()
+	coordinators := h.mesh.Coordinators()
+	h.Post(dispatch.LiveHosts{
+		Hosts: share.Hosts, HostIndex: share.Index, AllHosts: share.AllHosts,
+		Delegated: len(coordinators) > 0, Coordinates: len(coordinators) == 0,
+	})
 	if h.syncer != nil {
 		if h.sharesUpdates() {
-			h.syncer.SetRank(rank)
+			h.syncer.SetRank(directory.ReaderRank(h.domain, h.name))
 		}
 		return
 	}
@@ -296,6 +289,8 @@
 // ticket, or with ticket records to be stored.
 func (h peerHandler) Answer(ctx context.Context, q *wire.Question) *wire.Answer {
 	switch {
+	case q.Place != nil:
+		return &wire.Answer{Placed: h.answerPlace(ctx, q.Place)}
 	case q.News && h.syncer != nil:
 		r, age := h.syncer.Snapshot()
 		return &wire.Answer{News: updateToWire(r, age)}
--- a/host/registry.go
+++ b/host/registry.go
@@ -13,8 +13,13 @@
 	"github.com/wigeonlink/wigeonlink/wire"
 )
 
-// registryHandler implements registry.Handler for a host.
-type registryHandler struct{ *Host }
+type (
+	// registryHandler implements registry.Handler for a host.
+	registryHandler struct{ *Host }
+
+	// publishedRevision is a revision of the published state.
+	publishedRevision struct{ era, revision uint64 }
+)
 
 // stateFetchTimeout is the timeout for fetching the full published state from a peer.
 const stateFetchTimeout = time.Second
@@ -52,6 +57,15 @@
 	}
 }
 
+// forwardUpdate passes a peer's update on to the hosts that are connected with their coordinators
+// only, if this host is the first coordinator of its failure domain and the update is new.
+func (h *Host) forwardUpdate(r *wire.Report) {
+	at := publishedRevision{r.News.Era, r.News.Revision}
+	if last := h.forwarded.Swap(&at); h.sharesUpdates() && (last == nil || *last != at) {
+		go h.mesh.Forward(context.Background(), &wire.Report{News: r.News})
+	}
+}
+
 // BroadcastConfirmation sends a heartbeat, which carries the Syncer's Confirmation, to all peers in
 // the background.
 func (h registryHandler) BroadcastConfirmation() {
--- a/host/request.go
+++ b/host/request.go
@@ -121,6 +121,7 @@
 			ID: r.ID, Certainty: result.Certainty, Delivered: result.DeliveredTokens > 0, Rebooted: result.Rebooted,
 			Unsent: result.Unsent, Answered: result.TargetFailed,
 		})
+		r.reportStreams()
 		return true
 	case relay.EndSuperseded, relay.EndHandedOver:
 		r.host.log.Emit(event.RequestSuperseded, fields)
@@ -143,6 +144,14 @@
 func (r *Request) finish(e dispatch.Event) {
 	r.host.Post(e)
 	r.host.send(message{query: func(*dispatch.Reducer) { delete(r.host.requests, r.ID) }})
+	r.reportStreams()
+}
+
+// reportStreams tells the coordinators soon that a stream has ended or runs elsewhere.
+func (r *Request) reportStreams() {
+	if r.host.mesh != nil && !r.Submit.Plain {
+		r.host.mesh.ReportStreams()
+	}
 }
 
 // CancelGeneration cancels the generation with the given identifier at its target. It does not use
@@ -172,6 +181,7 @@
 func (r *Request) MoveSucceeded() {
 	r.host.send(message{query: func(*dispatch.Reducer) { r.target = r.moveTarget }})
 	r.host.Post(dispatch.MoveSucceeded{ID: r.ID})
+	r.reportStreams()
 }
 
 // StreamBroken reports to the reducer that the target's stream ended before it was complete. The
@@ -182,6 +192,7 @@
 // because the generation has ended or its target is lost.
 func (r *Request) MoveFailed(final bool) {
 	r.host.Post(dispatch.MoveFailed{ID: r.ID, Final: final})
+	r.reportStreams()
 }
 
 // SetCancel sets the function that stops the relay. It is called when the reducer cancels the
--- /dev/null
+++ b/peer/link.go
@@ -0,0 +1,261 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/pause"
+)
+
+type (
+	// A link holds the connection with the peer at one address. Both hosts use the connection to
+	// send, whichever of them dialled it.
+	link struct {
+		address       netip.AddrPort
+		conn          atomic.Pointer[quic.Conn] // nil while not connected
+		dialled       atomic.Pointer[quic.Conn] // the latest connection that this host dialled
+		cancel        context.CancelFunc        // stops dialling; nil if this host does not dial
+		seed          bool                      // never removed, however long it has no connection
+		unwantedSince time.Time                 // time since when the peer is no partner; zero if it is one
+		lastHeartbeat atomic.Int64              // time of the last heartbeat sent, in nanoseconds since Mesh.started
+	}
+)
+
+const (
+	// fullMeshHosts is the number of live hosts up to which all are connected with each other.
+	fullMeshHosts = 12
+
+	// unwantedTime is the time for which a connection to a host that is no longer a partner is
+	// kept. Directories change several times while many hosts start.
+	unwantedTime = 5 * time.Second
+)
+
+// Join creates links to the given addresses, such as seeds from changed settings. They are dialled
+// for as long as this host has no coordinator, and by coordinators always.
+func (m *Mesh) Join(ctx context.Context, addresses []netip.AddrPort) {
+	m.mu.Lock()
+	for _, a := range addresses {
+		if !slices.Contains(m.seeds, a) {
+			m.seeds = append(m.seeds, a)
+		}
+	}
+	m.mu.Unlock()
+	for _, a := range addresses {
+		m.dial(ctx, a, true)
+	}
+}
+
+// dial makes this host dial an address, unless it does so already, the address is its own or the
+// mesh has maxLinks. A link that is not one to a seed is removed after linkExpiry without a
+// connection, because a failed host is replaced by one at another address. The address of a host
+// that was only unreachable arrives again in the heartbeats of other peers.
+func (m *Mesh) dial(ctx context.Context, a netip.AddrPort, seed bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if a == m.address || !a.IsValid() {
+		return
+	}
+	l := m.links[a]
+	if l == nil {
+		if len(m.links) >= maxLinks {
+			return
+		}
+		l = &link{address: a}
+		m.links[a] = l
+	}
+	l.seed = l.seed || seed
+	l.unwantedSince = time.Time{}
+	if l.cancel == nil {
+		var linkCtx context.Context
+		linkCtx, l.cancel = context.WithCancel(ctx)
+		go m.maintainLink(linkCtx, l)
+	}
+}
+
+// adopt uses a connection that the peer at an address has dialled, unless there is one with that
+// peer.
+func (m *Mesh) adopt(a netip.AddrPort, conn *quic.Conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := m.links[a]
+	if l == nil {
+		if len(m.links) >= maxLinks {
+			return
+		}
+		l = &link{address: a}
+		m.links[a] = l
+	}
+	if !l.conn.CompareAndSwap(nil, conn) {
+		return
+	}
+	context.AfterFunc(conn.Context(), func() { m.dropConnection(l, conn) })
+}
+
+// dropConnection forgets a closed connection. It removes the link if this host does not dial.
+func (m *Mesh) dropConnection(l *link, conn *quic.Conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if l.conn.CompareAndSwap(conn, nil) && l.cancel == nil {
+		delete(m.links, l.address)
+	}
+}
+
+// maintainLink dials the address of a link whenever it has no connection, until the link is
+// removed or ctx is done. If the peer is unreachable, the idle timeout closes the connection.
+func (m *Mesh) maintainLink(ctx context.Context, l *link) {
+	for lastConnected := time.Now(); ctx.Err() == nil && !m.removeIfExpired(l, lastConnected); {
+		if conn := m.connectionOf(ctx, l); conn != nil {
+			m.sendHeartbeat(l)
+			select {
+			case <-conn.Context().Done():
+				m.log.Emit(event.PeerReplaced, event.Fields{Peer: l.address.String()})
+			case <-ctx.Done():
+				if conn == l.dialled.Load() {
+					_ = conn.CloseWithError(0, "not needed")
+				}
+				return
+			}
+			l.conn.CompareAndSwap(conn, nil)
+			lastConnected = time.Now()
+		}
+		pause.For(ctx, redialDelay)
+	}
+}
+
+// connectionOf returns the link's connection, and dials if there is none. It returns nil if
+// dialling failed.
+func (m *Mesh) connectionOf(ctx context.Context, l *link) *quic.Conn {
+	if conn := l.conn.Load(); conn != nil {
+		return conn
+	}
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := m.transport.Dial(dialCtx, net.UDPAddrFromAddrPort(l.address), m.config, quicConfig)
+	if err != nil {
+		return nil
+	}
+	l.dialled.Store(conn)
+	m.serve(ctx, conn)
+	if !l.conn.CompareAndSwap(nil, conn) {
+		// The peer has dialled at the same time. Its connection is used by this host, and the
+		// one dialled here by the peer.
+		return l.conn.Load()
+	}
+	return conn
+}
+
+// removeIfExpired removes a link that is not one to a seed and had its last connection at least
+// linkExpiry ago. It reports whether it removed the link.
+func (m *Mesh) removeIfExpired(l *link, lastConnected time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if l.seed || time.Since(lastConnected) < linkExpiry {
+		return false
+	}
+	m.remove(l)
+	return true
+}
+
+// remove stops dialling a link and deletes it. The caller holds m.mu.
+func (m *Mesh) remove(l *link) {
+	if l.cancel != nil {
+		l.cancel()
+		l.cancel = nil
+	}
+	delete(m.links, l.address)
+}
+
+// LinkCount returns the number of links, connected or not.
+func (m *Mesh) LinkCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.links)
+}
+
+// connectedLinks returns the links that have a connection.
+func (m *Mesh) connectedLinks() []*link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]*link, 0, len(m.links))
+	for _, l := range m.links {
+		if l.conn.Load() != nil {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// linkTo returns the link with a peer, or nil.
+func (m *Mesh) linkTo(p Peer) *link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.links[p.Address]
+}
+
+// updateLinks dials the partners of this host and closes the links to hosts that have not been
+// partners for unwantedTime.
+func (m *Mesh) updateLinks(ctx context.Context, now time.Time) {
+	m.mu.Lock()
+	partners := m.partners()
+	var unwanted []*link
+	for a, l := range m.links {
+		switch {
+		case partners[a]:
+			l.unwantedSince = time.Time{}
+		case l.cancel == nil:
+			// The peer dialled, and keeps the connection for as long as it needs it.
+		case l.unwantedSince.IsZero():
+			l.unwantedSince = now
+		case now.Sub(l.unwantedSince) >= unwantedTime && l.conn.Load() != nil:
+			unwanted = append(unwanted, l)
+		}
+	}
+	for _, l := range unwanted {
+		m.remove(l)
+	}
+	m.mu.Unlock()
+	for a := range partners {
+		m.dial(ctx, a, false)
+	}
+}
+
+// partners returns the addresses that this host dials. Up to fullMeshHosts hosts dial all they
+// know. In a larger deployment a host dials the coordinators of its failure domain and, if it is one
+// itself, those of the other domains. Seeds are dialled by coordinators, through which the parts of
+// a deployment find each other, and by hosts that hear no coordinator of their domain. The caller
+// holds m.mu.
+func (m *Mesh) partners() map[netip.AddrPort]bool {
+	out := map[netip.AddrPort]bool{}
+	if m.directory.Hosts <= fullMeshHosts {
+		for a := range m.links {
+			out[a] = true
+		}
+		return out
+	}
+	_, coordinates := m.directory.Position(m.settings.Domain, m.settings.Host)
+	heard := coordinates
+	for domain, coordinators := range m.directory.Domains {
+		for _, p := range coordinators {
+			if domain == m.settings.Domain || coordinates {
+				out[p.Address] = p.Address != m.address
+			}
+			if domain == m.settings.Domain && m.view.isUp(p.Host) {
+				heard = true
+			}
+		}
+	}
+	delete(out, m.address)
+	if coordinates || !heard {
+		for _, a := range m.seeds {
+			out[a] = true
+		}
+	}
+	return out
+}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -11,12 +11,10 @@
 
 	"github.com/quic-go/quic-go"
 	"github.com/rotisserie/eris"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/wigeonlink/wigeonlink/credential"
 	"github.com/wigeonlink/wigeonlink/event"
 	"github.com/wigeonlink/wigeonlink/network"
-	"github.com/wigeonlink/wigeonlink/pause"
 	"github.com/wigeonlink/wigeonlink/wire"
 )
 
@@ -34,10 +32,15 @@
 		sequence       atomic.Uint64  // last sequence number of a heartbeat or report
 		traffic        Traffic
 		reportInterval atomic.Int64 // time between two reports, in nanoseconds; see Settings.ReportBudget
+		started        time.Time
+		kick           chan struct{} // makes streamLoop report early
 
-		mu    sync.Mutex
-		view  *View                    // membership list
-		links map[netip.AddrPort]*link // by address of the peer
+		mu        sync.Mutex
+		view      *View                    // membership list
+		links     map[netip.AddrPort]*link // by address of the peer
+		seeds     []netip.AddrPort
+		directory Directory // of view, as of the latest heartbeat interval
+		share     Share
 	}
 
 	// Settings configure a Mesh.
@@ -45,6 +48,7 @@
 		Host         string // name of this host
 		Incarnation  string // identifier of this run of the host: its start time as a number in text form
 		Domain       string // failure domain of this host
+		Weight       int    // size of this host's machine, in any unit; larger ones coordinate
 		Listen       netip.AddrPort
 		Seeds        []netip.AddrPort // addresses of initial peers; heartbeats carry the addresses of the others
 		Credential   credential.Source
@@ -59,14 +63,19 @@
 		// stopping, and the versions of the table and of the published state.
 		FillHeartbeat(*wire.Heartbeat)
 
-		// Report returns the host's soft state for the next periodic report.
+		// Report returns the host's soft state for the next periodic report, or nil if it has
+		// none that its peers do not get from its coordinator.
 		Report() *wire.Report
 
+		// Streams returns the host's running streams, for its coordinators. It returns nil if
+		// there are none to report.
+		Streams() *wire.Streams
+
 		// HandleReport handles a report from a peer, periodic or sent by Broadcast.
 		HandleReport(*wire.Report)
 
-		// HandlePeerChange is called when a peer comes up, restarts or goes down, and for
-		// each heartbeat with the version of a table.
+		// HandlePeerChange is called when a peer comes up, restarts or goes down, when the
+		// directory changes, and for each heartbeat with the version of a table.
 		HandlePeerChange()
 
 		// HandleHeartbeat is called for each heartbeat, after HandlePeerChange.
@@ -82,12 +91,10 @@
 		MessageCount             atomic.Int64 // sent and received
 	}
 
-	// A link keeps an outgoing connection to the peer at one address and redials it.
-	link struct {
-		address   netip.AddrPort
-		conn      atomic.Pointer[quic.Conn] // nil while not connected
-		cancel    context.CancelFunc
-		permanent bool // never removed, however long it has no connection; for seeds
+	// A Share is a host's part of the limits that hosts divide among themselves.
+	Share struct {
+		Hosts, Index int // hosts of the failure domain, and this host's position among them from 0
+		AllHosts     int // hosts of all failure domains
 	}
 )
 
@@ -141,7 +148,10 @@
 		log:      log,
 		config:   config,
 		address:  packets.LocalAddr().(*net.UDPAddr).AddrPort(),
-		view:     NewView(s.Host),
+		view:     NewView(Peer{Host: s.Host, Incarnation: s.Incarnation, Domain: s.Domain, Weight: s.Weight, Young: true, Members: 1}),
+		started:  time.Now(),
+		kick:     make(chan struct{}, 1),
+		share:    Share{Hosts: 1, AllHosts: 1},
 		links:    map[netip.AddrPort]*link{},
 	}
 	m.reportInterval.Store(int64(minReportInterval))
@@ -166,20 +176,39 @@
 	return m.view.Live()
 }
 
-// CapSplit returns the number of hosts that share the caps of this host's failure domain, and
-// this host's position among them, from 0. See View.CapSplit.
-func (m *Mesh) CapSplit() (count, position int) {
+// Directory returns the coordinators of all failure domains.
+func (m *Mesh) Directory() Directory {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.directory
+}
+
+// Share returns this host's part of the divided limits. A host that does not know all hosts of its
+// failure domain takes the figures from a coordinator.
+func (m *Mesh) Share() Share {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.view.CapSplit(m.settings.Domain)
+	return m.share
+}
+
+// Coordinators returns the live coordinators of this host's failure domain, in order of precedence,
+// up to this host if it is one of them. Their requests are placed by the first one.
+func (m *Mesh) Coordinators() []Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	own := m.directory.Domains[m.settings.Domain]
+	if i, ok := m.directory.Position(m.settings.Domain, m.settings.Host); ok {
+		own = own[:i]
+	}
+	return own
 }
 
-// Rank returns this host's position among the live hosts in the order of View.Rank, from 0, and
-// the number of live hosts.
-func (m *Mesh) Rank() (rank, all int) {
+// Coordinates reports whether this host is one of the coordinators of its failure domain.
+func (m *Mesh) Coordinates() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.view.Rank(m.settings.Domain)
+	_, ok := m.directory.Position(m.settings.Domain, m.settings.Host)
+	return ok
 }
 
 // NewestTable returns the live peer with the highest table version above the given one, if
@@ -197,6 +226,7 @@
 	loops.Go(func() { m.accept(ctx) })
 	loops.Go(func() { m.heartbeatLoop(ctx) })
 	loops.Go(func() { m.reportLoop(ctx) })
+	loops.Go(func() { m.streamLoop(ctx) })
 	m.Join(ctx, m.settings.Seeds)
 	<-ctx.Done()
 	m.listener.Close()
@@ -204,238 +234,3 @@
 	m.transport.Close()
 	m.transport.Conn.Close()
 }
-
-// connect creates a link to an address, unless there is one, the address is this host's own or
-// the mesh has maxLinks. A link that is not permanent is removed after linkExpiry without a
-// connection, because a failed host is replaced by one at another address. The address of a host
-// that was only unreachable arrives again in the heartbeats of seeds or other peers.
-func (m *Mesh) connect(ctx context.Context, a netip.AddrPort, permanent bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if l := m.links[a]; l != nil {
-		l.permanent = l.permanent || permanent
-		return
-	}
-	if a == m.address || !a.IsValid() || len(m.links) >= maxLinks {
-		return
-	}
-	linkCtx, cancel := context.WithCancel(ctx)
-	l := &link{address: a, cancel: cancel, permanent: permanent}
-	m.links[a] = l
-	go m.maintainLink(linkCtx, l)
-}
-
-// maintainLink dials the address of a link, and redials it whenever the connection is closed,
-// until the link is removed or ctx is done. If the peer is unreachable, the idle timeout closes
-// the connection.
-func (m *Mesh) maintainLink(ctx context.Context, l *link) {
-	for lastConnected := time.Now(); ctx.Err() == nil && !m.removeIfExpired(l, lastConnected); {
-		dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
-		conn, err := m.transport.Dial(dialCtx, net.UDPAddrFromAddrPort(l.address), m.config, quicConfig)
-		cancel()
-		if err == nil {
-			l.conn.Store(conn)
-			m.sendHeartbeat(l)
-			select {
-			case <-conn.Context().Done():
-				m.log.Emit(event.PeerReplaced, event.Fields{Peer: l.address.String()})
-			case <-ctx.Done():
-				_ = conn.CloseWithError(0, "stopping")
-			}
-			l.conn.Store(nil)
-			lastConnected = time.Now()
-		}
-		pause.For(ctx, redialDelay)
-	}
-}
-
-// removeIfExpired removes a link that is not permanent and had its last connection at least
-// linkExpiry ago. It reports whether it removed the link.
-func (m *Mesh) removeIfExpired(l *link, lastConnected time.Time) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if l.permanent || time.Since(lastConnected) < linkExpiry {
-		return false
-	}
-	l.cancel()
-	delete(m.links, l.address)
-	return true
-}
-
-// LinkCount returns the number of links, connected or not.
-func (m *Mesh) LinkCount() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return len(m.links)
-}
-
-// connectedLinks returns the links that have a connection.
-func (m *Mesh) connectedLinks() []*link {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	out := make([]*link, 0, len(m.links))
-	for _, l := range m.links {
-		if l.conn.Load() != nil {
-			out = append(out, l)
-		}
-	}
-	return out
-}
-
-// heartbeatLoop sends a heartbeat to all peers and detects peers that are down, every
-// HeartbeatInterval.
-func (m *Mesh) heartbeatLoop(ctx context.Context) {
-	ticker := time.NewTicker(HeartbeatInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			for _, l := range m.connectedLinks() {
-				m.sendHeartbeat(l)
-			}
-			m.expirePeers(now)
-		}
-	}
-}
-
-// expirePeers marks the peers without recent heartbeats as down, logs them and calls
-// HandlePeerChange if there are any.
-func (m *Mesh) expirePeers(now time.Time) {
-	m.mu.Lock()
-	down := m.view.Expire(now)
-	m.mu.Unlock()
-	for _, c := range down {
-		m.log.Emit(event.PeerDown, event.Fields{Peer: c.Peer.Host, Detail: c.Peer.Incarnation})
-	}
-	if len(down) > 0 {
-		m.handler.HandlePeerChange()
-	}
-}
-
-// sendHeartbeat sends a heartbeat as a datagram, which may be lost. It does nothing while the
-// link has no connection.
-func (m *Mesh) sendHeartbeat(l *link) {
-	conn := l.conn.Load()
-	if conn == nil {
-		return
-	}
-	hb := &wire.Heartbeat{
-		Version:     wireVersion,
-		Host:        m.settings.Host,
-		Incarnation: m.settings.Incarnation,
-		Sequence:    m.sequence.Add(1),
-		Stamp:       StampToWire(m.log.Clock().Next()),
-		Domain:      m.settings.Domain,
-		Address:     m.address.String(),
-	}
-	hb.Known = m.sampleAddresses()
-	m.handler.FillHeartbeat(hb)
-	data, err := proto.Marshal(hb)
-	if err != nil {
-		return
-	}
-	if conn.SendDatagram(data) == nil {
-		m.count(&m.traffic.BytesSent, len(data))
-	}
-}
-
-// SendHeartbeats sends a heartbeat to all connected peers immediately, in addition to the
-// periodic ones.
-func (m *Mesh) SendHeartbeats() {
-	for _, l := range m.connectedLinks() {
-		m.sendHeartbeat(l)
-	}
-}
-
-// Broadcast sends a report to all connected peers, in addition to the periodic ones. It does not
-// count towards the report budget.
-func (m *Mesh) Broadcast(ctx context.Context, r *wire.Report) {
-	r.Version, r.Host, r.Incarnation = wireVersion, m.settings.Host, m.settings.Incarnation
-	data, err := proto.Marshal(r)
-	if err != nil {
-		m.log.Emit(event.HostFault, event.Fields{Detail: "encode a broadcast report: " + err.Error()})
-		return
-	}
-	for _, l := range m.connectedLinks() {
-		m.sendReport(ctx, l, data)
-	}
-}
-
-// Join creates permanent links to the given addresses, such as seeds from changed settings.
-func (m *Mesh) Join(ctx context.Context, addresses []netip.AddrPort) {
-	for _, a := range addresses {
-		m.connect(ctx, a, true)
-	}
-}
-
-// addressesPerHeartbeat is the number of peer addresses in a heartbeat.
-const addressesPerHeartbeat = 3
-
-// sampleAddresses returns the addresses of up to addressesPerHeartbeat live peers, in text form.
-// The selection varies with the sequence number.
-func (m *Mesh) sampleAddresses() []string {
-	live := m.Live()
-	out := make([]string, 0, addressesPerHeartbeat)
-	for i := range min(addressesPerHeartbeat, len(live)) {
-		index := (int(m.sequence.Load()) + i*len(live)/addressesPerHeartbeat) % len(live)
-		out = append(out, live[index].Address.String())
-	}
-	return out
-}
-
-// count adds a message of the given size to the counter of bytes and to the number of messages.
-func (m *Mesh) count(counter *atomic.Int64, bytes int) {
-	counter.Add(int64(bytes))
-	m.traffic.MessageCount.Add(1)
-}
-
-// reportLoop periodically sends a report of soft state to all connected peers. After each report
-// it sets the interval so that reports of this size to this number of peers stay within the
-// budget, but no shorter than minReportInterval and no longer than maxReportInterval.
-func (m *Mesh) reportLoop(ctx context.Context) {
-	for ctx.Err() == nil {
-		pause.For(ctx, time.Duration(m.reportInterval.Load()))
-		links := m.connectedLinks()
-		if len(links) == 0 {
-			continue
-		}
-		r := m.handler.Report()
-		r.Version, r.Host, r.Incarnation = wireVersion, m.settings.Host, m.settings.Incarnation
-		r.Sequence = m.sequence.Add(1)
-		data, err := proto.Marshal(r)
-		if err != nil {
-			continue
-		}
-		for _, l := range links {
-			m.sendReport(ctx, l, data)
-		}
-		interval := time.Duration(len(data)*len(links)) * time.Second / time.Duration(m.settings.ReportBudget)
-		m.reportInterval.Store(int64(min(max(interval, minReportInterval), maxReportInterval)))
-	}
-}
-
-// ReportInterval returns the current time between two reports.
-func (m *Mesh) ReportInterval() time.Duration { return time.Duration(m.reportInterval.Load()) }
-
-// sendReport sends an encoded report on a new unidirectional stream. A report that cannot be
-// sent within reportTimeout is dropped, because the next one replaces it.
-func (m *Mesh) sendReport(ctx context.Context, l *link, data []byte) {
-	conn := l.conn.Load()
-	if conn == nil {
-		return
-	}
-	s, err := conn.OpenUniStream()
-	if err != nil {
-		return
-	}
-	_ = s.SetWriteDeadline(time.Now().Add(reportTimeout))
-	if _, err := s.Write(data); err != nil || ctx.Err() != nil {
-		s.CancelWrite(0)
-		return
-	}
-	if s.Close() == nil {
-		m.count(&m.traffic.BytesSent, len(data))
-	}
-}
--- a/peer/receive.go
+++ b/peer/receive.go
@@ -32,12 +32,17 @@
 		if err != nil {
 			return
 		}
-		go m.receiveHeartbeats(ctx, conn)
-		go m.receiveReports(ctx, conn)
-		go m.acceptQueries(ctx, conn)
+		m.serve(ctx, conn)
 	}
 }
 
+// serve starts the goroutines that receive the messages of a connection, whichever side dialled it.
+func (m *Mesh) serve(ctx context.Context, conn *quic.Conn) {
+	go m.receiveHeartbeats(ctx, conn)
+	go m.receiveReports(ctx, conn)
+	go m.acceptQueries(ctx, conn)
+}
+
 // receiveHeartbeats handles the datagrams of a connection, which are heartbeats, until the
 // connection is closed.
 func (m *Mesh) receiveHeartbeats(ctx context.Context, conn *quic.Conn) {
@@ -52,13 +57,13 @@
 			m.log.Emit(event.PeerRefused, event.Fields{Peer: conn.RemoteAddr().String(), Detail: err.Error()})
 			continue
 		}
-		m.handleHeartbeat(ctx, &hb)
+		m.handleHeartbeat(ctx, conn, &hb)
 	}
 }
 
-// handleHeartbeat records a heartbeat in the membership list, calls the handler, and creates
-// links to the sender and to the other addresses that the heartbeat carries.
-func (m *Mesh) handleHeartbeat(ctx context.Context, hb *wire.Heartbeat) {
+// handleHeartbeat records a heartbeat in the membership list, calls the handler, and dials the
+// addresses that a heartbeat in a small deployment carries.
+func (m *Mesh) handleHeartbeat(ctx context.Context, conn *quic.Conn, hb *wire.Heartbeat) {
 	address, err := netip.ParseAddrPort(hb.Address)
 	if err != nil || hb.Version != wireVersion {
 		m.log.Emit(event.PeerRefused, event.Fields{Peer: hb.Host, Detail: "heartbeat has an unsupported version or no valid address"})
@@ -73,17 +78,29 @@
 		Stopping:     hb.Stopping,
 		TableVersion: hb.Table,
 		Revision:     hb.Revision,
+		Weight:       int(hb.Weight),
+		Young:        hb.Young,
+		Members:      int(hb.Members),
 	}
+	listed, ages := m.listedCoordinators(hb)
+	now := time.Now()
 	m.mu.Lock()
-	change, cameUp := m.view.ApplyHeartbeat(p, hb.Sequence, time.Now())
+	change, cameUp := m.view.ApplyHeartbeat(p, hb.Sequence, now)
+	m.view.MergeDirectory(listed, ages, now)
+	if own := m.directory.Domains[m.settings.Domain]; m.directory.Hosts > fullMeshHosts && len(own) > 0 && own[0].Host == p.Host {
+		m.share = Share{Hosts: max(int(hb.Members), 1), Index: int(hb.Index), AllHosts: max(int(hb.Hosts), 1)}
+	}
 	m.mu.Unlock()
+	m.adopt(address, conn)
 	if cameUp {
 		m.log.Emit(event.PeerUp, event.Fields{Peer: p.Host, Detail: p.Incarnation})
 	}
-	m.connect(ctx, address, false)
-	for _, known := range hb.Known {
-		if a, err := netip.ParseAddrPort(known); err == nil {
-			m.connect(ctx, a, false)
+	if m.Directory().Hosts <= fullMeshHosts {
+		m.dial(ctx, address, false)
+		for _, known := range hb.Known {
+			if a, err := netip.ParseAddrPort(known); err == nil {
+				m.dial(ctx, a, false)
+			}
 		}
 	}
 	if cameUp || change.Peer.TableVersion > 0 {
@@ -92,6 +109,26 @@
 	m.handler.HandleHeartbeat(p, hb)
 }
 
+// listedCoordinators returns the coordinators that a heartbeat lists, and the times since their last
+// heartbeats.
+func (m *Mesh) listedCoordinators(hb *wire.Heartbeat) ([]Peer, []time.Duration) {
+	var listed []Peer
+	var ages []time.Duration
+	for _, e := range hb.Directory {
+		address, err := netip.ParseAddrPort(e.Address)
+		if err != nil {
+			m.log.Emit(event.PeerRefused, event.Fields{Peer: hb.Host, Detail: "heartbeat lists a coordinator without a valid address"})
+			continue
+		}
+		listed = append(listed, Peer{
+			Host: e.Host, Incarnation: e.Incarnation, Domain: e.Domain, Address: address, Weight: int(e.Weight),
+			Stopping: e.Stopping, Young: e.Young, Members: int(e.Members),
+		})
+		ages = append(ages, time.Duration(e.Age)*time.Millisecond)
+	}
+	return listed, ages
+}
+
 // receiveReports handles the unidirectional streams of a connection, one report each, until the
 // connection is closed.
 func (m *Mesh) receiveReports(ctx context.Context, conn *quic.Conn) {
@@ -160,9 +197,7 @@
 // Ask sends a query to a peer and returns its answer. If err is not nil, sent reports
 // whether the peer may have received the query.
 func (m *Mesh) Ask(ctx context.Context, p Peer, q *wire.Question) (a *wire.Answer, sent bool, err error) {
-	m.mu.Lock()
-	l := m.links[p.Address]
-	m.mu.Unlock()
+	l := m.linkTo(p)
 	if l == nil {
 		return nil, false, eris.Errorf("no link to %s", p.Host)
 	}
--- a/peer/view.go
+++ b/peer/view.go
@@ -1,6 +1,10 @@
-// Package peer connects the entry hosts in a full mesh over QUIC with mutual TLS. It
-// transmits heartbeats for failure detection, reports of soft state, which receivers discard
-// unless it is renewed, and queries with their answers, such as for a table.
+// Package peer connects the entry hosts over QUIC with mutual TLS. It transmits heartbeats for
+// failure detection, reports of soft state, which receivers discard unless it is renewed, and
+// queries with their answers, such as for a table.
+//
+// A few hosts are all connected with each other. In a larger deployment the number of partners of
+// a host is bounded: it is connected with the coordinators of its failure domain, and the
+// coordinators of all domains with each other.
 package peer
 
 import (
@@ -20,6 +24,9 @@
 		Stopping      bool      // the host accepts no new requests
 		TableVersion  uint64    // version of the table in effect
 		Revision      uint64    // newest revision of the published state that the host has
+		Weight        int       // size of its machine; see Settings.Weight
+		Young         bool      // the host started less than youngTime ago
+		Members       int       // live hosts of its failure domain that the host knows, itself included
 		sequence      uint64    // sequence number of the last heartbeat
 		lastHeartbeat time.Time // time at which the last heartbeat was received
 		down          bool      // no heartbeat was received for DownAfter
@@ -28,8 +35,9 @@
 	// A View is one host's membership list of its peers, derived from their heartbeats. Its
 	// methods take the current time as an argument. It is not safe for concurrent use.
 	View struct {
-		host  string
-		peers map[string]*Peer
+		self   Peer
+		peers  map[string]*Peer // hosts whose heartbeats it receives, by name
+		listed map[string]*Peer // coordinators listed in these heartbeats, by name
 	}
 
 	// A Change is a peer with its state after a heartbeat or after the lack of heartbeats.
@@ -53,15 +61,35 @@
 	CapShareTTL = 10 * time.Second
 )
 
-// NewView returns an empty view for the named host.
-func NewView(host string) *View { return &View{host: host, peers: map[string]*Peer{}} }
+// NewView returns an empty view for a host.
+func NewView(self Peer) *View {
+	return &View{self: self, peers: map[string]*Peer{}, listed: map[string]*Peer{}}
+}
+
+// UpdateSelf updates what the view knows of its own host.
+func (v *View) UpdateSelf(stopping, young bool) {
+	v.self.Stopping, v.self.Young, v.self.Members = stopping, young, len(v.DomainHosts())
+}
+
+// DomainHosts returns the names of the hosts of this host's failure domain with a heartbeat within
+// CapShareTTL, this host included, sorted.
+func (v *View) DomainHosts() []string {
+	names := []string{v.self.Host}
+	for host, p := range v.peers {
+		if p.Domain == v.self.Domain {
+			names = append(names, host)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
 
 // ApplyHeartbeat records a peer's heartbeat. It ignores duplicates, reordered heartbeats, those
 // of an incarnation older than the recorded one, and those of a host with this host's name. It
 // returns the peer, and true if the peer is new, was down or has a newer incarnation.
 func (v *View) ApplyHeartbeat(p Peer, sequence uint64, now time.Time) (Change, bool) {
 	old := v.peers[p.Host]
-	if p.Host == v.host || p.Host == "" {
+	if p.Host == v.self.Host || p.Host == "" {
 		return Change{}, false
 	}
 	fresh := old == nil || isNewerIncarnation(p.Incarnation, old.Incarnation)
@@ -114,49 +142,6 @@
 	return live
 }
 
-// CapSplit returns the number of hosts that share the caps of a failure domain, and this host's
-// position among them by name, from 0. They are this host and the peers in the domain with a
-// heartbeat within CapShareTTL.
-func (v *View) CapSplit(domain string) (count, position int) {
-	count = 1
-	for host, p := range v.peers {
-		if p.Domain != domain {
-			continue
-		}
-		count++
-		if host < v.host {
-			position++
-		}
-	}
-	return count, position
-}
-
-// Rank returns this host's position in an order of all live hosts, from 0, and the number of
-// live hosts. domain is this host's failure domain. The order takes the first host by name of
-// each failure domain, then the second of each, and so on. Stopping peers come last.
-func (v *View) Rank(domain string) (rank, all int) {
-	live := append(v.Live(), Peer{Host: v.host, Domain: domain})
-	slices.SortFunc(live, func(a, b Peer) int { return strings.Compare(a.Host, b.Host) })
-	perDomain := map[string]int{}
-	own, before := 0, 0
-	for _, p := range live {
-		if p.Stopping {
-			continue
-		}
-		if p.Host == v.host {
-			own = perDomain[p.Domain]
-		}
-		perDomain[p.Domain]++
-	}
-	for name, n := range perDomain {
-		before += min(n, own)
-		if name < domain && n > own {
-			before++
-		}
-	}
-	return before, len(live)
-}
-
 // NewestTable returns the live peer with the highest table version above the given one, if any.
 func (v *View) NewestTable(above uint64) (Peer, bool) {
 	var best Peer
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -147,7 +147,7 @@
 		}
 		t.hosts = append(t.hosts, h)
 		t.reduce(h, dispatch.TableChange{Table: t.table})
-		t.reduce(h, dispatch.LiveHosts{Hosts: c.Hosts, HostIndex: i, ReportInterval: c.PeerReportInterval})
+		t.reduce(h, dispatch.LiveHosts{Hosts: c.Hosts, HostIndex: i})
 	}
 	t.scheduleInitialEvents()
 	return t, nil
--- a/wigeonlink.go
+++ b/wigeonlink.go
@@ -31,6 +31,7 @@
 		OperatorAddress netip.AddrPort    // listen address for operators; port 0 picks a free port
 		ConfigAddresses []netip.AddrPort  // addresses of the configuration service
 		PeerAddress     netip.AddrPort    // listen address for peers; port 0 picks a free port
+		Weight          int               // size of the host's machine, in any unit; larger ones coordinate their failure domain
 		SeedPeers       []netip.AddrPort  // addresses of the peers that a starting host contacts to find all others
 		SealKeys        []string          // keys, in hexadecimal, that seal tickets and cursors; the first seals new ones, all open existing ones
 		Credential      credential.Source // source of the TLS certificates for connections with peers; nil means no peers
