Balance the risk of a preemption against that of being late; coordinators in the trial

Cause: the fixed margin of 2.5 standard deviations left two of six places of an engine empty while callers waited for seconds; a coordinator forgot ended streams 0.6 s late. Change: the risk of a preemption that a request may take grows with its wait; hosts report what has ended, and the first token, at once; trials with several hosts have a coordinator.

--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -199,7 +199,7 @@
 	}
 	c.IdleInterval = t.tokenInterval.At(1)
 	c.Interval = t.tokenInterval.At(total.Streams + 1)
-	if r.options.hold && !r.hasCapacity(t, total, demand, c, stall, shareExcess) {
+	if r.options.hold && !r.hasCapacity(t, total, demand, c, r.tolerableRisk(q, tail, stall), shareExcess) {
 		return 0, false
 	}
 	uncached := q.prompt
@@ -217,17 +217,16 @@
 
 // hasCapacity reports whether t can take a request with the given demand in addition to total, the
 // demand on t, without exceeding its memory, its slots, the limit on waiting prompt tokens and the
-// limit on the time between tokens. stall is the organisation's weight of stalls.
-func (r *Reducer) hasCapacity(t *targetState, total, demand *forecast.Demand, c *Candidate, stall, shareExcess float64) bool {
+// limit on the time between tokens. risk is the tolerable probability that the memory is exceeded.
+func (r *Reducer) hasCapacity(t *targetState, total, demand *forecast.Demand, c *Candidate, risk, shareExcess float64) bool {
 	memory := float64(t.spec.Memory) * (1 - shareExcess*r.options.overShareReserve)
-	memoryDeviations := r.options.memoryDeviations + stallMemoryDeviations*stall
 	if r.exceedsPrefillBurst(t, demand, c.TailWeight) {
 		return false
 	}
 	if t.spec.Slots > 0 && total.Streams+1 > float64(t.spec.Slots) {
 		return false
 	}
-	if total.Peak(demand, memoryDeviations) > memory && total.Streams > 0 {
+	if total.Streams > 0 && total.OverflowChance(demand, memory) > risk {
 		return false
 	}
 	limit := maxIntervalRatio / max(c.TailWeight, 0.1)
--- a/dispatch/coordinator.go
+++ b/dispatch/coordinator.go
@@ -19,6 +19,7 @@
 		Sequence uint64
 		Streams  []StreamState
 		Failures []TargetFailures
+		Finished []FinishedStream
 	}
 
 	// remoteID identifies a request of another host.
@@ -37,9 +38,9 @@
 	// remoteState is the part of a request that is kept if it is one of another host.
 	remoteState struct {
 		remoteID
-		askedAt    time.Duration // time of the latest PlacementAsked
-		reportedAt time.Duration // time of the latest HostStreams that lists the stream; 0 means none
-		orderedAt  time.Duration // time of the latest order to move the stream
+		askedAt      time.Duration // time of the latest PlacementAsked
+		reportNumber uint64        // sequence number of the latest HostStreams that lists the stream; 0 means none
+		orderedAt    time.Duration // time of the latest order to move the stream
 	}
 )
 
@@ -52,8 +53,8 @@
 	// as ended: engines cancel them when the connection of a failed host is closed.
 	remoteHostExpiry = 2 * time.Second
 
-	// reportLag is the time within which a host reports a stream after the coordinator has placed
-	// or moved it. Until then, its reports do not show it.
+	// reportLag is the time within which a host first reports a stream after the coordinator has
+	// placed it, and reports a move after the coordinator has ordered it.
 	reportLag = 600 * time.Millisecond
 
 	// placementRetryInterval is the delay before a host asks again because it cannot use the
@@ -86,12 +87,12 @@
 		return
 	} else if q != nil {
 		// The host asks for another attempt; the one placed before has failed.
-		r.endRemote(q, false)
+		r.endRemote(q)
 	}
 	s := Submit{
 		Organisation: e.Organisation, Pool: e.Pool, NonIdempotent: true, Route: e.Route, PromptTokens: e.PromptTokens,
 		PrefixHash: e.PrefixHash, PrefixTokens: e.PrefixTokens, MaxOutputTokens: e.MaxOutputTokens, KnownOutputTokens: e.KnownOutputTokens,
-		DispatchDeadline: r.epoch.Add(r.now + e.Remaining),
+		FirstTokenObjective: e.FirstTokenObjective, DispatchDeadline: r.epoch.Add(r.now + e.Remaining),
 	}
 	if kind := r.remoteAdmissionFailure(s); kind != answer.KindNone {
 		r.emit(Effect{Kind: EffectPlaced, Remote: key.origin, ID: key.id, Answer: kind, RetryAfter: kind.Properties().RetryDelay})
@@ -155,7 +156,8 @@
 }
 
 // reduce brings the recorded streams of the host up to date: it adds streams that other
-// coordinators, or the host itself, have placed, and ends those that the host no longer lists.
+// coordinators, or the host itself, have placed, and ends those that have finished or that the host
+// no longer lists.
 func (e HostStreams) reduce(r *Reducer) {
 	o := r.hostOf(e.Origin)
 	if e.Sequence <= o.sequence || r.table == nil {
@@ -165,12 +167,20 @@
 	for _, f := range e.Failures {
 		r.applyFailures(f)
 	}
+	for _, f := range e.Finished {
+		if q := o.requests[f.ID]; q != nil && q.phase == phaseDispatched {
+			r.chargeTokens(q, f.Tokens)
+			r.lengths.Observe(q.lengthKey, f.Tokens)
+			q.target.failureRate.record(0, r.now)
+			r.endRemote(q)
+		}
+	}
 	for i := range e.Streams {
 		r.applyStream(o, e.Origin, &e.Streams[i])
 	}
 	for _, q := range o.requests {
-		if q.phase == phaseDispatched && q.remote.reportedAt != r.now && r.now-max(q.dispatchedAt, q.remote.reportedAt) >= reportLag {
-			r.endRemote(q, true)
+		if q.phase == phaseDispatched && q.remote.reportNumber != e.Sequence && (q.remote.reportNumber != 0 || r.now-q.dispatchedAt >= reportLag) {
+			r.endRemote(q)
 		}
 	}
 	r.evacuate()
@@ -183,10 +193,7 @@
 	if t == nil {
 		return
 	}
-	for range f.Unreachable {
-		t.failureRate.record(1, r.now)
-	}
-	for range f.Answered {
+	for range f.Unreachable + f.Answered {
 		t.failureRate.record(1, r.now)
 	}
 }
@@ -210,7 +217,7 @@
 		q = r.addRemoteStream(origin, s, t)
 		o.requests[s.ID] = q
 	}
-	q.remote.reportedAt = max(r.now, 1)
+	q.remote.reportNumber = o.sequence
 	if q.target != t {
 		r.applyMove(q, t)
 	} else if q.moveReservation.target != nil && !s.Moving && r.now-q.remote.orderedAt >= reportLag {
@@ -250,15 +257,8 @@
 	r.counts.Moved++
 }
 
-// endRemote removes a dispatched stream of another host. ended says whether the target has served
-// it to its end.
-func (r *Reducer) endRemote(q *request, ended bool) {
-	if ended {
-		q.target.failureRate.record(0, r.now)
-		if q.tokens > 0 {
-			r.lengths.Observe(q.lengthKey, q.tokens)
-		}
-	}
+// endRemote removes a dispatched stream of another host.
+func (r *Reducer) endRemote(q *request) {
 	r.detach(q)
 	r.forget(q)
 }
@@ -282,7 +282,7 @@
 				r.dequeue(q)
 				r.forget(q)
 			case q.phase == phaseDispatched && silent && r.now-q.dispatchedAt >= remoteHostExpiry:
-				r.endRemote(q, false)
+				r.endRemote(q)
 			}
 		}
 		if silent && len(o.requests) == 0 {
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -22,20 +22,21 @@
 
 	// Submit is a new request.
 	Submit struct {
-		ID                ID
-		Organisation      string
-		Pool              string    // name of the model or service
-		Plain             bool      // whether Pool is a plain service (see table.Service), not a model
-		NonIdempotent     bool      // whether the request is not idempotent
-		Route             string    // kind of API call; part of the key under which output lengths are learned
-		PromptTokens      int       // prompt length, in tokens
-		PrefixHash        uint64    // hash of the prompt prefix that requests may share in an engine's cache; 0 means no prefix
-		PrefixTokens      int       // length of that prefix, in tokens
-		MaxOutputTokens   int       // largest output, in tokens; 0 means no limit
-		KnownOutputTokens int       // output length, in tokens, if known in advance; 0 means unknown
-		MaxAttempts       int       // maximum number of attempts that may reach a target; 0 means defaultMaxTargets
-		DispatchDeadline  time.Time // time by which the request must be dispatched; zero means only the reducer's longest hold limits it
-		CallerDeadline    time.Time // time until which the caller waits and the request may be retried; zero means the time by which it must be dispatched
+		ID                  ID
+		Organisation        string
+		Pool                string        // name of the model or service
+		Plain               bool          // whether Pool is a plain service (see table.Service), not a model
+		NonIdempotent       bool          // whether the request is not idempotent
+		Route               string        // kind of API call; part of the key under which output lengths are learned
+		PromptTokens        int           // prompt length, in tokens
+		PrefixHash          uint64        // hash of the prompt prefix that requests may share in an engine's cache; 0 means no prefix
+		PrefixTokens        int           // length of that prefix, in tokens
+		MaxOutputTokens     int           // largest output, in tokens; 0 means no limit
+		KnownOutputTokens   int           // output length, in tokens, if known in advance; 0 means unknown
+		MaxAttempts         int           // maximum number of attempts that may reach a target; 0 means defaultMaxTargets
+		FirstTokenObjective time.Duration // time to the first token within which the request is on time; 0 means a default
+		DispatchDeadline    time.Time     // time by which the request must be dispatched; zero means only the reducer's longest hold limits it
+		CallerDeadline      time.Time     // time until which the caller waits and the request may be retried; zero means the time by which it must be dispatched
 	}
 
 	// Attach reports a running generation that was started through another host and whose
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -33,20 +33,21 @@
 
 	// A PlacementRequest asks a coordinator for the target of a request.
 	PlacementRequest struct {
-		Origin            string // host and incarnation that ask
-		ID                ID     // of the request on that host
-		Organisation      string
-		Pool              string
-		Route             string
-		PromptTokens      int
-		PrefixHash        uint64
-		PrefixTokens      int
-		MaxOutputTokens   int
-		KnownOutputTokens int
-		Excluded          []string      // names of targets that are not to be chosen
-		Remaining         time.Duration // time in which the request must be dispatched
-		Waited            time.Duration // time since the request arrived
-		Attempt           int           // number of the dispatch, from 1
+		Origin              string // host and incarnation that ask
+		ID                  ID     // of the request on that host
+		Organisation        string
+		Pool                string
+		Route               string
+		PromptTokens        int
+		PrefixHash          uint64
+		PrefixTokens        int
+		MaxOutputTokens     int
+		KnownOutputTokens   int
+		Excluded            []string // names of targets that are not to be chosen
+		FirstTokenObjective time.Duration
+		Remaining           time.Duration // time in which the request must be dispatched
+		Waited              time.Duration // time since the request arrived
+		Attempt             int           // number of the dispatch, from 1
 	}
 
 	// StreamState describes a running stream of a host to its coordinators.
@@ -59,6 +60,12 @@
 		Moving                    bool
 	}
 
+	// A FinishedStream is a stream that a host has delivered to its end.
+	FinishedStream struct {
+		ID     ID
+		Tokens int // length of the output
+	}
+
 	// TargetFailures counts attempts at a target that failed.
 	TargetFailures struct {
 		Target      string
@@ -93,7 +100,7 @@
 	a := &PlacementRequest{
 		Origin: r.options.origin, ID: q.id, Organisation: q.organisation.spec.Name, Pool: q.pool.name, Route: q.lengthKey.Route,
 		PromptTokens: q.prompt, PrefixHash: q.prefix, PrefixTokens: q.prefixTokens, MaxOutputTokens: q.maxOutput, KnownOutputTokens: q.knownOutput,
-		Remaining: q.holdDeadline - r.now, Waited: r.now - q.arrived, Attempt: q.attempts + 1,
+		FirstTokenObjective: q.firstTokenObjective, Remaining: q.holdDeadline - r.now, Waited: r.now - q.arrived, Attempt: q.attempts + 1,
 	}
 	for _, t := range q.triedTargets {
 		a.Excluded = append(a.Excluded, t.spec.Name)
@@ -160,23 +167,30 @@
 	return r.delegated && q.placement == placementRemote
 }
 
-// RunningStreams returns the streams of this host that a coordinator has placed, and the failed
-// attempts since the previous call.
-func (r *Reducer) RunningStreams() ([]StreamState, []TargetFailures) {
-	var out []StreamState
+// HostStreams returns the event that tells the coordinators of this host's failure domain about its
+// streams: those that are running, and what has ended or failed since the previous call. The caller
+// must set Origin and Sequence.
+func (r *Reducer) HostStreams() HostStreams {
+	e := HostStreams{Failures: r.failures, Finished: r.finished}
+	r.failures, r.finished = nil, nil
 	for _, q := range r.requests {
 		if q.phase != phaseDispatched || q.plain || q.remote != nil {
 			continue
 		}
-		out = append(out, StreamState{
+		e.Streams = append(e.Streams, StreamState{
 			ID: q.id, Organisation: q.organisation.spec.Name, Pool: q.pool.name, Route: q.lengthKey.Route, Target: q.target.spec.Name,
 			PromptTokens: q.prompt, Tokens: q.tokens, MaxOutput: q.maxOutput, KnownOutput: q.knownOutput,
 			Moving: q.moveReservation.target != nil,
 		})
 	}
-	failures := r.failures
-	r.failures = nil
-	return out, failures
+	return e
+}
+
+// recordFinished remembers a stream that has ended for the next report to the coordinators.
+func (r *Reducer) recordFinished(q *request) {
+	if r.delegated && !q.plain {
+		r.finished = append(r.finished, FinishedStream{q.id, q.tokens})
+	}
 }
 
 // recordFailure counts a failed attempt for the next report to the coordinators.
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -33,7 +33,8 @@
 	lastRemoteID     uint64                  // number in the ID of the latest request of another host
 	delegated        bool                    // whether a coordinator places the requests of this host
 	coordinates      bool                    // whether this host places the requests of its failure domain
-	failures         []TargetFailures        // failed attempts since the latest RunningStreams
+	failures         []TargetFailures        // failed attempts since the latest HostStreams
+	finished         []FinishedStream        // streams that have ended since the latest HostStreams
 	fleet            Fleet                   // latest Fleet event
 	basis            Basis                   // basis of the decision in progress; set by chooseFromSubset
 	salt             uint64                  // hash of the origin; makes pseudo-random choices of different hosts differ
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -27,6 +27,7 @@
 
 		prompt, prefixTokens, maxOutput, knownOutput int           // in tokens; a maxOutput of 0 means no limit, a knownOutput of 0 unknown
 		prefix                                       uint64        // hash of the shareable prefix; 0 means none
+		firstTokenObjective                          time.Duration // time to the first token within which the request is on time
 		arrived, holdDeadline                        time.Duration // time of arrival, and time by which the request must be dispatched
 		expectedOutput                               float64       // output length expected when the request arrived, in tokens
 		rank                                         time.Duration // sort key in the organisation's queue, lowest first: see newRequest
@@ -94,6 +95,7 @@
 		q.maxTargets, q.multipleTargets = e.MaxAttempts, e.MaxAttempts > 1
 	}
 	q.arrived = r.now
+	q.firstTokenObjective = cmp.Or(e.FirstTokenObjective, defaultFirstTokenObjective)
 	q.holdDeadline = r.now + r.options.maxHold
 	if !e.DispatchDeadline.IsZero() {
 		q.holdDeadline = min(q.holdDeadline, r.sinceEpoch(e.DispatchDeadline))
@@ -283,6 +285,7 @@
 	if !q.plain {
 		r.recordUsage(q, e.Usage)
 	}
+	r.recordFinished(q)
 	q.target.breaker.recordSuccess()
 	q.target.failureRate.record(0, r.now)
 	q.organisation.served++
--- a/forecast/demand.go
+++ b/forecast/demand.go
@@ -90,6 +90,31 @@
 	return s
 }
 
+// OverflowChance returns the probability that the streams of d and extra together need more than
+// the given memory, in tokens, at the horizon where that is most likely. The memory that independent
+// streams need is taken as normally distributed.
+func (d *Demand) OverflowChance(extra *Demand, memory float64) float64 {
+	highest := 0.0
+	for i := range d.MeanMemory {
+		free := memory - d.MeanMemory[i] - extra.MeanMemory[i]
+		variance := d.MemoryVariance[i] + extra.MemoryVariance[i]
+		if variance <= 0 {
+			if free < 0 {
+				return 1
+			}
+			continue
+		}
+		highest = max(highest, TailProbability(free/math.Sqrt(variance)))
+	}
+	return highest
+}
+
+// TailProbability returns the probability that a normally distributed value exceeds its mean by
+// more than the given number of standard deviations.
+func TailProbability(standardDeviations float64) float64 {
+	return math.Erfc(standardDeviations/math.Sqrt2) / 2
+}
+
 // Peak returns the largest memory, over all horizons, that the streams of d and extra together need
 // at the given number of standard deviations above the mean, in tokens.
 func (d *Demand) Peak(extra *Demand, standardDeviations float64) float64 {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -135,16 +135,17 @@
 // prompt is all its parts but the last.
 func (c *call) submission() dispatch.Submit {
 	s := dispatch.Submit{
-		Organisation:     c.organisation,
-		Pool:             c.pool,
-		Plain:            c.plainService,
-		NonIdempotent:    c.route.Kind != route.Idempotent,
-		Route:            c.lengthClass(),
-		PromptTokens:     c.info.PromptTokens,
-		MaxOutputTokens:  c.info.MaxOutputTokens,
-		MaxAttempts:      max(c.route.MaxAttempts, 1),
-		DispatchDeadline: c.started.Add(time.Until(c.deadline) / dispatchDeadlineDivisor),
-		CallerDeadline:   c.deadline,
+		Organisation:        c.organisation,
+		Pool:                c.pool,
+		Plain:               c.plainService,
+		NonIdempotent:       c.route.Kind != route.Idempotent,
+		Route:               c.lengthClass(),
+		PromptTokens:        c.info.PromptTokens,
+		MaxOutputTokens:     c.info.MaxOutputTokens,
+		MaxAttempts:         max(c.route.MaxAttempts, 1),
+		FirstTokenObjective: c.route.FirstByteObjective,
+		DispatchDeadline:    c.started.Add(time.Until(c.deadline) / dispatchDeadlineDivisor),
+		CallerDeadline:      c.deadline,
 	}
 	if n := len(c.info.PromptParts); n > 1 {
 		h := fnv.New64a()
--- a/host/host.go
+++ b/host/host.go
@@ -77,6 +77,7 @@
 		decisions  chan dispatch.Effect // effects that WaitDecision returns
 		cancel     context.CancelFunc   // stops the relay
 		target     string               // target of the current attempt; empty before the first dispatch
+		started    bool                 // the first token of the stream was sampled
 		moveTarget string               // destination of the last move that the reducer requested
 		moves      chan dispatch.Effect // effects that Moves returns
 	}
@@ -343,6 +344,10 @@
 		if r.target == "" || r.Submit.Plain {
 			continue
 		}
+		if !r.started && r.Progress.Tokens() > 0 {
+			r.started = true
+			r.reportStreams()
+		}
 		h.samples = append(h.samples, dispatch.Sample{
 			ID:           id,
 			Tokens:       r.Progress.Tokens(),
--- a/host/placement.go
+++ b/host/placement.go
@@ -214,16 +214,20 @@
 
 // Streams returns the host's running streams for its coordinators.
 func (h peerHandler) Streams() *wire.Streams {
+	var e dispatch.HostStreams
+	if !h.Inspect(func(r *dispatch.Reducer) { e = r.HostStreams() }) {
+		return nil
+	}
 	out := &wire.Streams{}
-	h.Inspect(func(r *dispatch.Reducer) {
-		streams, failures := r.RunningStreams()
-		for i := range streams {
-			out.Streams = append(out.Streams, streamToWire(&streams[i]))
-		}
-		for _, f := range failures {
-			out.Failures = append(out.Failures, &wire.Failure{Target: f.Target, Unreachable: uint32(f.Unreachable), Answered: uint32(f.Answered)})
-		}
-	})
+	for i := range e.Streams {
+		out.Streams = append(out.Streams, streamToWire(&e.Streams[i]))
+	}
+	for _, f := range e.Failures {
+		out.Failures = append(out.Failures, &wire.Failure{Target: f.Target, Unreachable: uint32(f.Unreachable), Answered: uint32(f.Answered)})
+	}
+	for _, f := range e.Finished {
+		out.Finished = append(out.Finished, &wire.Finish{Id: uint64(f.ID), Tokens: uint32(f.Tokens)})
+	}
 	return out
 }
 
@@ -236,6 +240,9 @@
 	for _, f := range r.Streams.Failures {
 		e.Failures = append(e.Failures, dispatch.TargetFailures{Target: f.Target, Unreachable: int(f.Unreachable), Answered: int(f.Answered)})
 	}
+	for _, f := range r.Streams.Finished {
+		e.Finished = append(e.Finished, dispatch.FinishedStream{ID: dispatch.ID(f.Id), Tokens: int(f.Tokens)})
+	}
 	h.Post(e)
 }
 
@@ -266,6 +273,7 @@
 		Prompt: uint32(r.PromptTokens), Limit: uint32(r.MaxOutputTokens), Output: uint32(r.KnownOutputTokens),
 		Prefix: r.PrefixHash, Shared: uint32(r.PrefixTokens), Except: r.Excluded,
 		Within: uint32(max(r.Remaining, 0).Milliseconds()), Waited: uint32(r.Waited.Milliseconds()), Attempt: uint32(r.Attempt),
+		Objective: uint32(r.FirstTokenObjective.Milliseconds()),
 	}
 }
 
@@ -275,5 +283,6 @@
 		PromptTokens: int(q.Prompt), MaxOutputTokens: int(q.Limit), KnownOutputTokens: int(q.Output),
 		PrefixHash: q.Prefix, PrefixTokens: int(q.Shared), Excluded: q.Except,
 		Remaining: time.Duration(q.Within) * time.Millisecond, Waited: time.Duration(q.Waited) * time.Millisecond, Attempt: int(q.Attempt),
+		FirstTokenObjective: time.Duration(q.Objective) * time.Millisecond,
 	}
 }
--- a/peer/send.go
+++ b/peer/send.go
@@ -18,7 +18,7 @@
 	addressesPerHeartbeat   = 3                      // peer addresses in a heartbeat, of a host that is connected with all
 	maxListedCoordinators   = 16                     // coordinators in a heartbeat; their entries must fit into a datagram
 	streamReportInterval    = 250 * time.Millisecond // time between two reports of a host's streams
-	minStreamReportInterval = 25 * time.Millisecond  // least time between two reports of a host's streams, after a change
+	minStreamReportInterval = 10 * time.Millisecond  // least time between two reports of a host's streams, after a change
 )
 
 // heartbeatLoop sends heartbeats to all partners, detects peers that are down and updates the
--- a/trial/engine.go
+++ b/trial/engine.go
@@ -39,6 +39,7 @@
 		queued          bool              // the current attempt is at the engine and has generated no token
 		inFlight        bool              // an attempt was dispatched, and its host has received no AttemptFailed event for it
 		finished        bool              // the caller has received its final answer
+		started         bool              // its first token was sampled
 		deliveredTokens int               // tokens delivered to the caller by all attempts
 	}
 )
--- a/trial/request.go
+++ b/trial/request.go
@@ -208,7 +208,10 @@
 	t.finishRequest(c)
 	t.result.Completed++
 	usage := target.Usage{Prompt: s.PromptTokens, Output: c.outputTokens, Cached: s.CachedTokens}
-	t.after(t.config.LinkDelay, func() { t.reduce(c.host, dispatch.Ended{ID: c.id, Usage: usage}) })
+	t.after(t.config.LinkDelay, func() {
+		t.reduce(c.host, dispatch.Ended{ID: c.id, Usage: usage})
+		t.reportStreamsSoon(c.host)
+	})
 }
 
 // finishRequest marks a request as finished, that is, its caller has the final answer, and
@@ -248,6 +251,7 @@
 	t.after(t.config.LinkDelay, func() {
 		c.inFlight = false
 		t.reduce(c.host, dispatch.AttemptFailed{ID: c.id, Certainty: certainty, Delivered: delivered, Rebooted: rebooted})
+		t.reportStreamsSoon(c.host)
 	})
 }
 
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -51,6 +51,7 @@
 		LoadReportInterval time.Duration     // interval between the load reports of an engine to a host
 		LoadReportDelay    time.Duration     // time from the sampling of a load report to its arrival at the host
 		PeerReportInterval time.Duration     // interval between the reports of a host to its peers; 0 disables peer reports
+		Scattered          bool              // each host places its requests itself; otherwise the first host places those of all
 		LinkDelay          time.Duration     // one-way network delay
 		Faults             []Fault
 		EventsPerCheck     int // number of events passed to reducers between two checks of their invariants; 0 disables checks during the trial
@@ -93,6 +94,8 @@
 		reportSequence   uint64                   // sequence number of the last report to peers
 		dropReportsUntil time.Duration            // load reports and peer reports to the host are dropped until this time
 		timerAt          time.Duration            // time of the Tick that setTimer has scheduled; 0 means none
+		asked            map[dispatch.ID]bool     // requests about which the coordinator is asked
+		reportDue        bool                     // reportStreamsSoon has scheduled a report
 	}
 
 	// requestKey identifies a request by the index of its host and its ID.
@@ -144,10 +147,11 @@
 			name:       fmt.Sprintf("h%d", i),
 			reducer:    dispatch.NewReducer(c.Options...),
 			dispatched: map[dispatch.ID]*request{},
+			asked:      map[dispatch.ID]bool{},
 		}
 		t.hosts = append(t.hosts, h)
 		t.reduce(h, dispatch.TableChange{Table: t.table})
-		t.reduce(h, dispatch.LiveHosts{Hosts: c.Hosts, HostIndex: i})
+		t.reduce(h, dispatch.LiveHosts{Hosts: c.Hosts, HostIndex: i, Delegated: t.coordinated() && i > 0, Coordinates: t.coordinated() && i == 0})
 	}
 	t.scheduleInitialEvents()
 	return t, nil
@@ -191,6 +195,9 @@
 		if t.config.PeerReportInterval > 0 {
 			t.every(t.uniformDuration(0, t.config.PeerReportInterval), t.config.PeerReportInterval, func() { t.sendPeerReport(h) })
 		}
+		if t.coordinated() && h.index > 0 {
+			t.every(t.uniformDuration(0, streamReportInterval), streamReportInterval, func() { t.reportStreams(h) })
+		}
 		for _, e := range t.engines {
 			t.every(t.uniformDuration(0, t.config.LoadReportInterval), t.config.LoadReportInterval, func() { t.sendLoadReport(h, e) })
 		}
@@ -283,6 +290,10 @@
 		t.handleCancel(h, f)
 	case dispatch.EffectResume:
 		t.result.Resumes++
+	case dispatch.EffectPlace:
+		t.askPlacement(h, *f.Placement)
+	case dispatch.EffectPlaced:
+		t.answerPlacement(f)
 	}
 }
 
@@ -313,6 +324,10 @@
 		}
 		kept = append(kept, id)
 		s := dispatch.Sample{ID: id, Tokens: c.attemptTokens, EngineQueued: c.queued}
+		if c.attemptTokens > 0 && !c.started {
+			c.started = true
+			t.reportStreamsSoon(h)
+		}
 		if c.attemptTokens > 0 {
 			s.LastToken = epoch.Add(c.lastTokenAt)
 		}
