Keep receiving on connections that only the peer needs; bound the directory in heartbeats

Cause (test of a fleet that starts at once): a host that no longer wanted a link stopped receiving on the connection it had dialled, while the peer went on to use it: 8 of 25 hosts of a domain were not heard by their coordinator. Heartbeats larger than a datagram were dropped without a line. Change: connections are served for as long as the mesh runs; the directory takes at most 800 bytes; failures to send are logged.

--- a/peer/link.go
+++ b/peer/link.go
@@ -23,6 +23,7 @@
 		dialled       atomic.Pointer[quic.Conn] // the latest connection that this host dialled
 		cancel        context.CancelFunc        // stops dialling; nil if this host does not dial
 		seed          bool                      // never removed, however long it has no connection
+		coordinator   bool                      // the peer was dialled as a coordinator in a large deployment
 		unwantedSince time.Time                 // time since when the peer is no partner; zero if it is one
 		lastHeartbeat atomic.Int64              // time of the last heartbeat sent, in nanoseconds since Mesh.started
 	}
@@ -75,7 +76,7 @@
 	if l.cancel == nil {
 		var linkCtx context.Context
 		linkCtx, l.cancel = context.WithCancel(ctx)
-		go m.maintainLink(linkCtx, l)
+		go m.maintainLink(ctx, linkCtx, l)
 	}
 }
 
@@ -107,16 +108,18 @@
 	}
 }
 
-// maintainLink dials the address of a link whenever it has no connection, until the link is
-// removed or ctx is done. If the peer is unreachable, the idle timeout closes the connection.
-func (m *Mesh) maintainLink(ctx context.Context, l *link) {
-	for lastConnected := time.Now(); ctx.Err() == nil && !m.removeIfExpired(l, lastConnected); {
-		if conn := m.connectionOf(ctx, l); conn != nil {
+// maintainLink dials the address of a link whenever it has no connection, until linkCtx is done as
+// the link is removed or the mesh stops. If the peer is unreachable, the idle timeout closes the
+// connection. Messages are received until ctx is done, which is the context of the mesh: the peer may
+// use a connection that this host no longer needs.
+func (m *Mesh) maintainLink(ctx, linkCtx context.Context, l *link) {
+	for lastConnected := time.Now(); linkCtx.Err() == nil && !m.removeIfExpired(l, lastConnected); {
+		if conn := m.connectionOf(ctx, linkCtx, l); conn != nil {
 			m.sendHeartbeat(l)
 			select {
 			case <-conn.Context().Done():
 				m.log.Emit(event.PeerReplaced, event.Fields{Peer: l.address.String()})
-			case <-ctx.Done():
+			case <-linkCtx.Done():
 				if conn == l.dialled.Load() {
 					_ = conn.CloseWithError(0, "not needed")
 				}
@@ -125,17 +128,17 @@
 			l.conn.CompareAndSwap(conn, nil)
 			lastConnected = time.Now()
 		}
-		pause.For(ctx, redialDelay)
+		pause.For(linkCtx, redialDelay)
 	}
 }
 
 // connectionOf returns the link's connection, and dials if there is none. It returns nil if
 // dialling failed.
-func (m *Mesh) connectionOf(ctx context.Context, l *link) *quic.Conn {
+func (m *Mesh) connectionOf(ctx, linkCtx context.Context, l *link) *quic.Conn {
 	if conn := l.conn.Load(); conn != nil {
 		return conn
 	}
-	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	dialCtx, cancel := context.WithTimeout(linkCtx, dialTimeout)
 	defer cancel()
 	conn, err := m.transport.Dial(dialCtx, net.UDPAddrFromAddrPort(l.address), m.config, quicConfig)
 	if err != nil {
@@ -199,8 +202,9 @@
 	return m.links[p.Address]
 }
 
-// updateLinks dials the partners of this host and closes the links to hosts that have not been
-// partners for unwantedTime.
+// updateLinks dials the partners of this host and removes the links to hosts that have not been
+// partners for unwantedTime. A coordinator that has become unreachable is dialled until linkExpiry,
+// as the network may be partitioned.
 func (m *Mesh) updateLinks(ctx context.Context, now time.Time) {
 	m.mu.Lock()
 	partners := m.partners()
@@ -213,7 +217,7 @@
 			// The peer dialled, and keeps the connection for as long as it needs it.
 		case l.unwantedSince.IsZero():
 			l.unwantedSince = now
-		case now.Sub(l.unwantedSince) >= unwantedTime && l.conn.Load() != nil:
+		case now.Sub(l.unwantedSince) >= unwantedTime && (l.conn.Load() != nil || !l.coordinator && !l.seed):
 			unwanted = append(unwanted, l)
 		}
 	}
@@ -224,6 +228,13 @@
 	for a := range partners {
 		m.dial(ctx, a, false)
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for a := range partners {
+		if l := m.links[a]; l != nil && m.directory.Hosts > fullMeshHosts {
+			l.coordinator = true
+		}
+	}
 }
 
 // partners returns the addresses that this host dials. Up to fullMeshHosts hosts dial all they
--- a/peer/send.go
+++ b/peer/send.go
@@ -16,7 +16,7 @@
 
 const (
 	addressesPerHeartbeat   = 3                      // peer addresses in a heartbeat, of a host that is connected with all
-	maxListedCoordinators   = 16                     // coordinators in a heartbeat; their entries must fit into a datagram
+	maxDirectoryBytes       = 800                    // of the coordinators in a heartbeat, which must fit into a datagram with the rest
 	streamReportInterval    = 250 * time.Millisecond // time between two reports of a host's streams
 	minStreamReportInterval = 10 * time.Millisecond  // least time between two reports of a host's streams, after a change
 )
@@ -119,9 +119,13 @@
 		m.log.Emit(event.HostFault, event.Fields{Detail: "encode a heartbeat: " + err.Error()})
 		return
 	}
-	if conn.SendDatagram(data) == nil {
-		m.count(&m.traffic.BytesSent, len(data))
+	if err := conn.SendDatagram(data); err != nil {
+		if conn.Context().Err() == nil {
+			m.log.Emit(event.HostFault, event.Fields{Peer: l.address.String(), Detail: "send a heartbeat: " + err.Error()})
+		}
+		return
 	}
+	m.count(&m.traffic.BytesSent, len(data))
 }
 
 // fillMembership sets the fields of a heartbeat about other hosts. Only a coordinator, and a host
@@ -134,16 +138,20 @@
 		hb.Known = m.sampleAddresses()
 	}
 	_, coordinates := m.directory.Position(m.settings.Domain, m.settings.Host)
+	size := 0
 	for domain, coordinators := range m.directory.Domains {
 		for _, p := range coordinators {
-			ownEntry := p.Host == m.settings.Host
-			if ownEntry || len(hb.Directory) >= maxListedCoordinators || !coordinates && l.cancel != nil && domain != m.settings.Domain {
+			if p.Host == m.settings.Host || !coordinates && l.cancel != nil && domain != m.settings.Domain {
 				continue
 			}
-			hb.Directory = append(hb.Directory, &wire.Coordinator{
+			entry := &wire.Coordinator{
 				Host: p.Host, Incarnation: p.Incarnation, Domain: p.Domain, Address: p.Address.String(), Weight: uint32(p.Weight),
 				Stopping: p.Stopping, Young: p.Young, Members: uint32(p.Members), Age: uint32(now.Sub(p.lastHeartbeat).Milliseconds()),
-			})
+			}
+			if size += proto.Size(entry); size > maxDirectoryBytes {
+				return // another heartbeat lists them, as the order of a map varies
+			}
+			hb.Directory = append(hb.Directory, entry)
 		}
 	}
 }
