--- a/host/mesh.go
+++ b/host/mesh.go
@@ -47,6 +47,9 @@
 		return nil, err
 	}
 	h.mesh = m
+	if h.sharesUpdates() && len(s.Seeds) > 0 {
+		h.syncer.WaitForPeers()
+	}
 	return m, nil
 }
 
--- a/registry/syncer.go
+++ b/registry/syncer.go
@@ -96,6 +96,14 @@
 	s.view.SetRank(rank)
 }
 
+// WaitForPeers delays the first read of the source, because the host has peers that may have the
+// state. It must be called before Run.
+func (s *Syncer) WaitForPeers() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.WaitForPeers(time.Now())
+}
+
 // HandlePause makes a read of the source due immediately, independently of the host's rank.
 // It must be called after a pause of the process, during which the state became stale.
 func (s *Syncer) HandlePause() {
--- a/registry/view.go
+++ b/registry/view.go
@@ -15,9 +15,10 @@
 	// take the current time as an argument and do no I/O. It is not safe for concurrent
 	// use. The zero value is empty.
 	View struct {
-		era              uint64 // newest era of the source
-		revision         uint64 // revision of the newest update or confirmation
-		contentRevision  uint64 // revision of the last change of the configuration or the targets; lease renewals do not count
+		era              uint64    // newest era of the source
+		startedAt        time.Time // see WaitForPeers
+		revision         uint64    // revision of the newest update or confirmation
+		contentRevision  uint64    // revision of the last change of the configuration or the targets; lease renewals do not count
 		config           Config
 		targets          map[string]table.Target
 		retained         map[string]time.Time // for each target in use that the source no longer lists, the end of its grace period
@@ -92,6 +93,10 @@
 	// the age of the backup from which a source is restored, some seconds.
 	departureMemory = time.Minute
 
+	// startDelay is the time from the start of a host with peers to the first read of the source,
+	// if its rank is 0. By then it has heard of its peers.
+	startDelay = 300 * time.Millisecond
+
 	minBackoff = 100 * time.Millisecond // delay after the first failed read; doubles with each further one
 	maxBackoff = 800 * time.Millisecond // longest delay between two attempts, and so until a recovered source is read
 )
@@ -99,11 +104,18 @@
 // SetRank sets the host's position among the hosts that read the source, from 0.
 func (v *View) SetRank(rank int) { v.rank = rank }
 
+// WaitForPeers delays the first read: a host that starts gets the state from its peers, if they have
+// it. Many hosts that start at once then do not all read the source.
+func (v *View) WaitForPeers(now time.Time) { v.startedAt = now }
+
 // Due returns the time at which the host should read the source next. The zero time means
 // immediately.
 func (v *View) Due() time.Time {
 	if v.confirmedAt.IsZero() && v.failureCount == 0 {
-		return time.Time{}
+		if v.Initialized() || v.startedAt.IsZero() {
+			return time.Time{}
+		}
+		return v.startedAt.Add(startDelay + v.readAge() - ReadInterval)
 	}
 	due := v.confirmedAt.Add(v.readAge())
 	if v.failureCount > 0 {
--- a/registry/view_test.go
+++ b/registry/view_test.go
@@ -215,3 +215,17 @@
 	v.ApplySourceUpdate(now, now, Update{Era: 1, Base: 12, Revision: 14, Targets: targets("lapsed")})
 	c.Assert(leaving(), qt.DeepEquals, []string{"drained", "left"})
 }
+
+// Many hosts that start at once must not all read the source: the first one by rank does, and the
+// others get the state from it.
+func TestFirstReadWaitsForPeers(t *testing.T) {
+	c := qt.New(t)
+	var v View
+	v.WaitForPeers(start)
+	c.Assert(v.Due(), qt.Equals, start.Add(startDelay))
+	v.SetRank(1)
+	c.Assert(v.Due(), qt.Equals, start.Add(startDelay+standbyReadAge-ReadInterval))
+	_, ok := v.ApplyPeerUpdate(start.Add(startDelay), 0, Update{Full: true, Revision: 10, Targets: targets("a")})
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(v.Due().After(start.Add(startDelay+standbyReadAge-ReadInterval)), qt.IsTrue)
+}
