Requests that can be on time go first; streams are held only while their callers wait

Cause: in a crowd all requests waited in the order of arrival, so that all became late, and were held for up to 13 s while callers leave after 7.2 s without an event. A large request that did not fit blocked its whole pool after 2 s. Change: late requests go after those that can be on time and block nothing; a stream is to be dispatched within three quarters of the time after which its caller leaves.

--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -89,7 +89,7 @@
 		}
 		t := r.choose(q, r.shareExcess(queue.normalisedRate, r.now-queue.lastEmpty, p))
 		if t == nil {
-			if r.now-q.arrived > maxBypassAge {
+			if r.now-q.arrived > maxBypassAge && !r.isLate(q) {
 				return
 			}
 			bypassed++
@@ -125,18 +125,23 @@
 }
 
 // nextReady returns the first request of a queue that is not in retry backoff and that this host
-// places, or nil. It requests a Tick for the end of the backoffs that it passes.
+// places, or nil. It requests a Tick for the end of the backoffs that it passes. Requests that can
+// still be on time go before those that are late already: in a crowd, serving all in the order of
+// their arrival would make all of them late.
 func (r *Reducer) nextReady(queue *organisationQueue) *request {
+	var late *request
 	for _, q := range queue.held {
-		if q.placement == placementAsked || q.placement == placementNone && q.remote == nil && r.delegates(q.pool) {
-			continue
-		}
-		if q.notBefore <= r.now {
+		switch {
+		case q.placement == placementAsked || q.placement == placementNone && q.remote == nil && r.delegates(q.pool):
+		case q.notBefore > r.now:
+			r.wakeBy(q.notBefore)
+		case !r.isLate(q):
 			return q
+		case late == nil:
+			late = q
 		}
-		r.wakeBy(q.notBefore)
 	}
-	return nil
+	return late
 }
 
 // yieldsToPeers reports whether an organisation must wait because another host holds requests of
--- a/dispatch/risk.go
+++ b/dispatch/risk.go
@@ -46,15 +46,21 @@
 	return max(base, r.lateChance(q)*weight/preemptionCost)
 }
 
+// isLate reports whether a held request for an engine can no longer be on time.
+func (r *Reducer) isLate(q *request) bool { return !q.plain && r.now-q.arrived >= r.waitLimit(q) }
+
+// waitLimit returns the longest time for which a request can be held and still be on time.
+func (r *Reducer) waitLimit(q *request) time.Duration {
+	return q.firstTokenObjective - time.Duration(q.prompt)*r.options.prefillPerToken
+}
+
 // lateChance returns the chance that a held request becomes late if it is held on. It grows with the
 // part of the time to its objective that has passed.
 func (r *Reducer) lateChance(q *request) float64 {
-	limit := q.firstTokenObjective - time.Duration(q.prompt)*r.options.prefillPerToken
-	waited := r.now - q.arrived
-	if waited >= limit {
+	if r.isLate(q) {
 		return lateWaitCost
 	}
-	return float64(waited) / float64(limit)
+	return float64(r.now-q.arrived) / float64(r.waitLimit(q))
 }
 
 // maxLatencyRatio bounds the ratio of an organisation's weights of tail latency and of stalls.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -144,7 +144,7 @@
 		MaxOutputTokens:     c.info.MaxOutputTokens,
 		MaxAttempts:         max(c.route.MaxAttempts, 1),
 		FirstTokenObjective: c.route.FirstByteObjective,
-		DispatchDeadline:    c.started.Add(time.Until(c.deadline) / dispatchDeadlineDivisor),
+		DispatchDeadline:    c.dispatchDeadline(),
 		CallerDeadline:      c.deadline,
 	}
 	if n := len(c.info.PromptParts); n > 1 {
@@ -158,6 +158,17 @@
 	return s
 }
 
+// dispatchDeadline returns the time by which the request must be dispatched: a fraction of the time
+// until its deadline. The caller of a stream leaves earlier if no event arrives, so that a later
+// dispatch would be in vain.
+func (c *call) dispatchDeadline() time.Time {
+	limit := time.Until(c.deadline) / dispatchDeadlineDivisor
+	if !c.plainService {
+		limit = min(limit, time.Duration(firstEventFraction*float64(c.streamTimeout())))
+	}
+	return c.started.Add(limit)
+}
+
 // lengthClass returns the key under which the output length of the request is forecast. Requests
 // share a key if they have the same route and the output lengths that their callers expect lie
 // between the same two powers of two.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,6 +60,7 @@
 	writeTimeout                 = 10 * time.Second      // limit on one write to a caller
 	minRetryAfter                = 50 * time.Millisecond // shortest Retry-After; sooner retries only add load
 	retryAfterDivisor            = 4                     // Retry-After is at most the time until the deadline divided by this
+	firstEventFraction           = 0.75                  // part of the stream timeout within which a stream must be dispatched; the rest is for its prompt
 	dispatchDeadlineDivisor      = 3                     // the request must be dispatched within the time until its deadline divided by this
 	attemptTimeoutDivisor        = 3                     // an attempt of an idempotent request, except the last, gets the time until the deadline divided by this; see limitAttempt
 	minStreamTimeout             = 2 * time.Second       // lower bound of the stream timeout, see streamTimeout
