--- a/dispatch/coordinator.go
+++ b/dispatch/coordinator.go
@@ -54,8 +54,11 @@
 	remoteHostExpiry = 2 * time.Second
 
 	// reportLag is the time within which a host first reports a stream after the coordinator has
-	// placed it, and reports a move after the coordinator has ordered it.
-	reportLag = 600 * time.Millisecond
+	// placed it.
+	reportLag = time.Second
+
+	// orderLag is the time within which a host reports a move after the coordinator has ordered it.
+	orderLag = 400 * time.Millisecond
 
 	// placementRetryInterval is the delay before a host asks again because it cannot use the
 	// target that the coordinator chose.
@@ -220,7 +223,7 @@
 	q.remote.reportNumber = o.sequence
 	if q.target != t {
 		r.applyMove(q, t)
-	} else if q.moveReservation.target != nil && !s.Moving && r.now-q.remote.orderedAt >= reportLag {
+	} else if q.moveReservation.target != nil && !s.Moving && r.now-q.remote.orderedAt >= orderLag {
 		q.triedTargets = append(q.triedTargets, q.moveReservation.target)
 		r.endMove(q)
 		r.counts.NotMoved++
--- a/host/placement.go
+++ b/host/placement.go
@@ -251,6 +251,7 @@
 	for _, o := range r.Orders {
 		h.Post(dispatch.MoveOrder{ID: dispatch.ID(o.Id), From: o.From, To: o.Target})
 	}
+	h.mesh.ReportStreams()
 }
 
 func streamToWire(s *dispatch.StreamState) *wire.Stream {
--- a/load/charge.go
+++ b/load/charge.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -63,16 +64,23 @@
 			continue
 		}
 		if err != nil {
+			d.updateReport(func(r *Report) { r.countError("charge: " + errorText(err)) })
 			return outcomeUnknown
 		}
-		return outcomeOf(resp)
+		reported := outcomeOf(resp)
+		if reported == outcomeUnknown {
+			d.updateReport(func(r *Report) {
+				r.countError(fmt.Sprintf("charge: status %d, outcome %q", resp.StatusCode, resp.Header.Get(answer.HeaderOutcome)))
+			})
+		}
+		return reported
 	}
 	return outcomeNotRun
 }
 
 func (d *driver) sendCharge(ctx context.Context, c call, index int, ref string) (*http.Response, error) {
-	url := d.url(index) + "/v1/services/" + d.config.Service + "/charges"
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(`{"amount":1}`))
+	address := d.url(index) + "/v1/services/" + d.config.Service + "/charges"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, address, strings.NewReader(`{"amount":1}`))
 	if err != nil {
 		return nil, err
 	}
@@ -82,6 +90,15 @@
 	return d.client.Do(req)
 }
 
+// errorText returns the text of an error without the URL, which differs between calls.
+func errorText(err error) string {
+	var failed *url.Error
+	if errors.As(err, &failed) {
+		return failed.Err.Error()
+	}
+	return err.Error()
+}
+
 // outcomeOf closes a response and returns the outcome that its header reports.
 func outcomeOf(resp *http.Response) outcome {
 	defer resp.Body.Close()
@@ -129,8 +146,8 @@
 }
 
 func (d *driver) fetchRunCount(ctx context.Context, c charge, index int) (int, error) {
-	url := d.url(index) + "/v1/services/" + d.config.Service + "/ran/" + c.reference
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	address := d.url(index) + "/v1/services/" + d.config.Service + "/ran/" + c.reference
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
 		return 0, err
 	}
--- a/load/report.go
+++ b/load/report.go
@@ -18,7 +18,7 @@
 		Complete        int               `json:"whole"`           // generations that ended with [DONE]
 		Partial         int               `json:"partial"`         // generations that ended with an error after the first token
 		Reconnects      int               `json:"reconnects"`      // connections of generations, except the first of each
-		Errors          map[string]int    `json:"errors"`          // generations that did not complete, by error code
+		Errors          map[string]int    `json:"errors"`          // generations that did not complete, by error code, and charges with an unknown outcome, by cause
 		Tokens          int               `json:"tokens"`          // tokens received
 		Lost            int               `json:"lost"`            // tokens that were skipped in a stream or missing at its end
 		Duplicated      int               `json:"duplicated"`      // tokens received more than once
@@ -77,3 +77,11 @@
 func printQuantiles(w io.Writer, name string, q latency.Quantiles) {
 	fmt.Fprintf(w, "%s p50 %s  p95 %s  p99 %s  p99.9 %s\n", name, q.P50, q.P95, q.P99, q.P999)
 }
+
+// countError counts a generation or a charge in Errors.
+func (r *Report) countError(code string) {
+	if r.Errors == nil {
+		r.Errors = map[string]int{}
+	}
+	r.Errors[code]++
+}
--- a/load/stream.go
+++ b/load/stream.go
@@ -107,12 +107,12 @@
 			r.Mismatches = append(r.Mismatches, s.id+": token count in the usage differs from the number of tokens received")
 		}
 	case s.errorCode != "":
-		r.Errors[s.errorCode]++
+		r.countError(s.errorCode)
 		if s.nextToken > 0 {
 			r.Partial++
 		}
 	default:
-		r.Errors["gave_up"]++
+		r.countError("gave_up")
 	}
 }
 
--- a/peer/send.go
+++ b/peer/send.go
@@ -17,7 +17,7 @@
 const (
 	addressesPerHeartbeat   = 3                      // peer addresses in a heartbeat, of a host that is connected with all
 	maxDirectoryBytes       = 800                    // of the coordinators in a heartbeat, which must fit into a datagram with the rest
-	streamReportInterval    = 250 * time.Millisecond // time between two reports of a host's streams
+	streamReportInterval    = 500 * time.Millisecond // time between two reports of a host's streams
 	minStreamReportInterval = 10 * time.Millisecond  // least time between two reports of a host's streams, after a change
 )
 
