--- a/dispatch/coordinator.go
+++ b/dispatch/coordinator.go
@@ -93,12 +93,12 @@
 		r.endRemote(q)
 	}
 	s := Submit{
-		Organisation: e.Organisation, Pool: e.Pool, NonIdempotent: true, Route: e.Route, PromptTokens: e.PromptTokens,
+		Name: e.Name, Organisation: e.Organisation, Pool: e.Pool, NonIdempotent: true, Route: e.Route, PromptTokens: e.PromptTokens,
 		PrefixHash: e.PrefixHash, PrefixTokens: e.PrefixTokens, MaxOutputTokens: e.MaxOutputTokens, KnownOutputTokens: e.KnownOutputTokens,
 		FirstTokenObjective: e.FirstTokenObjective, DispatchDeadline: r.epoch.Add(r.now + e.Remaining),
 	}
 	if kind := r.remoteAdmissionFailure(s); kind != answer.KindNone {
-		r.emit(Effect{Kind: EffectPlaced, Remote: key.origin, ID: key.id, Answer: kind, RetryAfter: kind.Properties().RetryDelay})
+		r.emit(Effect{Kind: EffectPlaced, Remote: key.origin, ID: key.id, Name: e.Name, Answer: kind, RetryAfter: kind.Properties().RetryDelay})
 		return
 	}
 	s.ID = r.nextRemoteID()
@@ -155,7 +155,7 @@
 
 // emitPlaced emits the answer that names the target of another host's request.
 func (r *Reducer) emitPlaced(q *request) {
-	r.emit(Effect{Kind: EffectPlaced, Remote: q.remote.origin, ID: q.remote.id, Target: q.target.spec.Name, Basis: r.basis})
+	r.emit(Effect{Kind: EffectPlaced, Remote: q.remote.origin, ID: q.remote.id, Name: q.name, Target: q.target.spec.Name, Basis: r.basis})
 }
 
 // reduce brings the recorded streams of the host up to date: it adds streams that other
@@ -237,7 +237,7 @@
 func (r *Reducer) addRemoteStream(origin string, s *StreamState, t *targetState) *request {
 	q := r.allocateRequest()
 	q.id, q.organisation, q.pool = r.nextRemoteID(), r.organisations[s.Organisation], r.pools[s.Pool]
-	q.nonIdempotent = true
+	q.name, q.nonIdempotent = s.Name, true
 	q.remote = &remoteState{remoteID: remoteID{origin, s.ID}}
 	q.prompt, q.tokens, q.maxOutput, q.knownOutput = s.PromptTokens, s.Tokens, s.MaxOutput, s.KnownOutput
 	q.arrived, q.attempts = r.now, 1
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -12,6 +12,7 @@
 	Effect struct {
 		Kind       EffectKind
 		ID         ID                // Placed: on the host that asked
+		Name       string            // Placed, Move: identifier in event logs of a request of another host
 		Target     string            // name of the target; Move, NoMove: of the one that runs the stream now
 		Priority   int               // Dispatch, Move: engine priority, lower first
 		Answer     answer.Kind       // Refuse: kind of the refusal sent to the caller
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -159,7 +159,7 @@
 	}
 	if q.remote != nil {
 		q.remote.orderedAt = r.now
-		e.Remote, e.ID = q.remote.origin, q.remote.id
+		e.Remote, e.ID, e.Name = q.remote.origin, q.remote.id, q.name
 	}
 	r.emit(e)
 }
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -23,6 +23,7 @@
 	// Submit is a new request.
 	Submit struct {
 		ID                  ID
+		Name                string // identifier in event logs; the reducer only passes it on
 		Organisation        string
 		Pool                string        // name of the model or service
 		Plain               bool          // whether Pool is a plain service (see table.Service), not a model
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -35,6 +35,7 @@
 	PlacementRequest struct {
 		Origin              string // host and incarnation that ask
 		ID                  ID     // of the request on that host
+		Name                string // identifier of the request in event logs
 		Organisation        string
 		Pool                string
 		Route               string
@@ -53,6 +54,7 @@
 	// StreamState describes a running stream of a host to its coordinators.
 	StreamState struct {
 		ID                        ID
+		Name                      string // identifier in event logs
 		Organisation, Pool, Route string
 		Target                    string
 		PromptTokens, Tokens      int // prompt, and output delivered so far
@@ -98,7 +100,7 @@
 // are excluded, whatever the coordinator believes of them.
 func (r *Reducer) placementRequest(q *request) *PlacementRequest {
 	a := &PlacementRequest{
-		Origin: r.options.origin, ID: q.id, Organisation: q.organisation.spec.Name, Pool: q.pool.name, Route: q.lengthKey.Route,
+		Origin: r.options.origin, ID: q.id, Name: q.name, Organisation: q.organisation.spec.Name, Pool: q.pool.name, Route: q.lengthKey.Route,
 		PromptTokens: q.prompt, PrefixHash: q.prefix, PrefixTokens: q.prefixTokens, MaxOutputTokens: q.maxOutput, KnownOutputTokens: q.knownOutput,
 		FirstTokenObjective: q.firstTokenObjective, Remaining: q.holdDeadline - r.now, Waited: r.now - q.arrived, Attempt: q.attempts + 1,
 	}
@@ -178,7 +180,7 @@
 			continue
 		}
 		e.Streams = append(e.Streams, StreamState{
-			ID: q.id, Organisation: q.organisation.spec.Name, Pool: q.pool.name, Route: q.lengthKey.Route, Target: q.target.spec.Name,
+			ID: q.id, Name: q.name, Organisation: q.organisation.spec.Name, Pool: q.pool.name, Route: q.lengthKey.Route, Target: q.target.spec.Name,
 			PromptTokens: q.prompt, Tokens: q.tokens, MaxOutput: q.maxOutput, KnownOutput: q.knownOutput,
 			Moving: q.moveReservation.target != nil,
 		})
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -14,6 +14,7 @@
 	// Attach to its end.
 	request struct {
 		id            ID
+		name          string // identifier in event logs
 		organisation  *organisation
 		pool          *pool
 		lengthKey     length.Key
@@ -86,7 +87,7 @@
 // its expected run time; short requests therefore overtake long ones in the queue.
 func (r *Reducer) newRequest(e Submit) *request {
 	q := r.allocateRequest()
-	q.id, q.nonIdempotent, q.plain = e.ID, e.NonIdempotent, e.Plain
+	q.id, q.name, q.nonIdempotent, q.plain = e.ID, e.Name, e.NonIdempotent, e.Plain
 	q.organisation, q.pool = r.organisations[e.Organisation], r.pools[e.Pool]
 	q.prompt, q.prefixTokens, q.prefix = e.PromptTokens, e.PrefixTokens, e.PrefixHash
 	q.maxOutput, q.knownOutput = e.MaxOutputTokens, e.KnownOutputTokens
@@ -252,7 +253,7 @@
 func (r *Reducer) refuse(q *request, kind answer.Kind, retry time.Duration) {
 	if q.remote != nil {
 		if kind != answer.KindNone {
-			r.emit(Effect{Kind: EffectPlaced, Remote: q.remote.origin, ID: q.remote.id, Answer: kind, RetryAfter: cmp.Or(retry, kind.Properties().RetryDelay)})
+			r.emit(Effect{Kind: EffectPlaced, Remote: q.remote.origin, ID: q.remote.id, Name: q.name, Answer: kind, RetryAfter: cmp.Or(retry, kind.Properties().RetryDelay)})
 		}
 		r.forget(q)
 		return
--- a/host/placement.go
+++ b/host/placement.go
@@ -192,16 +192,16 @@
 
 // logPlacement logs a coordinator's decision about another host's request.
 func (h *Host) logPlacement(f dispatch.Effect) {
-	values := append(h.basisValues(f.Basis), "origin", f.Remote, "id", uint64(f.ID))
+	values := append(h.basisValues(f.Basis), "origin", f.Remote)
 	if f.Answer != answer.KindNone {
 		values = append(values, "refusal", f.Answer.String())
 	}
-	h.log.Emit(event.PlacementDecided, event.Fields{Target: f.Target, Values: values})
+	h.log.Emit(event.PlacementDecided, event.Fields{Request: f.Name, Target: f.Target, Values: values})
 }
 
 // orderMove tells another host to move one of its streams.
 func (h *Host) orderMove(f dispatch.Effect) {
-	h.log.Emit(event.MoveAsked, event.Fields{Target: f.Target, Values: append(h.basisValues(f.Basis), "to", f.To.Name, "origin", f.Remote, "id", uint64(f.ID))})
+	h.log.Emit(event.MoveAsked, event.Fields{Request: f.Name, Target: f.Target, Values: append(h.basisValues(f.Basis), "to", f.To.Name, "origin", f.Remote)})
 	for _, p := range h.livePeers() {
 		if p.Host+"/"+p.Incarnation == f.Remote {
 			order := &wire.Order{Id: uint64(f.ID), From: f.Target, Target: f.To.Name}
@@ -256,21 +256,21 @@
 
 func streamToWire(s *dispatch.StreamState) *wire.Stream {
 	return &wire.Stream{
-		Id: uint64(s.ID), Organisation: s.Organisation, Pool: s.Pool, Route: s.Route, Target: s.Target,
+		Id: uint64(s.ID), Name: s.Name, Organisation: s.Organisation, Pool: s.Pool, Route: s.Route, Target: s.Target,
 		Prompt: uint32(s.PromptTokens), Tokens: uint32(s.Tokens), Limit: uint32(s.MaxOutput), Output: uint32(s.KnownOutput), Moving: s.Moving,
 	}
 }
 
 func streamFromWire(s *wire.Stream) dispatch.StreamState {
 	return dispatch.StreamState{
-		ID: dispatch.ID(s.Id), Organisation: s.Organisation, Pool: s.Pool, Route: s.Route, Target: s.Target,
+		ID: dispatch.ID(s.Id), Name: s.Name, Organisation: s.Organisation, Pool: s.Pool, Route: s.Route, Target: s.Target,
 		PromptTokens: int(s.Prompt), Tokens: int(s.Tokens), MaxOutput: int(s.Limit), KnownOutput: int(s.Output), Moving: s.Moving,
 	}
 }
 
 func placementToWire(r *dispatch.PlacementRequest) *wire.Place {
 	return &wire.Place{
-		Origin: r.Origin, Id: uint64(r.ID), Organisation: r.Organisation, Pool: r.Pool, Route: r.Route,
+		Origin: r.Origin, Id: uint64(r.ID), Name: r.Name, Organisation: r.Organisation, Pool: r.Pool, Route: r.Route,
 		Prompt: uint32(r.PromptTokens), Limit: uint32(r.MaxOutputTokens), Output: uint32(r.KnownOutputTokens),
 		Prefix: r.PrefixHash, Shared: uint32(r.PrefixTokens), Except: r.Excluded,
 		Within: uint32(max(r.Remaining, 0).Milliseconds()), Waited: uint32(r.Waited.Milliseconds()), Attempt: uint32(r.Attempt),
@@ -280,7 +280,7 @@
 
 func placementFromWire(q *wire.Place) dispatch.PlacementRequest {
 	return dispatch.PlacementRequest{
-		Origin: q.Origin, ID: dispatch.ID(q.Id), Organisation: q.Organisation, Pool: q.Pool, Route: q.Route,
+		Origin: q.Origin, ID: dispatch.ID(q.Id), Name: q.Name, Organisation: q.Organisation, Pool: q.Pool, Route: q.Route,
 		PromptTokens: int(q.Prompt), MaxOutputTokens: int(q.Limit), KnownOutputTokens: int(q.Output),
 		PrefixHash: q.Prefix, PrefixTokens: int(q.Shared), Excluded: q.Except,
 		Remaining: time.Duration(q.Within) * time.Millisecond, Waited: time.Duration(q.Waited) * time.Millisecond, Attempt: int(q.Attempt),
--- a/host/request.go
+++ b/host/request.go
@@ -22,6 +22,7 @@
 	if name == "" {
 		name = h.name + "-" + h.incarnation + "-" + strconv.FormatUint(uint64(id), 36)
 	}
+	s.Name = name
 	return &Request{
 		ID:        id,
 		Submit:    s,
--- a/peer/send.go
+++ b/peer/send.go
@@ -48,13 +48,14 @@
 
 func (m *Mesh) sinceStart(now time.Time) time.Duration { return now.Sub(m.started) }
 
-// expirePeers marks the peers without recent heartbeats as down, logs them and calls
-// HandlePeerChange if there are any.
+// expirePeers marks the peers without recent heartbeats as down, logs those that this host is linked
+// with and calls HandlePeerChange if there are any. A peer without a link is no partner any more.
 func (m *Mesh) expirePeers(now time.Time) {
 	m.mu.Lock()
 	down := m.view.Expire(now)
+	lost := slices.DeleteFunc(slices.Clone(down), func(c Change) bool { return m.links[c.Peer.Address] == nil })
 	m.mu.Unlock()
-	for _, c := range down {
+	for _, c := range lost {
 		m.log.Emit(event.PeerDown, event.Fields{Peer: c.Peer.Host, Detail: c.Peer.Incarnation})
 	}
 	if len(down) > 0 {
