Streams with a backup move without the coordinator's order

Cause (TestStreamsResumeFromBackupsOnReclaim, seen under the race detector): the coordinator does not know the backups of other hosts' streams and ordered copies instead. Change: a host with a usable backup goes on there by itself, and on an order.

--- a/dispatch/coordinator_test.go
+++ b/dispatch/coordinator_test.go
@@ -314,3 +314,33 @@
 		}
 	})
 }
+
+// A stream with a backup needs no order of the coordinator, which does not know the backup, and an
+// order leads to the backup.
+func TestStreamWithBackupMovesWithoutOrder(t *testing.T) {
+	r := newReducerTest(t, 1, 3, WithMoves(true), WithBackupFraction(0.8))
+	table := *r.reducer.table
+	for name, model := range table.Models {
+		model.Engine.CanMove, model.Engine.CanBackUp = true, true
+		table.Models[name] = model
+	}
+	r.reduce(0, LiveHosts{Hosts: 2, Delegated: true})
+	for id := range ID(2) {
+		r.reduce(0, submit(id+1, "organisation-0"))
+		r.reduce(time.Millisecond, Placed{ID: id + 1, Target: "engine-0000"})
+		r.Assert(r.requireEffect(EffectDispatch).Backup.Name, qt.Not(qt.Equals), "")
+		r.reduce(time.Millisecond, Progress{Samples: []Sample{{ID: id + 1, Tokens: 5, LastToken: r.now}}})
+	}
+	backup := r.reducer.requests[2].backup.target.spec.Name
+	other := "engine-0001"
+	if backup == other {
+		other = "engine-0002"
+	}
+	r.reduce(time.Millisecond, MoveOrder{ID: 2, From: "engine-0000", To: other})
+	r.Assert(r.requireEffect(EffectMove).To.Name, qt.Equals, backup)
+	r.reduce(time.Millisecond, LeavingTargets{Leaving: map[string]bool{"engine-0000": true}})
+	r.reduce(time.Millisecond, Tick{})
+	move := r.requireEffect(EffectMove)
+	r.Assert(move.ID, qt.Equals, ID(1))
+	r.Assert(move.ToBackup, qt.IsTrue)
+}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -161,12 +161,16 @@
 	if !q.target.leaving {
 		q.target.setLeaving(true, r.now)
 	}
-	r.emitMove(q, t, false)
+	if r.canRunAt(q.backup.target) {
+		t = q.backup.target
+	}
+	r.emitMove(q, t, t == q.backup.target)
 }
 
-// movesElsewhere reports whether a coordinator decides about the moves of q.
+// movesElsewhere reports whether a coordinator decides about the moves of q. The coordinator does not
+// know the backups of other hosts' streams; a stream with one needs no order.
 func (r *Reducer) movesElsewhere(q *request) bool {
-	return r.delegated && q.placement == placementRemote
+	return r.delegated && q.placement == placementRemote && !r.canRunAt(q.backup.target)
 }
 
 // HostStreams returns the event that tells the coordinators of this host's failure domain about its
