Hosts that start dial one seed first, and read the source late if they have heard of no peer

Change: another seed first for each host, the rest after 0.7 s without a peer; a host without peers reads as the last one by rank, the first time spread over two seconds.

--- a/host/mesh.go
+++ b/host/mesh.go
@@ -18,6 +18,7 @@
 	"github.com/wigeonlink/wigeonlink/peer"
 	"github.com/wigeonlink/wigeonlink/publication"
 	"github.com/wigeonlink/wigeonlink/share"
+	"github.com/wigeonlink/wigeonlink/table"
 	"github.com/wigeonlink/wigeonlink/wire"
 )
 
@@ -48,7 +49,7 @@
 	}
 	h.mesh = m
 	if h.sharesUpdates() && len(s.Seeds) > 0 {
-		h.syncer.WaitForPeers()
+		h.syncer.WaitForPeers(float64(table.HashName(h.name)) / math.MaxUint32)
 	}
 	return m, nil
 }
--- a/peer/link.go
+++ b/peer/link.go
@@ -12,6 +12,7 @@
 
 	"github.com/wigeonlink/wigeonlink/event"
 	"github.com/wigeonlink/wigeonlink/pause"
+	"github.com/wigeonlink/wigeonlink/table"
 )
 
 type (
@@ -33,6 +34,9 @@
 	// fullMeshHosts is the number of live hosts up to which all are connected with each other.
 	fullMeshHosts = 12
 
+	// seedInterval is the time after which a host that has heard of no peer dials another seed.
+	seedInterval = 700 * time.Millisecond
+
 	// unwantedTime is the time for which a connection to a host that is no longer a partner is
 	// kept. Directories change several times while many hosts start.
 	unwantedTime = 5 * time.Second
@@ -48,8 +52,21 @@
 		}
 	}
 	m.mu.Unlock()
-	for _, a := range addresses {
-		m.dial(ctx, a, true)
+	// Each host dials another seed first, and the others only if it has heard of no peer then:
+	// hundreds of hosts that start at once would keep the seeds busy with handshakes for seconds.
+	first := int(table.HashName(m.settings.Host)) % max(len(addresses), 1)
+	for i := range addresses {
+		a := addresses[(first+i)%len(addresses)]
+		if i == 0 {
+			m.dial(ctx, a, true)
+			continue
+		}
+		stop := time.AfterFunc(time.Duration(i)*seedInterval, func() {
+			if ctx.Err() == nil && len(m.Live()) == 0 {
+				m.dial(ctx, a, true)
+			}
+		})
+		context.AfterFunc(ctx, func() { stop.Stop() })
 	}
 }
 
--- a/registry/syncer.go
+++ b/registry/syncer.go
@@ -97,11 +97,11 @@
 }
 
 // WaitForPeers delays the first read of the source, because the host has peers that may have the
-// state. It must be called before Run.
-func (s *Syncer) WaitForPeers() {
+// state; see View.WaitForPeers. It must be called before Run.
+func (s *Syncer) WaitForPeers(spread float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.view.WaitForPeers(time.Now())
+	s.view.WaitForPeers(time.Now(), spread)
 }
 
 // HandlePause makes a read of the source due immediately, independently of the host's rank.
--- a/registry/view.go
+++ b/registry/view.go
@@ -15,10 +15,11 @@
 	// take the current time as an argument and do no I/O. It is not safe for concurrent
 	// use. The zero value is empty.
 	View struct {
-		era              uint64    // newest era of the source
-		startedAt        time.Time // see WaitForPeers
-		revision         uint64    // revision of the newest update or confirmation
-		contentRevision  uint64    // revision of the last change of the configuration or the targets; lease renewals do not count
+		era              uint64        // newest era of the source
+		startedAt        time.Time     // see WaitForPeers
+		startDelay       time.Duration // see WaitForPeers
+		revision         uint64        // revision of the newest update or confirmation
+		contentRevision  uint64        // revision of the last change of the configuration or the targets; lease renewals do not count
 		config           Config
 		targets          map[string]table.Target
 		retained         map[string]time.Time // for each target in use that the source no longer lists, the end of its grace period
@@ -97,6 +98,13 @@
 	// if its rank is 0. By then it has heard of its peers.
 	startDelay = 300 * time.Millisecond
 
+	// maxStartDelay is the longest time from the start to the first read of a host that has heard of
+	// no peer: hundreds of hosts that start at once need seconds until all are connected.
+	maxStartDelay = 2300 * time.Millisecond
+
+	// rankBeforePeers is the rank of a host that has heard of no peer.
+	rankBeforePeers = 1 << 20
+
 	minBackoff = 100 * time.Millisecond // delay after the first failed read; doubles with each further one
 	maxBackoff = 800 * time.Millisecond // longest delay between two attempts, and so until a recovered source is read
 )
@@ -105,8 +113,13 @@
 func (v *View) SetRank(rank int) { v.rank = rank }
 
 // WaitForPeers delays the first read: a host that starts gets the state from its peers, if they have
-// it. Many hosts that start at once then do not all read the source.
-func (v *View) WaitForPeers(now time.Time) { v.startedAt = now }
+// it. Many hosts that start at once then do not all read the source. spread, from 0 to 1, differs
+// between hosts; until the first SetRank, a host that has heard of no peer waits up to maxStartDelay
+// and then reads as seldom as the last host by rank.
+func (v *View) WaitForPeers(now time.Time, spread float64) {
+	v.startedAt, v.rank = now, rankBeforePeers
+	v.startDelay = startDelay + time.Duration(spread*float64(maxStartDelay-startDelay))
+}
 
 // Due returns the time at which the host should read the source next. The zero time means
 // immediately.
@@ -115,6 +128,9 @@
 		if v.Initialized() || v.startedAt.IsZero() {
 			return time.Time{}
 		}
+		if v.rank == rankBeforePeers {
+			return v.startedAt.Add(v.startDelay)
+		}
 		return v.startedAt.Add(startDelay + v.readAge() - ReadInterval)
 	}
 	due := v.confirmedAt.Add(v.readAge())
--- a/registry/view_test.go
+++ b/registry/view_test.go
@@ -221,7 +221,9 @@
 func TestFirstReadWaitsForPeers(t *testing.T) {
 	c := qt.New(t)
 	var v View
-	v.WaitForPeers(start)
+	v.WaitForPeers(start, 0.5)
+	c.Assert(v.Due(), qt.Equals, start.Add((startDelay+maxStartDelay)/2)) // no peer yet
+	v.SetRank(0)
 	c.Assert(v.Due(), qt.Equals, start.Add(startDelay))
 	v.SetRank(1)
 	c.Assert(v.Due(), qt.Equals, start.Add(startDelay+standbyReadAge-ReadInterval))
@@ -229,3 +231,13 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(v.Due().After(start.Add(startDelay+standbyReadAge-ReadInterval)), qt.IsTrue)
 }
+
+// A host that hears no peers reads the source as seldom as the last host by rank: hundreds of hosts
+// that are not yet connected would otherwise all read it four times a second.
+func TestHostWithoutPeersReadsSeldom(t *testing.T) {
+	c := qt.New(t)
+	var v View
+	v.WaitForPeers(start, 0)
+	v.ApplySourceUpdate(start, start, Update{Full: true, Revision: 10})
+	c.Assert(v.Due(), qt.Equals, start.Add(maxReadAge))
+}
