--- a/dispatch/coordinator_test.go
+++ b/dispatch/coordinator_test.go
@@ -266,43 +266,10 @@
 		r := newCoordinator(t, 3)
 		sequence := uint64(0)
 		for range rapid.IntRange(1, 80).Draw(rt, "events") {
+			sequence++
 			after := time.Duration(rapid.IntRange(0, 900).Draw(rt, "ms")) * time.Millisecond
-			origin := fmt.Sprint("h", rapid.IntRange(0, 3).Draw(rt, "host"))
-			id := ID(rapid.IntRange(1, 6).Draw(rt, "id"))
-			switch rapid.IntRange(0, 5).Draw(rt, "kind") {
-			case 0, 1:
-				a := ask(origin, id)
-				a.PromptTokens = rapid.IntRange(1, 40_000).Draw(rt, "prompt")
-				a.Attempt = rapid.IntRange(1, 3).Draw(rt, "attempt")
-				r.reduce(after, a)
-			case 2, 3:
-				sequence++
-				e := HostStreams{Origin: origin, Sequence: sequence}
-				for n := range rapid.IntRange(0, 3).Draw(rt, "streams") {
-					e.Streams = append(e.Streams, StreamState{
-						ID: ID(n + 1), Organisation: "organisation-0", Pool: "model-0", PromptTokens: 100,
-						Target: fmt.Sprintf("engine-%04d", rapid.IntRange(0, 4).Draw(rt, "engine")), Tokens: rapid.IntRange(0, 500).Draw(rt, "tokens"),
-						Moving: rapid.Bool().Draw(rt, "moving"),
-					})
-				}
-				e.Finished = append(e.Finished, FinishedStream{ID: id, Tokens: 20})
-				r.reduce(after, e)
-			case 4:
-				leaving := map[string]bool{fmt.Sprintf("engine-%04d", rapid.IntRange(0, 2).Draw(rt, "leaving")): rapid.Bool().Draw(rt, "on")}
-				r.reduce(after, LeavingTargets{Leaving: leaving})
-			default:
-				coordinates := rapid.Bool().Draw(rt, "coordinates")
-				r.reduce(after, LiveHosts{Hosts: 4, Coordinates: coordinates, Delegated: !coordinates})
-			}
-			for _, f := range r.effects {
-				if f.Kind != EffectPlaced || f.Answer != answer.KindNone {
-					continue
-				}
-				q := r.reducer.remoteRequest(remoteID{f.Remote, f.ID})
-				if q == nil || q.target == nil || q.target.spec.Name != f.Target {
-					rt.Fatalf("request %d of %s was placed at %s, which the books do not show", f.ID, f.Remote, f.Target)
-				}
-			}
+			r.reduce(after, randomRemoteEvent(rt, sequence))
+			r.checkPlaced(rt)
 			r.reduce(0, Tick{})
 		}
 		r.reduce(10*time.Second, Tick{})
@@ -315,6 +282,53 @@
 	})
 }
 
+// checkPlaced compares the answers among the last effects with the reducer's books.
+func (r *reducerTest) checkPlaced(rt *rapid.T) {
+	for _, f := range r.effects {
+		if f.Kind != EffectPlaced || f.Answer != answer.KindNone {
+			continue
+		}
+		q := r.reducer.remoteRequest(remoteID{f.Remote, f.ID})
+		if q == nil || q.target == nil || q.target.spec.Name != f.Target {
+			rt.Fatalf("request %d of %s was placed at %s, which the books do not show", f.ID, f.Remote, f.Target)
+		}
+	}
+}
+
+// randomRemoteEvent returns a random question or report of another host, or a random change of the
+// role or of the targets.
+func randomRemoteEvent(rt *rapid.T, sequence uint64) Event {
+	origin := fmt.Sprint("h", rapid.IntRange(0, 3).Draw(rt, "host"))
+	id := ID(rapid.IntRange(1, 6).Draw(rt, "id"))
+	switch rapid.IntRange(0, 5).Draw(rt, "kind") {
+	case 0, 1:
+		a := ask(origin, id)
+		a.PromptTokens = rapid.IntRange(1, 40_000).Draw(rt, "prompt")
+		a.Attempt = rapid.IntRange(1, 3).Draw(rt, "attempt")
+		return a
+	case 2, 3:
+		return randomHostStreams(rt, origin, id, sequence)
+	case 4:
+		name := fmt.Sprintf("engine-%04d", rapid.IntRange(0, 2).Draw(rt, "leaving"))
+		return LeavingTargets{Leaving: map[string]bool{name: rapid.Bool().Draw(rt, "on")}}
+	}
+	coordinates := rapid.Bool().Draw(rt, "coordinates")
+	return LiveHosts{Hosts: 4, Coordinates: coordinates, Delegated: !coordinates}
+}
+
+// randomHostStreams returns a report of up to three streams, in which a request has finished.
+func randomHostStreams(rt *rapid.T, origin string, finished ID, sequence uint64) HostStreams {
+	e := HostStreams{Origin: origin, Sequence: sequence, Finished: []FinishedStream{{ID: finished, Tokens: 20}}}
+	for n := range rapid.IntRange(0, 3).Draw(rt, "streams") {
+		e.Streams = append(e.Streams, StreamState{
+			ID: ID(n + 1), Organisation: "organisation-0", Pool: "model-0", PromptTokens: 100,
+			Target: fmt.Sprintf("engine-%04d", rapid.IntRange(0, 4).Draw(rt, "engine")), Tokens: rapid.IntRange(0, 500).Draw(rt, "tokens"),
+			Moving: rapid.Bool().Draw(rt, "moving"),
+		})
+	}
+	return e
+}
+
 // A stream with a backup needs no order of the coordinator, which does not know the backup, and an
 // order leads to the backup.
 func TestStreamWithBackupMovesWithoutOrder(t *testing.T) {
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -124,7 +124,6 @@
 	PeerReport struct {
 		Origin     string         // host name and incarnation
 		Sequence   uint64         // number of the report, increased by Origin with each one; receivers ignore reports that arrive out of order
-		HostIndex  int            // index of the host among the live hosts of the failure domain
 		Accounts   []share.Entry  // use of the organisations through the host
 		Demands    []TargetDemand // demand of the host's streams on each target
 		HeldCounts []HeldCount    // held requests by organisation and pool, unless a cap on requests in flight holds them
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -12,7 +12,6 @@
 type peer struct {
 	origin     string        // host name and incarnation
 	sequence   uint64        // sequence number of the report
-	hostIndex  int           // index of the peer among the live hosts of the failure domain
 	receivedAt time.Duration // time when the report arrived
 	demands    []TargetDemand
 	held       []HeldCount
@@ -31,7 +30,7 @@
 		return
 	}
 	r.removePeerDemand(o)
-	*o = peer{origin: e.Origin, sequence: e.Sequence, hostIndex: e.HostIndex, receivedAt: r.now, demands: e.Demands, held: e.HeldCounts}
+	*o = peer{origin: e.Origin, sequence: e.Sequence, receivedAt: r.now, demands: e.Demands, held: e.HeldCounts}
 	for i := range o.demands {
 		if t := r.targets[o.demands[i].Target]; t != nil {
 			demand := o.demands[i].withReserved()
@@ -91,7 +90,7 @@
 // Sequence.
 func (r *Reducer) Report(at time.Time) PeerReport {
 	now := max(r.now, r.sinceEpoch(at))
-	report := PeerReport{HostIndex: r.hostIndex, Accounts: r.ledger.Report(now)}
+	report := PeerReport{Accounts: r.ledger.Report(now)}
 	for name, t := range r.targets {
 		if r.delegated && t.spec.Kind != table.TargetService {
 			continue // the coordinator reports the demand of the hosts' streams
--- a/dispatch/random_test.go
+++ b/dispatch/random_test.go
@@ -284,9 +284,9 @@
 		m.reduce(t, LoadReport{Target: engine, Load: target.Load{UsedTokens: rapid.IntRange(0, 4000).Draw(t, "used"), CapacityTokens: 3000}})
 	case 2:
 		m.reduce(t, PeerReport{
-			Origin:     rapid.SampledFrom([]string{"a", "b"}).Draw(t, "origin"),
-			Sequence:   rapid.Uint64Range(1, 100).Draw(t, "sequence"),
-			HostIndex:  1,
+			Origin:   rapid.SampledFrom([]string{"a", "b"}).Draw(t, "origin"),
+			Sequence: rapid.Uint64Range(1, 100).Draw(t, "sequence"),
+
 			Accounts:   []share.Entry{{Account: share.Account{Organisation: "organisation-0", Pool: "model-0"}, Use: rapid.Float64().Draw(t, "use")}},
 			Demands:    []TargetDemand{{engine, forecast.Demand{Streams: 2, MeanMemory: [forecast.Horizons]float64{500, 500, 400}}, rapid.Float64Range(0, 900).Draw(t, "kept")}},
 			HeldCounts: []HeldCount{{"organisation-1", "model-0", 3, time.Second}},
--- a/host/mesh.go
+++ b/host/mesh.go
@@ -84,7 +84,7 @@
 func (h peerHandler) Report() *wire.Report {
 	var r dispatch.PeerReport
 	h.Inspect(func(d *dispatch.Reducer) { r = d.Report(time.Now()) })
-	out := &wire.Report{Place: uint32(r.HostIndex), Life: uint32(reportTTL.Milliseconds())}
+	out := &wire.Report{Life: uint32(reportTTL.Milliseconds())}
 	for _, a := range r.Accounts {
 		if a.Account.Pool == "" {
 			continue // a sum over all pools, which receivers compute themselves
@@ -154,7 +154,7 @@
 		h.handleOrders(r)
 		return
 	}
-	in := dispatch.PeerReport{Origin: r.Host + "/" + r.Incarnation, Sequence: r.Sequence, HostIndex: int(r.Place)}
+	in := dispatch.PeerReport{Origin: r.Host + "/" + r.Incarnation, Sequence: r.Sequence}
 	for _, a := range r.Accounts {
 		in.Accounts = append(in.Accounts, share.Entry{
 			Account: share.Account{Organisation: a.Organisation, Pool: a.Pool},
--- a/trial/placement.go
+++ b/trial/placement.go
@@ -15,6 +15,16 @@
 // coordinated reports whether the first host places the requests of all hosts.
 func (t *Trial) coordinated() bool { return !t.config.Scattered && t.config.Hosts > 1 }
 
+// scheduleStreamReports schedules the periodic reports of the hosts' streams to the coordinator.
+func (t *Trial) scheduleStreamReports() {
+	if !t.coordinated() {
+		return
+	}
+	for _, h := range t.hosts[1:] {
+		t.every(t.uniformDuration(0, streamReportInterval), streamReportInterval, func() { t.reportStreams(h) })
+	}
+}
+
 // askPlacement asks the coordinator for a target, and repeats the question until the host has an
 // answer.
 func (t *Trial) askPlacement(h *host, r dispatch.PlacementRequest) {
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -188,6 +188,7 @@
 	for i := range t.config.Organisations {
 		t.scheduleArrivals(&t.config.Organisations[i])
 	}
+	t.scheduleStreamReports()
 	for _, h := range t.hosts {
 		offset := t.uniformDuration(0, sampleInterval)
 		t.every(offset, sampleInterval, func() { t.sampleProgress(h) })
@@ -195,9 +196,6 @@
 		if t.config.PeerReportInterval > 0 {
 			t.every(t.uniformDuration(0, t.config.PeerReportInterval), t.config.PeerReportInterval, func() { t.sendPeerReport(h) })
 		}
-		if t.coordinated() && h.index > 0 {
-			t.every(t.uniformDuration(0, streamReportInterval), streamReportInterval, func() { t.reportStreams(h) })
-		}
 		for _, e := range t.engines {
 			t.every(t.uniformDuration(0, t.config.LoadReportInterval), t.config.LoadReportInterval, func() { t.sendLoadReport(h, e) })
 		}
