--- a/dispatch/coordinator.go
+++ b/dispatch/coordinator.go
@@ -122,7 +122,7 @@
 	org, p := r.organisations[s.Organisation], r.pools[s.Pool]
 	switch {
 	case r.stopping || r.table == nil || org == nil || p == nil:
-		return answer.KindStopping // another coordinator may know better
+		return answer.KindStopping // another coordinator may accept it
 	case org.heldTotal >= org.spec.MaxQueued:
 		return answer.KindQueueFull
 	case r.unavailableUntilDeadline(s, p):
@@ -210,7 +210,7 @@
 	q := o.requests[s.ID]
 	if q != nil && q.phase == phaseHeld {
 		r.dequeue(q) // the host has placed the request itself or through another coordinator
-		r.forget(q)
+		r.removeRemote(q)
 		q = nil
 	}
 	if t == nil || q == nil && (r.organisations[s.Organisation] == nil || r.pools[s.Pool] == nil) {
@@ -263,11 +263,11 @@
 // endRemote removes a dispatched stream of another host.
 func (r *Reducer) endRemote(q *request) {
 	r.detach(q)
-	r.forget(q)
+	r.removeRemote(q)
 }
 
-// forget removes a request of another host that is neither held nor dispatched any more.
-func (r *Reducer) forget(q *request) {
+// removeRemote removes a request of another host that is neither held nor dispatched any more.
+func (r *Reducer) removeRemote(q *request) {
 	if o := r.remoteHosts[q.remote.origin]; o != nil && o.requests[q.remote.id] == q {
 		delete(o.requests, q.remote.id)
 	}
@@ -283,7 +283,7 @@
 			switch {
 			case q.phase == phaseHeld && r.now-q.remote.askedAt >= remoteAskExpiry:
 				r.dequeue(q)
-				r.forget(q)
+				r.removeRemote(q)
 			case q.phase == phaseDispatched && silent && r.now-q.dispatchedAt >= remoteHostExpiry:
 				r.endRemote(q)
 			}
--- a/dispatch/coordinator_test.go
+++ b/dispatch/coordinator_test.go
@@ -52,7 +52,7 @@
 }
 
 // Forty hosts ask for places in the same moment, as after the start of a fleet or a cut. The
-// coordinator must not give out more memory than the engines have, and all others wait.
+// coordinator must not assign more memory than the engines have, and all others wait.
 func TestBurstOfManyHostsOverfillsNoEngine(t *testing.T) {
 	r := newCoordinator(t, 4, WithPrefillBurst(0))
 	prompt := r.reducer.targets["engine-0000"].spec.Memory / 6
@@ -125,7 +125,7 @@
 	r.Fatal("the waiting request got no place")
 }
 
-// A host that stands by learns the streams from the reports of the hosts. When it takes over, it
+// A host that stands by records the streams that the hosts report. When it takes over, it
 // must not place more than the engines have room for, and its accounts begin with these streams.
 func TestTakeoverOverfillsNoEngine(t *testing.T) {
 	r := newCoordinator(t, 2, WithPrefillBurst(0))
@@ -259,8 +259,8 @@
 	r.Assert(q.triedTargets, qt.Contains, first)
 }
 
-// Random questions, reports and changes of the role must keep the reducer's books, and must never
-// give two targets to one attempt.
+// Random questions, reports and changes of the role must not violate the reducer's invariants, and
+// each answer must agree with its state.
 func TestRandomRemoteHosts(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		r := newCoordinator(t, 3)
@@ -282,7 +282,7 @@
 	})
 }
 
-// checkPlaced compares the answers among the last effects with the reducer's books.
+// checkPlaced compares the answers among the last effects with the reducer's state.
 func (r *reducerTest) checkPlaced(rt *rapid.T) {
 	for _, f := range r.effects {
 		if f.Kind != EffectPlaced || f.Answer != answer.KindNone {
@@ -290,7 +290,7 @@
 		}
 		q := r.reducer.remoteRequest(remoteID{f.Remote, f.ID})
 		if q == nil || q.target == nil || q.target.spec.Name != f.Target {
-			rt.Fatalf("request %d of %s was placed at %s, which the books do not show", f.ID, f.Remote, f.Target)
+			rt.Fatalf("request %d of %s was placed at %s, which differs from the reducer's state", f.ID, f.Remote, f.Target)
 		}
 	}
 }
@@ -329,7 +329,7 @@
 	return e
 }
 
-// A stream with a backup needs no order of the coordinator, which does not know the backup, and an
+// A stream with a backup needs no order of the coordinator, which has no record of the backup, and an
 // order leads to the backup.
 func TestStreamWithBackupMovesWithoutOrder(t *testing.T) {
 	r := newReducerTest(t, 1, 3, WithMoves(true), WithBackupFraction(0.8))
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -54,7 +54,7 @@
 	EffectNoMove                         // the stream has broken off and has no usable backup to continue at
 	EffectQueryLeaving                   // ask the target whether it is leaving; its reply is passed to Reduce as a LeavingReply
 	EffectPlace                          // ask a coordinator for a target; its reply is passed to Reduce as Placed or PlacementFailed
-	EffectPlaced                         // tell another host the target of its request, or the refusal
+	EffectPlaced                         // send another host the target of its request, or the refusal
 )
 
 var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay", "ask", "place", "placed"}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -8,8 +8,8 @@
 )
 
 // In a failure domain with several hosts, one of them, the coordinator, places the requests of all:
-// each host alone sees a fraction of the load, and what hosts tell each other is old when it
-// arrives, so that several fill the same free memory, or leave it unused. This file is the part of
+// each host alone sees a fraction of the load, and the reports of the others are stale when they
+// arrive, so that several hosts fill the same free memory, or leave it unused. This file is the part of
 // the host that asks; coordinator.go is that of the host that answers.
 
 type (
@@ -97,7 +97,7 @@
 }
 
 // placementRequest returns the question about a held request. Targets that this host cannot reach
-// are excluded, whatever the coordinator believes of them.
+// are excluded, even if the coordinator can reach them.
 func (r *Reducer) placementRequest(q *request) *PlacementRequest {
 	a := &PlacementRequest{
 		Origin: r.options.origin, ID: q.id, Name: q.name, Organisation: q.organisation.spec.Name, Pool: q.pool.name, Route: q.lengthKey.Route,
@@ -116,7 +116,7 @@
 }
 
 // reduce dispatches the request to the target that the coordinator chose, or refuses it. A target
-// that this host does not list, or knows to be leaving, is excluded and the coordinator asked again.
+// that this host does not list, or lists as leaving, is excluded and the coordinator is asked again.
 func (e Placed) reduce(r *Reducer) {
 	q := r.requests[e.ID]
 	if q == nil || q.phase != phaseHeld || q.placement != placementAsked {
@@ -167,14 +167,14 @@
 	r.emitMove(q, t, t == q.backup.target)
 }
 
-// movesElsewhere reports whether a coordinator decides about the moves of q. The coordinator does not
-// know the backups of other hosts' streams; a stream with one needs no order.
+// movesElsewhere reports whether a coordinator decides about the moves of q. The coordinator has no
+// record of the backups of other hosts' streams; a stream with one needs no order.
 func (r *Reducer) movesElsewhere(q *request) bool {
 	return r.delegated && q.placement == placementRemote && !r.canRunAt(q.backup.target)
 }
 
-// HostStreams returns the event that tells the coordinators of this host's failure domain about its
-// streams: those that are running, and what has ended or failed since the previous call. The caller
+// HostStreams returns the report of this host's streams to the coordinators of its failure
+// domain: those that are running, and what has ended or failed since the previous call. The caller
 // must set Origin and Sequence.
 func (r *Reducer) HostStreams() HostStreams {
 	e := HostStreams{Failures: r.failures, Finished: r.finished}
@@ -192,7 +192,7 @@
 	return e
 }
 
-// recordFinished remembers a stream that has ended for the next report to the coordinators.
+// recordFinished adds a stream that has ended to the next report to the coordinators.
 func (r *Reducer) recordFinished(q *request) {
 	if r.delegated && !q.plain {
 		r.finished = append(r.finished, FinishedStream{q.id, q.tokens})
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -255,7 +255,7 @@
 		if kind != answer.KindNone {
 			r.emit(Effect{Kind: EffectPlaced, Remote: q.remote.origin, ID: q.remote.id, Name: q.name, Answer: kind, RetryAfter: cmp.Or(retry, kind.Properties().RetryDelay)})
 		}
-		r.forget(q)
+		r.removeRemote(q)
 		return
 	}
 	if kind != answer.KindNone {
--- a/host/control_bench_test.go
+++ b/host/control_bench_test.go
@@ -48,8 +48,8 @@
 	stop  context.CancelFunc
 }
 
-// newCluster starts n hosts in the given number of failure domains, and waits until each knows the
-// number of all.
+// newCluster starts n hosts in the given number of failure domains, and waits until the directory of
+// each counts all.
 func newCluster(b *testing.B, n, domains int) *cluster {
 	b.Helper()
 	issuer, err := credential.NewIssuer()
@@ -86,7 +86,7 @@
 		go m.Run(ctx)
 		c.hosts = append(c.hosts, h)
 	}
-	c.wait(b, "every host knows the number of hosts", func(h *Host) bool { d := h.mesh.Directory(); return d.Hosts == n })
+	c.wait(b, "every host counts all hosts", func(h *Host) bool { d := h.mesh.Directory(); return d.Hosts == n })
 	return c
 }
 
--- a/host/placement.go
+++ b/host/placement.go
@@ -35,7 +35,7 @@
 
 const (
 	// placementWait is the time after which a coordinator answers that a request still waits. The
-	// host asks again then, which tells it soon that a coordinator has failed.
+	// host asks again then, and thus detects soon that a coordinator has failed.
 	placementWait = 200 * time.Millisecond
 
 	// placementTimeout is the time without an answer after which a host asks the next
@@ -199,7 +199,7 @@
 	h.log.Emit(event.PlacementDecided, event.Fields{Request: f.Name, Target: f.Target, Values: values})
 }
 
-// orderMove tells another host to move one of its streams.
+// orderMove sends another host the order to move one of its streams.
 func (h *Host) orderMove(f dispatch.Effect) {
 	h.log.Emit(event.MoveAsked, event.Fields{Request: f.Name, Target: f.Target, Values: append(h.basisValues(f.Basis), "to", f.To.Name, "origin", f.Remote)})
 	for _, p := range h.livePeers() {
@@ -209,7 +209,7 @@
 			return
 		}
 	}
-	// The host is gone; its streams expire.
+	// The host is down; its streams expire.
 }
 
 // Streams returns the host's running streams for its coordinators.
--- a/host/request.go
+++ b/host/request.go
@@ -148,7 +148,7 @@
 	r.reportStreams()
 }
 
-// reportStreams tells the coordinators soon that a stream has ended or runs elsewhere.
+// reportStreams makes the mesh report soon that a stream has started, ended or moved.
 func (r *Request) reportStreams() {
 	if r.host.mesh != nil && !r.Submit.Plain {
 		r.host.mesh.ReportStreams()
--- a/peer/directory.go
+++ b/peer/directory.go
@@ -10,11 +10,11 @@
 )
 
 type (
-	// A Directory lists the coordinators of all failure domains, as one host knows them. A domain
+	// A Directory lists the coordinators of all failure domains, as one host sees them. A domain
 	// has up to coordinatorsPerDomain of them: the first one that is live places the requests of
 	// the domain's hosts, the others stand by. Hosts do not agree on a directory; if they differ,
-	// a domain has several hosts that place requests, each with less knowledge than one would
-	// have.
+	// a domain has several hosts that place requests, each with the reports of only some of
+	// the hosts.
 	Directory struct {
 		Domains map[string][]Peer // coordinators by failure domain, in order of precedence
 		Hosts   int               // live hosts of all domains, this one included
@@ -28,11 +28,11 @@
 
 	// youngTime is the time after its start during which a host ranks behind the others of its
 	// domain. Until it takes precedence it receives the reports of the domain's hosts, from which
-	// it learns their streams.
+	// it records their streams.
 	youngTime = 3 * time.Second
 
 	// directoryExpiry is the time since its last heartbeat after which a coordinator that is
-	// known from the directories of other hosts is dropped. It is longer than DownAfter by the
+	// listed only in the heartbeats of other hosts is dropped. It is longer than DownAfter by the
 	// time that an entry travels.
 	directoryExpiry = DownAfter + 3*HeartbeatInterval
 )
--- a/peer/directory_test.go
+++ b/peer/directory_test.go
@@ -56,7 +56,7 @@
 }
 
 // A host that stops, or has started recently, must not coordinate while others can. One that will
-// take precedence once it is no longer young is listed, so that it learns the streams before.
+// take precedence once it is no longer young is listed, so that it gets the reports before.
 func TestYoungAndStoppingHostsDoNotCoordinate(t *testing.T) {
 	c := qt.New(t)
 	v := NewView(testPeer("self", "d", 100))
@@ -71,8 +71,8 @@
 	c.Assert(hostNames(d.Domains["d"]), qt.DeepEquals, []string{"young", "small"})
 }
 
-// A host that knows the coordinators of another domain only from a list must drop them when the
-// list no longer renews them, and must not let an old entry replace a newer incarnation.
+// Coordinators that are listed only by other hosts must be dropped when the heartbeats no
+// longer renew them, and must not let an old entry replace a newer incarnation.
 func TestListedCoordinatorsExpire(t *testing.T) {
 	c := qt.New(t)
 	v := NewView(testPeer("self", "d", 100))
--- a/peer/link.go
+++ b/peer/link.go
@@ -34,7 +34,7 @@
 	// fullMeshHosts is the number of live hosts up to which all are connected with each other.
 	fullMeshHosts = 12
 
-	// seedInterval is the time after which a host that has heard of no peer dials another seed.
+	// seedInterval is the time after which a host without a live peer dials another seed.
 	seedInterval = 700 * time.Millisecond
 
 	// unwantedTime is the time for which a connection to a host that is no longer a partner is
@@ -52,7 +52,7 @@
 		}
 	}
 	m.mu.Unlock()
-	// Each host dials another seed first, and the others only if it has heard of no peer then:
+	// Each host dials another seed first, and the others only if it has no live peer then:
 	// hundreds of hosts that start at once would keep the seeds busy with handshakes for seconds.
 	first := int(table.HashName(m.settings.Host)) % max(len(addresses), 1)
 	for i := range addresses {
@@ -80,13 +80,9 @@
 	if a == m.address || !a.IsValid() {
 		return
 	}
-	l := m.links[a]
+	l := m.linkAt(a)
 	if l == nil {
-		if len(m.links) >= maxLinks {
-			return
-		}
-		l = &link{address: a}
-		m.links[a] = l
+		return
 	}
 	l.seed = l.seed || seed
 	l.unwantedSince = time.Time{}
@@ -97,18 +93,25 @@
 	}
 }
 
+// linkAt returns the link to an address. It creates the link if there is none, and returns nil if the
+// mesh has maxLinks. The caller holds m.mu.
+func (m *Mesh) linkAt(a netip.AddrPort) *link {
+	l := m.links[a]
+	if l == nil && len(m.links) < maxLinks {
+		l = &link{address: a}
+		m.links[a] = l
+	}
+	return l
+}
+
 // adopt uses a connection that the peer at an address has dialled, unless there is one with that
 // peer.
 func (m *Mesh) adopt(a netip.AddrPort, conn *quic.Conn) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	l := m.links[a]
+	l := m.linkAt(a)
 	if l == nil {
-		if len(m.links) >= maxLinks {
-			return
-		}
-		l = &link{address: a}
-		m.links[a] = l
+		return
 	}
 	if !l.conn.CompareAndSwap(nil, conn) {
 		return
@@ -116,7 +119,7 @@
 	context.AfterFunc(conn.Context(), func() { m.dropConnection(l, conn) })
 }
 
-// dropConnection forgets a closed connection. It removes the link if this host does not dial.
+// dropConnection removes a closed connection from its link. It removes the link if this host does not dial.
 func (m *Mesh) dropConnection(l *link, conn *quic.Conn) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -254,10 +257,10 @@
 	}
 }
 
-// partners returns the addresses that this host dials. Up to fullMeshHosts hosts dial all they
-// know. In a larger deployment a host dials the coordinators of its failure domain and, if it is one
+// partners returns the addresses that this host dials. Up to fullMeshHosts hosts dial all
+// others. In a larger deployment a host dials the coordinators of its failure domain and, if it is one
 // itself, those of the other domains. Seeds are dialled by coordinators, through which the parts of
-// a deployment find each other, and by hosts that hear no coordinator of their domain. The caller
+// a partitioned deployment joins again, and by hosts without a live coordinator of their domain. The caller
 // holds m.mu.
 func (m *Mesh) partners() map[netip.AddrPort]bool {
 	out := map[netip.AddrPort]bool{}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -183,8 +183,8 @@
 	return m.directory
 }
 
-// Share returns this host's part of the divided limits. A host that does not know all hosts of its
-// failure domain takes the figures from a coordinator.
+// Share returns this host's part of the divided limits. A host that is not connected with all hosts of
+// its failure domain takes the figures from its coordinator.
 func (m *Mesh) Share() Share {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/peer/send.go
+++ b/peer/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -309,19 +308,3 @@
 		m.count(&m.traffic.BytesSent, len(data))
 	}
 }
-
-// hostAt returns the name of the peer with an address, or an empty name.
-func (v *View) hostAt(a netip.AddrPort) string {
-	for host, p := range v.peers {
-		if p.Address == a {
-			return host
-		}
-	}
-	return ""
-}
-
-// isUp reports whether the view receives heartbeats of a host.
-func (v *View) isUp(host string) bool {
-	p := v.peers[host]
-	return p != nil && !p.down
-}
--- a/peer/view.go
+++ b/peer/view.go
@@ -26,7 +26,7 @@
 		Revision      uint64    // newest revision of the published state that the host has
 		Weight        int       // size of its machine; see Settings.Weight
 		Young         bool      // the host started less than youngTime ago
-		Members       int       // live hosts of its failure domain that the host knows, itself included
+		Members       int       // live hosts of its failure domain in the host's view, itself included
 		sequence      uint64    // sequence number of the last heartbeat
 		lastHeartbeat time.Time // time at which the last heartbeat was received
 		down          bool      // no heartbeat was received for DownAfter
@@ -66,7 +66,7 @@
 	return &View{self: self, peers: map[string]*Peer{}, listed: map[string]*Peer{}}
 }
 
-// UpdateSelf updates what the view knows of its own host.
+// UpdateSelf updates the view's entry of its own host.
 func (v *View) UpdateSelf(stopping, young bool) {
 	v.self.Stopping, v.self.Young, v.self.Members = stopping, young, len(v.DomainHosts())
 }
@@ -153,3 +153,19 @@
 	}
 	return best, found
 }
+
+// hostAt returns the name of the peer with an address, or an empty name.
+func (v *View) hostAt(a netip.AddrPort) string {
+	for host, p := range v.peers {
+		if p.Address == a {
+			return host
+		}
+	}
+	return ""
+}
+
+// isUp reports whether the view receives heartbeats of a host.
+func (v *View) isUp(host string) bool {
+	p := v.peers[host]
+	return p != nil && !p.down
+}
--- a/registry/view.go
+++ b/registry/view.go
@@ -90,19 +90,19 @@
 	// pause.
 	ignorePeersFor = 300 * time.Millisecond
 
-	// departureMemory is the time for which the departure of a target is remembered. It is above
+	// departureTTL is the time for which the departure of a target is recorded. It is above
 	// the age of the backup from which a source is restored, some seconds.
-	departureMemory = time.Minute
+	departureTTL = time.Minute
 
 	// startDelay is the time from the start of a host with peers to the first read of the source,
-	// if its rank is 0. By then it has heard of its peers.
+	// if its rank is 0. By then it is connected with peers.
 	startDelay = 300 * time.Millisecond
 
-	// maxStartDelay is the longest time from the start to the first read of a host that has heard of
-	// no peer: hundreds of hosts that start at once need seconds until all are connected.
+	// maxStartDelay is the longest time from the start to the first read of a host without live
+	// peers: hundreds of hosts that start at once need seconds until all are connected.
 	maxStartDelay = 2300 * time.Millisecond
 
-	// rankBeforePeers is the rank of a host that has heard of no peer.
+	// rankBeforePeers is the rank of a host that has had no live peer yet.
 	rankBeforePeers = 1 << 20
 
 	minBackoff = 100 * time.Millisecond // delay after the first failed read; doubles with each further one
@@ -114,7 +114,7 @@
 
 // WaitForPeers delays the first read: a host that starts gets the state from its peers, if they have
 // it. Many hosts that start at once then do not all read the source. spread, from 0 to 1, differs
-// between hosts; until the first SetRank, a host that has heard of no peer waits up to maxStartDelay
+// between hosts; until the first SetRank, a host that has had no live peer waits up to maxStartDelay
 // and then reads as seldom as the last host by rank.
 func (v *View) WaitForPeers(now time.Time, spread float64) {
 	v.startedAt, v.rank = now, rankBeforePeers
@@ -301,7 +301,7 @@
 	for _, name := range removed {
 		c.Targets = v.remove(now, name, &c) || c.Targets
 	}
-	v.forgetDepartures(now)
+	v.expireDepartures(now)
 	v.revision = r.Revision
 	if c.Config || c.Targets || len(c.Retained) > 0 {
 		v.contentRevision = r.Revision
@@ -343,8 +343,8 @@
 	}
 }
 
-// recordDeparture remembers that a target is leaving or was removed. The departure of a target
-// that a later update lists as ready is forgotten: its process lives and has renewed its entry.
+// recordDeparture records that a target is leaving or was removed. The record is deleted when a
+// later update lists the target as ready: its process is running and has renewed its entry.
 func (v *View) recordDeparture(now time.Time, t table.Target) {
 	if v.departed == nil {
 		v.departed = map[string]departure{}
@@ -352,9 +352,9 @@
 	v.departed[t.Name] = departure{startTime: t.StartTime, at: now}
 }
 
-// forgetDepartures deletes the departures that are older than departureMemory.
-func (v *View) forgetDepartures(now time.Time) {
-	maps.DeleteFunc(v.departed, func(_ string, d departure) bool { return now.Sub(d.at) >= departureMemory })
+// expireDepartures deletes the departures that are older than departureTTL.
+func (v *View) expireDepartures(now time.Time) {
+	maps.DeleteFunc(v.departed, func(_ string, d departure) bool { return now.Sub(d.at) >= departureTTL })
 }
 
 // upsert adds or replaces a target. It reports whether the target was new or different.
--- a/registry/view_test.go
+++ b/registry/view_test.go
@@ -232,7 +232,7 @@
 	c.Assert(v.Due().After(start.Add(startDelay+standbyReadAge-ReadInterval)), qt.IsTrue)
 }
 
-// A host that hears no peers reads the source as seldom as the last host by rank: hundreds of hosts
+// A host without live peers reads the source as seldom as the last host by rank: hundreds of hosts
 // that are not yet connected would otherwise all read it four times a second.
 func TestHostWithoutPeersReadsSeldom(t *testing.T) {
 	c := qt.New(t)
