--- a/peer/send.go
+++ b/peer/send.go
@@ -285,9 +285,6 @@
 	}
 }
 
-// ReportInterval returns the current time between two reports.
-func (m *Mesh) ReportInterval() time.Duration { return time.Duration(m.reportInterval.Load()) }
-
 // sendReport sends an encoded report on a new unidirectional stream. A report that cannot be
 // sent within reportTimeout is dropped, because the next one replaces it.
 func (m *Mesh) sendReport(ctx context.Context, l *link, data []byte) {
