--- a/dispatch/coordinator.go
+++ b/dispatch/coordinator.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/wigeonlink/wigeonlink/answer"
@@ -146,6 +149,12 @@
 	return o
 }
 
+// sorted returns the requests in the order in which this host recorded them, so that the result of an
+// event does not depend on the order of a map.
+func (o *remoteHost) sorted() []*request {
+	return slices.SortedFunc(maps.Values(o.requests), func(a, b *request) int { return cmp.Compare(a.id, b.id) })
+}
+
 func (r *Reducer) remoteRequest(key remoteID) *request {
 	if o := r.remoteHosts[key.origin]; o != nil {
 		return o.requests[key.id]
@@ -181,7 +190,7 @@
 	for i := range e.Streams {
 		r.applyStream(o, e.Origin, &e.Streams[i])
 	}
-	for _, q := range o.requests {
+	for _, q := range o.sorted() {
 		if q.phase == phaseDispatched && q.remote.reportNumber != e.Sequence && (q.remote.reportNumber != 0 || r.now-q.dispatchedAt >= reportLag) {
 			r.endRemote(q)
 		}
@@ -277,9 +286,10 @@
 // expireRemote drops the held requests about which their host no longer asks, and the streams of
 // hosts that no longer report.
 func (r *Reducer) expireRemote() {
-	for origin, o := range r.remoteHosts {
+	for _, origin := range slices.Sorted(maps.Keys(r.remoteHosts)) {
+		o := r.remoteHosts[origin]
 		silent := r.now-o.reportedAt >= remoteHostExpiry
-		for _, q := range o.requests {
+		for _, q := range o.sorted() {
 			switch {
 			case q.phase == phaseHeld && r.now-q.remote.askedAt >= remoteAskExpiry:
 				r.dequeue(q)
@@ -293,3 +303,16 @@
 		}
 	}
 }
+
+// returnRemoteHeld refuses the held requests of other hosts because this host stops. The hosts ask
+// another coordinator.
+func (r *Reducer) returnRemoteHeld() {
+	for _, origin := range slices.Sorted(maps.Keys(r.remoteHosts)) {
+		for _, q := range r.remoteHosts[origin].sorted() {
+			if q.phase == phaseHeld {
+				r.dequeue(q)
+				r.refuse(q, answer.KindStopping, stoppingRetryAfter)
+			}
+		}
+	}
+}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -189,6 +190,7 @@
 			Moving: q.moveReservation.target != nil,
 		})
 	}
+	slices.SortFunc(e.Streams, func(a, b StreamState) int { return cmp.Compare(a.ID, b.ID) })
 	return e
 }
 
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -243,14 +243,7 @@
 	if !e.Until.IsZero() {
 		r.stopDeadline = r.sinceEpoch(e.Until)
 	}
-	for _, o := range r.remoteHosts {
-		for _, q := range o.requests {
-			if q.phase == phaseHeld { // another coordinator takes over
-				r.dequeue(q)
-				r.refuse(q, answer.KindStopping, stoppingRetryAfter)
-			}
-		}
-	}
+	r.returnRemoteHeld()
 }
 
 // endsBeforeStop reports whether a new request is sure to end before the host stops. Load
