--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -82,13 +82,12 @@
 }
 
 const (
-	tieTolerance          = 0.02 // fraction by which two costs may differ and still count as equal
-	sampleThreshold       = 64   // number of targets of a pool above which only a sample of them is scored
-	sampleSize            = 16   // number of targets in the sample
-	maxHostsFullScan      = 16   // number of live hosts above which each host scores only a subset of the targets
-	choicesPerDomain      = 3    // expected number of targets per failure domain in that subset
-	maxIntervalRatio      = 2.2  // largest ratio of the expected time between tokens to that of a single stream, at tail weight 1
-	stallMemoryDeviations = 0.75 // standard deviations added to options.memoryDeviations at stall weight 1
+	tieTolerance     = 0.02 // fraction by which two costs may differ and still count as equal
+	sampleThreshold  = 64   // number of targets of a pool above which only a sample of them is scored
+	sampleSize       = 16   // number of targets in the sample
+	maxHostsFullScan = 16   // number of live hosts above which each host scores only a subset of the targets
+	choicesPerDomain = 3    // expected number of targets per failure domain in that subset
+	maxIntervalRatio = 2.2  // largest ratio of the expected time between tokens to that of a single stream, at tail weight 1
 
 	plainFailureCost      = 12.0 // cost of a failure rate of 1, in requests in flight
 	plainOtherDomainCost  = 2.0  // cost of another failure domain, in requests in flight
--- a/dispatch/coordinator.go
+++ b/dispatch/coordinator.go
@@ -63,35 +63,23 @@
 	// orderLag is the time within which a host reports a move after the coordinator has ordered it.
 	orderLag = 400 * time.Millisecond
 
-	// placementRetryInterval is the delay before a host asks again because it cannot use the
-	// target that the coordinator chose.
-	placementRetryInterval = 20 * time.Millisecond
-
 	// remoteRequestBit distinguishes the IDs of other hosts' requests from this host's own.
 	remoteRequestBit = ID(1) << 63
 )
 
-// placement says who places a request of this host.
-type placement uint8
-
-const (
-	placementNone   placement = iota // not decided: the coordinator if there is one, or else this host
-	placementAsked                   // the coordinator was asked
-	placementRemote                  // the coordinator has placed the request
-	placementLocal                   // this host, because no coordinator has answered
-)
-
 // reduce holds a request of another host until a target has capacity for it. If the request is
 // placed already, as the answer was lost, the answer is repeated.
 func (e PlacementAsked) reduce(r *Reducer) {
 	key := remoteID{e.Origin, e.ID}
-	if q := r.remoteRequest(key); q != nil && q.phase == phaseHeld {
+	switch q := r.remoteRequest(key); {
+	case q == nil:
+	case q.phase == phaseHeld:
 		q.remote.askedAt = r.now
 		return
-	} else if q != nil && q.attempts >= e.Attempt {
+	case q.attempts >= e.Attempt:
 		r.emitPlaced(q)
 		return
-	} else if q != nil {
+	default:
 		// The host asks for another attempt; the one placed before has failed.
 		r.endRemote(q)
 	}
@@ -205,7 +193,7 @@
 	if t == nil {
 		return
 	}
-	for range f.Unreachable + f.Answered {
+	for range f.Count {
 		t.failureRate.record(1, r.now)
 	}
 }
--- a/dispatch/coordinator_test.go
+++ b/dispatch/coordinator_test.go
@@ -75,7 +75,7 @@
 	r.reduce(0, ask("h/1", 7))
 	first := r.placed("h/1", 7)
 	// A new choice would avoid the target now.
-	r.reduce(0, HostStreams{Origin: "x/1", Sequence: 1, Failures: []TargetFailures{{Target: first.Target, Unreachable: 5}}})
+	r.reduce(0, HostStreams{Origin: "x/1", Sequence: 1, Failures: []TargetFailures{{Target: first.Target, Count: 5}}})
 	r.reduce(200*time.Millisecond, ask("h/1", 7))
 	r.Assert(r.placed("h/1", 7).Target, qt.Equals, first.Target)
 	running := 0
--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -107,7 +107,7 @@
 		t.breaker.recordFailure(r.now)
 	}
 	t.failureRate.record(1, r.now)
-	r.recordFailure(t, e.Answered)
+	r.recordFailure(t)
 	if e.Rebooted {
 		clear(t.prefixes)
 	}
--- a/dispatch/organisation.go
+++ b/dispatch/organisation.go
@@ -48,7 +48,8 @@
 // localCap returns this host's part of a cap on the requests in flight. The cap is divided evenly
 // over the live hosts of the failure domain; the remainder goes to the hosts with the lowest
 // indexes. The parts add up to the cap without coordination while all hosts have the same list of
-// live hosts.
+// live hosts. The coordinator of a failure domain, which places the requests of all its hosts for
+// engines, has the whole cap of an engine's pool.
 func (r *Reducer) localCap(limit int, p *pool) int {
 	if r.coordinates && !p.plain {
 		return limit
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -14,6 +14,9 @@
 // the host that asks; coordinator.go is that of the host that answers.
 
 type (
+	// placement says who places a request of this host.
+	placement uint8
+
 	// Placed is a coordinator's reply to an EffectPlace.
 	Placed struct {
 		ID         ID
@@ -71,12 +74,22 @@
 
 	// TargetFailures counts attempts at a target that failed.
 	TargetFailures struct {
-		Target      string
-		Unreachable int // without an answer of the target
-		Answered    int // with an error of the target
+		Target string
+		Count  int
 	}
 )
 
+// placementRetryInterval is the delay before a host asks again because it cannot use the target that
+// the coordinator chose.
+const placementRetryInterval = 20 * time.Millisecond
+
+const (
+	placementNone   placement = iota // not decided: the coordinator if there is one, or else this host
+	placementAsked                   // the coordinator was asked
+	placementRemote                  // the coordinator has placed the request
+	placementLocal                   // this host, because no coordinator has answered
+)
+
 // delegates reports whether a coordinator places the requests for a pool.
 func (r *Reducer) delegates(p *pool) bool { return r.delegated && r.options.hold && !p.plain }
 
@@ -202,7 +215,7 @@
 }
 
 // recordFailure counts a failed attempt for the next report to the coordinators.
-func (r *Reducer) recordFailure(t *targetState, answered bool) {
+func (r *Reducer) recordFailure(t *targetState) {
 	if !r.delegated {
 		return
 	}
@@ -211,9 +224,5 @@
 		i = len(r.failures)
 		r.failures = append(r.failures, TargetFailures{Target: t.spec.Name})
 	}
-	if answered {
-		r.failures[i].Answered++
-	} else {
-		r.failures[i].Unreachable++
-	}
+	r.failures[i].Count++
 }
--- a/dispatch/risk.go
+++ b/dispatch/risk.go
@@ -22,6 +22,11 @@
 	// maxMoveRisk is the risk of a preemption that is taken to move a stream off a target that is
 	// about to end. Without a destination the stream is lost.
 	maxMoveRisk = 0.5
+
+	// maxLatencyRatio bounds the ratio of an organisation's weights of tail latency and of stalls.
+	maxLatencyRatio = 4.0
+
+	stallMemoryDeviations = 0.75 // standard deviations added to options.memoryDeviations at stall weight 1
 )
 
 // tolerableRisk returns the probability of a preemption up to which an engine is given the request
@@ -62,6 +67,3 @@
 	}
 	return float64(r.now-q.arrived) / float64(r.waitLimit(q))
 }
-
-// maxLatencyRatio bounds the ratio of an organisation's weights of tail latency and of stalls.
-const maxLatencyRatio = 4.0
--- a/host/host.go
+++ b/host/host.go
@@ -187,7 +187,10 @@
 
 // origin returns the identifier of this run of the host in the accounting of use: its name and
 // incarnation.
-func (h *Host) origin() string { return h.name + "/" + h.incarnation }
+func (h *Host) origin() string { return originOf(h.name, h.incarnation) }
+
+// originOf returns the origin of a run of the named host.
+func originOf(name, incarnation string) string { return name + "/" + incarnation }
 
 // Name returns the host's name.
 func (h *Host) Name() string { return h.name }
@@ -400,7 +403,7 @@
 		})
 		r.deliver(f)
 	case dispatch.EffectPlace:
-		go h.place(f.Placement, r.Name)
+		go h.place(f.Placement)
 	case dispatch.EffectRefuse:
 		delete(h.requests, f.ID)
 		h.log.Emit(event.RequestRefused, event.Fields{
@@ -425,17 +428,6 @@
 	}
 }
 
-// performRemote performs an effect for a request of another host.
-func (h *Host) performRemote(f dispatch.Effect) {
-	switch f.Kind {
-	case dispatch.EffectPlaced:
-		h.logPlacement(f)
-		h.placements.deliver(f)
-	case dispatch.EffectMove:
-		h.orderMove(f)
-	}
-}
-
 // basisValues returns the inputs of a decision of the reducer, and the age of the list of targets,
 // as key-value pairs for the event log.
 func (h *Host) basisValues(b dispatch.Basis) []any {
--- a/host/mesh.go
+++ b/host/mesh.go
@@ -154,7 +154,7 @@
 		h.handleOrders(r)
 		return
 	}
-	in := dispatch.PeerReport{Origin: r.Host + "/" + r.Incarnation, Sequence: r.Sequence}
+	in := dispatch.PeerReport{Origin: originOf(r.Host, r.Incarnation), Sequence: r.Sequence}
 	for _, a := range r.Accounts {
 		in.Accounts = append(in.Accounts, share.Entry{
 			Account: share.Account{Organisation: a.Organisation, Pool: a.Pool},
--- a/host/placement.go
+++ b/host/placement.go
@@ -50,7 +50,7 @@
 
 // place asks the coordinators of the failure domain for a target until one of them answers, and
 // passes the answer to the reducer.
-func (h *Host) place(r *dispatch.PlacementRequest, name string) {
+func (h *Host) place(r *dispatch.PlacementRequest) {
 	asked := time.Now()
 	q := placementToWire(r)
 	ctx, cancel := context.WithTimeout(context.Background(), max(r.Remaining, 0)+placementTimeout)
@@ -58,13 +58,13 @@
 	for ctx.Err() == nil {
 		a, from := h.askCoordinators(ctx, q)
 		if a == nil {
-			h.log.Emit(event.PlacementLost, event.Fields{Request: name, Values: []any{"ms", time.Since(asked).Milliseconds()}})
+			h.log.Emit(event.PlacementLost, event.Fields{Request: r.Name, Values: []any{"ms", time.Since(asked).Milliseconds()}})
 			h.Post(dispatch.PlacementFailed{ID: r.ID})
 			return
 		}
 		if a.Target != "" || a.Refusal != 0 {
 			h.log.Emit(event.RequestPlaced, event.Fields{
-				Request: name, Peer: from, Target: a.Target, Organisation: r.Organisation,
+				Request: r.Name, Peer: from, Target: a.Target, Organisation: r.Organisation,
 				Values: []any{"ms", time.Since(asked).Milliseconds(), "refusal", answer.Kind(a.Refusal).String(), "attempt", r.Attempt},
 			})
 			h.Post(dispatch.Placed{
@@ -137,7 +137,7 @@
 // answerPlace passes another host's question to the reducer and waits for the answer, at most for
 // placementWait.
 func (h *Host) answerPlace(ctx context.Context, q *wire.Place) *wire.Placed {
-	if h.Table() == nil || !h.HasTargets() || h.stopping.Load() || h.draining.Load() {
+	if !h.Ready() {
 		return &wire.Placed{Declined: true}
 	}
 	key := placementKey{q.Origin, dispatch.ID(q.Id)}
@@ -190,6 +190,17 @@
 	}
 }
 
+// performRemote performs an effect for a request of another host.
+func (h *Host) performRemote(f dispatch.Effect) {
+	switch f.Kind {
+	case dispatch.EffectPlaced:
+		h.logPlacement(f)
+		h.placements.deliver(f)
+	case dispatch.EffectMove:
+		h.orderMove(f)
+	}
+}
+
 // logPlacement logs a coordinator's decision about another host's request.
 func (h *Host) logPlacement(f dispatch.Effect) {
 	values := append(h.basisValues(f.Basis), "origin", f.Remote)
@@ -203,7 +214,7 @@
 func (h *Host) orderMove(f dispatch.Effect) {
 	h.log.Emit(event.MoveAsked, event.Fields{Request: f.Name, Target: f.Target, Values: append(h.basisValues(f.Basis), "to", f.To.Name, "origin", f.Remote)})
 	for _, p := range h.livePeers() {
-		if p.Host+"/"+p.Incarnation == f.Remote {
+		if originOf(p.Host, p.Incarnation) == f.Remote {
 			order := &wire.Order{Id: uint64(f.ID), From: f.Target, Target: f.To.Name}
 			go h.mesh.Send(context.Background(), p, &wire.Report{Orders: []*wire.Order{order}})
 			return
@@ -223,7 +234,7 @@
 		out.Streams = append(out.Streams, streamToWire(&e.Streams[i]))
 	}
 	for _, f := range e.Failures {
-		out.Failures = append(out.Failures, &wire.Failure{Target: f.Target, Unreachable: uint32(f.Unreachable), Answered: uint32(f.Answered)})
+		out.Failures = append(out.Failures, &wire.Failure{Target: f.Target, Count: uint32(f.Count)})
 	}
 	for _, f := range e.Finished {
 		out.Finished = append(out.Finished, &wire.Finish{Id: uint64(f.ID), Tokens: uint32(f.Tokens)})
@@ -233,12 +244,12 @@
 
 // handleStreams passes another host's list of its streams to the reducer.
 func (h peerHandler) handleStreams(r *wire.Report) {
-	e := dispatch.HostStreams{Origin: r.Host + "/" + r.Incarnation, Sequence: r.Sequence}
+	e := dispatch.HostStreams{Origin: originOf(r.Host, r.Incarnation), Sequence: r.Sequence}
 	for _, s := range r.Streams.Streams {
 		e.Streams = append(e.Streams, streamFromWire(s))
 	}
 	for _, f := range r.Streams.Failures {
-		e.Failures = append(e.Failures, dispatch.TargetFailures{Target: f.Target, Unreachable: int(f.Unreachable), Answered: int(f.Answered)})
+		e.Failures = append(e.Failures, dispatch.TargetFailures{Target: f.Target, Count: int(f.Count)})
 	}
 	for _, f := range r.Streams.Finished {
 		e.Finished = append(e.Finished, dispatch.FinishedStream{ID: dispatch.ID(f.Id), Tokens: int(f.Tokens)})
--- a/peer/directory_test.go
+++ b/peer/directory_test.go
@@ -24,8 +24,8 @@
 	return out
 }
 
-// hear makes a view receive a heartbeat of each peer.
-func hear(v *View, now time.Time, sequence uint64, ps ...Peer) {
+// applyHeartbeats applies a heartbeat of each peer to a view.
+func applyHeartbeats(v *View, now time.Time, sequence uint64, ps ...Peer) {
 	for _, p := range ps {
 		v.ApplyHeartbeat(p, sequence, now)
 	}
@@ -40,7 +40,7 @@
 		v := NewView(self)
 		for j, p := range hosts {
 			if i != j {
-				hear(v, viewStart, 1, p)
+				applyHeartbeats(v, viewStart, 1, p)
 			}
 		}
 		d := v.Directory()
@@ -62,11 +62,11 @@
 	v := NewView(testPeer("self", "d", 100))
 	stopping, young := testPeer("stopping", "d", 900), testPeer("young", "d", 800)
 	stopping.Stopping, young.Young = true, true
-	hear(v, viewStart, 1, stopping, young, testPeer("small", "d", 200))
+	applyHeartbeats(v, viewStart, 1, stopping, young, testPeer("small", "d", 200))
 	d := v.Directory()
 	c.Assert(hostNames(d.Domains["d"]), qt.DeepEquals, []string{"small", "self", "young"})
 	young.Young = false
-	hear(v, viewStart, 2, young)
+	applyHeartbeats(v, viewStart, 2, young)
 	d = v.Directory()
 	c.Assert(hostNames(d.Domains["d"]), qt.DeepEquals, []string{"young", "small"})
 }
@@ -122,7 +122,7 @@
 		m := &Mesh{settings: Settings{Host: self.Host, Domain: self.Domain}, view: NewView(self), address: self.Address}
 		for j, p := range hosts {
 			if i != j {
-				hear(m.view, viewStart, 1, p)
+				applyHeartbeats(m.view, viewStart, 1, p)
 			}
 		}
 		m.directory = m.view.Directory()
--- a/peer/link.go
+++ b/peer/link.go
@@ -77,20 +77,28 @@
 func (m *Mesh) dial(ctx context.Context, a netip.AddrPort, seed bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if l := m.dialLink(ctx, a); l != nil {
+		l.seed = l.seed || seed
+	}
+}
+
+// dialLink is dial without the mark of a seed. It returns the link, or nil if the address is not
+// dialled. The caller holds m.mu.
+func (m *Mesh) dialLink(ctx context.Context, a netip.AddrPort) *link {
 	if a == m.address || !a.IsValid() {
-		return
+		return nil
 	}
 	l := m.linkAt(a)
 	if l == nil {
-		return
+		return nil
 	}
-	l.seed = l.seed || seed
 	l.unwantedSince = time.Time{}
 	if l.cancel == nil {
 		var linkCtx context.Context
 		linkCtx, l.cancel = context.WithCancel(ctx)
 		go m.maintainLink(ctx, linkCtx, l)
 	}
+	return l
 }
 
 // linkAt returns the link to an address. It creates the link if there is none, and returns nil if the
@@ -110,16 +118,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	l := m.linkAt(a)
-	if l == nil {
-		return
-	}
-	if !l.conn.CompareAndSwap(nil, conn) {
+	if l == nil || !l.conn.CompareAndSwap(nil, conn) {
 		return
 	}
 	context.AfterFunc(conn.Context(), func() { m.dropConnection(l, conn) })
 }
 
-// dropConnection removes a closed connection from its link. It removes the link if this host does not dial.
+// dropConnection removes a closed connection from its link. It removes the link if this host does not
+// dial.
 func (m *Mesh) dropConnection(l *link, conn *quic.Conn) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -227,32 +233,22 @@
 // as the network may be partitioned.
 func (m *Mesh) updateLinks(ctx context.Context, now time.Time) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	partners := m.partners()
-	var unwanted []*link
+	for a := range partners {
+		if l := m.dialLink(ctx, a); l != nil && m.directory.Hosts > fullMeshHosts {
+			l.coordinator = true
+		}
+	}
 	for a, l := range m.links {
 		switch {
 		case partners[a]:
-			l.unwantedSince = time.Time{}
 		case l.cancel == nil:
 			// The peer dialled, and keeps the connection for as long as it needs it.
 		case l.unwantedSince.IsZero():
 			l.unwantedSince = now
 		case now.Sub(l.unwantedSince) >= unwantedTime && (l.conn.Load() != nil || !l.coordinator && !l.seed):
-			unwanted = append(unwanted, l)
-		}
-	}
-	for _, l := range unwanted {
-		m.remove(l)
-	}
-	m.mu.Unlock()
-	for a := range partners {
-		m.dial(ctx, a, false)
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for a := range partners {
-		if l := m.links[a]; l != nil && m.directory.Hosts > fullMeshHosts {
-			l.coordinator = true
+			m.remove(l)
 		}
 	}
 }
@@ -260,8 +256,8 @@
 // partners returns the addresses that this host dials. Up to fullMeshHosts hosts dial all
 // others. In a larger deployment a host dials the coordinators of its failure domain and, if it is one
 // itself, those of the other domains. Seeds are dialled by coordinators, through which the parts of
-// a partitioned deployment joins again, and by hosts without a live coordinator of their domain. The caller
-// holds m.mu.
+// a partitioned deployment join again, and by hosts without a live coordinator of their domain. The
+// caller holds m.mu.
 func (m *Mesh) partners() map[netip.AddrPort]bool {
 	out := map[netip.AddrPort]bool{}
 	if m.directory.Hosts <= fullMeshHosts {
@@ -275,7 +271,7 @@
 	for domain, coordinators := range m.directory.Domains {
 		for _, p := range coordinators {
 			if domain == m.settings.Domain || coordinates {
-				out[p.Address] = p.Address != m.address
+				out[p.Address] = true
 			}
 			if domain == m.settings.Domain && m.view.isUp(p.Host) {
 				heard = true
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -63,8 +63,7 @@
 		// stopping, and the versions of the table and of the published state.
 		FillHeartbeat(*wire.Heartbeat)
 
-		// Report returns the host's soft state for the next periodic report, or nil if it has
-		// none that its peers do not get from its coordinator.
+		// Report returns the host's soft state for the next periodic report.
 		Report() *wire.Report
 
 		// Streams returns the host's running streams, for its coordinators. It returns nil if
--- a/peer/send.go
+++ b/peer/send.go
@@ -128,8 +128,9 @@
 	m.count(&m.traffic.BytesSent, len(data))
 }
 
-// fillMembership sets the fields of a heartbeat about other hosts. Only a coordinator, and a host
-// that is not connected with all others, lists the directory. The caller holds m.mu.
+// fillMembership sets the fields of a heartbeat about other hosts. A coordinator lists the whole
+// directory; another host does so for peers that have dialled it, such as hosts that start, and lists
+// the coordinators of its own domain otherwise. The caller holds m.mu.
 func (m *Mesh) fillMembership(hb *wire.Heartbeat, l *link, now time.Time) {
 	hosts := m.view.DomainHosts()
 	hb.Members, hb.Hosts = uint32(len(hosts)), uint32(m.directory.Hosts)
@@ -183,7 +184,7 @@
 // its sender, as they are connected with their coordinators only. It does nothing unless this host
 // is the first coordinator of its domain.
 func (m *Mesh) Forward(ctx context.Context, r *wire.Report) {
-	if m.Directory().Hosts <= fullMeshHosts || len(m.Coordinators()) > 0 || !m.Coordinates() {
+	if m.Directory().Hosts <= fullMeshHosts || len(m.Coordinators()) > 0 {
 		return
 	}
 	m.mu.Lock()
@@ -238,10 +239,6 @@
 			continue
 		}
 		r := m.handler.Report()
-		if r == nil {
-			m.reportInterval.Store(int64(maxReportInterval))
-			continue
-		}
 		m.sendTo(ctx, r, links)
 		interval := time.Duration(proto.Size(r)*len(links)) * time.Second / time.Duration(m.settings.ReportBudget)
 		m.reportInterval.Store(int64(min(max(interval, minReportInterval), maxReportInterval)))
--- a/peer/view.go
+++ b/peer/view.go
@@ -35,9 +35,10 @@
 	// A View is one host's membership list of its peers, derived from their heartbeats. Its
 	// methods take the current time as an argument. It is not safe for concurrent use.
 	View struct {
-		self   Peer
-		peers  map[string]*Peer // hosts whose heartbeats it receives, by name
-		listed map[string]*Peer // coordinators listed in these heartbeats, by name
+		self        Peer
+		peers       map[string]*Peer // hosts whose heartbeats it receives, by name
+		listed      map[string]*Peer // coordinators listed in these heartbeats, by name
+		domainHosts []string         // see DomainHosts
 	}
 
 	// A Change is a peer with its state after a heartbeat or after the lack of heartbeats.
@@ -63,27 +64,26 @@
 
 // NewView returns an empty view for a host.
 func NewView(self Peer) *View {
-	return &View{self: self, peers: map[string]*Peer{}, listed: map[string]*Peer{}}
+	return &View{self: self, peers: map[string]*Peer{}, listed: map[string]*Peer{}, domainHosts: []string{self.Host}}
 }
 
-// UpdateSelf updates the view's entry of its own host.
+// UpdateSelf updates the view's entry of its own host and DomainHosts.
 func (v *View) UpdateSelf(stopping, young bool) {
-	v.self.Stopping, v.self.Young, v.self.Members = stopping, young, len(v.DomainHosts())
-}
-
-// DomainHosts returns the names of the hosts of this host's failure domain with a heartbeat within
-// CapShareTTL, this host included, sorted.
-func (v *View) DomainHosts() []string {
-	names := []string{v.self.Host}
+	v.domainHosts = []string{v.self.Host}
 	for host, p := range v.peers {
 		if p.Domain == v.self.Domain {
-			names = append(names, host)
+			v.domainHosts = append(v.domainHosts, host)
 		}
 	}
-	slices.Sort(names)
-	return names
+	slices.Sort(v.domainHosts)
+	v.self.Stopping, v.self.Young, v.self.Members = stopping, young, len(v.domainHosts)
 }
 
+// DomainHosts returns the names of the hosts of this host's failure domain with a heartbeat within
+// CapShareTTL, this host included, sorted, as of the latest UpdateSelf. Callers must not change the
+// slice.
+func (v *View) DomainHosts() []string { return v.domainHosts }
+
 // ApplyHeartbeat records a peer's heartbeat. It ignores duplicates, reordered heartbeats, those
 // of an incarnation older than the recorded one, and those of a host with this host's name. It
 // returns the peer, and true if the peer is new, was down or has a newer incarnation.
--- a/registry/view.go
+++ b/registry/view.go
@@ -329,7 +329,7 @@
 // beginEra prepares the view for a full update with which a new era of the source begins. The
 // source has lost its last changes and lists targets as they were before: targets that have left
 // since are marked as leaving in the update, and targets that it does not list yet are retained
-// for recoveryGrace. A configuration of the update replaces the view's whatever its revision.
+// for recoveryGrace. A configuration of the update replaces the view's regardless of its revision.
 func (v *View) beginEra(now time.Time, r *Update) {
 	if v.Initialized() {
 		v.recoveredAt = now
--- a/registry/view_test.go
+++ b/registry/view_test.go
@@ -171,7 +171,7 @@
 
 // Revisions are ordered only within an era: after a restore, updates and confirmations of peers
 // that still have the old era must be ignored, and a peer with a newer era must be asked for the
-// full state, whatever the revisions.
+// full state, regardless of the revisions.
 func TestPeersOfAnotherEra(t *testing.T) {
 	c := qt.New(t)
 	fresh := newTestView("a")
