--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -48,6 +48,7 @@
 		return failedResult(ctx, err)
 	}
 	defer resp.Body.Close()
+	c.framing = framingOf(resp)
 	reply := c.gateway.dialect.ParseResponse(resp.StatusCode, resp.Header)
 	switch {
 	case reply.NotExecuted:
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -41,6 +41,7 @@
 	failedResponse *bufferedResponse // last 5xx response, forwarded if no other target succeeds
 
 	target        string        // name of the target of the latest attempt
+	framing       framing       // of the latest response of a target
 	attemptCount  int           // attempts started
 	status        int           // HTTP status sent to the caller
 	firstByte     time.Duration // from started to the first response byte
--- /dev/null
+++ b/gateway/framing.go
@@ -0,0 +1,29 @@
+package gateway
+
+import "net/http"
+
+// framing is how a target marks the end of a response body. The zero value means that there is no response.
+type framing uint8
+
+const (
+	framingNone    framing = iota // no response
+	framingClose                  // by closing the connection, which a target that fails does, too
+	framingLength                 // by its length
+	framingChunked                // by a final chunk
+)
+
+var framingNames = [...]string{"none", "close", "length", "chunked"}
+
+// framingOf returns the framing of a response.
+func framingOf(resp *http.Response) framing {
+	switch {
+	case resp.ContentLength >= 0:
+		return framingLength
+	case len(resp.TransferEncoding) > 0:
+		return framingChunked
+	}
+	return framingClose
+}
+
+// String returns the name of the framing in logs.
+func (f framing) String() string { return framingNames[f] }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -174,6 +174,10 @@
 	if c.route != nil {
 		fields.Values = append(fields.Values, "route", c.route.Name, "kind", c.route.Kind.String())
 	}
+	if c.framing != framingNone {
+		// partial counts the bytes after the last complete event.
+		fields.Values = append(fields.Values, "framing", c.framing.String(), "partial", len(c.events.partial))
+	}
 	if c.events.eventCount > 0 {
 		fields.Values = append(fields.Values, "events", c.events.eventCount, "longest_gap_ms", c.longestGap.Milliseconds())
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -42,6 +42,7 @@
 			return c.streamResult(resp, res, clean)
 		}
 		resp = next
+		c.framing = framingOf(resp)
 		c.placement.mu.Lock()
 		c.placement.response = resp
 		c.placement.mu.Unlock()
