--- a/network/conn.go
+++ b/network/conn.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -16,6 +17,7 @@
 		network       *Virtual
 		local, remote netip.AddrPort
 		in, out       *stream // this end reads from in and writes to out
+		resetOnClose  atomic.Bool
 	}
 
 	// stream is one direction of a connection.
@@ -64,8 +66,18 @@
 // write deadline.
 func (c *conn) Write(b []byte) (int, error) { return c.out.write(b) }
 
-// Close closes both directions. The peer can still read the bytes written before Close.
+// SetLinger makes Close reset the connection if sec is 0, like SetLinger of net.TCPConn.
+func (c *conn) SetLinger(sec int) error {
+	c.resetOnClose.Store(sec == 0)
+	return nil
+}
+
+// Close closes both directions. The peer can still read the bytes written before Close, unless
+// SetLinger was called with 0.
 func (c *conn) Close() error {
+	if c.resetOnClose.Load() {
+		c.out.update(func(s *stream) { s.reset = true })
+	}
 	c.out.update(func(s *stream) { s.writeClosed = true })
 	c.in.update(func(s *stream) { s.readClosed = true })
 	c.network.mu.Lock()
--- a/network/network.go
+++ b/network/network.go
@@ -48,3 +48,12 @@
 	var d net.Dialer
 	return d.DialContext(ctx, "tcp", to.String())
 }
+
+// CloseWithReset closes a connection so that its peer reads an error in place of the end, as after
+// the failure of a process.
+func CloseWithReset(c net.Conn) {
+	if l, ok := c.(interface{ SetLinger(sec int) error }); ok {
+		_ = l.SetLinger(0) // fails only if the connection is closed
+	}
+	_ = c.Close() // as above
+}
