A stream that ends with its connection is complete only between two events

Cause: the gateway took each io.EOF of a response for the end of the generation. net/http reports a broken body as io.ErrUnexpectedEOF only if the response has a length or chunks; with neither, the end of the connection is io.EOF, also when the engine has crashed. The bytes after the last event were forwarded, and the caller's own response was closed with its last chunk.

Change: what the end of a response proves is decided in one place (eventSplitter.end) by its framing and by where the stream stands, for first, resumed and backup responses alike. A connection that closes between two events does not complete a generation that was asked to stop.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -14,17 +14,51 @@
 	eventCount   int    // events with an identifier that were returned
 	missingEvent bool   // an identifier was not one above its predecessor
 	resumed      bool   // the stream continues on another connection, which may repeat events returned before
+	begun        bool   // the current connection has sent a complete event
+	position     int    // identifier of the last complete event of the current connection, also if it was returned before
 }
 
 var (
-	eventEnd   = []byte("\n\n")
-	eventEndCR = []byte("\r\n\r\n")
-	idField    = []byte("id:")
+	// eventEnds are the blank lines that end an event, each with the end of the line before it.
+	eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
+
+	idField = []byte("id:")
 )
 
 // resume discards the partial event. It is called when the stream continues on another
 // connection, which sends that event again from its start.
-func (e *eventSplitter) resume() { e.partial, e.resumed = nil, true }
+func (e *eventSplitter) resume() {
+	e.partial, e.resumed = nil, true
+	e.begun, e.position = false, 0
+}
+
+// end returns what it proves about the stream that the current connection has ended without an
+// error, after a response with framing f. No generation ends inside an event, or before an event that
+// was returned before. If only the end of the connection marks that of the response, a response
+// without an event is broken off, too.
+func (e *eventSplitter) end(f framing) streamEnd {
+	switch {
+	case e.insideEvent(), e.begun && e.position < e.last:
+		return streamBroken
+	case f != framingClose:
+		return streamComplete
+	case !e.begun:
+		return streamBroken
+	}
+	return streamClosed
+}
+
+// insideEvent reports whether bytes other than blank lines and comments follow the last complete
+// event.
+func (e *eventSplitter) insideEvent() bool {
+	for line := range bytes.Lines(e.partial) {
+		text, ended := bytes.CutSuffix(line, []byte("\n"))
+		if text = bytes.TrimSuffix(text, []byte("\r")); !ended || len(text) > 0 && text[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
 
 // feed adds the next bytes of the stream and returns the events that are now complete, without
 // those returned before, or nil if there are none. The result is valid until the next call.
@@ -44,11 +78,10 @@
 // completeLength returns the length in bytes of all complete events at the start of data.
 func completeLength(data []byte) int {
 	end := 0
-	if i := bytes.LastIndex(data, eventEnd); i >= 0 {
-		end = i + len(eventEnd)
-	}
-	if i := bytes.LastIndex(data, eventEndCR); i >= 0 {
-		end = max(end, i+len(eventEndCR))
+	for _, blank := range eventEnds {
+		if i := bytes.LastIndex(data, blank); i >= 0 {
+			end = max(end, i+len(blank))
+		}
 	}
 	return end
 }
@@ -56,6 +89,7 @@
 // accept records the identifiers of complete events and returns the events. In a resumed stream
 // it leaves out events that were returned before.
 func (e *eventSplitter) accept(complete []byte) []byte {
+	e.begun = true
 	if !e.resumed {
 		for line := range bytes.Lines(complete) {
 			if n, ok := parseID(line); ok {
@@ -70,6 +104,7 @@
 		complete = complete[len(event):]
 		n, ok := eventID(event)
 		if ok && n <= e.last {
+			e.position = n
 			continue
 		}
 		if ok {
@@ -87,11 +122,10 @@
 // complete events only.
 func firstEventLength(complete []byte) int {
 	end := len(complete)
-	if i := bytes.Index(complete, eventEnd); i >= 0 {
-		end = i + len(eventEnd)
-	}
-	if i := bytes.Index(complete[:end], eventEndCR); i >= 0 {
-		end = i + len(eventEndCR)
+	for _, blank := range eventEnds {
+		if i := bytes.Index(complete[:end], blank); i >= 0 {
+			end = i + len(blank)
+		}
 	}
 	return end
 }
@@ -122,6 +156,6 @@
 	if e.eventCount > 0 && n != e.last+1 {
 		e.missingEvent = true
 	}
-	e.last = n
+	e.last, e.position = n, n
 	e.eventCount++
 }
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -54,9 +54,55 @@
 	}
 }
 
+// The end of a connection completes a stream only between two events, and not before the events that
+// reached the caller on an earlier connection. If nothing else marks the end of the response, a
+// connection without an event has been broken off, too.
+func TestEndOfConnection(t *testing.T) {
+	const whole = "id: 1\ndata: a\n\n"
+	cases := []struct {
+		name    string
+		earlier string // sent on an earlier connection
+		sent    string
+		chunked streamEnd
+		closed  streamEnd
+	}{
+		{"between events", "", whole, streamComplete, streamClosed},
+		{"after a comment", "", whole + ": ping\n", streamComplete, streamClosed},
+		{"after blank lines", "", whole + "\r\n\n", streamComplete, streamClosed},
+		{"inside a comment", "", whole + ": pi", streamBroken, streamBroken},
+		{"inside a field", "", whole + "id: 2\nda", streamBroken, streamBroken},
+		{"after a field", "", whole + "id: 2\n", streamBroken, streamBroken},
+		{"before the blank line", "", whole + "id: 2\ndata: b\n", streamBroken, streamBroken},
+		{"inside the first event", "", "id: 1", streamBroken, streamBroken},
+		{"without an event", "", "", streamComplete, streamBroken},
+		{"resumed, further", whole, "id: 2\ndata: b\n\n", streamComplete, streamClosed},
+		{"resumed, at the same event", whole, whole, streamComplete, streamClosed},
+		{"resumed, inside an event", whole, whole + "id: 2\n", streamBroken, streamBroken},
+		{"resumed, before the last event", eventText(1, 3), eventText(1, 2), streamBroken, streamBroken},
+		{"resumed, without an event", whole, "", streamComplete, streamBroken},
+		{"events without identifiers", "", "data: a\n\n", streamComplete, streamClosed},
+		{"mixed line ends", "", "id: 1\ndata: a\n\r\n", streamComplete, streamClosed},
+		{"old line ends", "", "id: 1\rdata: a\r\r", streamComplete, streamClosed},
+	}
+	for _, q := range cases {
+		t.Run(q.name, func(t *testing.T) {
+			var e eventSplitter
+			if q.earlier != "" {
+				e.feed([]byte(q.earlier + "id: 9\nda"))
+				e.resume()
+			}
+			e.feed([]byte(q.sent))
+			qt.Check(t, e.end(framingChunked), qt.Equals, q.chunked)
+			qt.Check(t, e.end(framingLength), qt.Equals, q.chunked)
+			qt.Check(t, e.end(framingClose), qt.Equals, q.closed)
+		})
+	}
+}
+
 func FuzzEvents(f *testing.F) {
 	f.Add([]byte(eventText(1, 3)), 5)
 	f.Add([]byte("id: 1\r\ndata: a\r\n\r\nid: 2\n\n"), 3)
+	f.Add([]byte("id: 1\rdata: a\r\rid: 2\n\r\n: c"), 17)
 	f.Fuzz(func(t *testing.T, data []byte, cut int) {
 		if cut <= 0 || cut > len(data) {
 			return
--- a/gateway/framing.go
+++ b/gateway/framing.go
@@ -2,8 +2,14 @@
 
 import "net/http"
 
-// framing is how a target marks the end of a response body. The zero value means that there is no response.
-type framing uint8
+type (
+	// framing is how a target marks the end of a response body. The zero value means that there is
+	// no response.
+	framing uint8
+
+	// streamEnd is what the end of a response proves about its stream.
+	streamEnd uint8
+)
 
 const (
 	framingNone    framing = iota // no response
@@ -12,6 +18,12 @@
 	framingChunked                // by a final chunk
 )
 
+const (
+	streamBroken   streamEnd = iota // the target broke the stream off
+	streamClosed                    // the target closed the connection between two events, because it had completed or stopped the generation
+	streamComplete                  // the framing shows that the response is whole
+)
+
 var framingNames = [...]string{"none", "close", "length", "chunked"}
 
 // framingOf returns the framing of a response.
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -226,41 +226,42 @@
 }
 
 // nextResponse returns the response that continues a stream whose current response has ended, or
-// nil if no engine continues it. clean means that the response ended without an error, because
-// the generation is complete or was stopped for a move.
-func (c *call) nextResponse(ctx context.Context, clean bool) *http.Response {
+// nil if no engine continues it. end is what that end proves about the stream. stopped reports whether
+// the response may have ended only because the generation was stopped for a move.
+func (c *call) nextResponse(ctx context.Context, end streamEnd) (next *http.Response, stopped bool) {
 	m := c.takeMove()
-	if m == nil && !clean {
+	if m == nil && end == streamBroken {
 		m = c.requestMove(ctx)
 		c.takeMove()
 	}
 	if m == nil {
-		return nil
+		return nil, false
 	}
-	if clean && !m.mayHaveStopped() {
+	if end != streamBroken && !m.mayHaveStopped() {
 		c.freeCopy(m)
-		return nil
+		return nil, false
 	}
 	select {
 	case <-m.done:
 	case <-time.After(moveTimeout):
 	case <-ctx.Done():
-		return nil
+		return nil, true
 	}
 	m.mu.Lock()
 	next, handle, heldAtSource, notFound := m.backupResponse, m.handle, m.heldAtSource, m.notFound
 	m.mu.Unlock()
 	if next != nil {
 		c.completeMove(m, m.to, false)
-		return next
+		return next, false
 	}
-	if m.effect.ToBackup || handle == "" || notFound && clean {
+	ended := notFound && end != streamBroken // the generation ended before it could be stopped
+	if m.effect.ToBackup || handle == "" || ended {
 		if !m.effect.ToBackup {
 			c.hostRequest.MoveFailed(true)
 		}
-		return nil
+		return nil, !ended
 	}
-	return c.resumeFromCopy(ctx, m, handle, heldAtSource)
+	return c.resumeFromCopy(ctx, m, handle, heldAtSource), true
 }
 
 // takeMove returns the move in progress and clears it, so that no other step completes it again.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -14,7 +14,11 @@
 	"github.com/wigeonlink/wigeonlink/target"
 )
 
-var errNotForwarded = eris.New("writing to the caller failed, or an event is missing from the stream")
+var (
+	errNotForwarded = eris.New("writing to the caller failed, or an event is missing from the stream")
+	errCutOff       = eris.New("the target ended the response before the end of its stream")
+	errNotResumed   = eris.New("the generation was stopped for a move and not resumed")
+)
 
 // stream forwards the events of resp to the caller, each when it is complete. When the stream is
 // moved, it continues with the response of the other engine.
@@ -31,15 +35,15 @@
 	}
 	defer c.closeStream()
 	for {
-		res, clean := c.forwardEvents(ctx, resp, watchdog, timeout)
+		end, err := c.forwardEvents(resp, watchdog, timeout)
 		resp.Body.Close()
 		if ctx.Err() != nil || c.undeliverable {
-			return res
+			return c.brokenResult(ctx, err)
 		}
 		watchdog.Reset(timeout)
-		next := c.nextResponse(ctx, clean)
+		next, stopped := c.nextResponse(ctx, end)
 		if next == nil {
-			return c.streamResult(resp, res, clean)
+			return c.streamResult(ctx, resp, end, stopped, err)
 		}
 		resp = next
 		c.framing = framingOf(resp)
@@ -65,19 +69,23 @@
 	}
 }
 
-// streamResult returns the result of the attempt when no other engine continues the stream: that
-// of a complete stream if the last response ended cleanly, res otherwise.
-func (c *call) streamResult(resp *http.Response, res relay.Result, clean bool) relay.Result {
-	if clean {
-		return c.endStream(resp)
+// streamResult returns the result of the attempt when no other engine continues the stream, whose
+// last response ended with end and err. stopped means that the target was asked to stop the generation,
+// so that a closed connection does not show that it was complete.
+func (c *call) streamResult(ctx context.Context, resp *http.Response, end streamEnd, stopped bool, err error) relay.Result {
+	switch {
+	case end == streamBroken:
+		return c.brokenResult(ctx, err)
+	case end == streamClosed && stopped:
+		return c.brokenResult(ctx, errNotResumed)
 	}
-	return res
+	return c.endStream(resp)
 }
 
 // forwardEvents forwards the events of one response until it ends, and restarts watchdog with
-// timeout after each read. clean reports whether the response ended without an error; if it did
-// not, res is the result of the failed attempt.
-func (c *call) forwardEvents(ctx context.Context, resp *http.Response, watchdog *time.Timer, timeout time.Duration) (res relay.Result, clean bool) {
+// timeout after each read. It returns what the end proves about the stream, with the reason if the
+// stream is broken.
+func (c *call) forwardEvents(resp *http.Response, watchdog *time.Timer, timeout time.Duration) (streamEnd, error) {
 	control := http.NewResponseController(c.w)
 	buffer := make([]byte, readBufferSize)
 	for {
@@ -85,13 +93,17 @@
 		watchdog.Reset(timeout)
 		if n > 0 && !c.writeEvents(resp, control, buffer[:n]) {
 			c.undeliverable = true
-			return c.brokenResult(ctx, errNotForwarded), false
+			return streamBroken, errNotForwarded
 		}
 		if errors.Is(err, io.EOF) {
-			return relay.Result{}, true
+			end := c.events.end(framingOf(resp))
+			if end == streamBroken {
+				return end, errCutOff
+			}
+			return end, nil
 		}
 		if err != nil {
-			return c.brokenResult(ctx, eris.Wrap(err, "stream")), false
+			return streamBroken, eris.Wrap(err, "stream")
 		}
 	}
 }
@@ -142,14 +154,13 @@
 	c.hostRequest.Progress.Advance(count*c.tokensPerEvent, now, gap)
 }
 
-// endStream completes the caller's response after the target has ended the stream without an
-// error.
+// endStream completes the caller's response after the target has completed the stream.
 func (c *call) endStream(resp *http.Response) relay.Result {
 	if !c.written {
 		c.copyHeader(resp.Header)
 		c.writeHeader(resp.StatusCode)
 	}
-	// Bytes after the last complete event are forwarded unchanged.
+	// Blank lines and comments after the last event are forwarded unchanged.
 	n, _ := c.w.Write(c.events.partial)
 	c.bodyBytes += int64(n)
 	return c.completeResult()
