--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -133,9 +133,7 @@
 	c.recordEnd(e)
 	switch {
 	case c.written:
-		// Part of the response has been sent, so only an aborted connection shows the caller
-		// that it is incomplete.
-		panic(http.ErrAbortHandler)
+		c.abortResponse()
 	case context.Cause(r.Context()) != nil:
 		// The caller has disconnected.
 	default:
@@ -143,6 +141,18 @@
 	}
 }
 
+// abortResponse ends a response of which a part has been sent, so that only the end of its connection
+// can show the caller that it is incomplete. A response of HTTP/1.0 has no chunks: a connection that is
+// closed would complete it, so the connection is reset.
+func (c *call) abortResponse() {
+	if !c.r.ProtoAtLeast(1, 1) {
+		if conn, _, err := http.NewResponseController(c.w).Hijack(); err == nil {
+			network.CloseWithReset(conn)
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // stats returns the RequestStats of the finished request. e is the error that ended it, or nil if
 // its response is complete.
 func (c *call) stats(e *answer.Error) RequestStats {
