Refuse published values and load reports that may be cut off

A sheet cut between two rows is valid with fewer organisations; a load report without its last lines reads as an idle engine that is not leaving. Both are refused now. TestValueThatMayBeCutOffIsRefused failed before for a response with neither.

--- a/gateway/framing.go
+++ b/gateway/framing.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "net/http"
+import (
+	"net/http"
+
+	"github.com/wigeonlink/wigeonlink/network"
+)
 
 type (
 	// framing is how a target marks the end of a response body. The zero value means that there is
@@ -29,12 +33,12 @@
 // framingOf returns the framing of a response.
 func framingOf(resp *http.Response) framing {
 	switch {
+	case network.EndsWithConnection(resp):
+		return framingClose
 	case resp.ContentLength >= 0:
 		return framingLength
-	case len(resp.TransferEncoding) > 0:
-		return framingChunked
 	}
-	return framingClose
+	return framingChunked
 }
 
 // String returns the name of the framing in logs.
--- a/network/network.go
+++ b/network/network.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
 
 	"github.com/rotisserie/eris"
@@ -49,6 +50,12 @@
 	return d.DialContext(ctx, "tcp", to.String())
 }
 
+// EndsWithConnection reports whether only the end of its connection marks the end of a response, which
+// has neither a length nor chunks. Its reader cannot tell a whole body from one that was cut off.
+func EndsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // CloseWithReset closes a connection so that its peer reads an error in place of the end, as after
 // the failure of a process.
 func CloseWithReset(c net.Conn) {
--- a/publication/consul.go
+++ b/publication/consul.go
@@ -9,6 +9,8 @@
 	"strconv"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/wigeonlink/wigeonlink/network"
 )
 
 // consul is a Source for services that implement blocking queries of the Consul KV API: a query
@@ -41,6 +43,9 @@
 		return Value{}, eris.Wrap(err, "watch")
 	}
 	defer resp.Body.Close()
+	if network.EndsWithConnection(resp) {
+		return Value{}, eris.Errorf("key %s: the response has neither a length nor chunks, so it may be cut off", key)
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxValueBytes+1))
 	if err != nil {
 		return Value{}, eris.Wrap(err, "watch")
--- /dev/null
+++ b/publication/consul_test.go
@@ -0,0 +1,50 @@
+package publication
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A table that is cut off between two rows is still valid, so a value is refused unless its response
+// shows that it is whole.
+func TestValueThatMayBeCutOffIsRefused(t *testing.T) {
+	const rows = "table,7\norganisation,one\n"
+	cases := map[string]struct {
+		frame string // header that frames the response
+		sent  string
+		valid bool
+	}{
+		"with a length":        {fmt.Sprintf("Content-Length: %d\r\n", len(rows)), rows, true},
+		"shorter than that":    {fmt.Sprintf("Content-Length: %d\r\n", len(rows)+9), rows, false},
+		"chunked":              {"Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(rows), rows), true},
+		"cut off between them": {"Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n", len(rows), rows), false},
+		"neither":              {"", rows, false},
+	}
+	for name, q := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			defer l.Close()
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				_, _ = conn.Read(make([]byte, http.DefaultMaxHeaderBytes))
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: 4\r\n%s\r\n%s", indexHeader, q.frame, q.sent)
+			}()
+			v, err := NewSource(netip.MustParseAddrPort(l.Addr().String())).Watch(t.Context(), KeyTable, 0)
+			c.Check(err == nil, qt.Equals, q.valid, qt.Commentf("%v", err))
+			if q.valid {
+				c.Check(string(v.Data), qt.Equals, rows)
+			}
+		})
+	}
+}
--- a/target/responses.go
+++ b/target/responses.go
@@ -233,6 +233,9 @@
 		return Load{}, err
 	}
 	defer resp.Body.Close()
+	if network.EndsWithConnection(resp) {
+		return Load{}, eris.New("the load report of the engine has neither a length nor chunks, so it may be cut off")
+	}
 	parser := expfmt.NewTextParser(model.UTF8Validation)
 	families, err := parser.TextToMetricFamilies(io.LimitReader(resp.Body, maxLoadReport))
 	if err != nil {
