A refused retry does not say that its request did not run

Cause: the refusal of a held request, or of a retry that was rejected, spoke of the last attempt only. The refusal for the latest attempt that may have run now replaces one that says not run. TestRefusalAfterAttemptThatMayHaveRun failed before in both cases.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -106,6 +106,41 @@
 	}
 }
 
+// A request whose attempt may have run waits for a retry and is then refused. Its caller must not be
+// told that it did not run, whatever the last refusal says about itself.
+func TestRefusalAfterAttemptThatMayHaveRun(t *testing.T) {
+	cases := map[string]Event{
+		"no target until the deadline": nil,
+		"the retry did not run":        AttemptFailed{ID: 1, Certainty: target.CertaintyNotRun},
+	}
+	for name, last := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newReducerTest(t, 1, 2)
+			r.reduce(0, submit(1, "organisation-0"))
+			f := r.requireEffect(EffectDispatch)
+			if last == nil {
+				leaving := map[string]bool{}
+				for _, row := range r.reducer.Targets() {
+					leaving[row.Target] = true
+				}
+				r.reduce(0, LeavingTargets{Leaving: leaving})
+			}
+			r.reduce(time.Millisecond, AttemptFailed{ID: 1, Certainty: target.CertaintyLost, Rebooted: true})
+			r.requireNoEffect(EffectRefuse)
+			if last != nil {
+				r.reduce(time.Second, Tick{})
+				r.Assert(r.requireEffect(EffectDispatch).Target, qt.Not(qt.Equals), f.Target)
+				r.reduce(time.Millisecond, last)
+			} else {
+				r.reduce(time.Hour, Tick{})
+			}
+			refused := r.requireEffect(EffectRefuse)
+			r.Check(refused.Answer, qt.Equals, answer.KindTargetLost)
+			r.Check(refused.Answer.Properties().Outcome, qt.Not(qt.Equals), answer.OutcomeNotRun)
+		})
+	}
+}
+
 func TestRetriesStayWithinBudget(t *testing.T) {
 	r := newReducerTest(t, 1, 50)
 	const requests = 400
--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -117,6 +117,9 @@
 		q.unsentAttempts++
 	}
 	q.triedTargets = append(q.triedTargets, t)
+	if e.Certainty != target.CertaintyNotRun {
+		q.failedAttempt = failedKind(q, e)
+	}
 	if r.mayRetry(q, e) {
 		r.retry(q, e.Unsent || e.Answered)
 	} else {
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -39,6 +39,7 @@
 		triedTargets    []*targetState  // targets of failed attempts and destinations of failed moves, which are not chosen again
 		attempts        int             // dispatches of the request, including unsentAttempts
 		unsentAttempts  int             // dispatches of which no byte left this host
+		failedAttempt   answer.Kind     // refusal for the latest attempt that may have run; KindNone if none has
 		maxTargets      int             // maximum number of dispatches that may reach a target
 		multipleTargets bool            // whether the caller explicitly allows more than one target
 		dispatchedAt    time.Duration   // time of the latest dispatch
@@ -249,7 +250,8 @@
 
 // refuse ends a request that is neither held nor dispatched any more: it emits the refusal, unless
 // kind is KindNone, and removes the request. A zero retry stands for the default retry delay of
-// kind.
+// kind. If an earlier attempt may have run, the refusal for that attempt replaces a kind which says
+// that the request did not run.
 func (r *Reducer) refuse(q *request, kind answer.Kind, retry time.Duration) {
 	if q.remote != nil {
 		if kind != answer.KindNone {
@@ -259,6 +261,9 @@
 		return
 	}
 	if kind != answer.KindNone {
+		if q.failedAttempt != answer.KindNone && kind.Properties().Outcome == answer.OutcomeNotRun {
+			kind, retry = q.failedAttempt, 0
+		}
 		r.counts.Refused++
 		q.organisation.refused++
 		if retry == 0 {
