--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -6,6 +6,7 @@
 import (
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 )
 
@@ -60,3 +61,15 @@
 		HasProof    bool   // the response has the header that proves that the target itself produced it
 	}
 )
+
+// formatParts returns the identifiers of prompt parts in hexadecimal, separated by commas.
+func formatParts(parts []PromptPart) string {
+	var b []byte
+	for i, p := range parts {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = strconv.AppendUint(b, p.ID, 16)
+	}
+	return string(b)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -191,6 +191,9 @@
 	if c.events.eventCount > 0 {
 		fields.Values = append(fields.Values, "events", c.events.eventCount, "longest_gap_ms", c.longestGap.Milliseconds())
 	}
+	if len(c.info.PromptParts) > 0 {
+		fields.Values = append(fields.Values, "parts", formatParts(c.info.PromptParts))
+	}
 	if c.moveCount > 0 {
 		fields.Values = append(fields.Values, "moves", c.moveCount)
 	}
