--- /dev/null
+++ b/audit/harmful.go
@@ -0,0 +1,96 @@
+package audit
+
+import (
+	"slices"
+	"time"
+)
+
+type (
+	// TargetCrashed is the crash of a target that began to answer a request with a part of a prompt
+	// that crashes targets.
+	TargetCrashed struct{ Target, Part string }
+
+	// harmfulPart holds the crashes of targets by one part of prompts, and the arrivals of requests
+	// with that part.
+	harmfulPart struct {
+		crashes  []time.Time
+		arrivals []harmfulArrival
+	}
+
+	// harmfulArrival is the arrival at a target of a request with a part that crashes targets.
+	harmfulArrival struct {
+		id, host string
+		at       time.Time
+	}
+)
+
+const (
+	maxHarmfulCrashes  = 5 // crashes by one part after which hosts must know it
+	maxHarmfulArrivals = 3 // requests with the part that may reach targets later
+)
+
+// harmfulPart returns the history of a part of prompts. It creates an empty one on first use.
+func (a *Audit) harmfulPart(name string) *harmfulPart {
+	p := a.harmful[name]
+	if p == nil {
+		p = &harmfulPart{}
+		a.harmful[name] = p
+	}
+	return p
+}
+
+func (o TargetCrashed) apply(a *Audit, at time.Time) {
+	p := a.harmfulPart(o.Part)
+	p.crashes = append(p.crashes, at)
+}
+
+// HarmfulCrashCount returns the number of targets that a part of prompts has crashed.
+func (a *Audit) HarmfulCrashCount(part string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.harmfulPart(part).crashes)
+}
+
+// recordParts records the arrival of a request for each part of its prompt that requests share.
+func (a *Audit) recordParts(q *request, o *RequestReceived, at time.Time) {
+	for _, name := range o.SharedParts {
+		p := a.harmfulPart(name)
+		p.arrivals = append(p.arrivals, harmfulArrival{o.ID, q.sent.Host, at})
+	}
+}
+
+// checkHarmful requires that a part which has crashed maxHarmfulCrashes targets reaches targets at most
+// maxHarmfulArrivals times more, from HarmfulDelay on. Requests whose host or the source of configuration
+// had a fault in the HarmfulDelay before are not counted. At most one violation is reported for each part.
+func (a *Audit) checkHarmful() {
+	for name, p := range a.harmful {
+		if len(p.crashes) < maxHarmfulCrashes {
+			continue
+		}
+		slices.SortFunc(p.crashes, time.Time.Compare)
+		from, late := p.crashes[maxHarmfulCrashes-1].Add(a.bounds.HarmfulDelay), 0
+		for _, r := range p.arrivals {
+			if !r.at.After(from) || !a.faultFree(r.host, r.at.Add(-a.bounds.HarmfulDelay), r.at) {
+				continue
+			}
+			if late++; late > maxHarmfulArrivals {
+				a.addViolation(GuaranteeBounded, r.id, r.at, "reached a target with part %s, which had crashed %d targets until %s", name, maxHarmfulCrashes, from)
+				break
+			}
+		}
+	}
+}
+
+// checkQuarantine requires that a request which a host refuses for a part of its prompt has a part
+// that has crashed a target.
+func (a *Audit) checkQuarantine(q *request, o *ResponseEnded, at time.Time) {
+	if !o.Quarantined {
+		return
+	}
+	for _, name := range q.sent.SharedParts {
+		if p := a.harmful[name]; p != nil && len(p.crashes) > 0 {
+			return
+		}
+	}
+	a.addViolation(GuaranteeAdmitted, o.ID, at, "refused for a part of its prompt, but none of %v has crashed a target", q.sent.SharedParts)
+}
--- a/audit/request.go
+++ b/audit/request.go
@@ -64,6 +64,7 @@
 	q := a.request(o.ID)
 	a.checkUnchanged(q, &o, at)
 	a.checkTargetCountAndDeadline(q, &o, at)
+	a.recordParts(q, &o, at)
 	if len(q.arrivals) > 0 {
 		p := a.pool(o.Pool)
 		p.retries = append(p.retries, at)
@@ -204,6 +205,7 @@
 func (o ResponseEnded) apply(a *Audit, at time.Time) {
 	q := a.request(o.ID)
 	q.response, q.respondedAt = o, at
+	a.checkQuarantine(q, &o, at)
 	success := o.Status >= 200 && o.Status < 300
 	if o.NotRun {
 		for _, r := range q.runs {
--- a/network/virtual.go
+++ b/network/virtual.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -50,8 +51,6 @@
 	backlog            = 1024   // connections per listener that are not yet accepted; further dials are refused
 )
 
-var errRefused = eris.New("connection refused")
-
 // NewVirtual returns a network in which every link has the given one-way delay.
 func NewVirtual(delay time.Duration) *Virtual {
 	return &Virtual{
@@ -199,14 +198,14 @@
 	defer v.mu.Unlock()
 	l := v.listeners[to]
 	if l == nil {
-		return nil, eris.Wrapf(errRefused, "dial %s", to)
+		return nil, eris.Wrapf(syscall.ECONNREFUSED, "dial %s", to)
 	}
 	client, server := v.connect(netip.AddrPortFrom(m.address, v.allocatePort()), to)
 	select {
 	case l.queue <- server:
 		return client, nil
 	default:
-		return nil, eris.Wrapf(errRefused, "dial %s: accept queue full", to)
+		return nil, eris.Wrapf(syscall.ECONNREFUSED, "dial %s: accept queue full", to)
 	}
 }
 
