Quarantine parts of prompts that crash targets

Cause: nothing kept what a request had been doing when its target was lost, so each host repeated the experiment with the next request, on the next engine. Class: a failure that a request brings with it is treated as one of the target.

Change: an attempt that the target ends before the answer has got past its beginning makes the host probe the target. If its process is gone, the parts of the prompt that other requests may share are suspected; an answer under a part clears it.

--- a/answer/kind.go
+++ b/answer/kind.go
@@ -71,6 +71,7 @@
 	KindTimeout
 	KindBusy
 	KindBadRequest
+	KindQuarantined
 	kindEnd
 )
 
@@ -114,6 +115,7 @@
 	KindTimeout:           {http.StatusGatewayTimeout, "timeout", "server_error", OutcomeUnknown, 0, "the target did not answer in time; it is not known whether the request ran"},
 	KindBusy:              {http.StatusServiceUnavailable, "busy", "overloaded_error", OutcomeNotRun, 500 * time.Millisecond, "this host holds too many large requests; this one did not run"},
 	KindBadRequest:        {http.StatusBadRequest, "bad_request", "invalid_request_error", OutcomeNotRun, 0, "a header of the request is missing or cannot be read"},
+	KindQuarantined:       {http.StatusServiceUnavailable, "prompt_quarantined", "server_error", OutcomeNotRun, 15 * time.Minute, "a part of the prompt has crashed several targets and is not sent to others for now; the request did not run"},
 }
 
 var outcomes = [...]string{OutcomeNotRun: "not_run", OutcomePartial: "partial", OutcomeUnknown: "unknown"}
--- a/audit/harmful.go
+++ b/audit/harmful.go
@@ -84,13 +84,18 @@
 // checkQuarantine requires that a request which a host refuses for a part of its prompt has a part
 // that has crashed a target.
 func (a *Audit) checkQuarantine(q *request, o *ResponseEnded, at time.Time) {
-	if !o.Quarantined {
-		return
+	if o.Quarantined && !q.isHarmful(a) {
+		a.addViolation(GuaranteeAdmitted, o.ID, at, "refused for a part of its prompt, but none of %v has crashed a target", q.sent.SharedParts)
 	}
+}
+
+// isHarmful reports whether a part of the request's prompt has crashed a target. Such a request need not
+// be served.
+func (q *request) isHarmful(a *Audit) bool {
 	for _, name := range q.sent.SharedParts {
 		if p := a.harmful[name]; p != nil && len(p.crashes) > 0 {
-			return
+			return true
 		}
 	}
-	a.addViolation(GuaranteeAdmitted, o.ID, at, "refused for a part of its prompt, but none of %v has crashed a target", q.sent.SharedParts)
+	return false
 }
--- a/components.go
+++ b/components.go
@@ -86,6 +86,7 @@
 	opts := append([]host.Option{
 		host.WithObserver(m),
 		host.WithDomain(a.settings.Domain),
+		host.WithNetwork(a.network),
 	}, a.hostOptions...)
 	h := host.NewHost(log, opts...)
 	return h, m.ObserveHost(h)
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/quarantine"
 	"github.com/wigeonlink/wigeonlink/table"
 )
 
@@ -18,12 +19,13 @@
 		Answer     answer.Kind       // Refuse: kind of the refusal sent to the caller
 		RetryAfter time.Duration     // Refuse: delay after which the caller may retry
 		At         time.Time         // Timer: time of the Tick; Move: time by which the generation must be stopped at the old target
-		To         table.Target      // Dispatch, QueryLeaving: the listed entry of the target; Move: destination
+		To         table.Target      // Dispatch, QueryLeaving, Probe: the listed entry of the target; Move: destination
 		ToBackup   bool              // Move: whether the destination is the stream's backup, which already holds a copy of its memory
 		Backup     table.Target      // Dispatch, Move: target to which the stream's memory is copied while it runs; an empty name means none
 		Remote     string            // Placed, Move: host and incarnation of the request, if it is another host's; empty otherwise
 		Placement  *PlacementRequest // Place
 		Basis      Basis             // Dispatch, Refuse, Move: state on which the decision was based
+		Part       quarantine.Part   // Suspected, Quarantined, Cleared
 	}
 
 	// A Basis is the state on which a decision to dispatch, refuse or move a request was based.
@@ -45,19 +47,24 @@
 
 // The kinds of effect.
 const (
-	EffectDispatch     EffectKind = iota // send the request to the target
-	EffectResume                         // open a new connection to the target and continue reading the running generation
-	EffectCancel                         // cancel the request at the target
-	EffectRefuse                         // refuse the request: send the caller an error as the final answer
-	EffectTimer                          // pass a Tick to Reduce at the given time
-	EffectMove                           // move the running stream from the target to another one
-	EffectNoMove                         // the stream has broken off and has no usable backup to continue at
-	EffectQueryLeaving                   // ask the target whether it is leaving; its reply is passed to Reduce as a LeavingReply
-	EffectPlace                          // ask a coordinator for a target; its reply is passed to Reduce as Placed or PlacementFailed
-	EffectPlaced                         // send another host the target of its request, or the refusal
+	EffectDispatch      EffectKind = iota // send the request to the target
+	EffectResume                          // open a new connection to the target and continue reading the running generation
+	EffectCancel                          // cancel the request at the target
+	EffectRefuse                          // refuse the request: send the caller an error as the final answer
+	EffectTimer                           // pass a Tick to Reduce at the given time
+	EffectMove                            // move the running stream from the target to another one
+	EffectNoMove                          // the stream has broken off and has no usable backup to continue at
+	EffectQueryLeaving                    // ask the target whether it is leaving; its reply is passed to Reduce as a LeavingReply
+	EffectPlace                           // ask a coordinator for a target; its reply is passed to Reduce as Placed or PlacementFailed
+	EffectPlaced                          // send another host the target of its request, or the refusal
+	EffectProbe                           // find out whether the target has crashed; the result is passed to Reduce as Probed
+	EffectShareSuspects                   // send the records of suspected prompt parts to the peers
+	EffectSuspected                       // a target has crashed as it began to answer a request with the part; to be logged
+	EffectQuarantined                     // requests with the part are refused from now on; to be logged
+	EffectCleared                         // an answer has cleared the part of a suspicion; to be logged
 )
 
-var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay", "ask", "place", "placed"}
+var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay", "ask", "place", "placed", "probe", "share_suspects", "suspected", "quarantined", "cleared"}
 
 // String returns the name of the kind.
 func (k EffectKind) String() string { return effectNames[k] }
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -227,14 +227,15 @@
 	r.evacuate()
 }
 
-// reduce emits a move to the stream's backup, or EffectNoMove if it has no usable one.
+// reduce emits a move to the stream's backup, or EffectNoMove if it has no usable one. A stream that broke
+// at its beginning is not resumed, as it may be what has crashed its target.
 func (e StreamBroken) reduce(r *Reducer) {
 	q := r.requests[e.ID]
 	switch {
 	case q == nil || q.phase != phaseDispatched:
 	case q.moveReservation.target != nil:
 		// The move in progress decides whether the stream continues.
-	case r.canRunAt(q.backup.target):
+	case r.canRunAt(q.backup.target) && !q.mayCrashTargets():
 		q.target.failureRate.record(1, r.now)
 		r.emitMove(q, q.backup.target, true)
 	default:
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wigeonlink/wigeonlink/forecast"
+	"github.com/wigeonlink/wigeonlink/quarantine"
 	"github.com/wigeonlink/wigeonlink/share"
 	"github.com/wigeonlink/wigeonlink/table"
 	"github.com/wigeonlink/wigeonlink/target"
@@ -25,19 +26,20 @@
 		ID                  ID
 		Name                string // identifier in event logs; the reducer only passes it on
 		Organisation        string
-		Pool                string        // name of the model or service
-		Plain               bool          // whether Pool is a plain service (see table.Service), not a model
-		NonIdempotent       bool          // whether the request is not idempotent
-		Route               string        // kind of API call; part of the key under which output lengths are learned
-		PromptTokens        int           // prompt length, in tokens
-		PrefixHash          uint64        // hash of the prompt prefix that requests may share in an engine's cache; 0 means no prefix
-		PrefixTokens        int           // length of that prefix, in tokens
-		MaxOutputTokens     int           // largest output, in tokens; 0 means no limit
-		KnownOutputTokens   int           // output length, in tokens, if known in advance; 0 means unknown
-		MaxAttempts         int           // maximum number of attempts that may reach a target; 0 means defaultMaxTargets
-		FirstTokenObjective time.Duration // time to the first token within which the request is on time; 0 means a default
-		DispatchDeadline    time.Time     // time by which the request must be dispatched; zero means only the reducer's longest hold limits it
-		CallerDeadline      time.Time     // time until which the caller waits and the request may be retried; zero means the time by which it must be dispatched
+		Pool                string            // name of the model or service
+		Plain               bool              // whether Pool is a plain service (see table.Service), not a model
+		NonIdempotent       bool              // whether the request is not idempotent
+		Route               string            // kind of API call; part of the key under which output lengths are learned
+		PromptTokens        int               // prompt length, in tokens
+		SharedParts         []quarantine.Part // parts of the prompt that other requests may have, too
+		PrefixHash          uint64            // hash of the prompt prefix that requests may share in an engine's cache; 0 means no prefix
+		PrefixTokens        int               // length of that prefix, in tokens
+		MaxOutputTokens     int               // largest output, in tokens; 0 means no limit
+		KnownOutputTokens   int               // output length, in tokens, if known in advance; 0 means unknown
+		MaxAttempts         int               // maximum number of attempts that may reach a target; 0 means defaultMaxTargets
+		FirstTokenObjective time.Duration     // time to the first token within which the request is on time; 0 means a default
+		DispatchDeadline    time.Time         // time by which the request must be dispatched; zero means only the reducer's longest hold limits it
+		CallerDeadline      time.Time         // time until which the caller waits and the request may be retried; zero means the time by which it must be dispatched
 	}
 
 	// Attach reports a running generation that was started through another host and whose
@@ -74,6 +76,8 @@
 		ID        ID
 		Certainty target.Certainty // what is known about the execution of the request at the target
 		Delivered bool             // whether a part of the answer was delivered to the caller
+		Tokens    int              // tokens delivered to the caller
+		Ended     bool             // whether the target ended the connection
 		Rebooted  bool             // whether the engine is known to have restarted
 		Unsent    bool             // whether no byte of the request has left this host
 		Answered  bool             // whether the target answered with an error of its own
--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -108,6 +108,7 @@
 	}
 	t.failureRate.record(1, r.now)
 	r.recordFailure(t)
+	r.recordPossibleCrash(q, e)
 	if e.Rebooted {
 		clear(t.prefixes)
 	}
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -59,6 +59,9 @@
 	}
 	q.lastToken, q.resumes, q.nextResume = last, 0, 0
 	r.chargeTokens(q, s.Tokens)
+	if q.tokens > beginningTokens {
+		r.recordAnswered(q)
+	}
 	if q.tokens-q.demandTokens >= demandRefreshTokens {
 		r.updateDemand(q)
 	}
--- /dev/null
+++ b/dispatch/quarantine.go
@@ -0,0 +1,145 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/quarantine"
+	"github.com/wigeonlink/wigeonlink/table"
+)
+
+type (
+	// Probed is the result of the probe of an EffectProbe.
+	Probed struct {
+		Target string
+		Gone   bool // no process listens at the target's address
+	}
+
+	// Suspects are the records of suspected prompt parts that another host has sent.
+	Suspects struct{ Records []quarantine.Record }
+
+	// possibleCrash is a target that has ended connections before the answers had got past their
+	// beginnings.
+	possibleCrash struct {
+		at    time.Duration
+		spec  table.Target
+		parts []quarantine.Part // of the requests
+	}
+)
+
+const (
+	// beginningTokens is the number of tokens up to which an answer is at its beginning. It allows for
+	// events of several tokens.
+	beginningTokens = 8
+
+	// probeExpiry is the time after which the result of a probe is no longer expected.
+	probeExpiry = 5 * time.Second
+)
+
+// clock returns the time of the current event.
+func (r *Reducer) clock() time.Time { return r.epoch.Add(r.now) }
+
+// quarantineLeft returns the time for which requests with the given parts are to be refused; 0 means
+// that they are not.
+func (r *Reducer) quarantineLeft(parts []quarantine.Part) time.Duration {
+	_, left := r.quarantine.Find(r.clock(), parts)
+	return left
+}
+
+// mayCrashTargets reports whether q, whose attempt has broken off, may have crashed its target as that
+// began to answer it.
+func (q *request) mayCrashTargets() bool { return !q.answered && len(q.sharedParts) > 0 }
+
+// recordPossibleCrash emits a probe of the target of a failed attempt if the target may have crashed as
+// it began to answer the request. Targets that are leaving end anyway.
+func (r *Reducer) recordPossibleCrash(q *request, e AttemptFailed) {
+	t := q.target
+	if e.Tokens > beginningTokens {
+		r.recordAnswered(q)
+	}
+	if !e.Ended || !q.mayCrashTargets() || t.leaving {
+		return
+	}
+	c, pending := r.possibleCrashes[t.spec.Name]
+	if !pending {
+		c = possibleCrash{at: r.now, spec: t.spec}
+		r.emit(Effect{Kind: EffectProbe, Target: t.spec.Name, To: t.spec})
+	}
+	c.parts = append(slices.Clone(c.parts), q.sharedParts...)
+	r.possibleCrashes[t.spec.Name] = c
+}
+
+// reduce records a crash under the parts of the requests that the target was beginning to answer, if it
+// is gone.
+func (e Probed) reduce(r *Reducer) {
+	c, ok := r.possibleCrashes[e.Target]
+	delete(r.possibleCrashes, e.Target)
+	if !ok || !e.Gone {
+		return
+	}
+	slices.Sort(c.parts)
+	parts := slices.Compact(c.parts)
+	for _, p := range parts {
+		r.emit(Effect{Kind: EffectSuspected, Target: e.Target, Part: p})
+	}
+	incarnation := mixBits(uint64(table.HashName(e.Target)) ^ uint64(c.spec.StartTime.UnixMilli()))
+	r.startQuarantine(r.quarantine.Crashed(r.epoch.Add(c.at), incarnation, parts))
+	r.emit(Effect{Kind: EffectShareSuspects})
+}
+
+// reduce adds the records of another host, and passes on what was new.
+func (e Suspects) reduce(r *Reducer) {
+	changed, quarantined := r.quarantine.Merge(r.clock(), e.Records)
+	r.startQuarantine(quarantined)
+	if changed {
+		r.emit(Effect{Kind: EffectShareSuspects})
+	}
+}
+
+// recordAnswered records that the answer to q has got past its beginning, unless it is recorded already.
+func (r *Reducer) recordAnswered(q *request) {
+	if q.answered || len(q.sharedParts) == 0 {
+		return
+	}
+	q.answered = true
+	cleared := r.quarantine.Answered(r.clock(), q.sharedParts)
+	for _, p := range cleared {
+		r.emit(Effect{Kind: EffectCleared, Part: p, Target: q.target.spec.Name})
+	}
+	if len(cleared) > 0 {
+		r.emit(Effect{Kind: EffectShareSuspects})
+	}
+}
+
+// startQuarantine refuses the held requests with parts that are quarantined from now on.
+func (r *Reducer) startQuarantine(parts []quarantine.Part) {
+	if len(parts) == 0 {
+		return
+	}
+	for _, p := range parts {
+		r.emit(Effect{Kind: EffectQuarantined, Part: p})
+	}
+	for _, p := range r.poolList {
+		for _, queue := range p.queues {
+			for _, q := range slices.Clone(queue.held) {
+				if left := r.quarantineLeft(q.sharedParts); left > 0 {
+					r.dequeue(q)
+					r.refuse(q, answer.KindQuarantined, left)
+				}
+			}
+		}
+	}
+}
+
+// expireProbes drops possible crashes whose probe did not return.
+func (r *Reducer) expireProbes() {
+	for name, c := range r.possibleCrashes {
+		if r.now-c.at > probeExpiry {
+			delete(r.possibleCrashes, name)
+		}
+	}
+}
+
+// SuspectRecords returns the records of suspected prompt parts for this host's peers.
+func (r *Reducer) SuspectRecords(at time.Time) []quarantine.Record { return r.quarantine.Records(at) }
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -6,6 +6,7 @@
 
 	"github.com/wigeonlink/wigeonlink/answer"
 	"github.com/wigeonlink/wigeonlink/length"
+	"github.com/wigeonlink/wigeonlink/quarantine"
 	"github.com/wigeonlink/wigeonlink/share"
 	"github.com/wigeonlink/wigeonlink/table"
 )
@@ -22,25 +23,27 @@
 	pools            map[string]*pool
 	poolList         []*pool // by name
 	targets          map[string]*targetState
-	retired          map[string]*targetState // targets no longer listed that still run streams of this host
-	requests         map[ID]*request         // held and dispatched requests
-	freeRequests     []*request              // ended requests, reused by allocateRequest
-	peers            map[string]*peer        // by origin
-	peerList         []*peer                 // in order of their first report
-	disconnected     []ID                    // dispatched requests whose caller disconnected, in that order
-	leavingTargets   map[string]bool         // latest LeavingTargets event
-	remoteHosts      map[string]*remoteHost  // hosts whose streams this host records, by origin
-	lastRemoteID     uint64                  // number in the ID of the latest request of another host
-	delegated        bool                    // whether a coordinator places the requests of this host
-	coordinates      bool                    // whether this host places the requests of its failure domain
-	failures         []TargetFailures        // failed attempts since the latest HostStreams
-	finished         []FinishedStream        // streams that have ended since the latest HostStreams
-	fleet            Fleet                   // latest Fleet event
-	basis            Basis                   // basis of the decision in progress; set by chooseFromSubset
-	salt             uint64                  // hash of the origin; makes pseudo-random choices of different hosts differ
-	allHosts         int                     // live hosts of all failure domains
-	hosts            int                     // live hosts of this failure domain
-	hostIndex        int                     // index of this host among the live hosts of this failure domain
+	retired          map[string]*targetState  // targets no longer listed that still run streams of this host
+	requests         map[ID]*request          // held and dispatched requests
+	freeRequests     []*request               // ended requests, reused by allocateRequest
+	peers            map[string]*peer         // by origin
+	peerList         []*peer                  // in order of their first report
+	disconnected     []ID                     // dispatched requests whose caller disconnected, in that order
+	leavingTargets   map[string]bool          // latest LeavingTargets event
+	remoteHosts      map[string]*remoteHost   // hosts whose streams this host records, by origin
+	lastRemoteID     uint64                   // number in the ID of the latest request of another host
+	delegated        bool                     // whether a coordinator places the requests of this host
+	coordinates      bool                     // whether this host places the requests of its failure domain
+	failures         []TargetFailures         // failed attempts since the latest HostStreams
+	finished         []FinishedStream         // streams that have ended since the latest HostStreams
+	fleet            Fleet                    // latest Fleet event
+	quarantine       quarantine.List          // parts of prompts under which targets crashed
+	possibleCrashes  map[string]possibleCrash // by target, until its probe returns
+	basis            Basis                    // basis of the decision in progress; set by chooseFromSubset
+	salt             uint64                   // hash of the origin; makes pseudo-random choices of different hosts differ
+	allHosts         int                      // live hosts of all failure domains
+	hosts            int                      // live hosts of this failure domain
+	hostIndex        int                      // index of this host among the live hosts of this failure domain
 	ledger           *share.Ledger
 	lengths          *length.Predictor
 	stopping         bool          // whether a Stop event has arrived
@@ -93,8 +96,10 @@
 		requests:      map[ID]*request{},
 		peers:         map[string]*peer{},
 		remoteHosts:   map[string]*remoteHost{},
-		hosts:         1,
-		allHosts:      1,
+
+		possibleCrashes: map[string]possibleCrash{},
+		hosts:           1,
+		allHosts:        1,
 	}
 	for _, o := range opts {
 		o.apply(&r.options)
@@ -176,6 +181,8 @@
 		return answer.KindUnknownModel
 	case org.heldTotal >= org.spec.MaxQueued:
 		return answer.KindQueueFull
+	case r.quarantineLeft(e.SharedParts) > 0:
+		return answer.KindQuarantined
 	case !e.Plain && !p.couldFit(e.PromptTokens):
 		return answer.KindNoTarget
 	case r.unavailableUntilDeadline(e, p):
@@ -223,6 +230,9 @@
 		if kind == answer.KindStopping {
 			retry = stoppingRetryAfter
 		}
+		if kind == answer.KindQuarantined {
+			retry = r.quarantineLeft(e.SharedParts)
+		}
 		if kind == answer.KindRateLimited {
 			retry = r.rateRetryAfter(org, r.pools[e.Pool])
 		}
@@ -270,6 +280,7 @@
 	r.ledger.Expire(r.now)
 	r.expireHeld()
 	r.cancelDisconnected()
+	r.expireProbes()
 	r.evacuate()
 	r.dispatchAllHeld()
 }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -7,6 +7,7 @@
 	"github.com/wigeonlink/wigeonlink/answer"
 	"github.com/wigeonlink/wigeonlink/forecast"
 	"github.com/wigeonlink/wigeonlink/length"
+	"github.com/wigeonlink/wigeonlink/quarantine"
 )
 
 type (
@@ -26,14 +27,15 @@
 		placement     placement
 		remote        *remoteState // nil for a request of this host
 
-		prompt, prefixTokens, maxOutput, knownOutput int           // in tokens; a maxOutput of 0 means no limit, a knownOutput of 0 unknown
-		prefix                                       uint64        // hash of the shareable prefix; 0 means none
-		firstTokenObjective                          time.Duration // time to the first token within which the request is on time
-		arrived, holdDeadline                        time.Duration // time of arrival, and time by which the request must be dispatched
-		expectedOutput                               float64       // output length expected when the request arrived, in tokens
-		rank                                         time.Duration // sort key in the organisation's queue, lowest first: see newRequest
-		notBefore                                    time.Duration // end of the backoff before the next attempt
-		callerDeadline                               time.Duration // time until which the caller waits
+		sharedParts                                  []quarantine.Part // parts of the prompt that other requests may have, too
+		prompt, prefixTokens, maxOutput, knownOutput int               // in tokens; a maxOutput of 0 means no limit, a knownOutput of 0 unknown
+		prefix                                       uint64            // hash of the shareable prefix; 0 means none
+		firstTokenObjective                          time.Duration     // time to the first token within which the request is on time
+		arrived, holdDeadline                        time.Duration     // time of arrival, and time by which the request must be dispatched
+		expectedOutput                               float64           // output length expected when the request arrived, in tokens
+		rank                                         time.Duration     // sort key in the organisation's queue, lowest first: see newRequest
+		notBefore                                    time.Duration     // end of the backoff before the next attempt
+		callerDeadline                               time.Duration     // time until which the caller waits
 
 		target          *targetState    // target to which the request was dispatched; nil while it is held
 		triedTargets    []*targetState  // targets of failed attempts and destinations of failed moves, which are not chosen again
@@ -44,6 +46,7 @@
 		multipleTargets bool            // whether the caller explicitly allows more than one target
 		dispatchedAt    time.Duration   // time of the latest dispatch
 		tokens          int             // tokens delivered so far
+		answered        bool            // the answer has got past its beginning
 		lastToken       time.Duration   // arrival of the latest token, or time of a later move or Attach; 0 before the first token
 		tokenInterval   time.Duration   // decayed mean time between tokens; 0 if unknown
 		engineQueued    bool            // whether the engine reported the stream as queued or preempted
@@ -91,6 +94,7 @@
 	q.id, q.name, q.nonIdempotent, q.plain = e.ID, e.Name, e.NonIdempotent, e.Plain
 	q.organisation, q.pool = r.organisations[e.Organisation], r.pools[e.Pool]
 	q.prompt, q.prefixTokens, q.prefix = e.PromptTokens, e.PrefixTokens, e.PrefixHash
+	q.sharedParts = e.SharedParts
 	q.maxOutput, q.knownOutput = e.MaxOutputTokens, e.KnownOutputTokens
 	q.maxTargets = defaultMaxTargets
 	if e.MaxAttempts > 0 {
@@ -292,6 +296,7 @@
 		r.recordUsage(q, e.Usage)
 	}
 	r.recordFinished(q)
+	r.recordAnswered(q)
 	q.target.breaker.recordSuccess()
 	q.target.failureRate.record(0, r.now)
 	q.organisation.served++
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -47,11 +47,15 @@
 	RequestPlaced     Number = 215
 	PlacementDecided  Number = 216
 	PlacementLost     Number = 217
+	PartSuspected     Number = 218
+	PartQuarantined   Number = 219
+	PartCleared       Number = 220
 
 	TargetLost     Number = 301
 	TargetReturned Number = 302
 	TargetRebooted Number = 303
 	TargetLeaving  Number = 304
+	TargetProbed   Number = 305
 
 	TableApplied   Number = 401
 	TableRefused   Number = 402
@@ -109,10 +113,14 @@
 	{RequestPlaced, "request placed", hclog.Debug, "The coordinator answered with a target for a request, or refused it."},
 	{PlacementDecided, "placement decided", hclog.Debug, "This host, as coordinator, chose a target for another host's request, or refused it."},
 	{PlacementLost, "placement lost", hclog.Warn, "No coordinator answered; this host places the request itself."},
+	{PartSuspected, "part suspected", hclog.Warn, "A target has crashed as it began to answer requests with this part of a prompt."},
+	{PartQuarantined, "part quarantined", hclog.Error, "Targets have crashed under this part of prompts several times; requests with it are refused."},
+	{PartCleared, "part cleared", hclog.Info, "An answer to a request with this part of a prompt has shown that the part does not crash targets."},
 	{TargetLost, "target lost", hclog.Warn, "A target no longer responds to load queries."},
 	{TargetReturned, "target returned", hclog.Info, "A target responds to load queries again, or is no longer leaving."},
 	{TargetRebooted, "target rebooted", hclog.Warn, "A target's boot identifier has changed; its generations are lost."},
 	{TargetLeaving, "target leaving", hclog.Info, "A target is about to stop and accepts no new requests."},
+	{TargetProbed, "target probed", hclog.Info, "A target has ended connections early; the host has tried to connect to see whether its process is gone."},
 	{TableApplied, "table applied", hclog.Info, "A table is in force on this host."},
 	{TableRefused, "table refused", hclog.Error, "A published table is invalid and was rejected as a whole; the last valid table stays in force."},
 	{TableStale, "table stale", hclog.Warn, "A published table is older than the one in force and was ignored."},
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -87,7 +88,7 @@
 // was cancelled with a cause other than context.Canceled, the result carries that cause instead
 // of err.
 func failedResult(ctx context.Context, err error) relay.Result {
-	r := relay.Result{Ending: relay.EndFailed, Cause: err}
+	r := relay.Result{Ending: relay.EndFailed, Cause: err, TargetEnded: endedByTarget(err)}
 	if target.Unsent(err) {
 		r.Certainty, r.Unsent = target.CertaintyNotRun, true
 	}
@@ -97,6 +98,16 @@
 	return r
 }
 
+// endedByTarget reports whether err shows that the target ended the connection.
+func endedByTarget(err error) bool {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errCutOff} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
+
 // newRequest returns the request to the target that the reducer chose in decision. The request
 // is the caller's, byte for byte, except for hop-by-hop headers, Expect and the headers that
 // the dialect sets. If point is not nil, the target resumes a generation there.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -16,6 +16,7 @@
 	"github.com/wigeonlink/wigeonlink/answer"
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/host"
+	"github.com/wigeonlink/wigeonlink/quarantine"
 	"github.com/wigeonlink/wigeonlink/relay"
 	"github.com/wigeonlink/wigeonlink/route"
 	"github.com/wigeonlink/wigeonlink/table"
@@ -151,6 +152,7 @@
 	if n := len(c.info.PromptParts); n > 1 {
 		h := fnv.New64a()
 		for _, p := range c.info.PromptParts[:n-1] {
+			s.SharedParts = append(s.SharedParts, quarantine.Part(p.ID))
 			s.PrefixTokens += p.Tokens
 			_, _ = h.Write(strconv.AppendUint(nil, p.ID, 16)) // a hash returns no error
 		}
@@ -234,10 +236,11 @@
 }
 
 // retryAfter returns the delay for the Retry-After header: the delay of e, at most a fraction of
-// the time until the deadline and at least minRetryAfter.
+// the time until the deadline and at least minRetryAfter. While a part of the prompt is quarantined, an
+// earlier retry is in vain.
 func (c *call) retryAfter(e *answer.Error) time.Duration {
 	d := max(e.RetryAfter(), minRetryAfter)
-	if c.deadline.IsZero() {
+	if c.deadline.IsZero() || e.Kind == answer.KindQuarantined {
 		return d
 	}
 	return max(min(d, time.Until(c.deadline)/retryAfterDivisor), minRetryAfter)
--- a/host/host.go
+++ b/host/host.go
@@ -14,6 +14,7 @@
 	"github.com/wigeonlink/wigeonlink/answer"
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/network"
 	"github.com/wigeonlink/wigeonlink/peer"
 	"github.com/wigeonlink/wigeonlink/registry"
 	"github.com/wigeonlink/wigeonlink/relay"
@@ -56,8 +57,10 @@
 		forwarded       atomic.Pointer[publishedRevision] // of the latest update that was passed on to hosts of the domain; nil if none
 		placements      placements
 		suspects        suspects
-		tableCache      tableCache    // newest published table, for peers
-		statusQuerier   StatusQuerier // nil if targets cannot be queried
+		tableCache      tableCache      // newest published table, for peers
+		statusQuerier   StatusQuerier   // nil if targets cannot be queried
+		network         network.Network // on which targets are probed
+		suspectSharing  suspectSharing
 	}
 
 	// An Observer records metrics. The host calls Effect on the event loop for each effect of
@@ -108,6 +111,7 @@
 	withSharing       bool
 	withStatusQuerier struct{ querier StatusQuerier }
 	withDomain        string
+	withNetwork       struct{ network network.Network }
 )
 
 const (
@@ -140,6 +144,10 @@
 // targets is stale.
 func WithStatusQuerier(a StatusQuerier) Option { return withStatusQuerier{a} }
 
+// WithNetwork sets the network on which the host probes targets. The default is that of the operating
+// system.
+func WithNetwork(n network.Network) Option { return withNetwork{n} }
+
 // WithEngines sets the function that creates the adapter for the engine at an address. The default
 // is target.NewResponsesEngine.
 func WithEngines(f func(netip.AddrPort) target.Engine) Option { return withEngines(f) }
@@ -149,6 +157,7 @@
 func (o withLoadInterval) apply(h *Host)  { h.loadInterval = time.Duration(o) }
 func (o withEngines) apply(h *Host)       { h.engines.newAdapter = o }
 func (o withStatusQuerier) apply(h *Host) { h.statusQuerier = o.querier }
+func (o withNetwork) apply(h *Host)       { h.network = o.network }
 func (o withSharing) apply(h *Host)       { h.sharingDisabled = !bool(o) }
 func (o withDomain) apply(h *Host) {
 	h.domain = string(o)
@@ -167,6 +176,7 @@
 		incarnation:  strconv.FormatInt(time.Now().UnixNano(), 36),
 		loadInterval: defaultLoadInterval,
 		observer:     nopObserver{},
+		network:      network.System{},
 		tickets:      ticket.NewLedger(),
 	}
 	h.engines.newAdapter = target.NewResponsesEngine
@@ -278,6 +288,9 @@
 				checked = now
 				h.reduce(dispatch.Tick{}, timer)
 				h.checkInvariants()
+				if len(h.reducer.SuspectRecords(now)) > 0 {
+					h.shareSuspects()
+				}
 				h.tickets.DeleteExpired(now)
 			}
 		case <-timer.C:
@@ -382,8 +395,7 @@
 		timer.Reset(time.Until(f.At))
 		return
 	}
-	if f.Kind == dispatch.EffectQueryLeaving {
-		go h.queryLeaving(f.To)
+	if h.performShared(f) {
 		return
 	}
 	if f.Remote != "" {
@@ -428,6 +440,23 @@
 	}
 }
 
+// performShared performs an effect that concerns no single request. It reports false for the others.
+func (h *Host) performShared(f dispatch.Effect) bool {
+	switch f.Kind {
+	case dispatch.EffectQueryLeaving:
+		go h.queryLeaving(f.To)
+	case dispatch.EffectProbe:
+		go h.probe(f.To)
+	case dispatch.EffectShareSuspects:
+		h.shareSuspects()
+	case dispatch.EffectSuspected, dispatch.EffectQuarantined, dispatch.EffectCleared:
+		h.logPart(f)
+	default:
+		return false
+	}
+	return true
+}
+
 // basisValues returns the inputs of a decision of the reducer, and the age of the list of targets,
 // as key-value pairs for the event log.
 func (h *Host) basisValues(b dispatch.Basis) []any {
--- a/host/mesh.go
+++ b/host/mesh.go
@@ -150,6 +150,9 @@
 	case r.Streams != nil:
 		h.handleStreams(r)
 		return
+	case len(r.Suspects) > 0:
+		h.handleSuspects(r)
+		return
 	case len(r.Orders) > 0:
 		h.handleOrders(r)
 		return
--- /dev/null
+++ b/host/quarantine.go
@@ -0,0 +1,115 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/wigeonlink/wigeonlink/dispatch"
+	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/pause"
+	"github.com/wigeonlink/wigeonlink/quarantine"
+	"github.com/wigeonlink/wigeonlink/table"
+	"github.com/wigeonlink/wigeonlink/wire"
+)
+
+const (
+	// probeDelay is the time between the end of a target's connections and the probe. A process that
+	// ends may close its connections before its listener.
+	probeDelay = 50 * time.Millisecond
+
+	// probeTimeout is the timeout of a probe. A target that does not answer counts as not crashed.
+	probeTimeout = 400 * time.Millisecond
+
+	// suspectShareDelay is the time for which changes of the records of suspected prompt parts are
+	// collected before they are sent.
+	suspectShareDelay = 20 * time.Millisecond
+)
+
+// suspectSharing coalesces requests to send the records of suspected prompt parts. The zero value is
+// ready for use.
+type suspectSharing struct{ due atomic.Bool }
+
+// probe opens a connection to a target to find out whether its process is gone, and passes the result
+// to the reducer.
+func (h *Host) probe(t table.Target) {
+	pause.For(context.Background(), probeDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	c, err := h.network.Dial(ctx, t.Address)
+	if err == nil {
+		_ = c.Close() // nothing was sent
+	}
+	gone := errors.Is(err, syscall.ECONNREFUSED)
+	fields := event.Fields{Target: t.Name, Values: []any{"gone", gone}}
+	if err != nil {
+		fields.Detail = err.Error()
+	}
+	h.log.Emit(event.TargetProbed, fields)
+	h.Post(dispatch.Probed{Target: t.Name, Gone: gone})
+}
+
+// shareSuspects sends the records of suspected prompt parts to all partners, in the background and at
+// most once per suspectShareDelay.
+func (h *Host) shareSuspects() {
+	if h.mesh == nil || !h.suspectSharing.due.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		pause.For(context.Background(), suspectShareDelay)
+		h.suspectSharing.due.Store(false)
+		now := time.Now()
+		var records []quarantine.Record
+		h.Inspect(func(r *dispatch.Reducer) { records = r.SuspectRecords(now) })
+		if len(records) > 0 {
+			h.mesh.Broadcast(context.Background(), &wire.Report{Suspects: suspectsToWire(records, now)})
+		}
+	}()
+}
+
+// logPart logs a change of what is known about a prompt part.
+func (h *Host) logPart(f dispatch.Effect) {
+	n := event.PartSuspected
+	switch f.Kind {
+	case dispatch.EffectQuarantined:
+		n = event.PartQuarantined
+	case dispatch.EffectCleared:
+		n = event.PartCleared
+	}
+	h.log.Emit(n, event.Fields{Target: f.Target, Values: []any{"part", strconv.FormatUint(uint64(f.Part), 16)}})
+}
+
+// handleSuspects passes another host's records of suspected prompt parts to the reducer.
+func (h peerHandler) handleSuspects(r *wire.Report) {
+	h.Post(dispatch.Suspects{Records: suspectsFromWire(r.Suspects, time.Now())})
+}
+
+// suspectsToWire returns records in the form of messages between hosts. Times become ages, as the
+// clocks of hosts differ.
+func suspectsToWire(records []quarantine.Record, now time.Time) []*wire.Suspect {
+	out := make([]*wire.Suspect, 0, len(records))
+	for _, r := range records {
+		s := &wire.Suspect{Part: uint64(r.Part), Answered: r.Answered}
+		for _, c := range r.Crashes {
+			s.Crashes = append(s.Crashes, &wire.Crash{Target: c.Target, Age: uint32(max(now.Sub(c.At), 0).Milliseconds()), Excused: c.Excused})
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// suspectsFromWire is the inverse of suspectsToWire.
+func suspectsFromWire(suspects []*wire.Suspect, now time.Time) []quarantine.Record {
+	out := make([]quarantine.Record, 0, len(suspects))
+	for _, s := range suspects {
+		r := quarantine.Record{Part: quarantine.Part(s.Part), Answered: s.Answered}
+		for _, c := range s.Crashes {
+			r.Crashes = append(r.Crashes, quarantine.Crash{Target: c.Target, At: now.Add(-time.Duration(c.Age) * time.Millisecond), Excused: c.Excused})
+		}
+		out = append(out, r)
+	}
+	return out
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -56,6 +56,7 @@
 		Cause           error            // of a failed attempt; logged
 		Unsent          bool             // no byte of the request has been sent
 		TargetFailed    bool             // the target responded with an error status
+		TargetEnded     bool             // the target ended the connection before the response was complete
 	}
 
 	// An Ending classifies how an attempt ended.
