--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -103,41 +103,60 @@
 	c.Assert(there.Crashed(at(3*time.Second), 3, []Part{7}), qt.HasLen, 0)
 }
 
+// randomEvents applies crashes and answers to random lists.
+func randomEvents(hosts []List, random *rand.Rand) {
+	for n := range 30 {
+		now := at(time.Duration(n) * 400 * time.Millisecond)
+		l := &hosts[random.IntN(len(hosts))]
+		parts := []Part{Part(random.IntN(4)), Part(4 + random.IntN(4))}
+		if random.IntN(5) == 0 {
+			l.Answered(now, parts)
+		} else {
+			l.Crashed(now, random.Uint64(), parts)
+		}
+	}
+}
+
 // Hosts that exchange their records in any order, some of them twice, know the same in the end.
 func TestMergeIsIndependentOfOrder(t *testing.T) {
+	end := at(12 * time.Second)
 	for seed := range uint64(200) {
 		random := rand.New(rand.NewPCG(seed, 1))
 		hosts := make([]List, 4)
-		for n := range 30 {
-			now := at(time.Duration(n) * 400 * time.Millisecond)
-			l := &hosts[random.IntN(len(hosts))]
-			parts := []Part{Part(random.IntN(4)), Part(4 + random.IntN(4))}
-			if random.IntN(5) == 0 {
-				l.Answered(now, parts)
-			} else {
-				l.Crashed(now, random.Uint64(), parts)
-			}
-		}
-		end := at(12 * time.Second)
-		for range 3 {
-			for _, i := range random.Perm(len(hosts)) {
-				for j := range hosts {
-					hosts[j].Merge(end, hosts[i].Records(end))
-				}
+		randomEvents(hosts, random)
+		for _, i := range append(random.Perm(len(hosts)), random.Perm(len(hosts))...) {
+			for j := range hosts {
+				hosts[j].Merge(end, hosts[i].Records(end))
 			}
 		}
 		for i := range hosts {
+			changed, _ := hosts[i].Merge(end, hosts[0].Records(end))
+			qt.Assert(t, changed, qt.IsFalse)
 			for p := range Part(8) {
 				_, want := hosts[0].Find(end, []Part{p})
 				_, got := hosts[i].Find(end, []Part{p})
 				qt.Assert(t, got > 0, qt.Equals, want > 0, qt.Commentf("seed %d, part %d", seed, p))
 			}
-			changed, _ := hosts[i].Merge(end, hosts[0].Records(end))
-			qt.Assert(t, changed, qt.IsFalse)
 		}
 	}
 }
 
+// runningRequest is a request that has not begun to be answered.
+type runningRequest struct {
+	parts  []Part
+	target int
+	begins time.Duration
+}
+
+// randomCrashes returns the targets, of the given number, that crash together.
+func randomCrashes(targets int, random *rand.Rand) map[int]bool {
+	lost := map[int]bool{}
+	for range 1 + random.IntN(targets/3) {
+		lost[random.IntN(targets)] = true
+	}
+	return lost
+}
+
 // Targets crash often, at random, whatever they work on, while requests with a hundred parts of which
 // some are popular run. No part may be quarantined.
 func TestRandomCrashesQuarantineNothing(t *testing.T) {
@@ -145,36 +164,26 @@
 	for seed := range uint64(50) {
 		random := rand.New(rand.NewPCG(seed, 2))
 		var l List
-		type request struct {
-			parts  []Part
-			target int
-			begins time.Duration
-		}
-		var running []request
+		var running []runningRequest
 		crash := time.Second
 		for now := time.Duration(0); now < span; now += 50 * time.Millisecond {
 			if random.IntN(4) == 0 { // five requests a second
 				p := Part(2 + min(int(random.ExpFloat64()*15), 100))
-				running = append(running, request{[]Part{1, p}, random.IntN(targets), now + 400*time.Millisecond})
+				running = append(running, runningRequest{[]Part{1, p}, random.IntN(targets), now + 400*time.Millisecond})
 			}
-			lost := map[int]bool{}
+			var lost map[int]bool
 			if now >= crash {
-				for range 1 + random.IntN(targets/3) {
-					lost[random.IntN(targets)] = true
-				}
+				lost = randomCrashes(targets, random)
 				crash = now + time.Duration(random.ExpFloat64()*float64(2*time.Second))
 			}
-			running = slices.DeleteFunc(running, func(q request) bool {
-				switch {
-				case lost[q.target]:
+			running = slices.DeleteFunc(running, func(q runningRequest) bool {
+				if lost[q.target] {
 					incarnation := uint64(now)<<8 | uint64(q.target)
 					qt.Assert(t, l.Crashed(at(now), incarnation, q.parts), qt.HasLen, 0, qt.Commentf("seed %d at %s", seed, now))
-					return true
-				case now >= q.begins:
+				} else if now >= q.begins {
 					l.Answered(at(now), q.parts)
-					return true
 				}
-				return false
+				return lost[q.target] || now >= q.begins
 			})
 		}
 	}
