--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -106,6 +106,19 @@
 	}
 }
 
+// A request whose engines restart while they run it may be the reason. It is sent to a second engine, but
+// not to a third.
+func TestRequestThatRestartsEngines(t *testing.T) {
+	r := newReducerTest(t, 1, 4)
+	r.reduce(0, submit(1, "organisation-0"))
+	r.requireEffect(EffectDispatch)
+	r.reduce(time.Millisecond, AttemptFailed{ID: 1, Certainty: target.CertaintyLost, Rebooted: true})
+	r.reduce(time.Second, Tick{})
+	r.requireEffect(EffectDispatch)
+	r.reduce(time.Millisecond, AttemptFailed{ID: 1, Certainty: target.CertaintyLost, Rebooted: true})
+	r.Check(r.requireEffect(EffectRefuse).Answer, qt.Equals, answer.KindTargetLost)
+}
+
 // A request whose attempt may have run waits for a retry and is then refused. Its caller must not be
 // told that it did not run, whatever the last refusal says about itself.
 func TestRefusalAfterAttemptThatMayHaveRun(t *testing.T) {
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -40,6 +40,7 @@
 		target          *targetState    // target to which the request was dispatched; nil while it is held
 		triedTargets    []*targetState  // targets of failed attempts and destinations of failed moves, which are not chosen again
 		attempts        int             // dispatches of the request, including unsentAttempts
+		rebooted        bool            // an engine restarted while it ran the request
 		unsentAttempts  int             // dispatches of which no byte left this host
 		failedAttempt   answer.Kind     // refusal for the latest attempt that may have run; KindNone if none has
 		maxTargets      int             // maximum number of dispatches that may reach a target
