--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -121,7 +121,9 @@
 	if e.Certainty != target.CertaintyNotRun {
 		q.failedAttempt = failedKind(q, e)
 	}
-	if r.mayRetry(q, e) {
+	retry := r.mayRetry(q, e)
+	q.rebooted = q.rebooted || e.Rebooted
+	if retry {
 		r.retry(q, e.Unsent || e.Answered)
 	} else {
 		r.counts.Lost++
@@ -134,7 +136,8 @@
 // have been delivered to the caller. The attempt must provably not have run, or have ended with a
 // restart of its engine, or the request must be an idempotent call of a plain service. A request
 // that is not idempotent is retried only if no byte of it left this host, or if it provably did
-// not run and its caller allows several targets. The caller's deadline, the number of attempts and
+// not run and its caller allows several targets. If a second engine has restarted while it ran the
+// request, the request may be the reason, and is not sent to a third. The caller's deadline, the number of attempts and
 // the retry budget limit all retries; a retry after an unsent attempt takes nothing from the
 // budget. mayRetry takes a retry out of the budget if it returns true.
 func (r *Reducer) mayRetry(q *request, e AttemptFailed) bool {
@@ -146,7 +149,7 @@
 	if !over && !repeatable || e.Delivered || q.attached || q.disconnectedAt > 0 || r.stopping && r.now >= r.stopDeadline {
 		return false
 	}
-	if q.attempts >= maxAttempts || q.attempts-q.unsentAttempts >= q.maxTargets || q.callerDeadline <= r.now {
+	if e.Rebooted && q.rebooted || q.attempts >= maxAttempts || q.attempts-q.unsentAttempts >= q.maxTargets || q.callerDeadline <= r.now {
 		return false
 	}
 	return len(q.triedTargets) < len(q.pool.targets) && (e.Unsent || q.pool.retryBudget.spend(r.retryCap()))
