--- a/dispatch/quarantine.go
+++ b/dispatch/quarantine.go
@@ -78,9 +78,12 @@
 	if !ok || !e.Gone {
 		return
 	}
-	slices.Sort(c.parts)
-	parts := slices.Compact(c.parts)
-	for _, p := range parts {
+	var parts []quarantine.Part
+	for _, p := range c.parts {
+		if slices.Contains(parts, p) {
+			continue
+		}
+		parts = append(parts, p)
 		r.emit(Effect{Kind: EffectSuspected, Target: e.Target, Part: p})
 	}
 	incarnation := mixBits(uint64(table.HashName(e.Target)) ^ uint64(c.spec.StartTime.UnixMilli()))
--- a/dispatch/quarantine_test.go
+++ b/dispatch/quarantine_test.go
@@ -11,11 +11,20 @@
 	"github.com/wigeonlink/wigeonlink/target"
 )
 
+// parts returns parts of prompts to the pool model-0.
+func parts(ids ...uint64) []quarantine.Part {
+	out := make([]quarantine.Part, 0, len(ids))
+	for _, id := range ids {
+		out = append(out, quarantine.Part{Pool: "model-0", ID: id})
+	}
+	return out
+}
+
 // submitWith submits a request with shared prompt parts and returns the target that it is dispatched to.
-func (r *reducerTest) submitWith(id ID, parts ...quarantine.Part) string {
+func (r *reducerTest) submitWith(id ID, shared ...quarantine.Part) string {
 	r.Helper()
 	s := submit(id, "organisation-0")
-	s.SharedParts = parts
+	s.SharedParts = shared
 	s.MaxAttempts = 1
 	r.reduce(time.Millisecond, s)
 	return r.requireEffect(EffectDispatch).Target
@@ -35,21 +44,21 @@
 func TestRequestsWithQuarantinedPartAreRefused(t *testing.T) {
 	r := newReducerTest(t, 1, 6)
 	for i := range ID(3) {
-		r.submitWith(10*i+1, 1, 7)
-		r.submitWith(10*i+2, 1)
+		r.submitWith(10*i+1, parts(1, 7)...)
+		r.submitWith(10*i+2, parts(1)...)
 		r.reduce(time.Millisecond, Ended{ID: 10*i + 2})
 		r.loseAtBeginning(10*i+1, true)
 		_, quarantined := r.firstEffect(EffectQuarantined)
 		r.Assert(quarantined, qt.Equals, i == 2)
 	}
 	s := submit(50, "organisation-0")
-	s.SharedParts = []quarantine.Part{1, 7}
+	s.SharedParts = parts(1, 7)
 	r.reduce(0, s)
 	refused := r.requireEffect(EffectRefuse)
 	r.Check(refused.Answer, qt.Equals, answer.KindQuarantined)
 	r.Check(refused.Answer.Properties().Outcome, qt.Equals, answer.OutcomeNotRun)
 	r.Check(refused.RetryAfter > 10*time.Minute, qt.IsTrue, qt.Commentf("%s", refused.RetryAfter))
-	r.submitWith(51, 1)
+	r.submitWith(51, parts(1)...)
 }
 
 // A request that waits is refused when another host's records quarantine its part.
@@ -61,10 +70,10 @@
 	}
 	r.reduce(0, LeavingTargets{Leaving: leaving})
 	s := submit(1, "organisation-0")
-	s.SharedParts = []quarantine.Part{7}
+	s.SharedParts = parts(7)
 	r.reduce(0, s)
 	r.requireNoEffect(EffectRefuse)
-	record := quarantine.Record{Part: 7}
+	record := quarantine.Record{Part: parts(7)[0]}
 	for i := range 3 {
 		record.Crashes = append(record.Crashes, quarantine.Crash{Target: uint64(i), At: r.now.Add(time.Duration(i-3) * time.Second)})
 	}
@@ -85,11 +94,11 @@
 		leaving bool
 		probed  bool
 	}{
-		"the target listens":    {[]quarantine.Part{7}, ended, false, true},
-		"the target is leaving": {[]quarantine.Part{7}, ended, true, false},
-		"an answer under way":   {[]quarantine.Part{7}, AttemptFailed{Delivered: true, Tokens: beginningTokens + 1, Ended: true}, false, false},
+		"the target listens":    {parts(7), ended, false, true},
+		"the target is leaving": {parts(7), ended, true, false},
+		"an answer under way":   {parts(7), AttemptFailed{Delivered: true, Tokens: beginningTokens + 1, Ended: true}, false, false},
 		"no shared part":        {nil, ended, false, false},
-		"a timeout":             {[]quarantine.Part{7}, AttemptFailed{Certainty: target.CertaintyUnknown}, false, false},
+		"a timeout":             {parts(7), AttemptFailed{Certainty: target.CertaintyUnknown}, false, false},
 	}
 	for name, q := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -152,7 +152,7 @@
 	if n := len(c.info.PromptParts); n > 1 {
 		h := fnv.New64a()
 		for _, p := range c.info.PromptParts[:n-1] {
-			s.SharedParts = append(s.SharedParts, quarantine.Part(p.ID))
+			s.SharedParts = append(s.SharedParts, quarantine.Part{Pool: c.pool, ID: p.ID})
 			s.PrefixTokens += p.Tokens
 			_, _ = h.Write(strconv.AppendUint(nil, p.ID, 16)) // a hash returns no error
 		}
--- a/host/quarantine.go
+++ b/host/quarantine.go
@@ -79,7 +79,7 @@
 	case dispatch.EffectCleared:
 		n = event.PartCleared
 	}
-	h.log.Emit(n, event.Fields{Target: f.Target, Values: []any{"part", strconv.FormatUint(uint64(f.Part), 16)}})
+	h.log.Emit(n, event.Fields{Target: f.Target, Values: []any{"pool", f.Part.Pool, "part", strconv.FormatUint(f.Part.ID, 16)}})
 }
 
 // handleSuspects passes another host's records of suspected prompt parts to the reducer.
@@ -92,7 +92,7 @@
 func suspectsToWire(records []quarantine.Record, now time.Time) []*wire.Suspect {
 	out := make([]*wire.Suspect, 0, len(records))
 	for _, r := range records {
-		s := &wire.Suspect{Part: uint64(r.Part), Answered: r.Answered}
+		s := &wire.Suspect{Pool: r.Part.Pool, Part: r.Part.ID, Answered: r.Answered}
 		for _, c := range r.Crashes {
 			s.Crashes = append(s.Crashes, &wire.Crash{Target: c.Target, Age: uint32(max(now.Sub(c.At), 0).Milliseconds()), Excused: c.Excused})
 		}
@@ -105,7 +105,7 @@
 func suspectsFromWire(suspects []*wire.Suspect, now time.Time) []quarantine.Record {
 	out := make([]quarantine.Record, 0, len(suspects))
 	for _, s := range suspects {
-		r := quarantine.Record{Part: quarantine.Part(s.Part), Answered: s.Answered}
+		r := quarantine.Record{Part: quarantine.Part{Pool: s.Pool, ID: s.Part}, Answered: s.Answered}
 		for _, c := range s.Crashes {
 			r.Crashes = append(r.Crashes, quarantine.Crash{Target: c.Target, At: now.Add(-time.Duration(c.Age) * time.Millisecond), Excused: c.Excused})
 		}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -15,8 +15,12 @@
 )
 
 type (
-	// A Part identifies a section of prompts that several requests may have.
-	Part uint64
+	// A Part identifies a section of prompts that several requests to one pool of targets may have. It may
+	// crash the targets of one pool and not those of another.
+	Part struct {
+		Pool string
+		ID   uint64
+	}
 
 	// A Crash is the crash of a target that was beginning to answer a request with a part.
 	Crash struct {
@@ -67,6 +71,11 @@
 	maxCrashesOfRecord = 8   // the latest crashes of a part that are kept
 )
 
+// compare orders parts by pool and ID.
+func (p Part) compare(o Part) int {
+	return cmp.Or(cmp.Compare(p.Pool, o.Pool), cmp.Compare(p.ID, o.ID))
+}
+
 // Crashed records that a target crashed as it began to answer a request with the given parts. It
 // returns the parts that are quarantined from now on.
 func (l *List) Crashed(at time.Time, target uint64, parts []Part) (quarantined []Part) {
@@ -105,14 +114,14 @@
 // there is another crash. The time is 0 if none of them is quarantined.
 func (l *List) Find(at time.Time, parts []Part) (Part, time.Duration) {
 	if len(l.records) == 0 {
-		return 0, 0
+		return Part{}, 0
 	}
 	for _, p := range parts {
 		if r := l.records[p]; r != nil && r.quarantined(at) {
 			return p, quarantineTime - r.sinceLatest(at)
 		}
 	}
-	return 0, 0
+	return Part{}, 0
 }
 
 // Merge adds the records of another host. It reports whether that has added anything, and returns
@@ -141,7 +150,7 @@
 		c.Crashes = slices.Clone(r.Crashes)
 		out = append(out, c)
 	}
-	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.Part, b.Part) })
+	slices.SortFunc(out, func(a, b Record) int { return a.Part.compare(b.Part) })
 	return out
 }
 
@@ -241,7 +250,7 @@
 		return
 	}
 	all := slices.SortedFunc(maps.Values(l.records), func(a, b *Record) int {
-		return cmp.Or(cmp.Compare(a.count(), b.count()), cmp.Compare(b.sinceLatest(at), a.sinceLatest(at)), cmp.Compare(a.Part, b.Part))
+		return cmp.Or(cmp.Compare(a.count(), b.count()), cmp.Compare(b.sinceLatest(at), a.sinceLatest(at)), a.Part.compare(b.Part))
 	})
 	for _, r := range all[:len(all)-maxRecords] {
 		delete(l.records, r.Part)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -12,6 +12,15 @@
 
 var start = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
 
+// parts returns parts of prompts to one pool.
+func parts(ids ...uint64) []Part {
+	out := make([]Part, 0, len(ids))
+	for _, id := range ids {
+		out = append(out, Part{"model", id})
+	}
+	return out
+}
+
 func at(d time.Duration) time.Time { return start.Add(d) }
 
 // Three targets crash as they begin to answer requests with part 7. The prompts share part 1, which is
@@ -20,18 +29,18 @@
 	var l List
 	for i := range 3 {
 		now := time.Date(2026, 12, 4, 12, 0, i, 0, time.UTC)
-		l.Answered(now, []Part{1})
-		fmt.Println(l.Crashed(now, uint64(i), []Part{1, 7}))
+		l.Answered(now, parts(1))
+		fmt.Println(l.Crashed(now, uint64(i), parts(1, 7)))
 	}
 	now := time.Date(2026, 12, 4, 12, 0, 3, 0, time.UTC)
-	fmt.Println(l.Find(now, []Part{1, 7}))
-	fmt.Println(l.Find(now, []Part{1, 8}))
+	fmt.Println(l.Find(now, parts(1, 7)))
+	fmt.Println(l.Find(now, parts(1, 8)))
 	// Output:
 	// []
 	// []
-	// [7]
-	// 7 14m59s
-	// 0 0s
+	// [{model 7}]
+	// {model 7} 14m59s
+	// { 0} 0s
 }
 
 // TestCrashes replays crashes and answers. Each step is at a second; a crash has a target.
@@ -61,32 +70,46 @@
 			var l List
 			for _, s := range q.steps {
 				if s.target == answer {
-					l.Answered(at(s.at), []Part{7})
+					l.Answered(at(s.at), parts(7))
 				} else {
-					l.Crashed(at(s.at), s.target, []Part{7})
+					l.Crashed(at(s.at), s.target, parts(7))
 				}
 			}
-			_, left := l.Find(at(10*second), []Part{6, 7})
+			_, left := l.Find(at(10*second), parts(6, 7))
 			qt.Check(t, left > 0, qt.Equals, q.want)
 		})
 	}
 }
 
+// A part that crashes the targets of one pool is not cleared by answers of another, nor quarantined there.
+func TestPoolsAreSeparate(t *testing.T) {
+	c := qt.New(t)
+	var l List
+	for i := range 3 {
+		l.Answered(at(time.Duration(i)*time.Second), []Part{{"other", 7}})
+		l.Crashed(at(time.Duration(i)*time.Second), uint64(i), parts(7))
+	}
+	_, left := l.Find(at(3*time.Second), parts(7))
+	c.Check(left > 0, qt.IsTrue)
+	_, left = l.Find(at(3*time.Second), []Part{{"other", 7}})
+	c.Check(left, qt.Equals, time.Duration(0))
+}
+
 // A quarantine ends some time after the latest crash. One more crash then starts it again, and an answer
 // clears the part.
 func TestQuarantineEnds(t *testing.T) {
 	c := qt.New(t)
 	var l List
 	for i := range 3 {
-		l.Crashed(at(time.Duration(i)*time.Second), uint64(i), []Part{7})
+		l.Crashed(at(time.Duration(i)*time.Second), uint64(i), parts(7))
 	}
 	after := 2*time.Second + quarantineTime
-	_, left := l.Find(at(after), []Part{7})
+	_, left := l.Find(at(after), parts(7))
 	c.Assert(left, qt.Equals, time.Duration(0))
-	c.Assert(l.Crashed(at(after), 9, []Part{7}), qt.DeepEquals, []Part{7})
+	c.Assert(l.Crashed(at(after), 9, parts(7)), qt.DeepEquals, parts(7))
 	after += quarantineTime
-	c.Assert(l.Answered(at(after), []Part{7}), qt.DeepEquals, []Part{7})
-	c.Assert(l.Crashed(at(after+time.Second), 10, []Part{7}), qt.HasLen, 0)
+	c.Assert(l.Answered(at(after), parts(7)), qt.DeepEquals, parts(7))
+	c.Assert(l.Crashed(at(after+time.Second), 10, parts(7)), qt.HasLen, 0)
 }
 
 // An answer clears a part also for the crashes that other hosts report later.
@@ -94,13 +117,13 @@
 	c := qt.New(t)
 	var here, there List
 	for i := range 2 {
-		there.Crashed(at(time.Duration(i)*time.Second), uint64(i), []Part{7})
+		there.Crashed(at(time.Duration(i)*time.Second), uint64(i), parts(7))
 	}
-	here.Answered(at(1500*time.Millisecond), []Part{7})
+	here.Answered(at(1500*time.Millisecond), parts(7))
 	_, quarantined := here.Merge(at(2*time.Second), there.Records(at(2*time.Second)))
 	c.Assert(quarantined, qt.HasLen, 0)
 	there.Merge(at(2*time.Second), here.Records(at(2*time.Second)))
-	c.Assert(there.Crashed(at(3*time.Second), 3, []Part{7}), qt.HasLen, 0)
+	c.Assert(there.Crashed(at(3*time.Second), 3, parts(7)), qt.HasLen, 0)
 }
 
 // randomEvents applies crashes and answers to random lists.
@@ -108,11 +131,11 @@
 	for n := range 30 {
 		now := at(time.Duration(n) * 400 * time.Millisecond)
 		l := &hosts[random.IntN(len(hosts))]
-		parts := []Part{Part(random.IntN(4)), Part(4 + random.IntN(4))}
+		prompt := parts(uint64(random.IntN(4)), uint64(4+random.IntN(4)))
 		if random.IntN(5) == 0 {
-			l.Answered(now, parts)
+			l.Answered(now, prompt)
 		} else {
-			l.Crashed(now, random.Uint64(), parts)
+			l.Crashed(now, random.Uint64(), prompt)
 		}
 	}
 }
@@ -132,9 +155,9 @@
 		for i := range hosts {
 			changed, _ := hosts[i].Merge(end, hosts[0].Records(end))
 			qt.Assert(t, changed, qt.IsFalse)
-			for p := range Part(8) {
-				_, want := hosts[0].Find(end, []Part{p})
-				_, got := hosts[i].Find(end, []Part{p})
+			for p := range uint64(8) {
+				_, want := hosts[0].Find(end, parts(p))
+				_, got := hosts[i].Find(end, parts(p))
 				qt.Assert(t, got > 0, qt.Equals, want > 0, qt.Commentf("seed %d, part %d", seed, p))
 			}
 		}
@@ -168,8 +191,8 @@
 		crash := time.Second
 		for now := time.Duration(0); now < span; now += 50 * time.Millisecond {
 			if random.IntN(4) == 0 { // five requests a second
-				p := Part(2 + min(int(random.ExpFloat64()*15), 100))
-				running = append(running, runningRequest{[]Part{1, p}, random.IntN(targets), now + 400*time.Millisecond})
+				p := uint64(2 + min(int(random.ExpFloat64()*15), 100))
+				running = append(running, runningRequest{parts(1, p), random.IntN(targets), now + 400*time.Millisecond})
 			}
 			var lost map[int]bool
 			if now >= crash {
@@ -194,19 +217,19 @@
 	c := qt.New(t)
 	var l List
 	for i := range 3 {
-		l.Crashed(at(time.Duration(i)*time.Second), uint64(i), []Part{7})
+		l.Crashed(at(time.Duration(i)*time.Second), uint64(i), parts(7))
 	}
 	for i := range uint64(20_000) {
 		now := at(3*time.Second + time.Duration(i)*time.Millisecond)
-		l.Crashed(now, 100+i, []Part{Part(1000 + i)})
-		l.Answered(now, []Part{Part(50_000 + i)})
+		l.Crashed(now, 100+i, parts(1000+i))
+		l.Answered(now, parts(50_000+i))
 	}
 	c.Check(len(l.records) <= maxRecords, qt.IsTrue)
 	c.Check(len(l.answered.current)+len(l.answered.previous) <= 2*maxRecentParts, qt.IsTrue)
-	_, left := l.Find(at(30*time.Second), []Part{7})
+	_, left := l.Find(at(30*time.Second), parts(7))
 	c.Check(left > 0, qt.IsTrue)
 	for i := range uint64(100) {
-		l.Crashed(at(time.Minute+time.Duration(i)*time.Second), 100_000+i, []Part{7})
+		l.Crashed(at(time.Minute+time.Duration(i)*time.Second), 100_000+i, parts(7))
 	}
-	c.Check(l.records[7].Crashes, qt.HasLen, maxCrashesOfRecord)
+	c.Check(l.records[Part{"model", 7}].Crashes, qt.HasLen, maxCrashesOfRecord)
 }
