A stopping host answers the requests that it is reading

Found by reading: requests count as in flight from their submission on, so a host whose last one had ended closed all connections, also those on which a request was just being read. It shuts down now: idle connections close, the others are waited for, for 1.5 s at most. TestRequestThatIsBeingReadDuringStopIsAnswered failed before (unexpected EOF).

--- a/forward.go
+++ b/forward.go
@@ -31,6 +31,10 @@
 	// drainPollInterval is how often a stopping host counts its requests in flight.
 	drainPollInterval = 50 * time.Millisecond
 
+	// connectionCloseTimeout is how long a stopping host without requests in flight waits for those
+	// whose headers or bodies are still on their way.
+	connectionCloseTimeout = 1500 * time.Millisecond
+
 	// gatewayHeaderTimeout is the time limit for receiving the headers of a request. The
 	// configuration of the gateway may set a shorter limit.
 	gatewayHeaderTimeout = 10 * time.Second
@@ -120,6 +124,12 @@
 		s.Close()
 		return eris.Errorf("%d requests still in flight after the drain timeout of %s", remaining, a.settings.DrainTimeout)
 	}
-	// No request is in flight, so Close closes only idle connections.
-	return s.Close()
+	// Shutdown closes idle connections and waits for requests that are still being read. It also waits for
+	// connections on which nothing was sent, hence the time limit.
+	closing, stopWaiting := context.WithTimeout(ctx, connectionCloseTimeout)
+	defer stopWaiting()
+	if s.Shutdown(closing) != nil {
+		return s.Close()
+	}
+	return nil
 }
