--- a/answer/last.go
+++ b/answer/last.go
@@ -8,7 +8,7 @@
 )
 
 // LastResponse returns the bytes of a response that a stopping host writes to an idle connection before it
-// closes the connection. It tells a caller that has just sent a request that the request was not read.
+// closes the connection. To a caller that has just sent a request it states that the request was not read.
 // Callers without one ignore it: status 408 is used for no other purpose.
 func LastResponse() []byte {
 	body, err := json.Marshal(BodyOf(New(KindStopping, "")))
