Log the limit that a target names in its responses (LIMIT: observability)

The logs could not tell hosts that do not read the limit from hosts that each keep to it alone. Nothing is decided by it yet.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -50,7 +50,7 @@
 	}
 	defer resp.Body.Close()
 	c.framing = framingOf(resp)
-	reply := c.gateway.dialect.ParseResponse(resp.StatusCode, resp.Header)
+	reply := c.parseResponse(resp)
 	switch {
 	case reply.NotExecuted:
 		return relay.Result{
@@ -70,6 +70,13 @@
 	return c.forwardBuffered(ctx, resp)
 }
 
+// parseResponse parses the status and headers of a target's response, and records the limit that it names.
+func (c *call) parseResponse(resp *http.Response) ResponseInfo {
+	reply := c.gateway.dialect.ParseResponse(resp.StatusCode, resp.Header)
+	c.limit = reply.Limit
+	return reply
+}
+
 // limitAttempt sets a timer that cancels an attempt of an idempotent request if the target
 // sends no response headers within a fraction of the time until the deadline, or within twice
 // the route's first-byte objective if that is longer. The rest of the time is left for an
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -16,6 +16,7 @@
 	"github.com/wigeonlink/wigeonlink/answer"
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/host"
+	"github.com/wigeonlink/wigeonlink/limit"
 	"github.com/wigeonlink/wigeonlink/quarantine"
 	"github.com/wigeonlink/wigeonlink/relay"
 	"github.com/wigeonlink/wigeonlink/route"
@@ -41,13 +42,14 @@
 	hostRequest    *host.Request
 	failedResponse *bufferedResponse // last 5xx response, forwarded if no other target succeeds
 
-	target        string        // name of the target of the latest attempt
-	framing       framing       // of the latest response of a target
-	attemptCount  int           // attempts started
-	status        int           // HTTP status sent to the caller
-	firstByte     time.Duration // from started to the first response byte
-	bodyBytes     int64         // body bytes sent to the caller
-	written       bool          // the response headers have been sent
+	target        string         // name of the target of the latest attempt
+	framing       framing        // of the latest response of a target
+	limit         *limit.Reading // of the latest response of a target; nil if that says nothing
+	attemptCount  int            // attempts started
+	status        int            // HTTP status sent to the caller
+	firstByte     time.Duration  // from started to the first response byte
+	bodyBytes     int64          // body bytes sent to the caller
+	written       bool           // the response headers have been sent
 	events        eventSplitter
 	lastArrival   time.Time               // arrival of the last event
 	longestGap    time.Duration           // longest time between two consecutive events
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"strconv"
 	"time"
+
+	"github.com/wigeonlink/wigeonlink/limit"
 )
 
 type (
@@ -59,6 +61,9 @@
 		ID          string // identifier of the request; empty if the response has none
 		NotExecuted bool   // the target did not execute the request and never will
 		HasProof    bool   // the response has the header that proves that the target itself produced it
+
+		Limit      *limit.Reading // what the response says about the target's limit; nil means nothing
+		LimitError error          // why the response's limit cannot be read; nil if it can, or if there is none
 	}
 )
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -188,6 +188,9 @@
 		// partial counts the bytes after the last complete event.
 		fields.Values = append(fields.Values, "framing", c.framing.String(), "partial", len(c.events.partial))
 	}
+	if c.limit != nil && c.limit.Named {
+		fields.Values = append(fields.Values, "limit", c.limit.Rate)
+	}
 	if c.events.eventCount > 0 {
 		fields.Values = append(fields.Values, "events", c.events.eventCount, "longest_gap_ms", c.longestGap.Milliseconds())
 	}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -345,7 +345,7 @@
 		cancel(err)
 		return nil, err
 	}
-	reply := c.gateway.dialect.ParseResponse(resp.StatusCode, resp.Header)
+	reply := c.parseResponse(resp)
 	if reply.NotExecuted || !reply.HasProof || reply.ID != "" && reply.ID != c.info.ID || !isEventStream(resp) || resp.StatusCode >= 300 {
 		resp.Body.Close()
 		cancel(errResumeFailed)
