--- a/audit/audit.go
+++ b/audit/audit.go
@@ -25,6 +25,7 @@
 		stopped          map[string]time.Time       // times at which targets stopped, by target
 		pools            map[string]*poolHistory    // by name of the pool
 		harmful          map[string]*harmfulPart    // by name of the part
+		limited          map[string]*limitedTarget  // targets that name a limit, by name
 		restarts         []time.Time                // times of HostsRestarted
 		violations       []Violation                // violations that were decided when an observation was recorded
 		observationCount int                        // number of recorded observations
@@ -43,6 +44,7 @@
 		RetryBurst   float64       // retries allowed in each window in addition to those by RetryRatio
 		RecoveryTime time.Duration // time from HostsRestarted until requests must succeed again
 		HarmfulDelay time.Duration // time after the last allowed crash by a part of prompts until requests with it must not be sent
+		LimitDelay   time.Duration // time after a target began to name a limit until its hosts must keep to it
 	}
 
 	// An Observation is an event seen outside the hosts. Only the types below implement it.
@@ -147,7 +149,7 @@
 func NewAudit(b Bounds) *Audit {
 	return &Audit{
 		bounds: b, requests: map[string]*request{}, faults: map[string][]faultInterval{},
-		leavingSince: map[string]time.Time{}, stopped: map[string]time.Time{}, pools: map[string]*poolHistory{}, harmful: map[string]*harmfulPart{},
+		leavingSince: map[string]time.Time{}, stopped: map[string]time.Time{}, pools: map[string]*poolHistory{}, harmful: map[string]*harmfulPart{}, limited: map[string]*limitedTarget{},
 	}
 }
 
--- a/audit/request.go
+++ b/audit/request.go
@@ -65,6 +65,7 @@
 	a.checkUnchanged(q, &o, at)
 	a.checkTargetCountAndDeadline(q, &o, at)
 	a.recordParts(q, &o, at)
+	a.checkLimit(o.Target, q.sent.Host, o.ID, at)
 	if len(q.arrivals) > 0 {
 		p := a.pool(o.Pool)
 		p.retries = append(p.retries, at)
