Keep to the limits that targets name (LIMIT)

Callers saw slow or refused calls at a target that had asked for fewer requests: it got up to four times the rate that it had named. Cause: the limit was an unknown header, passed on to callers; nothing in the choice of a target read it, and no host could have kept a sum over all of them. Class: a target says what it can take, and nothing obeys it, summed over the hosts.

One host, the first coordinator of the target's domain, now gives out places in the limit, evenly spaced, and every attempt at a limited target needs one.

--- a/dispatch/backup.go
+++ b/dispatch/backup.go
@@ -62,7 +62,7 @@
 	var best *targetState
 	lowest := 0.0
 	for _, t := range q.pool.targets {
-		if t == at || q.runsAt(t) || !t.acceptsWork(r.now, r.options.maxLoadAge) {
+		if t == at || t.isLimited() || q.runsAt(t) || !t.acceptsWork(r.now, r.options.maxLoadAge) {
 			continue
 		}
 		cost := t.totalDemand(r.now).Peak(&demand, 0) / float64(max(t.spec.Memory, 1))
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -26,6 +26,9 @@
 		Placement  *PlacementRequest // Place
 		Basis      Basis             // Dispatch, Refuse, Move: state on which the decision was based
 		Part       quarantine.Part   // Suspected, Quarantined, Cleared
+		Limit      TargetLimit       // Dispatch, Reserve, Limited: what is known of the target's limit
+		Own        bool              // Limited: whether a response to this host has shown the limit
+		Within     time.Duration     // Reserve: longest time until the place
 	}
 
 	// A Basis is the state on which a decision to dispatch, refuse or move a request was based.
@@ -62,9 +65,12 @@
 	EffectSuspected                       // a target has crashed as it began to answer a request with the part; to be logged
 	EffectQuarantined                     // requests with the part are refused from now on; to be logged
 	EffectCleared                         // an answer has cleared the part of a suspicion; to be logged
+	EffectReserve                         // ask the host that gives out the target's places for one; the result is passed to Reduce as PlaceReply
+	EffectLimited                         // the target's limit has changed; to be logged
+	EffectShareLimits                     // send the records of limits to the peers
 )
 
-var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay", "ask", "place", "placed", "probe", "share_suspects", "suspected", "quarantined", "cleared"}
+var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay", "ask", "place", "placed", "probe", "share_suspects", "suspected", "quarantined", "cleared", "reserve", "limited", "share_limits"}
 
 // String returns the name of the kind.
 func (k EffectKind) String() string { return effectNames[k] }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -29,6 +29,7 @@
 	fairRate              float64              // sum of the projected rates of the pool's active organisations divided by the sum of their weights
 	highestNormalisedRate float64              // highest normalisedRate of an active organisation
 	retryBudget           retryBudget
+	nextRetry             time.Duration // latest time at which the caller of a request that was refused for limits may come back
 }
 
 const (
@@ -78,6 +79,10 @@
 	if r.delegates(p) {
 		r.askForHeld(p)
 	}
+	for _, t := range p.targets {
+		t.dropOldPlaces(r.now)
+	}
+	defer r.refuseExcess(p)
 	r.sortQueues(p)
 	bypassed := 0
 	for len(p.queueOrder) > 0 && bypassed < maxBypassedOrganisations {
@@ -96,6 +101,10 @@
 			p.queueOrder = slices.Delete(p.queueOrder, 0, 1)
 			continue
 		}
+		if !t.hasPlace(r.now) {
+			r.askPlace(q, t)
+			continue
+		}
 		r.dispatch(q, t)
 		queue.normalisedRate = r.normalisedRate(queue.organisation, p)
 		r.restoreOrder(p)
@@ -217,6 +226,9 @@
 		r.counts.Retried++
 	}
 	t.breaker.recordAttempt(r.now)
+	if q.placement != placementRemote { // the coordinator has used a place of its own
+		t.usePlace()
+	}
 	r.assign(q, t)
 	if q.remote != nil {
 		r.basis = basis
@@ -224,7 +236,7 @@
 		return
 	}
 	r.chooseBackup(q, &q.backup, t)
-	e := Effect{Kind: EffectDispatch, ID: q.id, Target: t.spec.Name, To: t.spec, Priority: r.priority(q), Basis: basis}
+	e := Effect{Kind: EffectDispatch, ID: q.id, Target: t.spec.Name, To: t.spec, Priority: r.priority(q), Limit: r.limitOfTarget(t), Basis: basis}
 	if q.backup.target != nil {
 		e.Backup = q.backup.target.spec
 	}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -36,6 +36,7 @@
 		rank                                         time.Duration     // sort key in the organisation's queue, lowest first: see newRequest
 		notBefore                                    time.Duration     // end of the backoff before the next attempt
 		callerDeadline                               time.Duration     // time until which the caller waits
+		awaitedPlace                                 *targetState      // target for a place at which the request waits, until notBefore; nil if none
 
 		target          *targetState    // target to which the request was dispatched; nil while it is held
 		triedTargets    []*targetState  // targets of failed attempts and destinations of failed moves, which are not chosen again
--- a/dispatch/target_state.go
+++ b/dispatch/target_state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wigeonlink/wigeonlink/forecast"
+	"github.com/wigeonlink/wigeonlink/limit"
 	"github.com/wigeonlink/wigeonlink/table"
 	"github.com/wigeonlink/wigeonlink/target"
 )
@@ -33,6 +34,9 @@
 		outgoingMoves         int           // moves of this host's streams off the target that are in progress and copy the stream's memory
 		linkGroup             int           // index among the pool's leaving targets or, if not leaving, among the others of its domain
 		lastDispatch          uint64        // number of this host's latest dispatch to the target, counted over all targets; 0 means none
+		limit                 limit.Record  // of the requests that the target takes
+		places                places        // of this host in that limit
+		pacer                 limit.Pacer   // gives out the target's places, if this host does so
 	}
 )
 
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -50,12 +50,14 @@
 	PartSuspected     Number = 218
 	PartQuarantined   Number = 219
 	PartCleared       Number = 220
+	PlaceAsked        Number = 221
 
 	TargetLost     Number = 301
 	TargetReturned Number = 302
 	TargetRebooted Number = 303
 	TargetLeaving  Number = 304
 	TargetProbed   Number = 305
+	TargetLimited  Number = 306
 
 	TableApplied   Number = 401
 	TableRefused   Number = 402
@@ -116,11 +118,13 @@
 	{PartSuspected, "part suspected", hclog.Warn, "A target has crashed as it began to answer requests with this part of a prompt."},
 	{PartQuarantined, "part quarantined", hclog.Error, "Targets have crashed under this part of prompts several times; requests with it are refused."},
 	{PartCleared, "part cleared", hclog.Info, "An answer to a request with this part of a prompt has shown that the part does not crash targets."},
+	{PlaceAsked, "place asked", hclog.Debug, "This host asked for a place at a target that names a limit of requests a second; the fields say whether there is one and when."},
 	{TargetLost, "target lost", hclog.Warn, "A target no longer responds to load queries."},
 	{TargetReturned, "target returned", hclog.Info, "A target responds to load queries again, or is no longer leaving."},
 	{TargetRebooted, "target rebooted", hclog.Warn, "A target's boot identifier has changed; its generations are lost."},
 	{TargetLeaving, "target leaving", hclog.Info, "A target is about to stop and accepts no new requests."},
 	{TargetProbed, "target probed", hclog.Info, "A target has ended connections early; the host has tried to connect to see whether its process is gone."},
+	{TargetLimited, "target limited", hclog.Info, "The limit of requests a second that a target names in its responses has changed or ended."},
 	{TableApplied, "table applied", hclog.Info, "A table is in force on this host."},
 	{TableRefused, "table refused", hclog.Error, "A published table is invalid and was rejected as a whole; the last valid table stays in force."},
 	{TableStale, "table stale", hclog.Warn, "A published table is older than the one in force and was ignored."},
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wigeonlink/wigeonlink/dispatch"
+	"github.com/wigeonlink/wigeonlink/event"
 	"github.com/wigeonlink/wigeonlink/relay"
 	"github.com/wigeonlink/wigeonlink/route"
 	"github.com/wigeonlink/wigeonlink/target"
@@ -43,6 +44,7 @@
 	defer cancel(nil)
 	c.cancelAttempt = cancel
 	stop := c.limitAttempt(cancel)
+	sent := time.Now()
 	resp, err := c.gateway.transport.RoundTrip(c.newRequest(ctx, decision, nil))
 	stop()
 	if err != nil {
@@ -50,7 +52,7 @@
 	}
 	defer resp.Body.Close()
 	c.framing = framingOf(resp)
-	reply := c.parseResponse(resp)
+	reply := c.parseResponse(resp, decision, sent)
 	switch {
 	case reply.NotExecuted:
 		return relay.Result{
@@ -70,10 +72,21 @@
 	return c.forwardBuffered(ctx, resp)
 }
 
-// parseResponse parses the status and headers of a target's response, and records the limit that it names.
-func (c *call) parseResponse(resp *http.Response) ResponseInfo {
+// parseResponse parses the status and headers of a target's response to a request that was sent at the
+// given time, and passes on what the response says about the target's limit.
+func (c *call) parseResponse(resp *http.Response, decision dispatch.Effect, sent time.Time) ResponseInfo {
 	reply := c.gateway.dialect.ParseResponse(resp.StatusCode, resp.Header)
 	c.limit = reply.Limit
+	if reply.LimitError != nil {
+		c.gateway.host.Log().Emit(event.TargetLimited, event.Fields{Request: c.info.ID, Target: decision.Target, Detail: reply.LimitError.Error()})
+	}
+	if reply.Limit == nil || reply.ID != "" && reply.ID != c.info.ID {
+		return reply
+	}
+	// Without a limit before, a response without one is no news.
+	if reply.Limit.Named || decision.Limit.Record.Named {
+		c.hostRequest.LimitRead(dispatch.LimitRead{Target: decision.Target, Reading: *reply.Limit, Sent: sent, Received: time.Now()})
+	}
 	return reply
 }
 
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -336,6 +336,7 @@
 	timer := time.AfterFunc(resumeTimeout, func() { cancel(errResumeFailed) })
 	point.After = int(c.lastEvent.Load())
 	decision := dispatch.Effect{Target: engine.Name, To: engine, Priority: m.effect.Priority, Backup: m.effect.Backup}
+	sent := time.Now()
 	resp, err := c.gateway.transport.RoundTrip(c.newRequest(ctx, decision, &point))
 	if !timer.Stop() && err == nil {
 		resp.Body.Close()
@@ -345,7 +346,7 @@
 		cancel(err)
 		return nil, err
 	}
-	reply := c.parseResponse(resp)
+	reply := c.parseResponse(resp, decision, sent)
 	if reply.NotExecuted || !reply.HasProof || reply.ID != "" && reply.ID != c.info.ID || !isEventStream(resp) || resp.StatusCode >= 300 {
 		resp.Body.Close()
 		cancel(errResumeFailed)
--- a/host/effects.go
+++ b/host/effects.go
@@ -69,6 +69,12 @@
 		h.shareSuspects()
 	case dispatch.EffectSuspected, dispatch.EffectQuarantined, dispatch.EffectCleared:
 		h.logPart(f)
+	case dispatch.EffectReserve:
+		go h.reserve(f)
+	case dispatch.EffectLimited:
+		h.logLimit(f)
+	case dispatch.EffectShareLimits:
+		h.shareLimits()
 	default:
 		return false
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -60,7 +60,8 @@
 		tableCache      tableCache      // newest published table, for peers
 		statusQuerier   StatusQuerier   // nil if targets cannot be queried
 		network         network.Network // on which targets are probed
-		suspectSharing  suspectSharing
+		suspectSharing  sharing
+		limitSharing    sharing
 	}
 
 	// An Observer records metrics. The host calls Effect on the event loop for each effect of
@@ -291,6 +292,9 @@
 				if len(h.reducer.SuspectRecords(now)) > 0 {
 					h.shareSuspects()
 				}
+				if len(h.reducer.LimitRecords(now)) > 0 {
+					h.shareLimits()
+				}
 				h.tickets.DeleteExpired(now)
 			}
 		case <-timer.C:
--- /dev/null
+++ b/host/limit.go
@@ -0,0 +1,175 @@
+package host
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonlink/wigeonlink/dispatch"
+	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/limit"
+	"github.com/wigeonlink/wigeonlink/wire"
+)
+
+const (
+	// reserveTimeout is the timeout of a question for a place at a target, and relayTimeout that of
+	// one that a coordinator passes on.
+	reserveTimeout = 200 * time.Millisecond
+	relayTimeout   = 120 * time.Millisecond
+
+	// reserveRetryDelay is the time after a question without an answer in which no place at the
+	// target is asked for.
+	reserveRetryDelay = 300 * time.Millisecond
+)
+
+// LimitRead passes to the reducer what a response to the request says about its target's limit.
+func (r *Request) LimitRead(e dispatch.LimitRead) { r.host.Post(e) }
+
+// reserve asks for a place at a target, and passes the result to the reducer.
+func (h *Host) reserve(f dispatch.Effect) {
+	began := time.Now()
+	reply, from, err := h.askForPlace(f)
+	fields := event.Fields{Request: f.Name, Target: f.Target, Peer: from, Values: []any{
+		"ms", time.Since(began).Milliseconds(), "limit", f.Limit.Record.Rate, "within_ms", f.Within.Milliseconds(),
+		"granted", reply.Granted, "wait_ms", reply.Wait.Milliseconds(),
+	}}
+	if err != nil {
+		fields.Detail = err.Error()
+		reply = dispatch.PlaceReply{Wait: reserveRetryDelay, Limit: dispatch.TargetLimit{Target: f.Target, StartTime: f.To.StartTime}}
+	}
+	h.log.Emit(event.PlaceAsked, fields)
+	reply.ID = f.ID
+	h.Post(reply)
+}
+
+// askForPlace asks the host that gives out the target's places, which may be this one. It also returns
+// that host's name, which is empty for this one.
+func (h *Host) askForPlace(f dispatch.Effect) (reply dispatch.PlaceReply, from string, err error) {
+	if h.mesh == nil {
+		return h.givePlace(f.Limit, f.Within, 1), "", nil
+	}
+	p, local, err := h.mesh.Limiter(f.To.Domain)
+	if err != nil {
+		return reply, "", err
+	}
+	if local {
+		return h.givePlace(f.Limit, f.Within, h.mesh.LivePart(f.To.Domain)), "", nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), reserveTimeout)
+	defer cancel()
+	now := time.Now()
+	a, _, err := h.mesh.Ask(ctx, p, &wire.Question{Reserve: &wire.Reserve{
+		Limit: limitToWire(f.Limit, now), Domain: f.To.Domain, Within: uint32(f.Within.Milliseconds()), Name: f.Name, Origin: h.name,
+	}})
+	switch {
+	case err != nil:
+		return reply, p.Host, err
+	case a.Reserved == nil || a.Reserved.Declined:
+		return reply, p.Host, eris.New("the host does not give out the places of this target")
+	}
+	return placeReplyFromWire(a.Reserved, time.Now()), p.Host, nil
+}
+
+// givePlace gives out a place at a target as the reducer decides.
+func (h *Host) givePlace(l dispatch.TargetLimit, within time.Duration, part float64) (reply dispatch.PlaceReply) {
+	h.Inspect(func(r *dispatch.Reducer) { reply = r.Reserve(l, within, part, time.Now()) })
+	return reply
+}
+
+// answerReserve answers another host's question for a place. A question about a target whose places
+// another host gives out is passed on once.
+func (h *Host) answerReserve(ctx context.Context, q *wire.Reserve) *wire.Reserved {
+	p, local, err := h.mesh.Limiter(q.Domain)
+	switch {
+	case err != nil || q.Limit == nil || !local && q.Relayed:
+		return &wire.Reserved{Declined: true}
+	case local:
+		now := time.Now()
+		return placeReplyToWire(h.givePlace(limitFromWire(q.Limit, now), time.Duration(q.Within)*time.Millisecond, h.mesh.LivePart(q.Domain)), now)
+	}
+	q.Relayed = true
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	a, _, err := h.mesh.Ask(ctx, p, &wire.Question{Reserve: q})
+	if err != nil || a.Reserved == nil {
+		h.log.Emit(event.PlaceAsked, event.Fields{Request: q.Name, Target: q.Limit.Target, Peer: p.Host, Detail: "not relayed", Values: []any{"origin", q.Origin, "error", err}})
+		return &wire.Reserved{Declined: true}
+	}
+	return a.Reserved
+}
+
+// shareLimits sends the records of limits to all partners, soon and in the background.
+func (h *Host) shareLimits() {
+	if h.mesh == nil {
+		return
+	}
+	h.limitSharing.start(func() {
+		now := time.Now()
+		var records []dispatch.TargetLimit
+		h.Inspect(func(r *dispatch.Reducer) { records = r.LimitRecords(now) })
+		if len(records) == 0 {
+			return
+		}
+		report := &wire.Report{}
+		for _, l := range records {
+			report.Limits = append(report.Limits, limitToWire(l, now))
+		}
+		h.mesh.Broadcast(context.Background(), report)
+	})
+}
+
+// handleLimits passes another host's records of limits to the reducer.
+func (h peerHandler) handleLimits(r *wire.Report) {
+	now := time.Now()
+	var e dispatch.PeerLimits
+	for _, l := range r.Limits {
+		e.Limits = append(e.Limits, limitFromWire(l, now))
+	}
+	h.Post(e)
+}
+
+// logLimit logs a change of a target's limit.
+func (h *Host) logLimit(f dispatch.Effect) {
+	record := f.Limit.Record
+	h.log.Emit(event.TargetLimited, event.Fields{Target: f.Target, Values: []any{
+		"limited", record.Named, "limit", record.Rate, "own", f.Own, "age_ms", time.Since(record.At).Milliseconds(),
+	}})
+}
+
+// limitToWire returns a record in the form of messages between hosts. Times become ages, as the clocks of
+// hosts differ.
+func limitToWire(l dispatch.TargetLimit, now time.Time) *wire.Limit {
+	out := &wire.Limit{
+		Target: l.Target, Named: l.Record.Named, Rate: l.Record.Rate, Age: uint32(min(max(now.Sub(l.Record.At).Milliseconds(), 0), math.MaxUint32)),
+	}
+	if !l.StartTime.IsZero() {
+		out.Boot = l.StartTime.UnixMilli()
+	}
+	return out
+}
+
+// limitFromWire is the inverse of limitToWire.
+func limitFromWire(l *wire.Limit, now time.Time) dispatch.TargetLimit {
+	in := dispatch.TargetLimit{Target: l.Target, Record: limit.Record{
+		Reading: limit.Reading{Named: l.Named, Rate: l.Rate}, At: now.Add(-time.Duration(l.Age) * time.Millisecond),
+	}}
+	if l.Boot != 0 {
+		in.StartTime = time.UnixMilli(l.Boot)
+	}
+	return in
+}
+
+func placeReplyToWire(r dispatch.PlaceReply, now time.Time) *wire.Reserved {
+	return &wire.Reserved{Granted: r.Granted, Wait: uint32(r.Wait.Microseconds()), Limit: limitToWire(r.Limit, now)}
+}
+
+// placeReplyFromWire is the inverse of placeReplyToWire.
+func placeReplyFromWire(r *wire.Reserved, now time.Time) dispatch.PlaceReply {
+	reply := dispatch.PlaceReply{Granted: r.Granted, Wait: time.Duration(r.Wait) * time.Microsecond}
+	if r.Limit != nil {
+		reply.Limit = limitFromWire(r.Limit, now)
+	}
+	return reply
+}
--- a/host/quarantine.go
+++ b/host/quarantine.go
@@ -24,14 +24,26 @@
 	// probeTimeout is the timeout of a probe. A target that does not answer counts as not crashed.
 	probeTimeout = 400 * time.Millisecond
 
-	// suspectShareDelay is the time for which changes of the records of suspected prompt parts are
-	// collected before they are sent.
-	suspectShareDelay = 20 * time.Millisecond
+	// shareDelay is the time for which changes of records that hosts share are collected before
+	// they are sent.
+	shareDelay = 20 * time.Millisecond
 )
 
-// suspectSharing coalesces requests to send the records of suspected prompt parts. The zero value is
-// ready for use.
-type suspectSharing struct{ due atomic.Bool }
+// sharing coalesces requests to send the records of one type to the peers. The zero value is ready for
+// use.
+type sharing struct{ due atomic.Bool }
+
+// start calls send in the background after shareDelay, unless a call is due already.
+func (s *sharing) start(send func()) {
+	if !s.due.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		pause.For(context.Background(), shareDelay)
+		s.due.Store(false)
+		send()
+	}()
+}
 
 // probe opens a connection to a target to find out whether its process has ended, and passes the result
 // to the reducer.
@@ -52,22 +64,19 @@
 	h.Post(dispatch.Probed{Target: t.Name, Gone: gone})
 }
 
-// shareSuspects sends the records of suspected prompt parts to all partners, in the background and at
-// most once per suspectShareDelay.
+// shareSuspects sends the records of suspected prompt parts to all partners, soon and in the background.
 func (h *Host) shareSuspects() {
-	if h.mesh == nil || !h.suspectSharing.due.CompareAndSwap(false, true) {
+	if h.mesh == nil {
 		return
 	}
-	go func() {
-		pause.For(context.Background(), suspectShareDelay)
-		h.suspectSharing.due.Store(false)
+	h.suspectSharing.start(func() {
 		now := time.Now()
 		var records []quarantine.Record
 		h.Inspect(func(r *dispatch.Reducer) { records = r.SuspectRecords(now) })
 		if len(records) > 0 {
 			h.mesh.Broadcast(context.Background(), &wire.Report{Suspects: suspectsToWire(records, now)})
 		}
-	}()
+	})
 }
 
 // logPart logs a change of what is known about a prompt part.
--- a/peer/directory.go
+++ b/peer/directory.go
@@ -150,3 +150,15 @@
 	}
 	return rank
 }
+
+// First returns the first coordinator of a failure domain, and false if there is none.
+func (d *Directory) First(domain string) (Peer, bool) {
+	coordinators := d.Domains[domain]
+	if len(coordinators) == 0 {
+		return Peer{}, false
+	}
+	return coordinators[0], true
+}
+
+// lowestDomain returns the first of the failure domains with coordinators, by name.
+func (d *Directory) lowestDomain() string { return slices.Min(slices.Collect(maps.Keys(d.Domains))) }
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -210,6 +210,43 @@
 	return ok
 }
 
+// Limiter returns the host that gives out the places of the targets of a failure domain: the first
+// coordinator of the domain or, if the domain has no live host, that of another one on which all hosts
+// agree. It is this host if local is set; otherwise it, or the coordinator that relays the question, is a
+// peer that this host is linked with. It returns an error if there is none, and for a host that has just
+// started and has found no peer.
+func (m *Mesh) Limiter(domain string) (p Peer, local bool, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, coordinates := m.directory.Position(m.settings.Domain, m.settings.Host)
+	if m.directory.Hosts <= 1 && len(m.seeds) > 0 && m.sinceStart(time.Now()) < youngTime {
+		return Peer{}, false, eris.New("no peer has been found yet")
+	}
+	first, found := m.directory.First(domain)
+	if !found && (coordinates || m.directory.Hosts <= fullMeshHosts) {
+		first, found = m.directory.First(m.directory.lowestDomain())
+	}
+	if found && first.Host == m.settings.Host {
+		return first, true, nil
+	}
+	if l := m.links[first.Address]; found && l != nil && l.conn.Load() != nil {
+		return first, false, nil
+	}
+	if relay, ok := m.directory.First(m.settings.Domain); ok && relay.Host != m.settings.Host {
+		return relay, false, nil
+	}
+	return Peer{}, false, eris.Errorf("no connection to the coordinators of %s", domain)
+}
+
+// LivePart returns the live part of the hosts of a failure domain from which this host has received
+// heartbeats within CapShareTTL, from 0 to 1. The others may be on the other side of a partition. It is 1
+// if there are none.
+func (m *Mesh) LivePart(domain string) float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.LivePart(domain)
+}
+
 // NewestTable returns the live peer with the highest table version above the given one, if
 // any.
 func (m *Mesh) NewestTable(above uint64) (Peer, bool) {
--- a/peer/view.go
+++ b/peer/view.go
@@ -154,6 +154,28 @@
 	return best, found
 }
 
+// LivePart returns the live part of the hosts of a failure domain that the view has, from 0 to 1; 1 if it
+// has none.
+func (v *View) LivePart(domain string) float64 {
+	live, all := 0, 0
+	if domain == v.self.Domain {
+		live, all = 1, 1
+	}
+	for _, p := range v.peers {
+		if p.Domain != domain {
+			continue
+		}
+		all++
+		if !p.down {
+			live++
+		}
+	}
+	if all == 0 {
+		return 1
+	}
+	return float64(live) / float64(all)
+}
+
 // hostAt returns the name of the peer with an address, or an empty name.
 func (v *View) hostAt(a netip.AddrPort) string {
 	for host, p := range v.peers {
