--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -81,6 +81,8 @@
 		Rebooted  bool             // whether the engine is known to have restarted
 		Unsent    bool             // whether no byte of the request has left this host
 		Answered  bool             // whether the target answered with an error of its own
+
+		RetryAfter time.Duration // time for which a target that refused the request asks to be left alone; 0 if it does not
 	}
 
 	// CallerDisconnected reports that the caller of a dispatched request has disconnected.
--- a/dispatch/limit_test.go
+++ b/dispatch/limit_test.go
@@ -9,6 +9,7 @@
 	"github.com/wigeonlink/wigeonlink/answer"
 	"github.com/wigeonlink/wigeonlink/limit"
 	"github.com/wigeonlink/wigeonlink/table"
+	"github.com/wigeonlink/wigeonlink/target"
 )
 
 // newPlainTest returns a reducer with a plain service of the given targets.
@@ -170,3 +171,16 @@
 	f.announceLeaving(from)
 	f.requireNoEffect(EffectMove)
 }
+
+// A target that refuses a request and asks to be left alone for a while gets none until then.
+func TestTargetGetsRequestsBeforeItsRetryAfter(t *testing.T) {
+	f := newPlainTest(t, "busy", "other")
+	f.reduce(0, f.call(1))
+	busy := f.requireEffect(EffectDispatch).Target
+	f.reduce(0, AttemptFailed{ID: 1, Certainty: target.CertaintyNotRun, Answered: true, RetryAfter: 700 * time.Millisecond})
+	for id := ID(2); id < 40; id++ {
+		f.reduce(20*time.Millisecond, f.call(id))
+		to := f.requireEffect(EffectDispatch).Target
+		f.Check(to != busy || f.now.Sub(benchEpoch) >= 700*time.Millisecond, qt.IsTrue, qt.Commentf("after %s", f.now.Sub(benchEpoch)))
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -56,7 +56,7 @@
 	switch {
 	case reply.NotExecuted:
 		return relay.Result{
-			Ending: relay.EndFailed, Certainty: target.CertaintyNotRun, TargetFailed: true,
+			Ending: relay.EndFailed, Certainty: target.CertaintyNotRun, TargetFailed: true, RetryAfter: reply.RetryAfter,
 			Cause: eris.Errorf("the target refused the request without executing it: status %d", resp.StatusCode),
 		}
 	case reply.ID != "" && reply.ID != c.info.ID:
--- a/host/request.go
+++ b/host/request.go
@@ -120,7 +120,7 @@
 		r.host.log.Emit(event.RequestFailed, fields)
 		r.host.Post(dispatch.AttemptFailed{
 			ID: r.ID, Certainty: result.Certainty, Delivered: result.DeliveredTokens > 0, Tokens: result.DeliveredTokens, Rebooted: result.Rebooted, Ended: result.TargetEnded,
-			Unsent: result.Unsent, Answered: result.TargetFailed,
+			Unsent: result.Unsent, Answered: result.TargetFailed, RetryAfter: result.RetryAfter,
 		})
 		r.reportStreams()
 		return true
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -56,6 +56,7 @@
 		Cause           error            // of a failed attempt; logged
 		Unsent          bool             // no byte of the request has been sent
 		TargetFailed    bool             // the target responded with an error status
+		RetryAfter      time.Duration    // time for which a target that refused the request asks to be left alone
 		TargetEnded     bool             // the target ended the connection before the response was complete
 	}
 
