--- a/gateway/call.go
+++ b/gateway/call.go
@@ -38,6 +38,7 @@
 	plainService   bool   // the pool is a plain service, not a model
 	tokensPerEvent int    // tokens in one stream event of the model; 0 for a plain service
 	body           *body
+	digest         uint64    // of method, path, query and body; 0 until the body has been read
 	deadline       time.Time // the caller waits for the response until then
 	hostRequest    *host.Request
 	failedResponse *bufferedResponse // last 5xx response, forwarded if no other target succeeds
@@ -75,6 +76,7 @@
 	if err != nil {
 		return err
 	}
+	c.digest = requestDigest(c.r.Method, c.r.RequestURI, c.body.data)
 	c.hostRequest = c.gateway.host.SubmitAs(c.info.ID, c.submission())
 	defer c.hostRequest.Release()
 	return c.run(ctx)
--- /dev/null
+++ b/gateway/digest.go
@@ -0,0 +1,13 @@
+package gateway
+
+import "github.com/cespare/xxhash/v2"
+
+// requestDigest returns a digest of what a target executes: requests of one organisation with the same
+// digest are repetitions of each other, whatever their identifiers and deadlines.
+func requestDigest(method, uri string, body []byte) uint64 {
+	d := xxhash.New()
+	for _, part := range [][]byte{[]byte(method), {0}, []byte(uri), {0}, body} {
+		_, _ = d.Write(part) // a hash returns no error
+	}
+	return d.Sum64()
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/wigeonlink/wigeonlink/answer"
@@ -197,6 +198,9 @@
 	if len(c.info.PromptParts) > 0 {
 		fields.Values = append(fields.Values, "parts", formatParts(c.info.PromptParts))
 	}
+	if c.digest != 0 {
+		fields.Values = append(fields.Values, "digest", strconv.FormatUint(c.digest, 16))
+	}
 	if c.moveCount > 0 {
 		fields.Values = append(fields.Values, "moves", c.moveCount)
 	}
