--- a/audit/audit.go
+++ b/audit/audit.go
@@ -109,7 +109,7 @@
 		Intact   bool // the body is the complete body of a target with a valid seal
 		Complete bool // the response ended without an error
 
-		Quarantined bool // the host refused the request for a part of its prompt
+		Quarantined bool // the host refused the request because it, or a part of its prompt, crashes targets
 	}
 
 	// CallerDisconnected is the disconnection of a caller before its response has ended.
--- a/audit/harmful.go
+++ b/audit/harmful.go
@@ -2,16 +2,17 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
 type (
 	// TargetCrashed is the crash of a target that began to answer a request with a part of a prompt
-	// that crashes targets.
+	// that crashes targets, or one that crashes targets itself. Part is then its RequestKey.
 	TargetCrashed struct{ Target, Part string }
 
-	// harmfulPart holds the crashes of targets by one part of prompts, and the arrivals of requests
-	// with that part.
+	// harmfulPart holds the crashes of targets by one part of prompts or one request, and the arrivals of
+	// requests with that part and of repetitions of that request.
 	harmfulPart struct {
 		crashes  []time.Time
 		arrivals []harmfulArrival
@@ -26,9 +27,25 @@
 
 const (
 	maxHarmfulCrashes  = 5 // crashes by one part after which hosts must refuse requests with it
-	maxHarmfulArrivals = 3 // requests with the part that may reach targets later
+	maxRequestCrashes  = 3 // crashes by one request after which hosts must refuse its repetitions
+	maxHarmfulArrivals = 3 // requests with the part, or repetitions of the request, that may reach targets later
+
+	requestKeyPrefix = "request "
 )
 
+// RequestKey identifies a request and its repetitions, which have other identifiers.
+func RequestKey(organisation, path, body string) string {
+	return requestKeyPrefix + organisation + " " + path + " " + body
+}
+
+// allowedCrashes returns the number of crashes after which hosts must act.
+func allowedCrashes(name string) int {
+	if strings.HasPrefix(name, requestKeyPrefix) {
+		return maxRequestCrashes
+	}
+	return maxHarmfulCrashes
+}
+
 // harmfulPart returns the history of a part of prompts. It creates an empty one on first use.
 func (a *Audit) harmfulPart(name string) *harmfulPart {
 	p := a.harmful[name]
@@ -51,48 +68,54 @@
 	return len(a.harmfulPart(part).crashes)
 }
 
-// recordParts records the arrival of a request for each part of its prompt that requests share.
+// recordParts records the arrival of a request for each part of its prompt that requests share, and for
+// the request itself if it has crashed a target.
 func (a *Audit) recordParts(q *request, o *RequestReceived, at time.Time) {
-	for _, name := range o.SharedParts {
+	names := o.SharedParts
+	if key := RequestKey(o.Organisation, o.Path, o.Body); a.harmful[key] != nil {
+		names = append(slices.Clone(names), key)
+	}
+	for _, name := range names {
 		p := a.harmfulPart(name)
 		p.arrivals = append(p.arrivals, harmfulArrival{o.ID, q.sent.Host, at})
 	}
 }
 
-// checkHarmful requires that a part which has crashed maxHarmfulCrashes targets reaches targets at most
-// maxHarmfulArrivals times more, from HarmfulDelay on. Requests whose host or the source of configuration
+// checkHarmful requires that a part or a request which has crashed allowedCrashes targets reaches targets at
+// most maxHarmfulArrivals times more, from HarmfulDelay on. Requests whose host or the source of configuration
 // had a fault in the HarmfulDelay before are not counted. At most one violation is reported for each part.
 func (a *Audit) checkHarmful() {
 	for name, p := range a.harmful {
-		if len(p.crashes) < maxHarmfulCrashes {
+		allowed := allowedCrashes(name)
+		if len(p.crashes) < allowed {
 			continue
 		}
 		slices.SortFunc(p.crashes, time.Time.Compare)
-		from, late := p.crashes[maxHarmfulCrashes-1].Add(a.bounds.HarmfulDelay), 0
+		from, late := p.crashes[allowed-1].Add(a.bounds.HarmfulDelay), 0
 		for _, r := range p.arrivals {
 			if !r.at.After(from) || !a.faultFree(r.host, r.at.Add(-a.bounds.HarmfulDelay), r.at) {
 				continue
 			}
 			if late++; late > maxHarmfulArrivals {
-				a.addViolation(GuaranteeBounded, r.id, r.at, "reached a target with part %s, which had crashed %d targets until %s", name, maxHarmfulCrashes, from)
+				a.addViolation(GuaranteeBounded, r.id, r.at, "reached a target with part %s, which had crashed %d targets until %s", name, allowed, from)
 				break
 			}
 		}
 	}
 }
 
-// checkQuarantine requires that a request which a host refuses for a part of its prompt has a part
-// that has crashed a target.
+// checkQuarantine requires that a request which a host refuses because it crashes targets has crashed one,
+// itself or by a part of its prompt.
 func (a *Audit) checkQuarantine(q *request, o *ResponseEnded, at time.Time) {
 	if o.Quarantined && !q.isHarmful(a) {
-		a.addViolation(GuaranteeAdmitted, o.ID, at, "refused for a part of its prompt, but none of %v has crashed a target", q.sent.SharedParts)
+		a.addViolation(GuaranteeAdmitted, o.ID, at, "refused as harmful, but neither it nor one of %v has crashed a target", q.sent.SharedParts)
 	}
 }
 
-// isHarmful reports whether a part of the request's prompt has crashed a target. Such a request need not
-// be served.
+// isHarmful reports whether the request or a part of its prompt has crashed a target. Such a request need
+// not be served.
 func (q *request) isHarmful(a *Audit) bool {
-	for _, name := range q.sent.SharedParts {
+	for _, name := range append(slices.Clone(q.sent.SharedParts), RequestKey(q.sent.Organisation, q.sent.Path, q.sent.Body)) {
 		if p := a.harmful[name]; p != nil && len(p.crashes) > 0 {
 			return true
 		}
