--- a/dispatch/trial.go
+++ b/dispatch/trial.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"github.com/wigeonlink/wigeonlink/quarantine"
@@ -57,14 +56,15 @@
 	return suspected && q.remote == nil && r.now >= q.trialUntil
 }
 
-// suspectedRequest returns the part that stands for q as a whole, and whether targets have crashed under it.
+// suspectedRequest returns the first part that stands for q as a whole, with or without its prompt, under
+// which targets have crashed, and false if there is none.
 func (r *Reducer) suspectedRequest(q *request) (quarantine.Part, bool) {
-	i := slices.IndexFunc(q.parts, quarantine.Part.IsRequest)
-	if i < 0 {
-		return quarantine.Part{}, false
+	for _, p := range q.parts {
+		if n, _ := r.quarantine.Crashes(p); n > 0 && p.IsRequest() {
+			return p, true
+		}
 	}
-	n, _ := r.quarantine.Crashes(q.parts[i])
-	return q.parts[i], n > 0
+	return quarantine.Part{}, false
 }
 
 // askTrial asks for a trial of q, and keeps q waiting for the reply.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return err
 	}
-	c.digest = requestDigest(c.r.Method, c.r.RequestURI, c.info.PromptParts, c.body.data)
+	c.digest = requestDigest(c.r.Method, c.r.RequestURI, c.body.data)
 	c.hostRequest = c.gateway.host.SubmitAs(c.info.ID, c.submission())
 	defer c.hostRequest.Release()
 	return c.run(ctx)
@@ -162,7 +162,12 @@
 		}
 		s.PrefixHash = h.Sum64()
 	}
-	s.Parts = append(s.Parts, quarantine.Part{Pool: c.pool, ID: c.digest, Organisation: c.organisation})
+	whole := quarantine.Part{Pool: c.pool, ID: c.digest, Organisation: c.organisation}
+	s.Parts = append(s.Parts, whole)
+	if len(c.info.PromptParts) > 0 {
+		whole.ID = promptDigest(c.digest, c.info.PromptParts)
+		s.Parts = append(s.Parts, whole)
+	}
 	return s
 }
 
