--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -37,7 +37,7 @@
 	failures         []TargetFailures         // failed attempts since the latest HostStreams
 	finished         []FinishedStream         // streams that have ended since the latest HostStreams
 	fleet            Fleet                    // latest Fleet event
-	quarantine       quarantine.List          // parts of prompts under which targets crashed
+	quarantine       quarantine.List          // requests and parts of prompts under which targets crashed
 	possibleCrashes  map[string]possibleCrash // by target, until its probe returns
 	trials           map[string]trial         // latest trials that this host has allowed, by pool
 	basis            Basis                    // basis of the decision in progress; set by chooseFromSubset
