--- a/dispatch/random_test.go
+++ b/dispatch/random_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/wigeonlink/wigeonlink/answer"
 	"github.com/wigeonlink/wigeonlink/forecast"
+	"github.com/wigeonlink/wigeonlink/limit"
+	"github.com/wigeonlink/wigeonlink/quarantine"
 	"github.com/wigeonlink/wigeonlink/share"
 	"github.com/wigeonlink/wigeonlink/table"
 	"github.com/wigeonlink/wigeonlink/target"
@@ -29,6 +31,10 @@
 	leaving                 map[string]bool // latest LeavingTargets event
 	inflightCap             int             // cap on the requests in flight of organisation-0; 0 means none
 	version                 uint64          // version of the table in force
+	places                  map[string]int  // places granted and not used, by target
+	asked                   []Effect        // EffectReserve without a reply
+	suspected               []Effect        // EffectTrial without a reply
+	probed                  []Effect        // EffectProbe without a result
 }
 
 func newCallerModel(t *rapid.T) *callerModel {
@@ -42,6 +48,7 @@
 		tokens:                  map[ID]int{},
 		nonIdempotentDispatches: map[ID]int{},
 		leaving:                 map[string]bool{},
+		places:                  map[string]int{},
 		inflightCap:             rapid.IntRange(0, 6).Draw(t, "limit"),
 	}
 	m.changeTable(t, 3, 2, 4)
@@ -93,6 +100,12 @@
 	switch f.Kind {
 	case EffectDispatch:
 		m.applyDispatch(t, f)
+	case EffectReserve:
+		m.asked = append(m.asked, f)
+	case EffectTrial:
+		m.suspected = append(m.suspected, f)
+	case EffectProbe:
+		m.probed = append(m.probed, f)
 	case EffectRefuse:
 		if !m.held[f.ID] {
 			t.Fatalf("request %d was refused while it was not held", f.ID)
@@ -129,6 +142,11 @@
 	case m.leaving[f.Target]:
 		t.Fatalf("a request was dispatched to target %s, which is leaving", f.Target)
 	}
+	if f.Limit.Record.Named {
+		if m.places[f.Target]--; m.places[f.Target] < 0 {
+			t.Fatalf("request %d was dispatched to %s without a place", f.ID, f.Target)
+		}
+	}
 	delete(m.held, f.ID)
 	m.sent[f.ID] = f.Target
 	if n, ok := m.nonIdempotentDispatches[f.ID]; ok {
@@ -180,6 +198,9 @@
 		PrefixHash:      rapid.Uint64Range(0, 3).Draw(t, "prefix"),
 	}
 	s.PrefixTokens = s.PromptTokens / 2
+	if content := rapid.Uint64Range(0, 3).Draw(t, "content"); content > 0 {
+		s.Parts = []quarantine.Part{{Pool: s.Pool, ID: content, Organisation: s.Organisation}}
+	}
 	if s.NonIdempotent {
 		m.nonIdempotentDispatches[s.ID] = 0
 	}
@@ -230,7 +251,7 @@
 	if n, ok := m.nonIdempotentDispatches[id]; ok && unsent {
 		m.nonIdempotentDispatches[id] = n - 1
 	}
-	m.reduce(t, AttemptFailed{ID: id, Certainty: certainty, Delivered: delivered, Rebooted: rapid.Bool().Draw(t, "rebooted"), Unsent: unsent})
+	m.reduce(t, AttemptFailed{ID: id, Certainty: certainty, Delivered: delivered, Rebooted: rapid.Bool().Draw(t, "rebooted"), Unsent: unsent, Ended: !unsent && rapid.Bool().Draw(t, "ended")})
 }
 
 // moveOrBreak breaks a random dispatched request off, or lets its move in progress succeed or fail.
@@ -307,6 +328,43 @@
 	}
 }
 
+// limitEvent applies a random event that concerns limits, places or crashes of targets.
+func (m *callerModel) limitEvent(t *rapid.T) {
+	engine := fmt.Sprintf("engine-%04d", rapid.IntRange(0, 4).Draw(t, "engine"))
+	granted := rapid.Bool().Draw(t, "granted")
+	wait := time.Duration(rapid.IntRange(0, 800).Draw(t, "wait")) * time.Millisecond
+	switch rapid.IntRange(0, 4).Draw(t, "what") {
+	case 0:
+		reading := limit.Reading{Named: rapid.Bool().Draw(t, "named"), Rate: rapid.Float64Range(0, 20).Draw(t, "rate")}
+		sent := m.now.Add(-time.Duration(rapid.IntRange(0, 100).Draw(t, "age")) * time.Millisecond)
+		m.reduce(t, LimitRead{Target: engine, Reading: reading, Sent: sent, Received: m.now})
+	case 1:
+		record := limit.Record{Reading: limit.Reading{Named: granted, Rate: 3}, At: m.now.Add(-wait)}
+		m.reduce(t, PeerLimits{Limits: []TargetLimit{{Target: engine, Record: record}}})
+	case 2:
+		if len(m.asked) > 0 {
+			e := m.asked[0]
+			m.asked = m.asked[1:]
+			if granted {
+				m.places[e.Target]++
+			}
+			m.reduce(t, PlaceReply{ID: e.ID, Granted: granted, Wait: wait, Limit: e.Limit})
+		}
+	case 3:
+		if len(m.suspected) > 0 {
+			e := m.suspected[0]
+			m.suspected = m.suspected[1:]
+			m.reduce(t, TrialReply{ID: e.ID, Granted: granted, Wait: wait})
+		}
+	case 4:
+		if len(m.probed) > 0 {
+			e := m.probed[0]
+			m.probed = m.probed[1:]
+			m.reduce(t, Probed{Target: e.Target, Gone: granted})
+		}
+	}
+}
+
 // wait applies a Tick after a random time, which may be negative: the reducer's clock must not go
 // back.
 func (m *callerModel) wait(t *rapid.T) {
@@ -317,7 +375,7 @@
 // runRandomEvents applies a random sequence of events and then ends all requests.
 func runRandomEvents(t *rapid.T) {
 	m := newCallerModel(t)
-	steps := []func(*rapid.T){m.submit, m.submit, m.submit, m.progress, m.progress, m.ended, m.failed, m.callerLeaves, m.externalEvent, m.wait, m.moveOrBreak}
+	steps := []func(*rapid.T){m.submit, m.submit, m.submit, m.progress, m.progress, m.ended, m.failed, m.callerLeaves, m.externalEvent, m.limitEvent, m.limitEvent, m.wait, m.moveOrBreak}
 	for range rapid.IntRange(1, 300).Draw(t, "events") {
 		steps[rapid.IntRange(0, len(steps)-1).Draw(t, "step")](t)
 	}
