--- a/host/limit.go
+++ b/host/limit.go
@@ -5,24 +5,15 @@
 	"math"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/event"
 	"github.com/wigeonlink/wigeonlink/limit"
 	"github.com/wigeonlink/wigeonlink/wire"
 )
 
-const (
-	// reserveTimeout is the timeout of a question for a place at a target, and relayTimeout that of
-	// one that a coordinator passes on.
-	reserveTimeout = 200 * time.Millisecond
-	relayTimeout   = 120 * time.Millisecond
-
-	// reserveRetryDelay is the time after a question without an answer in which no place at the
-	// target is asked for.
-	reserveRetryDelay = 300 * time.Millisecond
-)
+// reserveRetryDelay is the time after a question without an answer in which no place at the target is
+// asked for.
+const reserveRetryDelay = 300 * time.Millisecond
 
 // LimitRead passes to the reducer what a response to the request says about its target's limit.
 func (r *Request) LimitRead(e dispatch.LimitRead) { r.host.Post(e) }
@@ -44,57 +35,46 @@
 	h.Post(reply)
 }
 
-// askForPlace asks the host that gives out the target's places, which may be this one. It also returns
+// askForPlace asks the arbiter of the target's failure domain, which gives out its places. It also returns
 // that host's name, which is empty for this one.
 func (h *Host) askForPlace(f dispatch.Effect) (reply dispatch.PlaceReply, from string, err error) {
-	if h.mesh == nil {
-		return h.givePlace(f.Limit, f.Within, 1), "", nil
-	}
-	p, local, err := h.mesh.Arbiter(f.To.Domain)
-	if err != nil {
-		return reply, "", err
-	}
-	if local {
-		return h.givePlace(f.Limit, f.Within, h.mesh.LivePart(f.To.Domain)), "", nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), reserveTimeout)
-	defer cancel()
-	now := time.Now()
-	a, _, err := h.mesh.Ask(ctx, p, &wire.Question{Reserve: &wire.Reserve{
-		Limit: limitToWire(f.Limit, now), Domain: f.To.Domain, Within: uint32(f.Within.Milliseconds()), Name: f.Name, Origin: h.name,
+	a, from, local, err := h.askArbiter(f.To.Domain, &wire.Question{Reserve: &wire.Reserve{
+		Limit: limitToWire(f.Limit, time.Now()), Domain: f.To.Domain, Within: uint32(f.Within.Milliseconds()), Name: f.Name, Origin: h.name,
 	}})
 	switch {
 	case err != nil:
-		return reply, p.Host, err
+		return reply, from, err
+	case local:
+		return h.givePlace(f.Limit, f.Within, f.To.Domain), "", nil
 	case a.Reserved == nil || a.Reserved.Declined:
-		return reply, p.Host, eris.New("the host does not give out the places of this target")
+		return reply, from, errDeclined
 	}
-	return placeReplyFromWire(a.Reserved, time.Now()), p.Host, nil
+	return placeReplyFromWire(a.Reserved, time.Now()), from, nil
 }
 
-// givePlace gives out a place at a target as the reducer decides.
-func (h *Host) givePlace(l dispatch.TargetLimit, within time.Duration, part float64) (reply dispatch.PlaceReply) {
+// givePlace gives out a place at a target of a failure domain as the reducer decides.
+func (h *Host) givePlace(l dispatch.TargetLimit, within time.Duration, domain string) (reply dispatch.PlaceReply) {
+	part := 1.0
+	if h.mesh != nil {
+		part = h.mesh.LivePart(domain)
+	}
 	h.Inspect(func(r *dispatch.Reducer) { reply = r.Reserve(l, within, part, time.Now()) })
 	return reply
 }
 
-// answerReserve answers another host's question for a place. A question about a target whose places
-// another host gives out is passed on once.
+// answerReserve answers another host's question for a place.
 func (h *Host) answerReserve(ctx context.Context, q *wire.Reserve) *wire.Reserved {
-	p, local, err := h.mesh.Arbiter(q.Domain)
-	switch {
-	case err != nil || q.Limit == nil || !local && q.Relayed:
+	if q.Limit == nil {
 		return &wire.Reserved{Declined: true}
-	case local:
-		now := time.Now()
-		return placeReplyToWire(h.givePlace(limitFromWire(q.Limit, now), time.Duration(q.Within)*time.Millisecond, h.mesh.LivePart(q.Domain)), now)
 	}
+	relayed := q.Relayed
 	q.Relayed = true
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
-	defer cancel()
-	a, _, err := h.mesh.Ask(ctx, p, &wire.Question{Reserve: q})
-	if err != nil || a.Reserved == nil {
-		h.log.Emit(event.PlaceAsked, event.Fields{Request: q.Name, Target: q.Limit.Target, Peer: p.Host, Detail: "not relayed", Values: []any{"origin", q.Origin, "error", err}})
+	a, local := h.relayToArbiter(ctx, q.Domain, relayed, &wire.Question{Reserve: q})
+	switch {
+	case local:
+		now := time.Now()
+		return placeReplyToWire(h.givePlace(limitFromWire(q.Limit, now), time.Duration(q.Within)*time.Millisecond, q.Domain), now)
+	case a == nil || a.Reserved == nil:
 		return &wire.Reserved{Declined: true}
 	}
 	return a.Reserved
--- a/host/quarantine.go
+++ b/host/quarantine.go
@@ -8,8 +8,6 @@
 	"syscall"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/event"
 	"github.com/wigeonlink/wigeonlink/pause"
@@ -26,11 +24,6 @@
 	// probeTimeout is the timeout of the probes. A target that does not answer counts as not crashed.
 	probeTimeout = 400 * time.Millisecond
 
-	// trialTimeout is the timeout of a question for a trial, and trialRelayTimeout that of one that a
-	// coordinator passes on.
-	trialTimeout      = 250 * time.Millisecond
-	trialRelayTimeout = 150 * time.Millisecond
-
 	// shareDelay is the time for which changes of records that hosts share are collected before
 	// they are sent.
 	shareDelay = 20 * time.Millisecond
@@ -80,82 +73,8 @@
 	return err
 }
 
-// try asks whether a suspected request may be sent to a target, and passes the result to the reducer.
-// If the host that decides cannot be reached, this host decides by itself.
-func (h *Host) try(f dispatch.Effect) {
-	asked := dispatch.TrialRequest{Asker: h.origin() + "/" + strconv.FormatUint(uint64(f.ID), 10), Part: f.Part, Crashes: f.Crashes, Life: f.Within}
-	reply, from, err := h.askForTrial(asked)
-	fields := event.Fields{Request: f.Name, Peer: from}
-	if err != nil {
-		fields.Detail = err.Error()
-		reply = h.allowTrial(asked)
-	}
-	fields.Values = append(partValues(f.Part), "crashes", f.Crashes, "granted", reply.Granted, "wait_ms", reply.Wait.Milliseconds())
-	h.log.Emit(event.TrialAsked, fields)
-	reply.ID = f.ID
-	h.Post(reply)
-}
-
-// askForTrial asks the host that allows the trials, which may be this one. It also returns that host's
-// name, which is empty for this one.
-func (h *Host) askForTrial(q dispatch.TrialRequest) (reply dispatch.TrialReply, from string, err error) {
-	if h.mesh == nil {
-		return h.allowTrial(q), "", nil
-	}
-	p, local, err := h.mesh.Arbiter("")
-	if err != nil {
-		return reply, "", err
-	}
-	if local {
-		return h.allowTrial(q), "", nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), trialTimeout)
-	defer cancel()
-	a, _, err := h.mesh.Ask(ctx, p, &wire.Question{Trial: &wire.Trial{
-		Pool: q.Part.Pool, Part: q.Part.ID, Organisation: q.Part.Organisation, Crashes: uint32(q.Crashes),
-		Life: uint32(q.Life.Milliseconds()), Asker: q.Asker,
-	}})
-	switch {
-	case err != nil:
-		return reply, p.Host, err
-	case a.Tried == nil || a.Tried.Declined:
-		return reply, p.Host, eris.New("the host does not allow trials")
-	}
-	return dispatch.TrialReply{Granted: a.Tried.Granted, Wait: time.Duration(a.Tried.Wait) * time.Millisecond}, p.Host, nil
-}
-
-// allowTrial decides about a trial as the reducer does.
-func (h *Host) allowTrial(q dispatch.TrialRequest) (reply dispatch.TrialReply) {
-	h.Inspect(func(r *dispatch.Reducer) { reply = r.AllowTrial(q, time.Now()) })
-	return reply
-}
-
-// answerTrial answers another host's question for a trial. One that another host allows is passed on
-// once.
-func (h *Host) answerTrial(ctx context.Context, q *wire.Trial) *wire.Tried {
-	p, local, err := h.mesh.Arbiter("")
-	switch {
-	case err != nil || !local && q.Relayed:
-		return &wire.Tried{Declined: true}
-	case local:
-		reply := h.allowTrial(dispatch.TrialRequest{
-			Asker: q.Asker, Part: quarantine.Part{Pool: q.Pool, ID: q.Part, Organisation: q.Organisation},
-			Crashes: int(q.Crashes), Life: time.Duration(q.Life) * time.Millisecond,
-		})
-		return &wire.Tried{Granted: reply.Granted, Wait: uint32(reply.Wait.Milliseconds())}
-	}
-	q.Relayed = true
-	ctx, cancel := context.WithTimeout(ctx, trialRelayTimeout)
-	defer cancel()
-	a, _, err := h.mesh.Ask(ctx, p, &wire.Question{Trial: q})
-	if err != nil || a.Tried == nil {
-		h.log.Emit(event.TrialAsked, event.Fields{Peer: p.Host, Detail: "not relayed", Values: []any{"asker", q.Asker, "error", err}})
-		return &wire.Tried{Declined: true}
-	}
-	return a.Tried
-}
-
-// shareSuspects sends the records of suspected requests and prompt parts to all partners, soon and in the background.
+// shareSuspects sends the records of suspected requests and prompt parts to all partners, soon and in the
+// background.
 func (h *Host) shareSuspects() {
 	if h.mesh == nil {
 		return
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -210,11 +210,11 @@
 	return ok
 }
 
-// Arbiter returns the host that decides for all hosts what concerns the targets of a failure domain: the
-// first coordinator of the domain or, if the domain is empty or has no live host, that of another one on
-// which all hosts agree. It is this host if local is set; otherwise it, or the coordinator that relays the question, is a
-// peer that this host is linked with. It returns an error if there is none, and for a host that has just
-// started and has found no peer.
+// Arbiter returns the host that decides for all hosts what concerns the targets of a failure domain as a
+// whole: the first coordinator of the domain or, if the domain is empty or has no live host, that of
+// another one on which all hosts agree. If local is set it is this host. Otherwise p is the arbiter or, if
+// this host is not linked with it, a coordinator that passes questions on. Arbiter returns an error if
+// there is neither, and for a host that has just started and has found no peer.
 func (m *Mesh) Arbiter(domain string) (p Peer, local bool, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
