--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -37,7 +37,7 @@
 		ID      ID            // of the request for which the place was asked
 		Granted bool          // whether there is a place
 		Wait    time.Duration // time until the place, or until the next free one
-		Limit   TargetLimit   // what the replying host knows of the limit; the zero Record if no host has replied
+		Limit   TargetLimit   // the replying host's record of the limit; the zero Record if no host has replied
 	}
 
 	// places are the places of this host at a target that names a limit.
@@ -146,8 +146,7 @@
 	}
 }
 
-// reduce records the limits of the same processes that another host knows later news of, and passes them
-// on.
+// reduce merges the records of another host about the same processes, and passes on what is new.
 func (e PeerLimits) reduce(r *Reducer) {
 	for _, l := range e.Limits {
 		r.mergeLimit(l)
@@ -215,7 +214,7 @@
 	r.dispatchHeld(q.pool)
 }
 
-// Reserve gives out a place at a target for a host that knows the given limit and can wait for
+// Reserve gives out a place at a target for a host that has the given record of its limit and can wait for
 // patience. This host must be the one that gives out the target's places; it does so at part of
 // the limit, between 0 and 1, if other hosts may do so, too.
 func (r *Reducer) Reserve(asked TargetLimit, patience time.Duration, part float64, now time.Time) PlaceReply {
--- a/dispatch/limit_test.go
+++ b/dispatch/limit_test.go
@@ -142,7 +142,7 @@
 }
 
 // The host that gives out places keeps to the limit whoever asks, and uses a part of it only while hosts
-// of its domain are not heard.
+// of its domain are silent.
 func TestPlacesForAllHosts(t *testing.T) {
 	for _, part := range []float64{1, 0.5, 0} {
 		f := newPlainTest(t, "only")
--- a/dispatch/trial.go
+++ b/dispatch/trial.go
@@ -24,7 +24,7 @@
 	TrialRequest struct {
 		Asker   string // identifies the host and the request; the same for a repeated question
 		Part    quarantine.Part
-		Crashes int           // under the part, as the asking host knows
+		Crashes int           // recorded under the part by the asking host
 		Life    time.Duration // time until the trial has ended
 	}
 
--- a/gateway/digest.go
+++ b/gateway/digest.go
@@ -7,7 +7,7 @@
 )
 
 // requestDigest returns a digest of what a target executes: requests of one organisation with the same
-// digest are repetitions of each other, whatever their identifiers and deadlines.
+// digest are repetitions of each other, even if identifiers and deadlines differ.
 func requestDigest(method, uri string, body []byte) uint64 {
 	d := xxhash.New()
 	for _, field := range [][]byte{[]byte(method), {0}, []byte(uri), {0}, body} {
--- a/gateway/digest_test.go
+++ b/gateway/digest_test.go
@@ -21,7 +21,7 @@
 	}
 }
 
-// Generations with the same path and no body are told apart by the parts of their prompts.
+// Generations with the same path and no body differ in the parts of their prompts.
 func TestPromptDigest(t *testing.T) {
 	base := promptDigest(1, []PromptPart{{ID: 7}, {ID: 8}})
 	qt.Check(t, promptDigest(1, []PromptPart{{ID: 7}, {ID: 8}}), qt.Equals, base)
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -54,7 +54,7 @@
 	return r.Merge(Record{o, at})
 }
 
-// Merge records what another host knows, if that is later. It reports whether the limit has changed.
+// Merge replaces the record by another host's, if that is later. It reports whether the limit has changed.
 func (r *Record) Merge(o Record) (changed bool) {
 	if !o.At.After(r.At) {
 		return false
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -40,7 +40,7 @@
 	}
 }
 
-// Records of several hosts are the same in the end, in whatever order they are merged.
+// Records of several hosts are the same in the end, in any order of merging.
 func TestMergedRecordsAgree(t *testing.T) {
 	for seed := range uint64(50) {
 		random := rand.New(rand.NewPCG(seed, 1))
