--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -2,13 +2,11 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/wigeonlink/wigeonlink/answer"
-	"github.com/wigeonlink/wigeonlink/share"
 	"github.com/wigeonlink/wigeonlink/table"
 )
 
@@ -174,46 +172,6 @@
 	return false
 }
 
-// shareExcess returns how far an organisation with the given normalised rate is over its share of
-// the pool, on a scale from 0 (within its share) to 1. It reaches 1 only for the organisation that
-// is furthest over its share, if its rate exceeds the fair rate by fullShareExcess or more. It
-// falls off steeply for the others; a short burst is then not penalised while another organisation
-// floods the pool. It also grows with the age of the organisation's backlog, up to fullBacklogAge.
-func (r *Reducer) shareExcess(rate float64, backlog time.Duration, p *pool) float64 {
-	fair := r.fairRate(p)
-	over := rate/fair - 1
-	if over < overShareTolerance {
-		return 0
-	}
-	part := over / max(p.highestNormalisedRate/fair-1, over)
-	lasting := min(float64(backlog)/float64(fullBacklogAge), 1)
-	return lasting * min(over/fullShareExcess, 1) * math.Pow(part, shareExcessExponent)
-}
-
-// fairRate returns the normalised rate of an organisation that uses exactly its share of a pool:
-// the sum of the projected rates of the organisations active in the pool divided by the sum of
-// their weights, or +Inf if none is active. It also updates highestNormalisedRate.
-func (r *Reducer) fairRate(p *pool) float64 {
-	if p.fairRateAt != 0 && r.now-p.fairRateAt < fairRateInterval {
-		return p.fairRate
-	}
-	sum, weights := 0.0, 0.0
-	p.highestNormalisedRate = 0
-	for _, org := range r.organisationList {
-		use := r.ledger.ProjectedRate(share.Account{Organisation: org.spec.Name, Pool: p.name}, r.now)
-		if use > minActiveRate {
-			p.highestNormalisedRate = max(p.highestNormalisedRate, r.normalisedRate(org, p))
-			sum += use
-			weights += r.weight(org, p)
-		}
-	}
-	p.fairRateAt, p.fairRate = max(r.now, 1), math.Inf(1)
-	if weights > 0 {
-		p.fairRate = sum / weights
-	}
-	return p.fairRate
-}
-
 // dispatch sends a held request to t.
 func (r *Reducer) dispatch(q *request, t *targetState) {
 	r.dequeue(q)
