--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -43,6 +43,8 @@
 		HeldFor             time.Duration // time since the request arrived at this host
 		Attempt             int           // number of the dispatch of the request, or of the move off its current target; from 1
 		OtherDomain         bool          // whether the chosen target is in another failure domain
+		WaitCause           WaitCause     // why the request was not dispatched when it was last considered
+		Excluded            int           // targets that must not be chosen for the request
 	}
 
 	// An EffectKind is the kind of an Effect.
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -86,16 +86,18 @@
 	for len(p.queueOrder) > 0 && bypassed < maxBypassedOrganisations {
 		queue := p.queueOrder[0]
 		q := r.nextReady(queue)
-		if q == nil || r.atInflightCap(queue.organisation, p) || r.yieldsToPeers(queue, p) {
+		if q == nil || r.mustYield(q, queue, p) {
 			p.queueOrder = slices.Delete(p.queueOrder, 0, 1)
 			continue
 		}
 		if r.needsTrial(q) {
+			q.waitCause = WaitTrial
 			r.askTrial(q)
 			continue
 		}
 		t := r.choose(q, r.shareExcess(queue.normalisedRate, r.now-queue.lastEmpty, p))
 		if t == nil {
+			q.waitCause = WaitCapacity
 			if r.now-q.arrived > maxBypassAge && !r.isLate(q) {
 				return
 			}
@@ -104,6 +106,7 @@
 			continue
 		}
 		if !t.hasPlace(r.now) {
+			q.waitCause = WaitPlace
 			r.askPlace(q, t)
 			continue
 		}
@@ -113,6 +116,19 @@
 	}
 }
 
+// mustYield reports whether a request must wait for the sake of others, whatever the targets' capacity.
+func (r *Reducer) mustYield(q *request, queue *organisationQueue, p *pool) bool {
+	switch {
+	case r.atInflightCap(queue.organisation, p):
+		q.waitCause = WaitCap
+	case r.yieldsToPeers(queue, p):
+		q.waitCause = WaitPeers
+	default:
+		return false
+	}
+	return true
+}
+
 // sortQueues sets queueOrder to the queues with held requests, sorted by normalisedRate.
 func (r *Reducer) sortQueues(p *pool) {
 	p.queueOrder = p.queueOrder[:0]
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -38,6 +38,7 @@
 		callerDeadline                               time.Duration     // time until which the caller waits
 		trialUntil                                   time.Duration     // time until which this host may send the request although it is suspected; see trial.go
 		awaitedPlace                                 *targetState      // target for a place at which the request waits, until notBefore; nil if none
+		waitCause                                    WaitCause         // see Basis
 
 		target          *targetState    // target to which the request was dispatched; nil while it is held
 		triedTargets    []*targetState  // targets of failed attempts and destinations of failed moves, which are not chosen again
@@ -262,7 +263,10 @@
 func (r *Reducer) refuse(q *request, kind answer.Kind, retry time.Duration) {
 	if q.remote != nil {
 		if kind != answer.KindNone {
-			r.emit(Effect{Kind: EffectPlaced, Remote: q.remote.origin, ID: q.remote.id, Name: q.name, Answer: kind, RetryAfter: cmp.Or(retry, kind.Properties().RetryDelay)})
+			r.emit(Effect{
+				Kind: EffectPlaced, Remote: q.remote.origin, ID: q.remote.id, Name: q.name, Answer: kind,
+				RetryAfter: cmp.Or(retry, kind.Properties().RetryDelay), Basis: r.newBasis(q),
+			})
 		}
 		r.removeRemote(q)
 		return
--- a/dispatch/target_state.go
+++ b/dispatch/target_state.go
@@ -185,6 +185,8 @@
 		Targets:       len(q.pool.targets),
 		HeldFor:       r.now - q.arrived,
 		Attempt:       q.attempts,
+		WaitCause:     q.waitCause,
+		Excluded:      len(q.triedTargets),
 	}
 }
 
--- a/host/effects.go
+++ b/host/effects.go
@@ -90,6 +90,12 @@
 		"attempt", b.Attempt, "held_ms", b.HeldFor.Milliseconds(), "streams", b.Streams,
 		"targets", b.Targets, "open", b.AcceptingTargets, "room", b.TargetsWithCapacity, "table_in_force", b.TableVersion,
 	}
+	if b.WaitCause != dispatch.WaitNone {
+		out = append(out, "waited_for", b.WaitCause.String())
+	}
+	if b.Excluded > 0 {
+		out = append(out, "excluded", b.Excluded)
+	}
 	if b.OtherDomain {
 		out = append(out, "away", true)
 	}
