--- a/audit/audit.go
+++ b/audit/audit.go
@@ -27,6 +27,7 @@
 		harmful          map[string]*harmfulPart    // by name of the part
 		limited          map[string]*limitedTarget  // targets that name a limit, by name
 		restarts         []time.Time                // times of HostsRestarted
+		detached         []*detachedTime            // in the order of their beginnings
 		violations       []Violation                // violations that were decided when an observation was recorded
 		observationCount int                        // number of recorded observations
 	}
@@ -45,6 +46,8 @@
 		RecoveryTime time.Duration // time from HostsRestarted until requests must succeed again
 		HarmfulDelay time.Duration // time after the last allowed crash by a part of prompts until requests with it must not be sent
 		LimitDelay   time.Duration // time after a target began to name a limit until its hosts must keep to it
+
+		DetachedDelay time.Duration // time after a host has lost its connections to all targets until it must serve requests again
 	}
 
 	// An Observation is an event seen outside the hosts. Only the types below implement it.
@@ -182,6 +185,7 @@
 	a.checkRetries()
 	a.checkRecovery()
 	a.checkHarmful()
+	a.checkDetached()
 	found = append(found, a.violations...)
 	a.violations = nil
 	return found
--- a/audit/guarantee.go
+++ b/audit/guarantee.go
@@ -34,12 +34,13 @@
 	GuaranteePlaced                     // a request runs only in a pool and with a key that a configuration allows
 	GuaranteeOrdered                    // stream events arrive once and in order, and a stream that ends without error is complete
 	GuaranteeRecovered                  // requests succeed again within RecoveryTime after all hosts restarted
+	GuaranteeReachable                  // hosts without a connection to any target serve requests like the others
 	guaranteeCount
 )
 
 var guaranteeNames = [guaranteeCount]string{
 	"whole", "genuine", "once", "honest", "admitted", "bounded", "released", "answered",
-	"drained", "current", "placed", "ordered", "recovered",
+	"drained", "current", "placed", "ordered", "recovered", "reachable",
 }
 
 // Guarantees returns all guarantees in the order of their declaration.
--- a/network/virtual.go
+++ b/network/virtual.go
@@ -21,6 +21,7 @@
 		delay             time.Duration // of every link, in one direction
 		partitionsChanged chan struct{} // closed and replaced when a partition starts or ends
 		partitioned       map[link]bool // links with a partition
+		cuts              map[netip.Addr]cutMachines
 		listeners         map[netip.AddrPort]*listener
 		packets           map[netip.AddrPort]*packetConn
 		conns             map[*conn]bool // connection ends that are not closed
@@ -57,6 +58,7 @@
 		delay:             delay,
 		partitionsChanged: make(chan struct{}),
 		partitioned:       map[link]bool{},
+		cuts:              map[netip.Addr]cutMachines{},
 		listeners:         map[netip.AddrPort]*listener{},
 		packets:           map[netip.AddrPort]*packetConn{},
 		conns:             map[*conn]bool{},
@@ -139,7 +141,7 @@
 func (v *Virtual) isPartitioned(from, to netip.Addr) (bool, <-chan struct{}) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.partitioned[link{from, to}], v.partitionsChanged
+	return v.partitioned[link{from, to}] || v.cutBetween(from, to) == CutSilent, v.partitionsChanged
 }
 
 // allocatePort returns the next ephemeral port. The caller holds v.mu.
@@ -196,6 +198,9 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if err := v.dialError(m.address, to.Addr()); err != nil {
+		return nil, eris.Wrapf(err, "dial %s", to)
+	}
 	l := v.listeners[to]
 	if l == nil {
 		return nil, eris.Wrapf(syscall.ECONNREFUSED, "dial %s", to)
