Report held requests to other hosts only if a target could take them (RECOVER)

What callers saw: hosts with a way to all targets refused calls after 209 ms and streams after a second, 'deadline', with all targets open and without an attempt, while other hosts had lost their connections. Cause: a host reports the organisations whose requests it holds, and others hold requests of better served organisations until those have had their turn. A host without a connection holds requests that no free capacity would get sent. Change: an organisation is reported only if one of its requests waits for the capacity of a target that may be chosen, for a place, or for other hosts.

--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -187,7 +187,7 @@
 // hasUnlimitedTarget reports whether a target without a limit accepts q.
 func (r *Reducer) hasUnlimitedTarget(q *request) bool {
 	return slices.ContainsFunc(q.pool.targets, func(t *targetState) bool {
-		return !t.isLimited() && t.acceptsWork(r.now, r.options.maxLoadAge) && !slices.Contains(q.triedTargets, t)
+		return !t.isLimited() && r.mayChoose(q, t)
 	})
 }
 
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -101,7 +101,7 @@
 	}
 	for _, p := range r.poolList {
 		for _, queue := range p.queues {
-			if len(queue.held) > 0 && !r.delegates(p) && !r.atInflightCap(queue.organisation, p) {
+			if !r.delegates(p) && r.waitsForTarget(queue, p) {
 				report.HeldCounts = append(report.HeldCounts, HeldCount{queue.organisation.spec.Name, p.name, len(queue.held), r.now - queue.lastEmpty})
 			}
 		}
@@ -109,6 +109,25 @@
 	return report
 }
 
+// waitsForTarget reports whether this host would dispatch a request of a queue if a target had capacity or a
+// place for it. Requests that it could not dispatch even then are no reason for other hosts to wait.
+func (r *Reducer) waitsForTarget(queue *organisationQueue, p *pool) bool {
+	return !r.atInflightCap(queue.organisation, p) && slices.ContainsFunc(queue.held, func(q *request) bool {
+		switch q.waitCause {
+		case WaitPlace, WaitPeers:
+			return true
+		case WaitCapacity:
+			return slices.ContainsFunc(p.targets, func(t *targetState) bool { return r.mayChoose(q, t) })
+		}
+		return false
+	})
+}
+
+// mayChoose reports whether a target accepts new work and has not been tried for the request.
+func (r *Reducer) mayChoose(q *request, t *targetState) bool {
+	return t.acceptsWork(r.now, r.options.maxLoadAge) && !slices.Contains(q.triedTargets, t)
+}
+
 // reduce replaces the numbers of live hosts and the role of this host.
 func (e LiveHosts) reduce(r *Reducer) {
 	r.hosts, r.hostIndex = max(e.Hosts, 1), e.HostIndex
