--- /dev/null
+++ b/detour/network.go
@@ -0,0 +1,263 @@
+// Package detour opens connections to targets through other hosts while this host cannot open its own. A host that
+// has lost its connections to all targets then serves requests like the others.
+package detour
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/network"
+)
+
+type (
+	// A Relay opens connections through other hosts.
+	Relay interface {
+		// Connect opens a connection to a target through another host, and returns that host's name. The
+		// other host may use one in turn, unless last is set. The error is syscall.ECONNREFUSED if the
+		// other host found that nobody listens at the address.
+		Connect(ctx context.Context, to netip.AddrPort, last bool) (c net.Conn, via string, err error)
+	}
+
+	// A Network opens connections on another network, or through a Relay where that fails. Its other
+	// methods are those of the other network. It is safe for concurrent use.
+	Network struct {
+		network.Network
+		log   *event.Log
+		relay atomic.Pointer[Relay]
+
+		mu    sync.Mutex
+		paths paths
+	}
+
+	// A Conn is a connection to a target through another host.
+	Conn struct {
+		net.Conn
+		Via string // name of the other host
+	}
+
+	// connector opens connections to a target through other hosts; see Relay.Connect.
+	connector struct {
+		relay Relay
+		to    netip.AddrPort
+		last  bool
+	}
+
+	// attempt is the result of an attempt to open a connection.
+	attempt struct {
+		conn net.Conn
+		via  string // empty for the host's own connection
+		err  error
+	}
+)
+
+const (
+	// detourDelay is the time without a connection after which another host is asked to open it. It is
+	// several round trips long, and a fraction of the objective of a call.
+	detourDelay = 50 * time.Millisecond
+
+	// ownTimeout is the timeout of the host's own attempts, which go on beside those of other hosts.
+	ownTimeout = 250 * time.Millisecond
+)
+
+// NewNetwork returns a network that opens connections on n, and through other hosts after SetRelay.
+func NewNetwork(n network.Network, log *event.Log) *Network { return &Network{Network: n, log: log} }
+
+// SetRelay sets the relay through which connections are opened that this host cannot open.
+func (n *Network) SetRelay(r Relay) { n.relay.Store(&r) }
+
+// Detached reports whether this host has no connection to any target, as far as it has tried recently.
+func (n *Network) Detached() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.paths.detached()
+}
+
+// Dial opens a connection to a target. The host's own attempt goes first, unless its last ones at this target, or
+// at several others, have failed where other hosts succeeded.
+func (n *Network) Dial(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+	return n.dial(ctx, to, false)
+}
+
+// DialForPeer opens a connection to a target for another host: through a third one if further is set and this
+// host cannot open its own.
+func (n *Network) DialForPeer(ctx context.Context, to netip.AddrPort, further bool) (net.Conn, error) {
+	if !further {
+		return n.Network.Dial(ctx, to)
+	}
+	return n.dial(ctx, to, true)
+}
+
+// dial is Dial. last says whether the other host may use one in turn.
+func (n *Network) dial(ctx context.Context, to netip.AddrPort, last bool) (net.Conn, error) {
+	relay := n.relay.Load()
+	if relay == nil {
+		return n.Network.Dial(ctx, to)
+	}
+	way := connector{*relay, to, last}
+	n.mu.Lock()
+	avoid, probe := n.paths.avoid(to, time.Now())
+	n.mu.Unlock()
+	switch {
+	case !avoid:
+		return n.race(ctx, way, detourDelay)
+	case probe:
+		return n.race(ctx, way, 0)
+	}
+	a := way.connect(ctx)
+	if a.err == nil {
+		return &Conn{a.conn, a.via}, nil
+	}
+	c, err := n.Network.Dial(ctx, to)
+	if err != nil {
+		return nil, moreCertain(err, a.err)
+	}
+	n.recordConnect(to)
+	return c, nil
+}
+
+// race opens the host's own connection, asks another host for one after a delay or when the own attempt has failed,
+// and returns the first one. The own attempt goes on after the other host's has succeeded, to find out
+// whether the path to the target is lost.
+func (n *Network) race(ctx context.Context, way connector, delay time.Duration) (net.Conn, error) {
+	to := way.to
+	own, relayed := n.dialOwn(ctx, to), (<-chan attempt)(nil)
+	relayCtx, cancelRelay := context.WithCancel(ctx)
+	defer cancelRelay()
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	due := timer.C
+	var ownErr, relayErr error
+	for {
+		select {
+		case <-ctx.Done():
+			go discard(own)
+			go discard(relayed)
+			return nil, moreCertain(ownErr, relayErr, ctx.Err())
+		case <-due:
+			due, relayed = nil, way.start(relayCtx)
+		case a := <-own:
+			if a.err == nil {
+				n.recordConnect(to)
+				go discard(relayed)
+				return a.conn, nil
+			}
+			own, ownErr = nil, a.err
+			if due != nil {
+				due, relayed = nil, way.start(relayCtx)
+			}
+		case a := <-relayed:
+			if a.err == nil {
+				go n.judge(to, a.via, ownErr, own)
+				return &Conn{a.conn, a.via}, nil
+			}
+			relayed, relayErr = nil, a.err
+		}
+		if own == nil && due == nil && relayed == nil {
+			return nil, moreCertain(ownErr, relayErr)
+		}
+	}
+}
+
+// dialOwn starts an attempt of the host's own. It goes on after ctx is done.
+func (n *Network) dialOwn(ctx context.Context, to netip.AddrPort) <-chan attempt {
+	result := make(chan attempt, 1)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ownTimeout)
+	go func() {
+		defer cancel()
+		c, err := n.Network.Dial(ctx, to)
+		result <- attempt{conn: c, err: err}
+	}()
+	return result
+}
+
+// connect opens the connection through another host.
+func (w connector) connect(ctx context.Context) attempt {
+	c, via, err := w.relay.Connect(ctx, w.to, w.last)
+	return attempt{c, via, err}
+}
+
+// start calls connect in the background.
+func (w connector) start(ctx context.Context) <-chan attempt {
+	result := make(chan attempt, 1)
+	go func() { result <- w.connect(ctx) }()
+	return result
+}
+
+// judge waits for the end of the host's own attempt at a target to which another host has connected, and
+// records whether the path is lost. err is the error of the attempt if it has ended.
+func (n *Network) judge(to netip.AddrPort, via string, err error, own <-chan attempt) {
+	if err == nil {
+		// A short time is enough to tell: the other host's connection took a round trip more.
+		timer := time.NewTimer(detourDelay)
+		defer timer.Stop()
+		select {
+		case a := <-own:
+			if a.err == nil {
+				_ = a.conn.Close() // nothing was sent
+				n.recordConnect(to)
+				return
+			}
+			err = a.err
+		case <-timer.C:
+			n.recordLoss(to, via, context.DeadlineExceeded)
+			if a := <-own; a.err == nil {
+				_ = a.conn.Close() // as above
+				n.recordConnect(to)
+			}
+			return
+		}
+	}
+	n.recordLoss(to, via, err)
+}
+
+// discard closes the connection of an attempt that is no longer needed. The channel is nil if there is none.
+func discard(attempts <-chan attempt) {
+	if attempts == nil {
+		return
+	}
+	if a := <-attempts; a.err == nil {
+		_ = a.conn.Close() // nothing was sent
+	}
+}
+
+// moreCertain returns the error that says most about the target: that nobody listens, or else the first one.
+func moreCertain(errs ...error) error {
+	var first error
+	for _, err := range errs {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return err
+		}
+		if first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+// recordConnect records a connection of this host's own.
+func (n *Network) recordConnect(to netip.AddrPort) {
+	n.change(event.PathFound, to, "", "", func(now time.Time) bool { return n.paths.connected(to, now) })
+}
+
+// recordLoss records that another host could connect to a target to which this host could not.
+func (n *Network) recordLoss(to netip.AddrPort, via string, err error) {
+	n.change(event.PathLost, to, via, err.Error(), func(now time.Time) bool { return n.paths.lose(to, now) })
+}
+
+// change changes the record of a path and logs it if f reports that its state has changed.
+func (n *Network) change(number event.Number, to netip.AddrPort, via, detail string, f func(now time.Time) bool) {
+	n.mu.Lock()
+	changed := f(time.Now())
+	lost, detached := n.paths.lostCount, n.paths.detached()
+	n.mu.Unlock()
+	if changed {
+		n.log.Emit(number, event.Fields{Peer: via, Detail: detail, Values: []any{"address", to.String(), "lost", lost, "detached", detached}})
+	}
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -59,6 +59,8 @@
 	TargetLeaving  Number = 304
 	TargetProbed   Number = 305
 	TargetLimited  Number = 306
+	PathLost       Number = 307
+	PathFound      Number = 308
 
 	TableApplied   Number = 401
 	TableRefused   Number = 402
@@ -127,6 +129,8 @@
 	{TargetLeaving, "target leaving", hclog.Info, "A target is about to stop and accepts no new requests."},
 	{TargetProbed, "target probed", hclog.Info, "A target has ended connections early; the host has tried to connect to see whether its process is gone."},
 	{TargetLimited, "target limited", hclog.Info, "The limit of requests a second that a target names in its responses has changed or ended."},
+	{PathLost, "path lost", hclog.Warn, "This host cannot connect to a target to which another host can; it connects through that host, or another one."},
+	{PathFound, "path found", hclog.Info, "This host can connect to a target again to which it could connect only through other hosts."},
 	{TableApplied, "table applied", hclog.Info, "A table is in force on this host."},
 	{TableRefused, "table refused", hclog.Error, "A published table is invalid and was rejected as a whole; the last valid table stays in force."},
 	{TableStale, "table stale", hclog.Warn, "A published table is older than the one in force and was ignored."},
--- a/forward.go
+++ b/forward.go
@@ -8,11 +8,13 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/fx"
 
+	"github.com/wigeonlink/wigeonlink/detour"
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/event"
 	"github.com/wigeonlink/wigeonlink/gateway"
 	"github.com/wigeonlink/wigeonlink/host"
 	"github.com/wigeonlink/wigeonlink/meter"
+	"github.com/wigeonlink/wigeonlink/network"
 	"github.com/wigeonlink/wigeonlink/pause"
 	"github.com/wigeonlink/wigeonlink/registry"
 	"github.com/wigeonlink/wigeonlink/target"
@@ -21,10 +23,10 @@
 // forwarding holds the dependencies of a forwarding host: a host that forwards each request
 // to a target of the service that the request's route selects.
 type forwarding struct {
-	source  registry.Source
-	dialect gateway.Dialect
-	copier  gateway.CacheCopier // copies the KV cache of a stream that moves to another target; nil disables moves
-	options []gateway.Option
+	source    registry.Source
+	dialect   gateway.Dialect
+	newCopier func(network.Network) gateway.CacheCopier // nil disables moves of streams
+	options   []gateway.Option
 }
 
 const (
@@ -41,26 +43,24 @@
 )
 
 // WithForwarding makes the host forward callers' requests by the routes that the
-// configuration source s publishes, instead of serving the OpenAI-compatible API. If c is
-// nil, streams are not moved between targets. If c also implements host.StatusQuerier, the
+// configuration source s publishes, instead of serving the OpenAI-compatible API. newCopier returns the
+// client that copies KV caches of streams, which reaches targets on the given network; if newCopier is nil,
+// streams are not moved between targets. If the client also implements host.StatusQuerier, the
 // host uses it to query whether a target is draining.
-func WithForwarding(s registry.Source, d gateway.Dialect, c gateway.CacheCopier, opts ...gateway.Option) Option {
-	return &forwarding{s, d, c, opts}
+func WithForwarding(s registry.Source, d gateway.Dialect, newCopier func(network.Network) gateway.CacheCopier, opts ...gateway.Option) Option {
+	return &forwarding{s, d, newCopier, opts}
 }
 
 func (f *forwarding) apply(a *assembly) {
 	a.forward = f
 	a.components = ForwardingComponents()
-	if querier, ok := f.copier.(host.StatusQuerier); ok {
-		a.hostOptions = append([]host.Option{host.WithStatusQuerier(querier)}, a.hostOptions...)
-	}
 	a.hostOptions = append([]host.Option{host.WithDispatch(
 		dispatch.WithCrossDomain(true),
 		// The platform charges for reading the load reports of targets, so a forwarding
 		// host uses the reports of its peers instead. An age limit of 0 keeps targets
 		// without load reports from being treated as stale.
 		dispatch.WithMaxLoadAge(0),
-		dispatch.WithMoves(f.copier != nil),
+		dispatch.WithMoves(f.newCopier != nil),
 	)}, a.hostOptions...)
 }
 
@@ -69,7 +69,8 @@
 	return []Component{
 		{"log", 100, fx.Provide(newLog)},
 		{"meter", 200, fx.Provide(newMeter)},
-		{"host", 300, fx.Options(fx.Provide(newHost), fx.Invoke(setConfigSource), fx.Invoke(runHost))},
+		{"detours", 250, fx.Provide(newDetours, newCacheCopier)},
+		{"host", 300, fx.Options(fx.Provide(newForwardingHost), fx.Invoke(setConfigSource), fx.Invoke(runHost))},
 		{"mesh", 350, fx.Invoke(runMesh)},
 		{"registry", 400, fx.Invoke(runRegistry)},
 		{"operator", 500, fx.Invoke(serveOperator)},
@@ -77,15 +78,37 @@
 	}
 }
 
+func newDetours(a *assembly, log *event.Log) *detour.Network {
+	return detour.NewNetwork(a.network, log)
+}
+
+// newCacheCopier returns the client that copies KV caches, or nil if streams are not moved.
+func newCacheCopier(a *assembly, d *detour.Network) gateway.CacheCopier {
+	if a.forward.newCopier == nil {
+		return nil
+	}
+	return a.forward.newCopier(d)
+}
+
+// newForwardingHost is newHost for a host that reaches targets through other hosts if it must.
+func newForwardingHost(a *assembly, log *event.Log, m *meter.Meter, d *detour.Network, c gateway.CacheCopier) (*host.Host, error) {
+	opts := []host.Option{host.WithDetours(d)}
+	if querier, ok := c.(host.StatusQuerier); ok {
+		opts = append(opts, host.WithStatusQuerier(querier))
+	}
+	a.hostOptions = append(opts, a.hostOptions...)
+	return newHost(a, log, m)
+}
+
 func setConfigSource(a *assembly, h *host.Host) { h.SyncFrom(a.forward.source) }
 
 func runRegistry(a *assembly, l fx.Lifecycle, h *host.Host) { runInBackground(a, l, h.Syncer().Run) }
 
-func serveGateway(a *assembly, l fx.Lifecycle, h *host.Host, m *meter.Meter) {
+func serveGateway(a *assembly, l fx.Lifecycle, h *host.Host, m *meter.Meter, d *detour.Network, c gateway.CacheCopier) {
 	opts := append([]gateway.Option{
-		gateway.WithTransport(target.NewShortDialTransport(a.network)),
+		gateway.WithTransport(target.NewShortDialTransport(d)),
 		gateway.WithBodyMemory(a.settings.BodyMemory),
-		gateway.WithCacheCopier(a.forward.copier),
+		gateway.WithCacheCopier(c),
 		gateway.WithObserver(m),
 	}, a.forward.options...)
 	g := gateway.NewGateway(h, a.forward.dialect, opts...)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
@@ -14,6 +15,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/wigeonlink/wigeonlink/detour"
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/event"
 	"github.com/wigeonlink/wigeonlink/relay"
@@ -43,6 +45,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	c.cancelAttempt = cancel
+	c.via = ""
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: c.recordConn})
 	stop := c.limitAttempt(cancel)
 	sent := time.Now()
 	resp, err := c.gateway.transport.RoundTrip(c.newRequest(ctx, decision, nil))
@@ -72,6 +76,13 @@
 	return c.forwardBuffered(ctx, resp)
 }
 
+// recordConn records through which host the connection of an attempt goes, if not directly.
+func (c *call) recordConn(info httptrace.GotConnInfo) {
+	if d, ok := info.Conn.(*detour.Conn); ok {
+		c.via = d.Via
+	}
+}
+
 // parseResponse parses the status and headers of a target's response to a request that was sent at the
 // given time, and passes on what the response says about the target's limit.
 func (c *call) parseResponse(resp *http.Response, decision dispatch.Effect, sent time.Time) ResponseInfo {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -44,6 +44,7 @@
 	failedResponse *bufferedResponse // last 5xx response, forwarded if no other target succeeds
 
 	target        string         // name of the target of the latest attempt
+	via           string         // host through which the latest attempt was connected to its target; empty if directly
 	framing       framing        // of the latest response of a target
 	limit         *limit.Reading // of the latest response of a target; nil if that says nothing
 	attemptCount  int            // attempts started
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -189,6 +189,9 @@
 		// partial counts the bytes after the last complete event.
 		fields.Values = append(fields.Values, "framing", c.framing.String(), "partial", len(c.events.partial))
 	}
+	if c.via != "" {
+		fields.Values = append(fields.Values, "via", c.via)
+	}
 	if c.limit != nil && c.limit.Named {
 		fields.Values = append(fields.Values, "limit", c.limit.Rate)
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/detour"
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/event"
 	"github.com/wigeonlink/wigeonlink/network"
@@ -60,6 +61,8 @@
 		tableCache      tableCache      // newest published table, for peers
 		statusQuerier   StatusQuerier   // nil if targets cannot be queried
 		network         network.Network // on which targets are probed
+		detours         *detour.Network // opens connections to targets for peers; nil if this host does not
+		listed          listedAddresses
 		suspectSharing  sharing
 		limitSharing    sharing
 	}
@@ -113,6 +116,7 @@
 	withStatusQuerier struct{ querier StatusQuerier }
 	withDomain        string
 	withNetwork       struct{ network network.Network }
+	withDetours       struct{ detours *detour.Network }
 )
 
 const (
@@ -149,6 +153,10 @@
 // system.
 func WithNetwork(n network.Network) Option { return withNetwork{n} }
 
+// WithDetours sets the network on which the host opens connections to targets, for itself and for peers that
+// cannot. Join makes the peers its relay.
+func WithDetours(d *detour.Network) Option { return withDetours{d} }
+
 // WithEngines sets the function that creates the adapter for the engine at an address. The default
 // is target.NewResponsesEngine.
 func WithEngines(f func(netip.AddrPort) target.Engine) Option { return withEngines(f) }
@@ -159,6 +167,7 @@
 func (o withEngines) apply(h *Host)       { h.engines.newAdapter = o }
 func (o withStatusQuerier) apply(h *Host) { h.statusQuerier = o.querier }
 func (o withNetwork) apply(h *Host)       { h.network = o.network }
+func (o withDetours) apply(h *Host)       { h.detours, h.network = o.detours, o.detours }
 func (o withSharing) apply(h *Host)       { h.sharingDisabled = !bool(o) }
 func (o withDomain) apply(h *Host) {
 	h.domain = string(o)
--- a/host/mesh.go
+++ b/host/mesh.go
@@ -48,6 +48,9 @@
 		return nil, err
 	}
 	h.mesh = m
+	if h.detours != nil {
+		h.detours.SetRelay(m)
+	}
 	if h.sharesUpdates() && len(s.Seeds) > 0 {
 		h.syncer.WaitForPeers(float64(table.HashName(h.name)) / math.MaxUint32)
 	}
@@ -66,10 +69,10 @@
 // watch the published table. A host without live peers is always one of them.
 func (h *Host) WatchesTable() bool { return h.mesh == nil || h.mesh.Coordinates() }
 
-// FillHeartbeat sets the fields of a heartbeat that describe the host's state: whether it is stopping,
-// the version of its published table, and its registry.Confirmation.
+// FillHeartbeat sets the fields of a heartbeat that describe the host's state: whether it is stopping or has
+// lost its connections to targets, the version of its published table, and its registry.Confirmation.
 func (h peerHandler) FillHeartbeat(hb *wire.Heartbeat) {
-	hb.Stopping = h.Draining()
+	hb.Stopping, hb.Detached = h.Draining(), h.detours != nil && h.detours.Detached()
 	if t := h.Table(); t != nil && h.syncer == nil {
 		hb.Table = t.Version
 	}
--- a/host/registry.go
+++ b/host/registry.go
@@ -44,6 +44,7 @@
 // ApplyTargets passes a list of targets to the reducer.
 func (h registryHandler) ApplyTargets(revision uint64, targets map[string]table.Target) {
 	h.hasTargets.Store(true)
+	h.listed.record(targets, time.Now())
 	h.Post(dispatch.Fleet{Revision: revision, Targets: targets})
 }
 
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -34,6 +34,8 @@
 		reportInterval atomic.Int64 // time between two reports, in nanoseconds; see Settings.ReportBudget
 		started        time.Time
 		kick           chan struct{} // makes streamLoop report early
+		relays         atomic.Int64  // connections that this host relays now
+		relayTurn      atomic.Uint64 // counts the choices of a peer that relays
 
 		mu        sync.Mutex
 		view      *View                    // membership list
@@ -82,6 +84,10 @@
 
 		// Answer answers a peer's query. If it returns nil, the stream is reset.
 		Answer(ctx context.Context, q *wire.Question) *wire.Answer
+
+		// Connect opens a connection to a target for a peer, through another peer if further is
+		// set and it must. release is called when the connection has ended.
+		Connect(ctx context.Context, to netip.AddrPort, further bool) (c net.Conn, release func(), err error)
 	}
 
 	// Traffic counts the messages between a mesh and its peers since the mesh was created.
@@ -114,7 +120,7 @@
 	reportTimeout     = 500 * time.Millisecond // timeout for sending or receiving a report
 	maxLinks          = 1024                   // largest number of links of a mesh
 	linkExpiry        = 2 * time.Minute        // time without a connection after which a link that is not permanent is removed
-	maxStreams        = 256                    // largest number of open incoming streams of one type (unidirectional, bidirectional) on a connection
+	maxStreams        = 256                    // largest number of open incoming unidirectional streams, and of queries, on a connection
 )
 
 // quicConfig has no keep-alive period because heartbeats keep the connections open: a connection
@@ -123,7 +129,7 @@
 	EnableDatagrams:       true,
 	MaxIdleTimeout:        idleTimeout,
 	HandshakeIdleTimeout:  dialTimeout,
-	MaxIncomingStreams:    maxStreams,
+	MaxIncomingStreams:    maxStreams + maxRelays,
 	MaxIncomingUniStreams: maxStreams,
 }
 
--- a/peer/receive.go
+++ b/peer/receive.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/netip"
@@ -81,6 +82,7 @@
 		Weight:       int(hb.Weight),
 		Young:        hb.Young,
 		Members:      int(hb.Members),
+		Detached:     hb.Detached,
 	}
 	listed, ages := m.listedCoordinators(hb)
 	now := time.Now()
@@ -152,25 +154,35 @@
 	}
 }
 
-// acceptQueries handles the bidirectional streams of a connection, one query each, until
-// the connection is closed.
+// acceptQueries handles the bidirectional streams of a connection, one query or relayed connection each,
+// until the connection is closed.
 func (m *Mesh) acceptQueries(ctx context.Context, conn *quic.Conn) {
 	for {
 		s, err := conn.AcceptStream(ctx)
 		if err != nil {
 			return
 		}
-		go m.serveQuery(ctx, conn, s)
+		go m.serveStream(ctx, conn, s)
 	}
 }
 
-// serveQuery reads a query from a stream and writes the handler's answer to it. It resets
-// the stream if the query is invalid or has no answer.
-func (m *Mesh) serveQuery(ctx context.Context, conn *quic.Conn, s *quic.Stream) {
+// serveStream relays a connection to a target if the stream begins with relayMark, or answers a query.
+func (m *Mesh) serveStream(ctx context.Context, conn *quic.Conn, s *quic.Stream) {
+	var first [1]byte
+	if _, err := io.ReadFull(s, first[:]); err == nil && first[0] == relayMark {
+		m.serveRelay(ctx, conn, s)
+		return
+	}
+	m.serveQuery(ctx, conn, s, first[:])
+}
+
+// serveQuery reads the rest of a query from a stream, after its first byte, and writes the handler's answer
+// to it. It resets the stream if the query is invalid or has no answer.
+func (m *Mesh) serveQuery(ctx context.Context, conn *quic.Conn, s *quic.Stream, first []byte) {
 	defer s.Close()
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
-	data, err := io.ReadAll(io.LimitReader(s, MaxMessageBytes))
+	data, err := io.ReadAll(io.MultiReader(bytes.NewReader(first), io.LimitReader(s, MaxMessageBytes)))
 	m.count(&m.traffic.BytesReceived, len(data))
 	var q wire.Question
 	if err != nil || proto.Unmarshal(data, &q) != nil || q.Version != wireVersion {
--- a/peer/view.go
+++ b/peer/view.go
@@ -27,6 +27,7 @@
 		Weight        int       // size of its machine; see Settings.Weight
 		Young         bool      // the host started less than youngTime ago
 		Members       int       // live hosts of its failure domain in the host's view, itself included
+		Detached      bool      // the host has no connection to targets but through other hosts
 		sequence      uint64    // sequence number of the last heartbeat
 		lastHeartbeat time.Time // time at which the last heartbeat was received
 		down          bool      // no heartbeat was received for DownAfter
