Do not ask for a place again at once when no host gives out places

Cause: a reply without a place bars questions of requests that can wait for less than the reply says. That is right for a place that comes too late, but 'ask again in 500 ms' without any arbiter left the request, which could wait for 853 ms, free to ask in the same instant. The host that asks itself gets its reply in no time. Change: such a reply blocks the target's questions until then. TestPlaceIsNotAskedForAgainAtOnce failed before.

--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -37,7 +37,7 @@
 		ID      ID            // of the request for which the place was asked
 		Granted bool          // whether there is a place
 		Wait    time.Duration // time until the place, or until the next free one
-		Limit   TargetLimit   // the replying host's record of the limit; the zero Record if no host has replied
+		Limit   TargetLimit   // the replying host's record of the limit; the zero Record if no host gives out places
 	}
 
 	// places are the places of this host at a target that names a limit.
@@ -45,6 +45,7 @@
 		due      []time.Duration // times from which the places may be used, in order
 		asked    bool            // a reply is outstanding
 		askAfter time.Duration   // time before which no further place is free
+		blocked  time.Duration   // time before which no place can be asked for, as no host gives them out
 	}
 )
 
@@ -96,7 +97,7 @@
 	if t.hasPlace(r.now) {
 		return true
 	}
-	return !t.places.asked && len(t.places.due) < q.pool.held && t.places.askAfter <= r.now+r.placePatience(q)
+	return !t.places.asked && t.places.blocked <= r.now && len(t.places.due) < q.pool.held && t.places.askAfter <= r.now+r.placePatience(q)
 }
 
 // placePatience returns the time for which q can wait for a place: until its placeDeadline or, if
@@ -122,7 +123,7 @@
 	case len(t.places.due) > 0:
 		return max(t.places.due[0], now)
 	}
-	return max(t.places.askAfter, now)
+	return max(t.places.askAfter, t.places.blocked, now)
 }
 
 // usePlace takes the first place of a limited target.
@@ -196,10 +197,14 @@
 	t := r.targets[e.Limit.Target]
 	if t != nil && t.spec.StartTime.Equal(e.Limit.StartTime) {
 		t.places.asked = false
-		if e.Granted {
+		next := r.now + max(e.Wait, minAskInterval)
+		switch {
+		case e.Granted:
 			t.places.due = append(t.places.due, r.now+e.Wait)
-		} else {
-			t.places.askAfter = r.now + max(e.Wait, minAskInterval)
+		case e.Limit.Record == limit.Record{}:
+			t.places.askAfter, t.places.blocked = next, next
+		default:
+			t.places.askAfter = next
 		}
 		r.mergeLimit(e.Limit)
 	}
--- a/dispatch/limit_test.go
+++ b/dispatch/limit_test.go
@@ -184,3 +184,21 @@
 		f.Check(to != busy || f.now.Sub(benchEpoch) >= 700*time.Millisecond, qt.IsTrue, qt.Commentf("after %s", f.now.Sub(benchEpoch)))
 	}
 }
+
+// A host without an arbiter asks for places again after the time that the reply names, not at once: the reply takes
+// no time if the host asks itself.
+func TestPlaceIsNotAskedForAgainAtOnce(t *testing.T) {
+	f := newPlainTest(t, "limited")
+	f.nameLimit("limited", 1)
+	call := f.call(1)
+	call.FirstTokenObjective = 1800 * time.Millisecond // it can wait for longer than the reply says
+	call.DispatchDeadline = f.now.Add(time.Second)
+	f.reduce(0, call)
+	f.requireEffect(EffectReserve)
+	f.reduce(0, PlaceReply{ID: 1, Wait: placeLife, Limit: TargetLimit{Target: "limited"}})
+	f.requireNoEffect(EffectReserve)
+	f.reduce(placeLife-time.Millisecond, Tick{})
+	f.requireNoEffect(EffectReserve)
+	f.reduce(time.Millisecond, Tick{})
+	f.requireEffect(EffectReserve)
+}
