--- a/audit/audit.go
+++ b/audit/audit.go
@@ -80,6 +80,7 @@
 		Path, Body       string
 		TimeLeft         time.Duration // time until the request's deadline, as the host passed it to the target
 		SharedParts      []string      // parts of its prompt that other requests may have, too
+		Via              string        // host from whose address it came; empty if unknown
 		ForbiddenHeader  string        // header that only the system may set, with the value that the caller sent; empty if none arrived
 	}
 
--- a/detour/network.go
+++ b/detour/network.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/wigeonlink/wigeonlink/event"
 	"github.com/wigeonlink/wigeonlink/network"
 )
@@ -116,12 +118,23 @@
 	}
 	c, err := n.Network.Dial(ctx, to)
 	if err != nil {
-		return nil, moreCertain(err, a.err)
+		return nil, moreCertain(n.ownError(to, err), a.err)
 	}
 	n.recordConnect(to)
 	return c, nil
 }
 
+// ownError returns the error of an own attempt. That nobody listens at the target's address is not believed of a
+// lost path, on which something else may refuse connections.
+func (n *Network) ownError(to netip.AddrPort, err error) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if errors.Is(err, syscall.ECONNREFUSED) && n.paths.isLost(to) {
+		return eris.Errorf("the path to %s is lost, which refuses connections", to)
+	}
+	return err
+}
+
 // race opens the host's own connection, asks another host for one after a delay or when the own attempt has failed,
 // and returns the first one. The own attempt goes on after the other host's has succeeded, to find out
 // whether the path to the target is lost.
@@ -148,7 +161,10 @@
 				go discard(relayed)
 				return a.conn, nil
 			}
-			own, ownErr = nil, a.err
+			own, ownErr = nil, n.ownError(to, a.err)
+			if way.last && errors.Is(ownErr, syscall.ECONNREFUSED) {
+				return nil, ownErr // for a peer that has asked already, and waits
+			}
 			if due != nil {
 				due, relayed = nil, way.start(relayCtx)
 			}
--- a/detour/paths.go
+++ b/detour/paths.go
@@ -35,6 +35,12 @@
 	return p.lostCount >= detachedPaths && p.latestLoss.After(p.lastConnect)
 }
 
+// isLost reports whether the path to a target is lost, or taken to be.
+func (p *paths) isLost(to netip.AddrPort) bool {
+	t := p.targets[to]
+	return t != nil && t.lost || p.detached()
+}
+
 // avoid reports whether connections to a target are to be opened through other hosts first, and whether the
 // host's own way is to be tried beside that.
 func (p *paths) avoid(to netip.AddrPort, now time.Time) (avoid, probe bool) {
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -39,7 +39,8 @@
 const (
 	relayMark       = 0                      // first byte of a stream on which a connection is relayed; no query begins with it
 	relayDelay      = 25 * time.Millisecond  // time without a reply after which a second peer is asked for a connection
-	relayTimeout    = 150 * time.Millisecond // of a peer's attempt to connect
+	relayTimeout    = 150 * time.Millisecond // of a peer's reply
+	relayDialTime   = 130 * time.Millisecond // of an attempt for a peer, whose reply must arrive within relayTimeout
 	maxRelays       = 512                    // connections that this host relays at the same time
 	relayBufferSize = 16 << 10               // bytes
 	maxRelayMessage = 4 << 10                // bytes of the messages before a relayed connection
@@ -216,7 +217,7 @@
 		return
 	}
 	defer m.relays.Add(-1)
-	dialCtx, cancel := context.WithTimeout(ctx, relayTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, relayDialTime)
 	c, release, err := m.handler.Connect(dialCtx, to, !q.Last)
 	cancel()
 	if err != nil {
