--- a/detour/network.go
+++ b/detour/network.go
@@ -3,6 +3,7 @@
 package detour
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -68,6 +69,11 @@
 	ownTimeout = 250 * time.Millisecond
 )
 
+// ErrNoRelay is the error of a Relay without another host to ask.
+var ErrNoRelay = eris.New("no other host is connected")
+
+var errNotAsked = eris.New("no other host was asked")
+
 // NewNetwork returns a network that opens connections on n, and through other hosts after SetRelay.
 func NewNetwork(n network.Network, log *event.Log) *Network { return &Network{Network: n, log: log} }
 
@@ -90,10 +96,15 @@
 // DialForPeer opens a connection to a target for another host: through a third one if further is set and this
 // host cannot open its own.
 func (n *Network) DialForPeer(ctx context.Context, to netip.AddrPort, further bool) (net.Conn, error) {
-	if !further {
-		return n.Network.Dial(ctx, to)
+	if further {
+		return n.dial(ctx, to, true)
+	}
+	c, err := n.Network.Dial(ctx, to)
+	if err != nil {
+		return nil, n.failure(to, err, errNotAsked)
 	}
-	return n.dial(ctx, to, true)
+	n.recordConnect(to)
+	return c, nil
 }
 
 // dial is Dial. last says whether the other host may use one in turn.
@@ -118,21 +129,30 @@
 	}
 	c, err := n.Network.Dial(ctx, to)
 	if err != nil {
-		return nil, moreCertain(n.ownError(to, err), a.err)
+		return nil, n.failure(to, err, a.err)
 	}
 	n.recordConnect(to)
 	return c, nil
 }
 
-// ownError returns the error of an own attempt. That nobody listens at the target's address is not believed of a
-// lost path, on which something else may refuse connections.
-func (n *Network) ownError(to netip.AddrPort, err error) error {
+// isSound reports whether what this host finds at a target's address is to be believed.
+func (n *Network) isSound(to netip.AddrPort) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if errors.Is(err, syscall.ECONNREFUSED) && n.paths.isLost(to) {
-		return eris.Errorf("the path to %s is lost, which refuses connections", to)
+	return n.paths.isSound(to, time.Now())
+}
+
+// failure returns the error of a connection to a target that neither this host nor another one could open. That
+// nobody listens at the address is believed of the other host, or of this one if its path to the target is
+// sound or no other host can be asked: on a lost path something else may refuse connections.
+func (n *Network) failure(to netip.AddrPort, own, relayed error) error {
+	switch {
+	case errors.Is(relayed, syscall.ECONNREFUSED):
+		return relayed
+	case !errors.Is(own, syscall.ECONNREFUSED) || errors.Is(relayed, ErrNoRelay) || n.isSound(to):
+		return cmp.Or(own, relayed)
 	}
-	return err
+	return eris.Errorf("the path to %s may be lost: it refuses connections, and no other host has connected: %v", to, relayed)
 }
 
 // race opens the host's own connection, asks another host for one after a delay or when the own attempt has failed,
@@ -152,7 +172,7 @@
 		case <-ctx.Done():
 			go discard(own)
 			go discard(relayed)
-			return nil, moreCertain(ownErr, relayErr, ctx.Err())
+			return nil, n.failure(to, ownErr, cmp.Or(relayErr, ctx.Err()))
 		case <-due:
 			due, relayed = nil, way.start(relayCtx)
 		case a := <-own:
@@ -161,9 +181,9 @@
 				go discard(relayed)
 				return a.conn, nil
 			}
-			own, ownErr = nil, n.ownError(to, a.err)
-			if way.last && errors.Is(ownErr, syscall.ECONNREFUSED) {
-				return nil, ownErr // for a peer that has asked already, and waits
+			own, ownErr = nil, a.err
+			if way.last && errors.Is(ownErr, syscall.ECONNREFUSED) && n.isSound(to) {
+				return nil, ownErr // at once, for a peer that waits
 			}
 			if due != nil {
 				due, relayed = nil, way.start(relayCtx)
@@ -176,7 +196,7 @@
 			relayed, relayErr = nil, a.err
 		}
 		if own == nil && due == nil && relayed == nil {
-			return nil, moreCertain(ownErr, relayErr)
+			return nil, n.failure(to, ownErr, relayErr)
 		}
 	}
 }
@@ -243,20 +263,6 @@
 	}
 }
 
-// moreCertain returns the error that says most about the target: that nobody listens, or else the first one.
-func moreCertain(errs ...error) error {
-	var first error
-	for _, err := range errs {
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			return err
-		}
-		if first == nil {
-			first = err
-		}
-	}
-	return first
-}
-
 // recordConnect records a connection of this host's own.
 func (n *Network) recordConnect(to netip.AddrPort) {
 	n.change(event.PathFound, to, "", "", func(now time.Time) bool { return n.paths.connected(to, now) })
--- a/detour/paths.go
+++ b/detour/paths.go
@@ -28,6 +28,7 @@
 	probeInterval = 500 * time.Millisecond // between two attempts at a target to which other hosts connect
 	pathExpiry    = 30 * time.Second       // time without use after which a path is deleted
 	maxPaths      = 1024                   // paths from which on unused ones are deleted
+	soundTime     = 500 * time.Millisecond // time after a connection of this host's own in which its paths count as sound
 )
 
 // detached reports whether this host has no connection to any target, as far as it has tried since.
@@ -35,10 +36,11 @@
 	return p.lostCount >= detachedPaths && p.latestLoss.After(p.lastConnect)
 }
 
-// isLost reports whether the path to a target is lost, or taken to be.
-func (p *paths) isLost(to netip.AddrPort) bool {
+// isSound reports whether what this host finds at a target's address is to be believed: the path to it is not lost,
+// and the host has connected to another target recently.
+func (p *paths) isSound(to netip.AddrPort, now time.Time) bool {
 	t := p.targets[to]
-	return t != nil && t.lost || p.detached()
+	return (t == nil || !t.lost) && !p.detached() && !p.lastConnect.IsZero() && now.Sub(p.lastConnect) < soundTime
 }
 
 // avoid reports whether connections to a target are to be opened through other hosts first, and whether the
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -119,9 +119,11 @@
 // was cancelled with a cause other than context.Canceled, the result carries that cause instead
 // of err.
 func failedResult(ctx context.Context, err error) relay.Result {
-	r := relay.Result{Ending: relay.EndFailed, Cause: err, TargetEnded: endedByTarget(err)}
+	r := relay.Result{Ending: relay.EndFailed, Cause: err}
 	if target.Unsent(err) {
 		r.Certainty, r.Unsent = target.CertaintyNotRun, true
+	} else {
+		r.TargetEnded = endedByTarget(err)
 	}
 	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, context.Canceled) {
 		r.Cause = cause
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/wigeonlink/wigeonlink/detour"
 	"github.com/wigeonlink/wigeonlink/event"
 	"github.com/wigeonlink/wigeonlink/wire"
 )
@@ -57,7 +58,7 @@
 	results := make(chan relayResult, len(candidates))
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	err := eris.New("no peer is connected")
+	err := error(detour.ErrNoRelay)
 	for asked, pending := 0, 0; asked < len(candidates) || pending > 0; {
 		select {
 		case <-timer.C:
@@ -68,9 +69,9 @@
 			}
 		case r := <-results:
 			pending--
-			if r.err == nil {
+			if r.err == nil || errors.Is(r.err, syscall.ECONNREFUSED) {
 				go closeUnused(results, pending)
-				return r.conn, r.host, nil
+				return r.conn, r.host, r.err
 			}
 			if err = r.err; asked < len(candidates) {
 				timer.Reset(0)
