--- a/audit/audit.go
+++ b/audit/audit.go
@@ -26,10 +26,12 @@
 		pools            map[string]*poolHistory    // by name of the pool
 		harmful          map[string]*harmfulPart    // by name of the part
 		limited          map[string]*limitedTarget  // targets that name a limit, by name
-		restarts         []time.Time                // times of HostsRestarted
-		detached         []*detachedTime            // in the order of their beginnings
-		violations       []Violation                // violations that were decided when an observation was recorded
-		observationCount int                        // number of recorded observations
+		toldLeaving      map[hostTarget]time.Time   // times of the first responses by which targets told hosts that they leave
+		rests            map[hostTarget][]*restPeriod
+		restarts         []time.Time     // times of HostsRestarted
+		detached         []*detachedTime // in the order of their beginnings
+		violations       []Violation     // violations that were decided when an observation was recorded
+		observationCount int             // number of recorded observations
 	}
 
 	// Bounds are the tolerances of the checks. A zero bound tolerates nothing.
@@ -154,6 +156,7 @@
 	return &Audit{
 		bounds: b, requests: map[string]*request{}, faults: map[string][]faultInterval{},
 		leavingSince: map[string]time.Time{}, stopped: map[string]time.Time{}, pools: map[string]*poolHistory{}, harmful: map[string]*harmfulPart{}, limited: map[string]*limitedTarget{},
+		toldLeaving: map[hostTarget]time.Time{}, rests: map[hostTarget][]*restPeriod{},
 	}
 }
 
