Leave targets alone that say in a response that they leave (DRAIN)

Hosts knew the list, and the reports of engines on which their streams ran. An engine's own report was forgotten, too, as soon as an older list was applied again. Change: the dialect reads it; a process that has said so, in a response or a report, counts as leaving until it ends, whatever the list says; hosts pass it on at once and once a second, so that one that starts learns it. Evidence: TestLeavingTargetGetsRequestsWhileStoreIsSilent and TestRestartedHostUsesLeavingTarget failed before.

--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -27,7 +27,7 @@
 		Basis      Basis             // Dispatch, Refuse, Move: state on which the decision was based
 		Part       quarantine.Part   // Suspected, Quarantined, Cleared, Trial
 		Limit      TargetLimit       // Dispatch, Reserve, Limited: what is known of the target's limit
-		Own        bool              // Limited: whether a response to this host has shown the limit
+		Own        bool              // Limited, Leaver: whether a response to this host has shown it
 		Within     time.Duration     // Reserve: longest time until the place; Trial: time until the trial has ended
 		Crashes    int               // Trial: crashes under the part that are known
 	}
@@ -72,9 +72,11 @@
 	EffectLimited                         // the target's limit has changed; to be logged
 	EffectTrial                           // ask the host that allows trials of suspected requests for one; the result is passed to Reduce as TrialReply
 	EffectShareLimits                     // send the records of limits to the peers
+	EffectLeaver                          // the target has said that it leaves; to be logged
+	EffectShareLeavers                    // send the targets that have said that they leave to the peers
 )
 
-var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay", "ask", "place", "placed", "probe", "share_suspects", "suspected", "quarantined", "cleared", "reserve", "limited", "trial", "share_limits"}
+var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay", "ask", "place", "placed", "probe", "share_suspects", "suspected", "quarantined", "cleared", "reserve", "limited", "trial", "share_limits", "leaver", "share_leavers"}
 
 // String returns the name of the kind.
 func (k EffectKind) String() string { return effectNames[k] }
--- a/dispatch/leaving_query.go
+++ b/dispatch/leaving_query.go
@@ -53,12 +53,9 @@
 	if t == nil || !e.Leaving || t.leaving {
 		return
 	}
-	t.setLeaving(true, r.now)
+	r.recordLeaver(Leaver{e.Target, t.spec.StartTime}, true)
 	if e.Remaining > 0 {
 		t.leavingNoticeAt = r.now + e.Remaining - minLeavingNotice
 	}
-	if p := r.pools[poolName(t.spec)]; p != nil {
-		r.assignLinkGroups(p)
-	}
 	r.evacuate()
 }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -322,7 +322,7 @@
 		}
 		r.targets[name] = t
 		t.spec = spec
-		t.setLeaving(r.leavingTargets[name] || spec.Leaving, r.now)
+		t.setLeaving(r.isLeaving(spec), r.now)
 		p.targets = append(p.targets, t)
 		p.domains[spec.Domain]++
 	}
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -23,28 +23,29 @@
 	pools            map[string]*pool
 	poolList         []*pool // by name
 	targets          map[string]*targetState
-	retired          map[string]*targetState  // targets no longer listed that still run streams of this host
-	requests         map[ID]*request          // held and dispatched requests
-	freeRequests     []*request               // ended requests, reused by allocateRequest
-	peers            map[string]*peer         // by origin
-	peerList         []*peer                  // in order of their first report
-	disconnected     []ID                     // dispatched requests whose caller disconnected, in that order
-	leavingTargets   map[string]bool          // latest LeavingTargets event
-	remoteHosts      map[string]*remoteHost   // hosts whose streams this host records, by origin
-	lastRemoteID     uint64                   // number in the ID of the latest request of another host
-	delegated        bool                     // whether a coordinator places the requests of this host
-	coordinates      bool                     // whether this host places the requests of its failure domain
-	failures         []TargetFailures         // failed attempts since the latest HostStreams
-	finished         []FinishedStream         // streams that have ended since the latest HostStreams
-	fleet            Fleet                    // latest Fleet event
-	quarantine       quarantine.List          // requests and parts of prompts under which targets crashed
-	possibleCrashes  map[string]possibleCrash // by target, until its probe returns
-	trials           map[string]trial         // latest trials that this host has allowed, by pool
-	basis            Basis                    // basis of the decision in progress; set by chooseFromSubset
-	salt             uint64                   // hash of the origin; makes pseudo-random choices of different hosts differ
-	allHosts         int                      // live hosts of all failure domains
-	hosts            int                      // live hosts of this failure domain
-	hostIndex        int                      // index of this host among the live hosts of this failure domain
+	retired          map[string]*targetState   // targets no longer listed that still run streams of this host
+	requests         map[ID]*request           // held and dispatched requests
+	freeRequests     []*request                // ended requests, reused by allocateRequest
+	peers            map[string]*peer          // by origin
+	peerList         []*peer                   // in order of their first report
+	disconnected     []ID                      // dispatched requests whose caller disconnected, in that order
+	leavingTargets   map[string]bool           // latest LeavingTargets event
+	leavers          map[process]time.Duration // processes that have said that they leave, and when that was last recorded
+	remoteHosts      map[string]*remoteHost    // hosts whose streams this host records, by origin
+	lastRemoteID     uint64                    // number in the ID of the latest request of another host
+	delegated        bool                      // whether a coordinator places the requests of this host
+	coordinates      bool                      // whether this host places the requests of its failure domain
+	failures         []TargetFailures          // failed attempts since the latest HostStreams
+	finished         []FinishedStream          // streams that have ended since the latest HostStreams
+	fleet            Fleet                     // latest Fleet event
+	quarantine       quarantine.List           // requests and parts of prompts under which targets crashed
+	possibleCrashes  map[string]possibleCrash  // by target, until its probe returns
+	trials           map[string]trial          // latest trials that this host has allowed, by pool
+	basis            Basis                     // basis of the decision in progress; set by chooseFromSubset
+	salt             uint64                    // hash of the origin; makes pseudo-random choices of different hosts differ
+	allHosts         int                       // live hosts of all failure domains
+	hosts            int                       // live hosts of this failure domain
+	hostIndex        int                       // index of this host among the live hosts of this failure domain
 	ledger           *share.Ledger
 	lengths          *length.Predictor
 	stopping         bool          // whether a Stop event has arrived
@@ -100,6 +101,7 @@
 
 		possibleCrashes: map[string]possibleCrash{},
 		trials:          map[string]trial{},
+		leavers:         map[process]time.Duration{},
 		hosts:           1,
 		allHosts:        1,
 	}
@@ -283,6 +285,7 @@
 	r.expireHeld()
 	r.cancelDisconnected()
 	r.expireProbes()
+	r.expireLeavers()
 	r.evacuate()
 	r.dispatchAllHeld()
 }
--- a/dispatch/target_state.go
+++ b/dispatch/target_state.go
@@ -224,8 +224,8 @@
 // others as not leaving.
 func (e LeavingTargets) reduce(r *Reducer) {
 	r.leavingTargets = e.Leaving
-	for name, t := range r.targets {
-		t.setLeaving(e.Leaving[name] || t.spec.Leaving, r.now)
+	for _, t := range r.targets {
+		t.setLeaving(r.isLeaving(t.spec), r.now)
 	}
 	r.dispatchAllHeld()
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -84,13 +84,16 @@
 }
 
 // parseResponse parses the status and headers of a target's response to a request that was sent at the
-// given time, and passes on what the response says about the target's limit.
+// given time, and passes on what the response says about the target: that it leaves, and its limit.
 func (c *call) parseResponse(resp *http.Response, decision dispatch.Effect, sent time.Time) ResponseInfo {
 	reply := c.gateway.dialect.ParseResponse(resp.StatusCode, resp.Header)
 	c.limit = reply.Limit
 	if reply.LimitError != nil {
 		c.gateway.host.Log().Emit(event.TargetLimited, event.Fields{Request: c.info.ID, Target: decision.Target, Detail: reply.LimitError.Error()})
 	}
+	if reply.Leaving && (reply.ID == "" || reply.ID == c.info.ID) {
+		c.hostRequest.LeavingRead(decision.Target)
+	}
 	if reply.Limit == nil || reply.ID != "" && reply.ID != c.info.ID {
 		return reply
 	}
--- a/host/effects.go
+++ b/host/effects.go
@@ -77,6 +77,10 @@
 		h.logLimit(f)
 	case dispatch.EffectShareLimits:
 		h.shareLimits()
+	case dispatch.EffectLeaver:
+		h.logLeaver(f)
+	case dispatch.EffectShareLeavers:
+		h.shareLeavers()
 	default:
 		return false
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -65,6 +65,7 @@
 		listed          listedAddresses
 		suspectSharing  sharing
 		limitSharing    sharing
+		leaverSharing   sharing
 	}
 
 	// An Observer records metrics. The host calls Effect on the event loop for each effect of
@@ -304,6 +305,9 @@
 				if len(h.reducer.LimitRecords(now)) > 0 {
 					h.shareLimits()
 				}
+				if len(h.reducer.Leavers()) > 0 {
+					h.shareLeavers()
+				}
 				h.tickets.DeleteExpired(now)
 			}
 		case <-timer.C:
--- a/host/mesh.go
+++ b/host/mesh.go
@@ -159,6 +159,9 @@
 	case len(r.Limits) > 0:
 		h.handleLimits(r)
 		return
+	case len(r.Leavers) > 0:
+		h.handleLeavers(r)
+		return
 	case len(r.Orders) > 0:
 		h.handleOrders(r)
 		return
