--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -55,14 +55,6 @@
 	}
 }
 
-// pause opens the breaker for the time for which the target asks to be left alone, up to
-// breakerMaxPause.
-func (b *breaker) pause(now, asked time.Duration) {
-	if asked > 0 {
-		b.until = max(b.until, now+min(asked, breakerMaxPause))
-	}
-}
-
 // recordAttempt records the dispatch of a request to the target. From breakerThreshold consecutive
 // failures on, it blocks further requests for breakerFirstPause: the dispatched request probes the
 // target alone.
@@ -114,7 +106,7 @@
 	if !e.Answered {
 		t.breaker.recordFailure(r.now)
 	}
-	t.breaker.pause(r.now, e.RetryAfter)
+	r.rest(t, e.RetryAfter)
 	t.failureRate.record(1, r.now)
 	r.recordFailure(t)
 	r.recordPossibleCrash(q, e)
--- a/dispatch/limit_test.go
+++ b/dispatch/limit_test.go
@@ -202,3 +202,27 @@
 	f.reduce(time.Millisecond, Tick{})
 	f.requireEffect(EffectReserve)
 }
+
+// A target's wish for rest outlasts the longest pause of a breaker, the answer to an earlier request, and a time in
+// which the target was missing from the list.
+func TestRestIsNotShortened(t *testing.T) {
+	f := newPlainTest(t, "resting")
+	f.reduce(0, f.call(1))
+	f.reduce(0, f.call(2))
+	f.reduce(0, RestAsked{Target: "resting", Rest: 3 * time.Second})
+	f.reduce(0, AttemptFailed{ID: 1, Certainty: target.CertaintyNotRun, Answered: true, RetryAfter: 3 * time.Second})
+	f.reduce(time.Millisecond, Ended{ID: 2})
+	entry := f.fleet["resting"]
+	delete(f.fleet, "resting")
+	f.announceFleet(time.Second)
+	f.fleet["resting"] = entry
+	f.announceFleet(time.Second)
+	f.reduce(500*time.Millisecond, Tick{})
+	f.reduce(0, f.call(3))
+	refused := f.requireEffect(EffectRefuse)
+	f.Check(refused.Answer, qt.Equals, answer.KindNoTarget)
+	f.Check(refused.RetryAfter > 400*time.Millisecond && refused.RetryAfter <= 500*time.Millisecond, qt.IsTrue, qt.Commentf("%s", refused.RetryAfter))
+	f.reduce(500*time.Millisecond, Tick{})
+	f.reduce(0, f.call(4))
+	f.requireEffect(EffectDispatch)
+}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -124,7 +124,7 @@
 		a.Excluded = append(a.Excluded, t.spec.Name)
 	}
 	for _, t := range q.pool.targets {
-		if !t.breaker.allows(r.now) && !slices.Contains(a.Excluded, t.spec.Name) {
+		if !t.allows(r.now) && !slices.Contains(a.Excluded, t.spec.Name) {
 			a.Excluded = append(a.Excluded, t.spec.Name)
 		}
 	}
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -30,6 +30,7 @@
 	peerList         []*peer                   // in order of their first report
 	disconnected     []ID                      // dispatched requests whose caller disconnected, in that order
 	leavingTargets   map[string]bool           // latest LeavingTargets event
+	rests            map[process]time.Duration // see targetState.restUntil
 	leavers          map[process]time.Duration // processes that have said that they leave, and when that was last recorded
 	remoteHosts      map[string]*remoteHost    // hosts whose streams this host records, by origin
 	lastRemoteID     uint64                    // number in the ID of the latest request of another host
@@ -102,6 +103,7 @@
 		possibleCrashes: map[string]possibleCrash{},
 		trials:          map[string]trial{},
 		leavers:         map[process]time.Duration{},
+		rests:           map[process]time.Duration{},
 		hosts:           1,
 		allHosts:        1,
 	}
@@ -205,13 +207,13 @@
 	return len(p.targets) > 0 && !e.DispatchDeadline.IsZero() && r.earliestRetry(p) > r.sinceEpoch(e.DispatchDeadline)
 }
 
-// earliestRetry returns the earliest time at which the circuit breaker of one of the pool's targets
-// allows requests, or math.MaxInt64 if all targets are leaving. Leaving targets are not considered.
+// earliestRetry returns the earliest time at which the circuit breaker of one of the pool's targets, and its wish
+// for rest, allow requests, or math.MaxInt64 if all targets are leaving. Leaving targets are not considered.
 func (r *Reducer) earliestRetry(p *pool) time.Duration {
 	soonest := time.Duration(math.MaxInt64)
 	for _, t := range p.targets {
 		if !t.leaving && !t.load.Leaving {
-			soonest = min(soonest, max(t.breaker.until, r.now))
+			soonest = min(soonest, max(t.nextAllowed(), r.now))
 		}
 	}
 	return soonest
@@ -286,6 +288,7 @@
 	r.cancelDisconnected()
 	r.expireProbes()
 	r.expireLeavers()
+	r.expireRests()
 	r.evacuate()
 	r.dispatchAllHeld()
 }
--- a/dispatch/target_state.go
+++ b/dispatch/target_state.go
@@ -28,6 +28,7 @@
 		localMemoryAtLoad     float64                  // memory of this host's streams when the load report arrived, in tokens
 		prefixes              map[uint64]time.Duration // hashes of the prefixes assumed to be cached, with the time of their last use
 		breaker               breaker
+		restUntil             time.Duration // end of the time for which the target has asked this host to send nothing
 		failureRate           failureRate
 		leavingNoticeAt       time.Duration // time when this host learned that the target is leaving; its end is expected minLeavingNotice later
 		queriedAt             time.Duration // time of the latest EffectQueryLeaving for the target; 0 means never
@@ -50,6 +51,7 @@
 func (r *Reducer) newTarget(spec table.Target) *targetState {
 	return &targetState{
 		spec:          spec,
+		restUntil:     r.rests[processOf(spec.Name, spec.StartTime)],
 		tokenInterval: forecast.NewIntervalModel(r.options.stepBase, r.options.stepPerSequence),
 		prefixes:      map[uint64]time.Duration{},
 	}
@@ -147,10 +149,10 @@
 }
 
 // acceptsWork reports whether the target accepts new work: it is not leaving, its circuit breaker
-// is not open and, for an engine, its last load report is not older than maxLoadAge. A maxLoadAge
+// is not open, it has not asked for rest and, for an engine, its last load report is not older than maxLoadAge. A maxLoadAge
 // of 0 means no limit.
 func (t *targetState) acceptsWork(now, maxLoadAge time.Duration) bool {
-	if t.leaving || t.load.Leaving || !t.breaker.allows(now) {
+	if t.leaving || t.load.Leaving || !t.allows(now) {
 		return false
 	}
 	if maxLoadAge == 0 || t.spec.Kind == table.TargetService {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -46,7 +46,7 @@
 	defer cancel(nil)
 	c.cancelAttempt = cancel
 	c.via = ""
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: c.recordConn})
+	ctx = traceRelay(ctx, &c.via)
 	stop := c.limitAttempt(cancel)
 	sent := time.Now()
 	resp, err := c.gateway.transport.RoundTrip(c.newRequest(ctx, decision, nil))
@@ -56,7 +56,7 @@
 	}
 	defer resp.Body.Close()
 	c.framing = framingOf(resp)
-	reply := c.parseResponse(resp, decision, sent)
+	reply := c.parseResponse(resp, decision, sent, c.via)
 	switch {
 	case reply.NotExecuted:
 		return relay.Result{
@@ -76,16 +76,20 @@
 	return c.forwardBuffered(ctx, resp)
 }
 
-// recordConn records through which host the connection of an attempt goes, if not directly.
-func (c *call) recordConn(info httptrace.GotConnInfo) {
-	if d, ok := info.Conn.(*detour.Conn); ok {
-		c.via = d.Via
-	}
+// traceRelay returns a context for one request that sets via to the host through which its connection goes, if not
+// directly.
+func traceRelay(ctx context.Context, via *string) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if d, ok := info.Conn.(*detour.Conn); ok {
+			*via = d.Via
+		}
+	}})
 }
 
 // parseResponse parses the status and headers of a target's response to a request that was sent at the
-// given time, and passes on what the response says about the target: that it leaves, and its limit.
-func (c *call) parseResponse(resp *http.Response, decision dispatch.Effect, sent time.Time) ResponseInfo {
+// given time, through the host via if not directly, and passes on what the response says about the target: that it
+// leaves or wants rest, and its limit.
+func (c *call) parseResponse(resp *http.Response, decision dispatch.Effect, sent time.Time, via string) ResponseInfo {
 	reply := c.gateway.dialect.ParseResponse(resp.StatusCode, resp.Header)
 	c.limit = reply.Limit
 	if reply.LimitError != nil {
@@ -94,6 +98,9 @@
 	if reply.Leaving && (reply.ID == "" || reply.ID == c.info.ID) {
 		c.hostRequest.LeavingRead(decision.Target)
 	}
+	if reply.NotExecuted && reply.RetryAfter > 0 {
+		c.hostRequest.RestAsked(decision.To, reply.RetryAfter, via)
+	}
 	if reply.Limit == nil || reply.ID != "" && reply.ID != c.info.ID {
 		return reply
 	}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -337,6 +337,8 @@
 	point.After = int(c.lastEvent.Load())
 	decision := dispatch.Effect{Target: engine.Name, To: engine, Priority: m.effect.Priority, Backup: m.effect.Backup}
 	sent := time.Now()
+	via := ""
+	ctx = traceRelay(ctx, &via)
 	resp, err := c.gateway.transport.RoundTrip(c.newRequest(ctx, decision, &point))
 	if !timer.Stop() && err == nil {
 		resp.Body.Close()
@@ -346,7 +348,7 @@
 		cancel(err)
 		return nil, err
 	}
-	reply := c.parseResponse(resp, decision, sent)
+	reply := c.parseResponse(resp, decision, sent, via)
 	if reply.NotExecuted || !reply.HasProof || reply.ID != "" && reply.ID != c.info.ID || !isEventStream(resp) || resp.StatusCode >= 300 {
 		resp.Body.Close()
 		cancel(errResumeFailed)
--- a/host/leaving.go
+++ b/host/leaving.go
@@ -6,6 +6,7 @@
 
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/table"
 	"github.com/wigeonlink/wigeonlink/wire"
 )
 
@@ -61,3 +62,28 @@
 	}
 	return in
 }
+
+// RestAsked passes to the reducer that a target has asked for rest, and to the host through which the request went.
+func (r *Request) RestAsked(t table.Target, rest time.Duration, via string) {
+	r.host.Post(dispatch.RestAsked{Target: t.Name, StartTime: t.StartTime, Rest: rest})
+	if via == "" {
+		return
+	}
+	message := &wire.Rest{Target: t.Name, Left: uint32(min(rest, time.Hour).Milliseconds())}
+	if !t.StartTime.IsZero() {
+		message.Boot = t.StartTime.UnixMilli()
+	}
+	for _, p := range r.host.livePeers() {
+		if p.Host == via {
+			go r.host.mesh.Send(context.Background(), p, &wire.Report{Rests: []*wire.Rest{message}})
+		}
+	}
+}
+
+// handleRests passes to the reducer which targets want no requests of this host.
+func (h peerHandler) handleRests(r *wire.Report) {
+	for _, m := range r.Rests {
+		l := leaverFromWire(&wire.Leaver{Target: m.Target, Boot: m.Boot})
+		h.Post(dispatch.RestAsked{Target: l.Target, StartTime: l.StartTime, Rest: time.Duration(m.Left) * time.Millisecond})
+	}
+}
--- a/host/mesh.go
+++ b/host/mesh.go
@@ -162,6 +162,9 @@
 	case len(r.Leavers) > 0:
 		h.handleLeavers(r)
 		return
+	case len(r.Rests) > 0:
+		h.handleRests(r)
+		return
 	case len(r.Orders) > 0:
 		h.handleOrders(r)
 		return
