Places at brittle targets: one host counts those in use (LIMIT)

Change: while the targets of a plain service say so, each attempt needs a place, as at a limited target; the host that gives out a target's places counts those in use, by leases that are given back or end after 2 s, and has no more than the target has slots. After a refusal none is given out for 500 ms.

--- a/audit/audit.go
+++ b/audit/audit.go
@@ -26,6 +26,7 @@
 		pools            map[string]*poolHistory    // by name of the pool
 		harmful          map[string]*harmfulPart    // by name of the part
 		limited          map[string]*limitedTarget  // targets that name a limit, by name
+		brittle          map[string]*brittleTime    // pools whose targets are brittle, by name
 		toldLeaving      map[hostTarget]time.Time   // times of the first responses by which targets told hosts that they leave
 		rests            map[hostTarget][]*restPeriod
 		restarts         []time.Time     // times of HostsRestarted
@@ -156,7 +157,7 @@
 	return &Audit{
 		bounds: b, requests: map[string]*request{}, faults: map[string][]faultInterval{},
 		leavingSince: map[string]time.Time{}, stopped: map[string]time.Time{}, pools: map[string]*poolHistory{}, harmful: map[string]*harmfulPart{}, limited: map[string]*limitedTarget{},
-		toldLeaving: map[hostTarget]time.Time{}, rests: map[hostTarget][]*restPeriod{},
+		brittle: map[string]*brittleTime{}, toldLeaving: map[hostTarget]time.Time{}, rests: map[hostTarget][]*restPeriod{},
 	}
 }
 
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -28,6 +28,10 @@
 		Part       quarantine.Part   // Suspected, Quarantined, Cleared, Trial
 		Limit      TargetLimit       // Dispatch, Reserve, Limited: what is known of the target's limit
 		Own        bool              // Limited, Leaver: whether a response to this host has shown it
+		Brittle    bool              // Dispatch, Reserve: whether the target's pool has said that it is brittle
+		Fragility  PoolFragility     // Brittle: what is known of the pool
+		Lease      uint64            // Release: number of the lease
+		Refused    bool              // Release: whether the target had no room
 		Within     time.Duration     // Reserve: longest time until the place; Trial: time until the trial has ended
 		Crashes    int               // Trial: crashes under the part that are known
 	}
@@ -53,30 +57,33 @@
 
 // The kinds of effect.
 const (
-	EffectDispatch      EffectKind = iota // send the request to the target
-	EffectResume                          // open a new connection to the target and continue reading the running generation
-	EffectCancel                          // cancel the request at the target
-	EffectRefuse                          // refuse the request: send the caller an error as the final answer
-	EffectTimer                           // pass a Tick to Reduce at the given time
-	EffectMove                            // move the running stream from the target to another one
-	EffectNoMove                          // the stream has broken off and has no usable backup to continue at
-	EffectQueryLeaving                    // ask the target whether it is leaving; its reply is passed to Reduce as a LeavingReply
-	EffectPlace                           // ask a coordinator for a target; its reply is passed to Reduce as Placed or PlacementFailed
-	EffectPlaced                          // send another host the target of its request, or the refusal
-	EffectProbe                           // find out whether the target has crashed; the result is passed to Reduce as Probed
-	EffectShareSuspects                   // send the records of suspected prompt parts to the peers
-	EffectSuspected                       // a target has crashed as it began to answer a request with the part; to be logged
-	EffectQuarantined                     // requests with the part are refused from now on; to be logged
-	EffectCleared                         // an answer has cleared the part of a suspicion; to be logged
-	EffectReserve                         // ask the host that gives out the target's places for one; the result is passed to Reduce as PlaceReply
-	EffectLimited                         // the target's limit has changed; to be logged
-	EffectTrial                           // ask the host that allows trials of suspected requests for one; the result is passed to Reduce as TrialReply
-	EffectShareLimits                     // send the records of limits to the peers
-	EffectLeaver                          // the target has said that it leaves; to be logged
-	EffectShareLeavers                    // send the targets that have said that they leave to the peers
+	EffectDispatch         EffectKind = iota // send the request to the target
+	EffectResume                             // open a new connection to the target and continue reading the running generation
+	EffectCancel                             // cancel the request at the target
+	EffectRefuse                             // refuse the request: send the caller an error as the final answer
+	EffectTimer                              // pass a Tick to Reduce at the given time
+	EffectMove                               // move the running stream from the target to another one
+	EffectNoMove                             // the stream has broken off and has no usable backup to continue at
+	EffectQueryLeaving                       // ask the target whether it is leaving; its reply is passed to Reduce as a LeavingReply
+	EffectPlace                              // ask a coordinator for a target; its reply is passed to Reduce as Placed or PlacementFailed
+	EffectPlaced                             // send another host the target of its request, or the refusal
+	EffectProbe                              // find out whether the target has crashed; the result is passed to Reduce as Probed
+	EffectShareSuspects                      // send the records of suspected prompt parts to the peers
+	EffectSuspected                          // a target has crashed as it began to answer a request with the part; to be logged
+	EffectQuarantined                        // requests with the part are refused from now on; to be logged
+	EffectCleared                            // an answer has cleared the part of a suspicion; to be logged
+	EffectReserve                            // ask the host that gives out the target's places for one; the result is passed to Reduce as PlaceReply
+	EffectLimited                            // the target's limit has changed; to be logged
+	EffectTrial                              // ask the host that allows trials of suspected requests for one; the result is passed to Reduce as TrialReply
+	EffectShareLimits                        // send the records of limits to the peers
+	EffectLeaver                             // the target has said that it leaves; to be logged
+	EffectBrittle                            // what the targets of a pool say about refusals has changed; to be logged
+	EffectShareFragilities                   // send the records of brittle pools to the peers
+	EffectRelease                            // tell the host that gives out the target's places that one is free
+	EffectShareLeavers                       // send the targets that have said that they leave to the peers
 )
 
-var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay", "ask", "place", "placed", "probe", "share_suspects", "suspected", "quarantined", "cleared", "reserve", "limited", "trial", "share_limits", "leaver", "share_leavers"}
+var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay", "ask", "place", "placed", "probe", "share_suspects", "suspected", "quarantined", "cleared", "reserve", "limited", "trial", "share_limits", "leaver", "brittle", "share_fragilities", "release", "share_leavers"}
 
 // String returns the name of the kind.
 func (k EffectKind) String() string { return effectNames[k] }
--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -113,6 +113,7 @@
 	if e.Rebooted {
 		clear(t.prefixes)
 	}
+	r.release(q, e.Certainty == target.CertaintyNotRun && e.Answered)
 	r.detach(q)
 	q.placement = placementNone
 	if e.Unsent {
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -37,15 +37,23 @@
 		ID      ID            // of the request for which the place was asked
 		Granted bool          // whether there is a place
 		Wait    time.Duration // time until the place, or until the next free one
+		Lease   uint64        // number of the place's lease at a brittle target; 0 if there is none
+		Later   bool          // no place can be asked for before Wait is over
 		Limit   TargetLimit   // the replying host's record of the limit; the zero Record if no host gives out places
 	}
 
+	// place is a place of this host at a target.
+	place struct {
+		from  time.Duration // time from which it may be used
+		lease uint64        // number of its lease at a brittle target; 0 if there is none
+	}
+
 	// places are the places of this host at a target that names a limit.
 	places struct {
-		due      []time.Duration // times from which the places may be used, in order
-		asked    bool            // a reply is outstanding
-		askAfter time.Duration   // time before which no further place is free
-		blocked  time.Duration   // time before which no place can be asked for, as no host gives them out
+		due      []place       // in the order in which they may be used
+		asked    bool          // a reply is outstanding
+		askAfter time.Duration // time before which no further place is free
+		blocked  time.Duration // time before which no place can be asked for, as no host gives them out
 	}
 )
 
@@ -71,12 +79,12 @@
 	limitShareTime = 10 * time.Second
 )
 
-// isLimited reports whether the target names a limit.
-func (t *targetState) isLimited() bool { return t.limit.Named }
+// isLimited reports whether each attempt at the target needs a place: it names a limit or is brittle.
+func (t *targetState) isLimited() bool { return t.limit.Named || t.brittle }
 
 // hasPlace reports whether a request may be sent to the target now.
 func (t *targetState) hasPlace(now time.Duration) bool {
-	return !t.isLimited() || len(t.places.due) > 0 && t.places.due[0] <= now
+	return !t.isLimited() || len(t.places.due) > 0 && t.places.due[0].from <= now
 }
 
 // lacksPlace reports whether q cannot be sent to t because t is limited and this host has no place there
@@ -121,22 +129,24 @@
 	case !t.isLimited() || t.places.asked:
 		return now
 	case len(t.places.due) > 0:
-		return max(t.places.due[0], now)
+		return max(t.places.due[0].from, now)
 	}
 	return max(t.places.askAfter, t.places.blocked, now)
 }
 
-// usePlace takes the first place of a limited target.
-func (t *targetState) usePlace() {
+// usePlace takes the first place of a limited target, and returns its lease.
+func (t *targetState) usePlace() (lease uint64) {
 	if len(t.places.due) > 0 {
+		lease = t.places.due[0].lease
 		t.places.due = slices.Delete(t.places.due, 0, 1)
 	}
+	return lease
 }
 
 // dropOldPlaces drops the places that were not used within placeLife.
-func (t *targetState) dropOldPlaces(now time.Duration) {
-	for len(t.places.due) > 0 && now-t.places.due[0] > placeLife {
-		t.usePlace()
+func (r *Reducer) dropOldPlaces(t *targetState) {
+	for len(t.places.due) > 0 && r.now-t.places.due[0].from > placeLife {
+		r.releaseLease(t, t.usePlace(), false)
 	}
 }
 
@@ -182,7 +192,7 @@
 	q.notBefore = r.now + placeReplyTimeout
 	q.awaitedPlace = t
 	r.wakeBy(q.notBefore)
-	r.emit(Effect{Kind: EffectReserve, ID: q.id, Name: q.name, Target: t.spec.Name, To: t.spec, Limit: r.limitOfTarget(t), Within: r.placePatience(q)})
+	r.emit(Effect{Kind: EffectReserve, ID: q.id, Name: q.name, Target: t.spec.Name, To: t.spec, Limit: r.limitOfTarget(t), Brittle: t.brittle, Within: r.placePatience(q)})
 }
 
 // hasUnlimitedTarget reports whether a target without a limit accepts q.
@@ -200,8 +210,8 @@
 		next := r.now + max(e.Wait, minAskInterval)
 		switch {
 		case e.Granted:
-			t.places.due = append(t.places.due, r.now+e.Wait)
-		case e.Limit.Record == limit.Record{}:
+			t.places.due = append(t.places.due, place{r.now + e.Wait, e.Lease})
+		case e.Later:
 			t.places.askAfter, t.places.blocked = next, next
 		default:
 			t.places.askAfter = next
@@ -219,19 +229,28 @@
 	r.dispatchHeld(q.pool)
 }
 
-// Reserve gives out a place at a target for a host that has the given record of its limit and can wait for
-// patience. This host must be the one that gives out the target's places; it does so at part of
+// Reserve gives out a place at a target for a host that has the given record of its limit, counts it as brittle or
+// not, and can wait for patience. This host must be the one that gives out the target's places; it does so at part of
 // the limit, between 0 and 1, if other hosts may do so, too.
-func (r *Reducer) Reserve(asked TargetLimit, patience time.Duration, part float64, now time.Time) PlaceReply {
+func (r *Reducer) Reserve(asked TargetLimit, brittle bool, patience time.Duration, part float64, now time.Time) PlaceReply {
 	t := r.targets[asked.Target]
 	if t == nil || !t.spec.StartTime.Equal(asked.StartTime) || part <= 0 {
-		return PlaceReply{Wait: placeLife, Limit: TargetLimit{Target: asked.Target, StartTime: asked.StartTime}}
+		return PlaceReply{Wait: placeLife, Later: true, Limit: TargetLimit{Target: asked.Target, StartTime: asked.StartTime}}
+	}
+	lease := uint64(0)
+	if brittle || t.brittle {
+		if lease = r.lease(t, part); lease == 0 {
+			return PlaceReply{Wait: leaseRetry, Later: true, Limit: TargetLimit{Target: asked.Target, StartTime: asked.StartTime}}
+		}
 	}
 	known := t.limit
 	known.Merge(asked.Record)
-	reply := PlaceReply{Granted: true, Limit: TargetLimit{asked.Target, asked.StartTime, known}}
+	reply := PlaceReply{Granted: true, Lease: lease, Limit: TargetLimit{asked.Target, asked.StartTime, known}}
 	if known.Named {
 		reply.Wait, reply.Granted = t.pacer.Reserve(now, part*known.Rate, patience)
+		if !reply.Granted {
+			t.leases.free(lease)
+		}
 	}
 	return reply
 }
@@ -252,7 +271,11 @@
 			return
 		}
 		excess -= len(t.places.due)
-		rate += t.limit.Rate
+		if t.limit.Named {
+			rate += t.limit.Rate
+		} else {
+			rate += float64(max(t.spec.Slots, 1)) / brittleRunFor.Seconds()
+		}
 		if at := max(t.places.askAfter, r.now); limited == 0 || at < next {
 			next = at
 		}
--- a/dispatch/limit_test.go
+++ b/dispatch/limit_test.go
@@ -150,7 +150,7 @@
 		asked, granted := f.reducer.LimitRecords(f.now)[0], 0
 		for range 1000 {
 			f.now = f.now.Add(10 * time.Millisecond)
-			if f.reducer.Reserve(asked, 0, part, f.now).Granted {
+			if f.reducer.Reserve(asked, false, 0, part, f.now).Granted {
 				granted++
 			}
 		}
@@ -195,7 +195,7 @@
 	call.DispatchDeadline = f.now.Add(time.Second)
 	f.reduce(0, call)
 	f.requireEffect(EffectReserve)
-	f.reduce(0, PlaceReply{ID: 1, Wait: placeLife, Limit: TargetLimit{Target: "limited"}})
+	f.reduce(0, PlaceReply{ID: 1, Wait: placeLife, Later: true, Limit: TargetLimit{Target: "limited"}})
 	f.requireNoEffect(EffectReserve)
 	f.reduce(placeLife-time.Millisecond, Tick{})
 	f.requireNoEffect(EffectReserve)
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/limit"
 	"github.com/wigeonlink/wigeonlink/table"
 )
 
@@ -27,6 +28,7 @@
 	fairRate              float64              // sum of the projected rates of the pool's active organisations divided by the sum of their weights
 	highestNormalisedRate float64              // highest normalisedRate of an active organisation
 	retryBudget           retryBudget
+	fragility             limit.Record  // refusals a second that its targets survive, as they say
 	nextRetry             time.Duration // latest time at which the caller of a request that was refused for limits may come back
 }
 
@@ -72,13 +74,14 @@
 // is dispatched.
 func (r *Reducer) dispatchHeld(p *pool) {
 	if p.held == 0 {
+		r.returnPlaces(p)
 		return
 	}
 	if r.delegates(p) {
 		r.askForHeld(p)
 	}
 	for _, t := range p.targets {
-		t.dropOldPlaces(r.now)
+		r.dropOldPlaces(t)
 	}
 	defer r.refuseExcess(p)
 	r.sortQueues(p)
@@ -121,7 +124,7 @@
 	switch {
 	case r.atInflightCap(queue.organisation, p):
 		q.waitCause = WaitCap
-	case r.yieldsToPeers(queue, p):
+	case !p.fragility.Named && r.yieldsToPeers(queue, p): // places at brittle targets are not to stay unused
 		q.waitCause = WaitPeers
 	default:
 		return false
@@ -205,7 +208,7 @@
 	}
 	t.breaker.recordAttempt(r.now)
 	if q.placement != placementRemote { // the coordinator has used a place of its own
-		t.usePlace()
+		q.lease = t.usePlace()
 	}
 	r.assign(q, t)
 	if q.remote != nil {
@@ -214,7 +217,7 @@
 		return
 	}
 	r.chooseBackup(q, &q.backup, t)
-	e := Effect{Kind: EffectDispatch, ID: q.id, Target: t.spec.Name, To: t.spec, Priority: r.priority(q), Limit: r.limitOfTarget(t), Basis: basis}
+	e := Effect{Kind: EffectDispatch, ID: q.id, Target: t.spec.Name, To: t.spec, Priority: r.priority(q), Limit: r.limitOfTarget(t), Brittle: t.brittle, Basis: basis}
 	if q.backup.target != nil {
 		e.Backup = q.backup.target.spec
 	}
@@ -322,6 +325,7 @@
 		}
 		r.targets[name] = t
 		t.spec = spec
+		t.setBrittle(p.fragility.Named)
 		t.setLeaving(r.isLeaving(spec), r.now)
 		p.targets = append(p.targets, t)
 		p.domains[spec.Domain]++
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -37,6 +37,7 @@
 		notBefore                                    time.Duration     // end of the backoff before the next attempt
 		callerDeadline                               time.Duration     // time until which the caller waits
 		trialUntil                                   time.Duration     // time until which this host may send the request although it is suspected; see trial.go
+		lease                                        uint64            // number of the lease of the place that the request uses at a brittle target; 0 if there is none
 		awaitedPlace                                 *targetState      // target for a place at which the request waits, until notBefore; nil if none
 		waitCause                                    WaitCause         // see Basis
 
@@ -241,6 +242,7 @@
 func (r *Reducer) detach(q *request) {
 	r.endMove(q)
 	q.backup.release()
+	r.release(q, false)
 	t := q.target
 	t.localDemand.Sub(&q.demand)
 	t.pendingPrefill -= q.pendingPrefill
--- a/dispatch/target_state.go
+++ b/dispatch/target_state.go
@@ -36,7 +36,9 @@
 		linkGroup             int           // index among the pool's leaving targets or, if not leaving, among the others of its domain
 		lastDispatch          uint64        // number of this host's latest dispatch to the target, counted over all targets; 0 means none
 		limit                 limit.Record  // of the requests that the target takes
-		places                places        // of this host in that limit
+		brittle               bool          // whether the target's pool has said that it is brittle
+		places                places        // of this host in that limit, or among the target's slots
+		leases                leases        // of the places that this host gives out
 		pacer                 limit.Pacer   // gives out the target's places, if this host does so
 	}
 )
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -92,8 +92,8 @@
 func (c *call) parseResponse(resp *http.Response, decision dispatch.Effect, sent time.Time, via string) ResponseInfo {
 	reply := c.gateway.dialect.ParseResponse(resp.StatusCode, resp.Header)
 	c.limit = reply.Limit
-	if reply.LimitError != nil {
-		c.gateway.host.Log().Emit(event.TargetLimited, event.Fields{Request: c.info.ID, Target: decision.Target, Detail: reply.LimitError.Error()})
+	if reply.StatusError != nil {
+		c.gateway.host.Log().Emit(event.TargetLimited, event.Fields{Request: c.info.ID, Target: decision.Target, Detail: reply.StatusError.Error()})
 	}
 	if reply.Leaving && (reply.ID == "" || reply.ID == c.info.ID) {
 		c.hostRequest.LeavingRead(decision.Target)
@@ -101,6 +101,9 @@
 	if reply.NotExecuted && reply.RetryAfter > 0 {
 		c.hostRequest.RestAsked(decision.To, reply.RetryAfter, via)
 	}
+	if reply.Brittle != nil && (reply.Brittle.Named || decision.Brittle) && (reply.ID == "" || reply.ID == c.info.ID) {
+		c.hostRequest.BrittleRead(dispatch.BrittleRead{Target: decision.Target, Reading: *reply.Brittle, Sent: sent, Received: time.Now()})
+	}
 	if reply.Limit == nil || reply.ID != "" && reply.ID != c.info.ID {
 		return reply
 	}
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -62,10 +62,11 @@
 		NotExecuted bool   // the target did not execute the request and never will
 		HasProof    bool   // the response has the header that proves that the target itself produced it
 
-		Leaving    bool           // the target says that it leaves
-		RetryAfter time.Duration  // time for which the target asks to be left alone; 0 if it does not
-		Limit      *limit.Reading // what the response says about the target's limit; nil means nothing
-		LimitError error          // why the response's limit cannot be read; nil if it can, or if there is none
+		Leaving     bool           // the target says that it leaves
+		RetryAfter  time.Duration  // time for which the target asks to be left alone; 0 if it does not
+		Limit       *limit.Reading // what the response says about the target's limit; nil means nothing
+		Brittle     *limit.Reading // refusals in a second that the target survives, by the response; nil means nothing
+		StatusError error          // why what the target says of itself cannot be read; nil if it can
 	}
 )
 
--- a/host/effects.go
+++ b/host/effects.go
@@ -77,6 +77,12 @@
 		h.logLimit(f)
 	case dispatch.EffectShareLimits:
 		h.shareLimits()
+	case dispatch.EffectBrittle:
+		h.logFragility(f)
+	case dispatch.EffectShareFragilities:
+		h.shareFragilities()
+	case dispatch.EffectRelease:
+		go h.releasePlace(f)
 	case dispatch.EffectLeaver:
 		h.logLeaver(f)
 	case dispatch.EffectShareLeavers:
--- a/host/host.go
+++ b/host/host.go
@@ -66,6 +66,7 @@
 		suspectSharing  sharing
 		limitSharing    sharing
 		leaverSharing   sharing
+		brittleSharing  sharing
 	}
 
 	// An Observer records metrics. The host calls Effect on the event loop for each effect of
@@ -305,6 +306,9 @@
 				if len(h.reducer.LimitRecords(now)) > 0 {
 					h.shareLimits()
 				}
+				if len(h.reducer.Fragilities(now)) > 0 {
+					h.shareFragilities()
+				}
 				if len(h.reducer.Leavers()) > 0 {
 					h.shareLeavers()
 				}
--- a/host/limit.go
+++ b/host/limit.go
@@ -28,7 +28,7 @@
 	}}
 	if err != nil {
 		fields.Detail = err.Error()
-		reply = dispatch.PlaceReply{Wait: reserveRetryDelay, Limit: dispatch.TargetLimit{Target: f.Target, StartTime: f.To.StartTime}}
+		reply = dispatch.PlaceReply{Wait: reserveRetryDelay, Later: true, Limit: dispatch.TargetLimit{Target: f.Target, StartTime: f.To.StartTime}}
 	}
 	h.log.Emit(event.PlaceAsked, fields)
 	reply.ID = f.ID
@@ -39,13 +39,13 @@
 // that host's name, which is empty for this one.
 func (h *Host) askForPlace(f dispatch.Effect) (reply dispatch.PlaceReply, from string, err error) {
 	a, from, local, err := h.askArbiter(f.To.Domain, &wire.Question{Reserve: &wire.Reserve{
-		Limit: limitToWire(f.Limit, time.Now()), Domain: f.To.Domain, Within: uint32(f.Within.Milliseconds()), Name: f.Name, Origin: h.name,
+		Limit: limitToWire(f.Limit, time.Now()), Domain: f.To.Domain, Within: uint32(f.Within.Milliseconds()), Name: f.Name, Origin: h.name, Brittle: f.Brittle,
 	}})
 	switch {
 	case err != nil:
 		return reply, from, err
 	case local:
-		return h.givePlace(f.Limit, f.Within, f.To.Domain), "", nil
+		return h.givePlace(f.Limit, f.Brittle, f.Within, f.To.Domain), "", nil
 	case a.Reserved == nil || a.Reserved.Declined:
 		return reply, from, errDeclined
 	}
@@ -53,12 +53,12 @@
 }
 
 // givePlace gives out a place at a target of a failure domain as the reducer decides.
-func (h *Host) givePlace(l dispatch.TargetLimit, within time.Duration, domain string) (reply dispatch.PlaceReply) {
+func (h *Host) givePlace(l dispatch.TargetLimit, brittle bool, within time.Duration, domain string) (reply dispatch.PlaceReply) {
 	part := 1.0
 	if h.mesh != nil {
 		part = h.mesh.LivePart(domain)
 	}
-	h.Inspect(func(r *dispatch.Reducer) { reply = r.Reserve(l, within, part, time.Now()) })
+	h.Inspect(func(r *dispatch.Reducer) { reply = r.Reserve(l, brittle, within, part, time.Now()) })
 	return reply
 }
 
@@ -73,7 +73,7 @@
 	switch {
 	case local:
 		now := time.Now()
-		return placeReplyToWire(h.givePlace(limitFromWire(q.Limit, now), time.Duration(q.Within)*time.Millisecond, q.Domain), now)
+		return placeReplyToWire(h.givePlace(limitFromWire(q.Limit, now), q.Brittle, time.Duration(q.Within)*time.Millisecond, q.Domain), now)
 	case a == nil || a.Reserved == nil:
 		return &wire.Reserved{Declined: true}
 	}
@@ -142,12 +142,12 @@
 }
 
 func placeReplyToWire(r dispatch.PlaceReply, now time.Time) *wire.Reserved {
-	return &wire.Reserved{Granted: r.Granted, Wait: uint32(r.Wait.Microseconds()), Limit: limitToWire(r.Limit, now)}
+	return &wire.Reserved{Granted: r.Granted, Wait: uint32(r.Wait.Microseconds()), Later: r.Later, Lease: r.Lease, Limit: limitToWire(r.Limit, now)}
 }
 
 // placeReplyFromWire is the inverse of placeReplyToWire.
 func placeReplyFromWire(r *wire.Reserved, now time.Time) dispatch.PlaceReply {
-	reply := dispatch.PlaceReply{Granted: r.Granted, Wait: time.Duration(r.Wait) * time.Microsecond}
+	reply := dispatch.PlaceReply{Granted: r.Granted, Later: r.Later, Lease: r.Lease, Wait: time.Duration(r.Wait) * time.Microsecond}
 	if r.Limit != nil {
 		reply.Limit = limitFromWire(r.Limit, now)
 	}
--- a/host/mesh.go
+++ b/host/mesh.go
@@ -162,6 +162,9 @@
 	case len(r.Leavers) > 0:
 		h.handleLeavers(r)
 		return
+	case len(r.Fragilities) > 0:
+		h.handleFragilities(r)
+		return
 	case len(r.Rests) > 0:
 		h.handleRests(r)
 		return
@@ -312,6 +315,9 @@
 		return &wire.Answer{Placed: h.answerPlace(ctx, q.Place)}
 	case q.Reserve != nil:
 		return &wire.Answer{Reserved: h.answerReserve(ctx, q.Reserve)}
+	case q.Release != nil:
+		h.answerRelease(ctx, q.Release)
+		return &wire.Answer{}
 	case q.Trial != nil:
 		return &wire.Answer{Tried: h.answerTrial(ctx, q.Trial)}
 	case q.News && h.syncer != nil:
