--- a/audit/audit.go
+++ b/audit/audit.go
@@ -289,7 +289,7 @@
 }
 
 // checkRecovery requires that at least a quarter of the requests sent later than RecoveryTime
-// after a restart of all hosts succeed, not counting harmful ones. It applies only if at least a quarter of those sent
+// after a restart of all hosts succeed, not counting harmful ones and those whose host had another fault. It applies only if at least a quarter of those sent
 // before the restart succeeded.
 func (a *Audit) checkRecovery() {
 	for _, at := range a.restarts {
@@ -298,6 +298,7 @@
 		for _, q := range a.sent {
 			switch ok := q.succeeded(); {
 			case q.isHarmful(a):
+			case q.sentAt.After(from) && a.hadFault(q.sent.Host, q.sentAt, q.endOr(q.sentAt)):
 			case q.sentAt.After(from):
 				after++
 				if ok {
--- a/audit/request.go
+++ b/audit/request.go
@@ -334,6 +334,14 @@
 	}
 }
 
+// endOr returns the end of the response, or another time if it has not ended.
+func (q *request) endOr(other time.Time) time.Time {
+	if q.respondedAt.IsZero() {
+		return other
+	}
+	return q.respondedAt
+}
+
 // succeeded reports whether the caller received a complete response with a 2xx status.
 func (q *request) succeeded() bool {
 	return q.response.Status >= 200 && q.response.Status < 300 && q.response.Complete
