--- a/components.go
+++ b/components.go
@@ -13,6 +13,7 @@
 
 	"github.com/wigeonlink/wigeonlink/answer"
 	"github.com/wigeonlink/wigeonlink/api"
+	"github.com/wigeonlink/wigeonlink/detour"
 	"github.com/wigeonlink/wigeonlink/event"
 	"github.com/wigeonlink/wigeonlink/host"
 	"github.com/wigeonlink/wigeonlink/meter"
@@ -47,6 +48,7 @@
 		{"log", 100, fx.Provide(newLog)},
 		{"meter", 200, fx.Provide(newMeter)},
 		{"keys", 200, fx.Provide(newKeyring)},
+		{"detours", 250, fx.Provide(newDetours)},
 		{"host", 300, fx.Options(fx.Provide(newHost), fx.Invoke(runHost))},
 		{"mesh", 350, fx.Invoke(runMesh)},
 		{"feeds", 400, fx.Invoke(runFeeds)},
@@ -84,11 +86,15 @@
 
 func newKeyring(a *assembly) (*ticket.Keyring, error) { return ticket.ParseKeys(a.settings.SealKeys) }
 
-func newHost(a *assembly, log *event.Log, m *meter.Meter) (*host.Host, error) {
+func newDetours(a *assembly, log *event.Log) *detour.Network {
+	return detour.NewNetwork(a.network, log)
+}
+
+func newHost(a *assembly, log *event.Log, m *meter.Meter, d *detour.Network) (*host.Host, error) {
 	opts := append([]host.Option{
 		host.WithObserver(m),
 		host.WithDomain(a.settings.Domain),
-		host.WithNetwork(a.network),
+		host.WithDetours(d),
 	}, a.hostOptions...)
 	h := host.NewHost(log, opts...)
 	return h, m.ObserveHost(h)
--- a/detour/network.go
+++ b/detour/network.go
@@ -135,8 +135,12 @@
 	return c, nil
 }
 
-// isSound reports whether what this host finds at a target's address is to be believed.
-func (n *Network) isSound(to netip.AddrPort) bool {
+// isConclusive reports whether the error of an own attempt shows that nobody listens at the target's address: its
+// connection was refused on a sound path.
+func (n *Network) isConclusive(to netip.AddrPort, err error) bool {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return false
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.paths.isSound(to, time.Now())
@@ -149,7 +153,7 @@
 	switch {
 	case errors.Is(relayed, syscall.ECONNREFUSED):
 		return relayed
-	case !errors.Is(own, syscall.ECONNREFUSED) || errors.Is(relayed, ErrNoRelay) || n.isSound(to):
+	case !errors.Is(own, syscall.ECONNREFUSED) || errors.Is(relayed, ErrNoRelay) || n.isConclusive(to, own):
 		return cmp.Or(own, relayed)
 	}
 	return eris.Errorf("the path to %s may be lost: it refuses connections, and no other host has connected: %v", to, relayed)
@@ -182,12 +186,10 @@
 				return a.conn, nil
 			}
 			own, ownErr = nil, a.err
-			if way.last && errors.Is(ownErr, syscall.ECONNREFUSED) && n.isSound(to) {
+			if way.last && n.isConclusive(to, ownErr) {
 				return nil, ownErr // at once, for a peer that waits
 			}
-			if due != nil {
-				due, relayed = nil, way.start(relayCtx)
-			}
+			timer.Reset(0) // has no effect if the other host is asked already
 		case a := <-relayed:
 			if a.err == nil {
 				go n.judge(to, a.via, ownErr, own)
@@ -195,7 +197,7 @@
 			}
 			relayed, relayErr = nil, a.err
 		}
-		if own == nil && due == nil && relayed == nil {
+		if ownErr != nil && relayErr != nil {
 			return nil, n.failure(to, ownErr, relayErr)
 		}
 	}
--- a/forward.go
+++ b/forward.go
@@ -78,10 +78,6 @@
 	}
 }
 
-func newDetours(a *assembly, log *event.Log) *detour.Network {
-	return detour.NewNetwork(a.network, log)
-}
-
 // newCacheCopier returns the client that copies KV caches, or nil if streams are not moved.
 func newCacheCopier(a *assembly, d *detour.Network) gateway.CacheCopier {
 	if a.forward.newCopier == nil {
@@ -90,14 +86,12 @@
 	return a.forward.newCopier(d)
 }
 
-// newForwardingHost is newHost for a host that reaches targets through other hosts if it must.
+// newForwardingHost is newHost for a host that asks targets whether they are draining, if c can do so.
 func newForwardingHost(a *assembly, log *event.Log, m *meter.Meter, d *detour.Network, c gateway.CacheCopier) (*host.Host, error) {
-	opts := []host.Option{host.WithDetours(d)}
 	if querier, ok := c.(host.StatusQuerier); ok {
-		opts = append(opts, host.WithStatusQuerier(querier))
+		a.hostOptions = append([]host.Option{host.WithStatusQuerier(querier)}, a.hostOptions...)
 	}
-	a.hostOptions = append(opts, a.hostOptions...)
-	return newHost(a, log, m)
+	return newHost(a, log, m, d)
 }
 
 func setConfigSource(a *assembly, h *host.Host) { h.SyncFrom(a.forward.source) }
--- a/host/host.go
+++ b/host/host.go
@@ -169,8 +169,12 @@
 func (o withEngines) apply(h *Host)       { h.engines.newAdapter = o }
 func (o withStatusQuerier) apply(h *Host) { h.statusQuerier = o.querier }
 func (o withNetwork) apply(h *Host)       { h.network = o.network }
-func (o withDetours) apply(h *Host)       { h.detours, h.network = o.detours, o.detours }
-func (o withSharing) apply(h *Host)       { h.sharingDisabled = !bool(o) }
+func (o withDetours) apply(h *Host) {
+	h.detours, h.network = o.detours, o.detours
+	h.engines.newAdapter = func(a netip.AddrPort) target.Engine { return target.NewResponsesEngineOn(o.detours, a) }
+	h.services.newAdapter = func(a netip.AddrPort) target.Service { return target.NewServiceOn(o.detours, a) }
+}
+func (o withSharing) apply(h *Host) { h.sharingDisabled = !bool(o) }
 func (o withDomain) apply(h *Host) {
 	h.domain = string(o)
 	h.dispatchOptions = append(h.dispatchOptions, dispatch.WithDomain(string(o)))
@@ -300,18 +304,7 @@
 				checked = now
 				h.reduce(dispatch.Tick{}, timer)
 				h.checkInvariants()
-				if len(h.reducer.SuspectRecords(now)) > 0 {
-					h.shareSuspects()
-				}
-				if len(h.reducer.LimitRecords(now)) > 0 {
-					h.shareLimits()
-				}
-				if len(h.reducer.Fragilities(now)) > 0 {
-					h.shareFragilities()
-				}
-				if len(h.reducer.Leavers()) > 0 {
-					h.shareLeavers()
-				}
+				h.shareRecords(now)
 				h.tickets.DeleteExpired(now)
 			}
 		case <-timer.C:
@@ -320,6 +313,23 @@
 	}
 }
 
+// shareRecords sends the records that hosts share to all partners again, for hosts that have missed them or have
+// just started.
+func (h *Host) shareRecords(now time.Time) {
+	if len(h.reducer.SuspectRecords(now)) > 0 {
+		h.shareSuspects()
+	}
+	if len(h.reducer.LimitRecords(now)) > 0 {
+		h.shareLimits()
+	}
+	if len(h.reducer.Fragilities(now)) > 0 {
+		h.shareFragilities()
+	}
+	if len(h.reducer.Leavers()) > 0 {
+		h.shareLeavers()
+	}
+}
+
 // detectPause logs a pause of the process of more than pauseThreshold and makes the syncer read the
 // source. Reports of targets and peers from before the pause need no handling because they expire
 // by their age.
@@ -367,6 +377,7 @@
 		return
 	}
 	first := h.table.Swap(t) == nil
+	h.listed.record(t.Targets, time.Now())
 	h.log.Emit(event.TableApplied, event.Fields{TableVersion: t.Version})
 	if first {
 		h.log.Emit(event.HostReady, event.Fields{TableVersion: t.Version})
--- a/target/responses.go
+++ b/target/responses.go
@@ -127,10 +127,15 @@
 // NewResponsesEngine returns a client for the engine at an address. Requests for generations
 // each open a connection, because a reused one may be dead without having been closed.
 func NewResponsesEngine(address netip.AddrPort) Engine {
+	return NewResponsesEngineOn(network.System{}, address)
+}
+
+// NewResponsesEngineOn is NewResponsesEngine on the given network.
+func NewResponsesEngineOn(n network.Network, address netip.AddrPort) Engine {
 	return &responsesEngine{
 		baseURL:    "http://" + address.String(),
-		client:     &http.Client{Transport: NewTransport(network.System{}, false)},
-		loadClient: &http.Client{Transport: NewTransport(network.System{}, true)},
+		client:     &http.Client{Transport: NewTransport(n, false)},
+		loadClient: &http.Client{Transport: NewTransport(n, true)},
 	}
 }
 
--- a/target/service.go
+++ b/target/service.go
@@ -58,11 +58,14 @@
 // NewService returns a client for the service at an address. It opens a connection for
 // every call, because net/http may resend a request on its own if a reused connection
 // breaks.
-func NewService(address netip.AddrPort) Service {
+func NewService(address netip.AddrPort) Service { return NewServiceOn(network.System{}, address) }
+
+// NewServiceOn is NewService on the given network.
+func NewServiceOn(n network.Network, address netip.AddrPort) Service {
 	return &plainService{
 		base: url.URL{Scheme: "http", Host: address.String()},
 		client: &http.Client{
-			Transport:     NewTransport(network.System{}, false),
+			Transport:     NewTransport(n, false),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
