--- a/audit/audit.go
+++ b/audit/audit.go
@@ -27,7 +27,7 @@
 		harmful          map[string]*harmfulPart    // by name of the part
 		limited          map[string]*limitedTarget  // targets that name a limit, by name
 		brittle          map[string]*brittleTime    // pools whose targets are brittle, by name
-		toldLeaving      map[hostTarget]time.Time   // times of the first responses by which targets told hosts that they leave
+		toldLeaving      map[hostTarget]time.Time   // times of the first responses to hosts in which targets say that they leave
 		rests            map[hostTarget][]*restPeriod
 		restarts         []time.Time     // times of HostsRestarted
 		detached         []*detachedTime // in the order of their beginnings
--- a/audit/told.go
+++ b/audit/told.go
@@ -9,16 +9,16 @@
 		Via        string // host to whose address the response went; empty for the one that the caller sent the request to
 	}
 
-	// RestPassedOn is a refusal by which a target asks the host that gets it to send nothing for a while.
+	// RestPassedOn is a refusal by which a target asks the host that receives it to send nothing for a while.
 	RestPassedOn struct {
 		ID, Target, Via string
 		Rest            time.Duration
 	}
 
-	// hostTarget is a host and a target that has told it something.
+	// hostTarget is a host and a target that has announced something in a response to it.
 	hostTarget struct{ host, target string }
 
-	// restPeriod is a time in which a target wants no requests of a host.
+	// restPeriod is a time for which a target has asked a host to send no requests.
 	restPeriod struct {
 		from, to time.Time
 		arrivals int
@@ -51,7 +51,7 @@
 }
 
 // checkTold requires that a host sends a target no request that its caller sent later than LeavingGrace after the
-// target told the host that it leaves, and at most restArrivals in a time of rest. A fault of the host since then
+// target announced to the host that it leaves, and at most restArrivals in a time of rest. A fault of the host since then
 // excuses it.
 func (a *Audit) checkTold(q *request, o *RequestReceived, at time.Time) {
 	key := hostTarget{a.hostOf(o.ID, o.Via), o.Target}
--- a/detour/network.go
+++ b/detour/network.go
@@ -160,7 +160,7 @@
 }
 
 // race opens the host's own connection, asks another host for one after a delay or when the own attempt has failed,
-// and returns the first one. The own attempt goes on after the other host's has succeeded, to find out
+// and returns the first one. The own attempt continues after the other host's has succeeded, to find out
 // whether the path to the target is lost.
 func (n *Network) race(ctx context.Context, way connector, delay time.Duration) (net.Conn, error) {
 	to := way.to
@@ -203,7 +203,7 @@
 	}
 }
 
-// dialOwn starts an attempt of the host's own. It goes on after ctx is done.
+// dialOwn starts an attempt of the host's own. It continues after ctx is done.
 func (n *Network) dialOwn(ctx context.Context, to netip.AddrPort) <-chan attempt {
 	result := make(chan attempt, 1)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ownTimeout)
@@ -232,7 +232,7 @@
 // records whether the path is lost. err is the error of the attempt if it has ended.
 func (n *Network) judge(to netip.AddrPort, via string, err error, own <-chan attempt) {
 	if err == nil {
-		// A short time is enough to tell: the other host's connection took a round trip more.
+		// A short time is enough: the other host's connection took a round trip more.
 		timer := time.NewTimer(detourDelay)
 		defer timer.Stop()
 		select {
--- a/dispatch/brittle.go
+++ b/dispatch/brittle.go
@@ -7,7 +7,7 @@
 	"github.com/wigeonlink/wigeonlink/limit"
 )
 
-// A brittle target ends if it has to refuse more than a few requests in a second for want of room. Refusals are then
+// A brittle target ends if it has to refuse more than a few requests in a second for lack of capacity. Refusals are then
 // no way to find out which target has room. The load pattern is a plain service whose callers ask for somewhat
 // more than its targets can do: each target that returns is ended again by what all hosts hold for it.
 //
@@ -129,7 +129,7 @@
 	l.used = slices.DeleteFunc(l.used, func(e lease) bool { return e.number == number })
 }
 
-// reduce frees a place. After a refusal for want of room none is given out for a while.
+// reduce frees a place. After a refusal for lack of capacity none is given out for a while.
 func (e PlaceReleased) reduce(r *Reducer) {
 	t := r.targets[e.Target]
 	if t == nil {
@@ -159,7 +159,7 @@
 	}
 }
 
-// releaseLease tells the host that has given out a lease that it is not used any more. It does nothing for lease 0.
+// releaseLease reports the end of a lease to the host that has granted it. It does nothing for lease 0.
 func (r *Reducer) releaseLease(t *targetState, lease uint64, refused bool) {
 	if lease != 0 {
 		r.emit(Effect{Kind: EffectRelease, Target: t.spec.Name, To: t.spec, Lease: lease, Refused: refused})
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -79,7 +79,7 @@
 	EffectLeaver                             // the target has said that it leaves; to be logged
 	EffectBrittle                            // what the targets of a pool say about refusals has changed; to be logged
 	EffectShareFragilities                   // send the records of brittle pools to the peers
-	EffectRelease                            // tell the host that gives out the target's places that one is free
+	EffectRelease                            // report a free place to the host that gives out the target's places
 	EffectShareLeavers                       // send the targets that have said that they leave to the peers
 )
 
--- a/dispatch/leaving.go
+++ b/dispatch/leaving.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// recordLeaver records that a process leaves, which holds until it ends, whatever the list of targets says.
+// recordLeaver records that a process leaves, which holds until it ends, even if the list of targets differs.
 func (r *Reducer) recordLeaver(l Leaver, own bool) {
 	key := processOf(l.Target, l.StartTime)
 	_, known := r.leavers[key]
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -119,7 +119,7 @@
 	}
 }
 
-// mustYield reports whether a request must wait for the sake of others, whatever the targets' capacity.
+// mustYield reports whether a request must wait for other requests or a cap, independently of the targets' capacity.
 func (r *Reducer) mustYield(q *request, queue *organisationQueue, p *pool) bool {
 	switch {
 	case r.atInflightCap(queue.organisation, p):
--- a/dispatch/rest.go
+++ b/dispatch/rest.go
@@ -2,15 +2,15 @@
 
 import "time"
 
-// A target that refuses a request may ask for rest: it wants no requests of this host for a while. That is its wish,
-// not a guess of this host: neither the breaker's longest pause nor an answer to an earlier request shortens it, nor
+// A target that refuses a request may ask this host to send no further ones for a while. The time is set by the target,
+// not estimated by this host: neither the breaker's longest pause nor an answer to an earlier request shortens it, nor
 // that the target was missing from the list in between.
 
 // maxRest bounds the time for which a target is left alone because it has asked for that.
 const maxRest = time.Minute
 
-// RestAsked reports that a target wants no requests of this host for a while, as another host has found that passes
-// this one's on to it.
+// RestAsked reports that a target has asked this host to send no requests for a while, in a response to this host or to
+// one for which it relays.
 type RestAsked struct {
 	Target    string
 	StartTime time.Time
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -88,7 +88,7 @@
 
 // parseResponse parses the status and headers of a target's response to a request that was sent at the
 // given time, through the host via if not directly, and passes on what the response says about the target: that it
-// leaves or wants rest, and its limit.
+// leaves or asks for rest, and its limit.
 func (c *call) parseResponse(resp *http.Response, decision dispatch.Effect, sent time.Time, via string) ResponseInfo {
 	reply := c.gateway.dialect.ParseResponse(resp.StatusCode, resp.Header)
 	c.limit = reply.Limit
--- a/host/brittle.go
+++ b/host/brittle.go
@@ -15,7 +15,7 @@
 // response without a word about them is news only if there was one before, which the reducer decides.
 func (r *Request) BrittleRead(e dispatch.BrittleRead) { r.host.Post(e) }
 
-// releasePlace tells the arbiter of the target's failure domain that a place at a brittle target is free.
+// releasePlace reports a free place at a brittle target to the arbiter of the target's failure domain.
 func (h *Host) releasePlace(f dispatch.Effect) {
 	_, from, local, err := h.askArbiter(f.To.Domain, &wire.Question{Release: &wire.Release{Target: f.Target, Domain: f.To.Domain, Lease: f.Lease, Refused: f.Refused}})
 	switch {
--- a/host/leaving.go
+++ b/host/leaving.go
@@ -80,7 +80,7 @@
 	}
 }
 
-// handleRests passes to the reducer which targets want no requests of this host.
+// handleRests passes to the reducer which targets have asked for a time without requests of this host.
 func (h peerHandler) handleRests(r *wire.Report) {
 	for _, m := range r.Rests {
 		l := leaverFromWire(&wire.Leaver{Target: m.Target, Boot: m.Boot})
