--- a/dispatch/quarantine_test.go
+++ b/dispatch/quarantine_test.go
@@ -122,3 +122,30 @@
 		})
 	}
 }
+
+// A generation whose shared parts are sound comes again with the same content and crashes engines. It reaches no more
+// than three, and other generations with its shared parts are served.
+func TestSameGenerationKeepsCrashingEngines(t *testing.T) {
+	r := newReducerTest(t, 1, 6)
+	whole := quarantine.Part{Pool: "model-0", ID: 99, Organisation: "organisation-0"}
+	crashes := 0
+	for i := range ID(20) {
+		r.submitWith(100+i, parts(1)...)
+		r.reduce(time.Millisecond, Ended{ID: 100 + i})
+		s := submit(1+i, "organisation-0")
+		s.Parts, s.MaxAttempts = append(parts(1), whole), 1
+		r.reduce(time.Second, s)
+		if trial, asked := r.firstEffect(EffectTrial); asked {
+			reply := r.reducer.AllowTrial(TrialRequest{Asker: "a", Part: trial.Part, Crashes: trial.Crashes, Life: trial.Within}, r.now)
+			reply.ID = trial.ID
+			r.reduce(0, reply)
+		}
+		if _, dispatched := r.firstEffect(EffectDispatch); !dispatched {
+			r.Check(r.requireEffect(EffectRefuse).Answer.Properties().Outcome, qt.Equals, answer.OutcomeNotRun)
+			continue
+		}
+		crashes++
+		r.loseAtBeginning(1+i, true)
+	}
+	r.Check(crashes <= 3, qt.IsTrue, qt.Commentf("%d engines crashed", crashes))
+}
