--- a/host/brittle.go
+++ b/host/brittle.go
@@ -11,8 +11,7 @@
 	"github.com/wigeonlink/wigeonlink/wire"
 )
 
-// BrittleRead passes to the reducer what a response to the request says about refusals that its target survives. A
-// response without a word about them is news only if there was one before, which the reducer decides.
+// BrittleRead passes to the reducer what a response to the request says about refusals that its target survives.
 func (r *Request) BrittleRead(e dispatch.BrittleRead) { r.host.Post(e) }
 
 // releasePlace reports a free place at a brittle target to the arbiter of the target's failure domain.
