--- a/review/_harness/client.go
+++ b/review/_harness/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -37,6 +38,8 @@
 		status   int // 0 if the connection ended without an answer
 		bytes    int
 		complete bool
+		seal     string
+		body     string
 		err      string
 	}
 
@@ -141,6 +144,7 @@
 		var body []byte
 		body, err = io.ReadAll(resp.Body)
 		r.status, r.bytes, r.complete = resp.StatusCode, len(body), err == nil
+		r.seal, r.body = resp.Header.Get("Response-Seal"), string(body)
 		resp.Body.Close()
 		if resp.Close {
 			n.used = -1
@@ -191,10 +195,23 @@
 	}
 }
 
-// end stops the traffic and waits for the requests that are under way.
+// end stops the traffic and waits for the requests that are under way, for endTime at most.
 func (c *clients) end() {
 	close(c.stop)
-	c.wg.Wait()
+	done := make(chan struct{})
+	go func() { c.wg.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(endTime):
+		c.site.log("some requests are still under way")
+	}
+}
+
+// seen returns what the clients have seen so far.
+func (c *clients) seen() []result {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.results)
 }
 
 // warm opens connections to a host and has each carry a short request, so that clients reuse them afterwards. It
@@ -226,4 +243,7 @@
 	return conns
 }
 
-const warmInterval = 50 * time.Millisecond
+const (
+	warmInterval = 50 * time.Millisecond
+	endTime      = 15 * time.Second
+)
--- a/review/_harness/endless_head.go
+++ b/review/_harness/endless_head.go
@@ -8,12 +8,12 @@
 )
 
 const (
-	troubleTime  = 40 * time.Second
-	troubleCount = 1 // model servers in trouble, of 12
+	troubleTime  = 50 * time.Second
+	troubleCount = 2 // model servers in trouble, of 12
 	troublePart  = 9 // of 20 answers of a server in trouble
 )
 
-// playEndlessHead has one model server answer with a head that does not end.
+// playEndlessHead has two model servers answer with heads that do not end.
 func playEndlessHead(s *site, trouble bool) int {
 	s.configure(7, routes())
 	if err := s.addServers(12, 4); err != nil {
@@ -41,7 +41,7 @@
 	}
 	time.Sleep(2 * contactTime)
 	if trouble {
-		s.log("trouble begins at %s", s.servers[0].id)
+		s.log("trouble begins at %s and %s", s.servers[0].id, s.servers[1].id)
 		inTrouble.Store(true)
 	}
 	time.Sleep(troubleTime)
@@ -70,7 +70,7 @@
 		bad[one.id] = true
 	}
 	served, lost, broken := 0, 0, 0
-	for _, r := range c.results {
+	for _, r := range c.seen() {
 		if r.complete && r.status == http.StatusOK {
 			served++
 		}
@@ -89,7 +89,7 @@
 			break
 		}
 	}
-	s.say("%d requests, %d served; on kept connections, passed on to a sound server: %d without an answer, %d broken off", len(c.results), served, lost, broken)
+	s.say("%d requests, %d served; on kept connections, passed on to a sound server: %d without an answer, %d broken off", len(c.seen()), served, lost, broken)
 	s.say("Fault: on %d machines the process ended by itself three times or more (2 break the rule)", machines)
 	s.say("LOST: %d requests (more than 3 break the rule)", lost)
 	switch {
--- a/review/_harness/host.go
+++ b/review/_harness/host.go
@@ -27,6 +27,7 @@
 	ready    string
 	settings string
 	memory   int // limit in MB
+	door     *door
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -57,8 +58,12 @@
 	}
 	for _, h := range s.hosts {
 		h.settings = filepath.Join(s.dir, h.name+".toml")
+		storeAddr, err := s.openDoor(h)
+		if err != nil {
+			return err
+		}
 		text := fmt.Sprintf(settingsTemplate, h.name, h.ip, h.zone, internal, internal+15, strings.Join(seeds, ","),
-			h.front, h.ready, fmt.Sprintf("%s:%d", h.ip, control), h.memory, s.storeAddr)
+			h.front, h.ready, fmt.Sprintf("%s:%d", h.ip, control), h.memory, storeAddr)
 		if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 			return err
 		}
@@ -70,6 +75,17 @@
 	return nil
 }
 
+// openDoor starts the host's way to the store and returns its address.
+func (s *site) openDoor(h *host) (string, error) {
+	l, err := net.Listen("tcp", s.address()+":0")
+	if err != nil {
+		return "", err
+	}
+	h.door = &door{store: s.store}
+	go func() { _ = (&http.Server{Handler: h.door}).Serve(l) }()
+	return l.Addr().String(), nil
+}
+
 // freePort returns a port that is free now.
 func freePort() int {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -21,7 +21,8 @@
 	"endless-head": playEndlessHead,
 	"stop":         playStop,
 	"path":         playPath,
-	"late-stop":    playLateStop,
+	"joined":       playJoined,
+	"lapse":        playLapse,
 }
 
 func main() {
--- a/review/_harness/path.go
+++ b/review/_harness/path.go
@@ -50,7 +50,7 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	ran, changed := 0, 0
-	for _, r := range c.results {
+	for _, r := range c.seen() {
 		for _, one := range s.runs.get(r.id) {
 			if ran++; one.target != k.path || one.host != hostName {
 				changed++
@@ -58,7 +58,7 @@
 			}
 		}
 	}
-	s.say("%d requests, %d run, %d of them with another path or host (1 breaks the rule)", len(c.results), ran, changed)
+	s.say("%d requests, %d run, %d of them with another path or host (1 breaks the rule)", len(c.seen()), ran, changed)
 	switch {
 	case changed > 0:
 		return exitBroken
--- a/review/_harness/server.go
+++ b/review/_harness/server.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -26,8 +28,10 @@
 		address string
 		slots   chan struct{}
 		active  atomic.Int32
-		silent  atomic.Int64               // Unix nanoseconds until which the server is silent
+		gone    atomic.Bool                // the server has removed its entry
 		garble  func(r *http.Request) bool // whether the server, in trouble, answers with bytes that are no answer
+		cut     func(r *http.Request) bool // whether the server, in trouble, breaks its answer off
+		events  bool                       // a plain server answers GET with a stream of events
 	}
 
 	// runs counts what the servers have run, by request.
@@ -46,6 +50,8 @@
 		host      string
 		tenant    string
 		completed bool
+		seal      string
+		body      string // of the whole answer
 	}
 )
 
@@ -54,6 +60,7 @@
 	promptPerMs    = 14                   // prompt tokens read in a millisecond
 	tokensPerEvent = 4
 	engineSlots    = 24
+	heartbeat      = 1200 * time.Millisecond
 	plainSlots     = 6
 )
 
@@ -70,22 +77,35 @@
 	}
 	s.slots = make(chan struct{}, n)
 	go func() { _ = (&http.Server{Handler: s}).Serve(l) }()
-	go s.beat()
+	go s.beat(time.Duration(s.site.rng.Int64N(int64(heartbeat))))
 	return nil
 }
 
-// beat writes the server's entry to the store, as servers do every HeartbeatMs.
-func (s *server) beat() {
+// beat keeps the server's entry in the store, as servers do every HeartbeatMs. Only the first write, and the first one after
+// the entry has lapsed, changes it: the others change no more than Sequence. offset is added to the first interval.
+func (s *server) beat(offset time.Duration) {
+	key := "servers/" + s.id
 	for sequence := 1; ; sequence++ {
-		data, _ := json.Marshal(map[string]any{
-			"Service": s.service, "Address": s.address, "Zone": s.zone, "Version": "v1", "Slots": cap(s.slots),
-			"State": "ready", "ColdRemainingMs": 0, "Sequence": sequence, "born": s.site.started.UnixMilli(),
-		})
-		s.site.store.put("servers/"+s.id, data)
-		time.Sleep(1200 * time.Millisecond)
+		if !s.site.store.down.Load() && !s.gone.Load() && !s.site.store.has(key) {
+			data, _ := json.Marshal(map[string]any{
+				"Service": s.service, "Address": s.address, "Zone": s.zone, "Version": "v1", "Slots": cap(s.slots),
+				"State": "ready", "ColdRemainingMs": 0, "Sequence": sequence, "born": s.site.started.UnixMilli(),
+			})
+			s.site.store.put(key, data)
+			s.site.log("%s is in the store", s.id)
+		}
+		time.Sleep(heartbeat + offset)
+		offset = 0
 	}
 }
 
+// leave removes the server's entry without having reported draining. The server goes on serving.
+func (s *server) leave() {
+	s.gone.Store(true)
+	s.site.store.remove("servers/" + s.id)
+	s.site.log("%s has left the store", s.id)
+}
+
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch {
 	case r.URL.Path == "/healthz":
@@ -145,12 +165,8 @@
 	h.Set("Request-Id", id)
 	h.Set("Response-Seal", fmt.Sprintf("%s.%d", s.id, s.site.runs.seal.Add(1)))
 	if !s.model {
-		if !sleep(ctx, s.site.plainWork) {
-			return
-		}
-		h.Set("Content-Type", "application/octet-stream")
-		if _, err := w.Write([]byte(strings.Repeat("b", 800))); err == nil {
-			s.site.runs.complete(id, number)
+		if sleep(ctx, s.site.plainWork) {
+			s.answerPlain(w, r, id, number)
 		}
 		return
 	}
@@ -161,7 +177,7 @@
 	h.Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	for event := 1; event <= max(output/tokensPerEvent, 1); event++ {
-		if !sleep(ctx, tokensPerEvent*stepTime+s.silentFor()) {
+		if !sleep(ctx, tokensPerEvent*stepTime) {
 			panic(http.ErrAbortHandler)
 		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", event, id, event); err != nil || control.Flush() != nil {
@@ -171,15 +187,25 @@
 	s.site.runs.complete(id, number)
 }
 
-// fallSilent makes a sound server send nothing for d, and go on then.
-func (s *server) fallSilent(d time.Duration) {
-	s.silent.Store(time.Now().Add(d).UnixNano())
-	s.site.log("%s is silent for %s", s.id, d)
-}
-
-// silentFor returns the time for which the server is still silent.
-func (s *server) silentFor() time.Duration {
-	return max(time.Until(time.Unix(0, s.silent.Load())), 0)
+// answerPlain answers a request at a plain server: with 800 bytes, or with events that hold as much.
+func (s *server) answerPlain(w http.ResponseWriter, r *http.Request, id string, number int) {
+	h, body := w.Header(), strings.Repeat("b", 800)
+	h.Set("Content-Type", "application/octet-stream")
+	if s.events && r.Method == http.MethodGet {
+		h.Set("Content-Type", "text/event-stream")
+		body = fmt.Sprintf("id: 1\ndata: stock %s %s %s\n\nid: 2\ndata: end\n\n", id, s.id, strings.Repeat("s", 700))
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	s.site.runs.answer(id, number, h.Get("Response-Seal"), body)
+	if s.cut != nil && s.cut(r) {
+		s.site.log("answer to %s from %s is broken off", id, s.id)
+		_, _ = io.WriteString(w, body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	if _, err := io.WriteString(w, body); err == nil {
+		s.site.runs.complete(id, number)
+	}
 }
 
 // writeGarbage answers with a head that does not end, until the caller closes the connection.
@@ -243,6 +269,28 @@
 	r.of[id][number].completed = true
 }
 
+// answer records the whole answer to a request.
+func (r *runs) answer(id string, number int, seal, body string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.of[id][number].seal, r.of[id][number].body = seal, body
+}
+
+// mostUsed returns the one of the servers that has run the most requests since a time.
+func (r *runs) mostUsed(servers []*server, since time.Time) *server {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counts := map[string]int{}
+	for _, list := range r.of {
+		for _, one := range list {
+			if one.at.After(since) {
+				counts[one.server]++
+			}
+		}
+	}
+	return slices.MaxFunc(servers, func(a, b *server) int { return cmp.Compare(counts[a.id], counts[b.id]) })
+}
+
 // get returns the runs of a request.
 func (r *runs) get(id string) []run {
 	r.mu.Lock()
--- a/review/_harness/site.go
+++ b/review/_harness/site.go
@@ -4,8 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
@@ -16,7 +14,6 @@
 	// A site is a small deployment on loopback addresses: the store, servers, hosts and their balancer.
 	site struct {
 		store     *store
-		storeAddr string
 		prefix    string // first two numbers of all addresses
 		servers   []*server
 		hosts     []*host
@@ -85,12 +82,6 @@
 		store: newStore(), prefix: fmt.Sprintf("127.%d", 20+rand.IntN(200)), plainWork: 30 * time.Millisecond,
 		started: time.Now(), dir: dir, root: root, record: f, rng: rand.New(rand.NewPCG(1, 2)),
 	}
-	l, err := net.Listen("tcp", s.address()+":0")
-	if err != nil {
-		return nil, err
-	}
-	s.storeAddr = l.Addr().String()
-	go func() { _ = (&http.Server{Handler: s.store}).Serve(l) }()
 	return s, nil
 }
 
--- a/review/_harness/stop.go
+++ b/review/_harness/stop.go
@@ -83,7 +83,7 @@
 // judgeStop checks LOST for the requests that were sent around the stop.
 func judgeStop(s *site, c *clients, stoppedAt time.Time) int {
 	served, refused, unread, lost, late := 0, 0, 0, 0, 0
-	for _, r := range c.results[slowClients:] {
+	for _, r := range c.seen()[slowClients:] {
 		ran := len(s.runs.get(r.id)) > 0
 		switch after := r.endedAt.Sub(stoppedAt); {
 		case r.complete && r.status == 200:
--- a/review/_harness/store.go
+++ b/review/_harness/store.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,6 +20,14 @@
 		items    map[string]item
 		history  []item
 		changed  chan struct{}
+		down     atomic.Bool // turns all calls away, and takes none of the servers' writes
+	}
+
+	// A door is the way of one host to the store.
+	door struct {
+		store  *store
+		shut   atomic.Bool // turns this host's calls away
+		served atomic.Int64
 	}
 
 	item struct {
@@ -36,6 +46,29 @@
 	return &store{revision: 100, items: map[string]item{}, changed: make(chan struct{})}
 }
 
+// ServeHTTP passes a call on to the store, or resets its connection.
+func (d *door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !d.store.down.Load() && !d.shut.Load() {
+		d.served.Add(1)
+		d.store.ServeHTTP(w, r)
+		return
+	}
+	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		conn.Close()
+	}
+}
+
+// has reports whether the store has a key.
+func (s *store) has(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.items[key]
+	return ok
+}
+
 // put writes a value under a key.
 func (s *store) put(key string, value []byte) {
 	s.mu.Lock()
