Review: look for free ports at the hosts' own loopback addresses

The harness probed 127.0.0.1, while the hosts listen at other loopback addresses, on which the port might be in use. Two cases that run at once no longer share addresses.

--- a/review/_harness/host.go
+++ b/review/_harness/host.go
@@ -46,12 +46,21 @@
 
 // addHosts writes the settings files of hosts and starts them.
 func (s *site) addHosts(count, memoryMB int) error {
-	control, internal, front, ready := freePort(), freePort(), freePort(), freePort()
+	var ports [4]int
 	for n := range count {
 		h := &host{site: s, name: fmt.Sprintf("front-%d", n+1), zone: zones[n%len(zones)], ip: s.address(), memory: memoryMB}
-		h.front, h.ready = fmt.Sprintf("%s:%d", h.ip, front), fmt.Sprintf("%s:%d", h.ip, ready)
 		s.hosts = append(s.hosts, h)
 	}
+	for n := range ports {
+		var err error
+		if ports[n], err = freePort(s.hosts[0].ip); err != nil {
+			return err
+		}
+	}
+	control, internal, front, ready := ports[0], ports[1], ports[2], ports[3]
+	for _, h := range s.hosts {
+		h.front, h.ready = fmt.Sprintf("%s:%d", h.ip, front), fmt.Sprintf("%s:%d", h.ip, ready)
+	}
 	var seeds []string
 	for _, h := range s.hosts[:min(3, count)] {
 		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", h.ip, control)))
@@ -86,14 +95,14 @@
 	return l.Addr().String(), nil
 }
 
-// freePort returns a port that is free now.
-func freePort() int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// freePort returns a port that is free now at a loopback address.
+func freePort(ip string) (int, error) {
+	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
-		return 8740
+		return 0, err
 	}
 	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+	return l.Addr().(*net.TCPAddr).Port, nil
 }
 
 // start starts the process; when it ends by itself, it is started again after a short delay.
--- a/review/_harness/site.go
+++ b/review/_harness/site.go
@@ -52,6 +52,8 @@
 	secret      = "set by whoever deploys, the same for all"
 	graceTime   = 8 * time.Second
 	contactTime = 3 * time.Second
+
+	addressesPerNet = 200 // addresses used of each value of the third number
 )
 
 // routes are those of the sheet of relojes-jal.
@@ -64,7 +66,7 @@
 	}
 }
 
-// newSite starts the store and prepares the record. name is that of the folder of the case.
+// newSite prepares the store and the record, which goes into the folder of the case.
 func newSite(caseDir string) (*site, error) {
 	f, err := os.Create(filepath.Join(caseDir, "record.txt"))
 	if err != nil {
@@ -80,7 +82,7 @@
 	}
 	s := &site{
 		store: newStore(), prefix: fmt.Sprintf("127.%d", 20+rand.IntN(200)), plainWork: 30 * time.Millisecond,
-		started: time.Now(), dir: dir, root: root, record: f, rng: rand.New(rand.NewPCG(1, 2)),
+		started: time.Now(), dir: dir, root: root, record: f, rng: rand.New(rand.NewPCG(1, 2)), nextIP: addressesPerNet * rand.IntN(200),
 	}
 	return s, nil
 }
@@ -88,7 +90,7 @@
 // address returns the next unused loopback address.
 func (s *site) address() string {
 	s.nextIP++
-	return fmt.Sprintf("%s.%d.%d", s.prefix, s.nextIP/200, 1+s.nextIP%200)
+	return fmt.Sprintf("%s.%d.%d", s.prefix, s.nextIP/addressesPerNet, 1+s.nextIP%addressesPerNet)
 }
 
 // log writes a line to the record, with the time since the start.
