--- a/network/network.go
+++ b/network/network.go
@@ -29,6 +29,10 @@
 	System struct{}
 )
 
+// MaxResponseHead is the size limit of a response's status line and headers, in bytes. net/http's default of
+// 10 MiB takes more than ten times as much memory when it is parsed, which no host has.
+const MaxResponseHead = 32 << 10
+
 // Listen listens for TCP connections at an address.
 func (System) Listen(at netip.AddrPort) (net.Listener, error) {
 	l, err := net.Listen("tcp", at.String())
--- a/publication/consul.go
+++ b/publication/consul.go
@@ -25,7 +25,9 @@
 const indexHeader = "X-Consul-Index"
 
 func newConsul(address netip.AddrPort) Source {
-	return &consul{base: "http://" + address.String(), client: &http.Client{Transport: &http.Transport{}}}
+	return &consul{base: "http://" + address.String(), client: &http.Client{
+		Transport: &http.Transport{MaxResponseHeaderBytes: network.MaxResponseHead},
+	}}
 }
 
 // Watch makes one blocking query. Its timeout exceeds the wait time of the query by watchSlack, so
--- a/publication/consul_test.go
+++ b/publication/consul_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/wigeonlink/wigeonlink/network"
 )
 
 // A table that is cut off between two rows is still valid, so a value is refused unless its response
@@ -48,3 +50,30 @@
 		})
 	}
 }
+
+// A response head without end must not be read further than its size limit.
+func TestEndlessResponseHead(t *testing.T) {
+	const unreadBytes = 1 << 20 // upper bound of what the client's socket takes without being read
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	written := make(chan int, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_ = conn.(*net.TCPConn).SetWriteBuffer(16 << 10) // so that the count is close to what the client reads
+		_, _ = conn.Read(make([]byte, 4<<10))
+		total, _ := conn.Write([]byte("HTTP/1.1 200 OK\r\n"))
+		for n := 0; err == nil; total += n {
+			n, err = fmt.Fprintf(conn, "a%d: 1\r\n", total)
+		}
+		written <- total
+	}()
+	_, err = NewSource(netip.MustParseAddrPort(l.Addr().String())).Watch(t.Context(), KeyTable, 0)
+	c.Check(err, qt.IsNotNil)
+	c.Check(<-written < network.MaxResponseHead+unreadBytes, qt.IsTrue)
+}
--- a/target/responses.go
+++ b/target/responses.go
@@ -116,11 +116,12 @@
 			}
 			return c, nil
 		},
-		DisableKeepAlives:   !keep,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 32,
-		IdleConnTimeout:     30 * time.Second,
-		ReadBufferSize:      streamBufferSize,
+		DisableKeepAlives:      !keep,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    32,
+		IdleConnTimeout:        30 * time.Second,
+		ReadBufferSize:         streamBufferSize,
+		MaxResponseHeaderBytes: network.MaxResponseHead,
 	}
 }
 
