--- a/gateway/events.go
+++ b/gateway/events.go
@@ -13,11 +13,17 @@
 	last         int    // identifier of the last complete event
 	eventCount   int    // events with an identifier that were returned
 	missingEvent bool   // an identifier was not one above its predecessor
+	tooLong      bool   // an event is longer than maxEventLength
 	resumed      bool   // the stream continues on another connection, which may repeat events returned before
 	begun        bool   // the current connection has sent a complete event
 	position     int    // identifier of the last complete event of the current connection, also if it was returned before
 }
 
+const (
+	maxEventLength = 256 << 10 // size limit of one event, in bytes; an event holds a few tokens
+	maxEventEnd    = 3         // length of the longest of eventEnds, in bytes
+)
+
 var (
 	// eventEnds are the blank lines that end an event, each with the end of the line before it.
 	eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
@@ -61,10 +67,16 @@
 }
 
 // feed adds the next bytes of the stream and returns the events that are now complete, without
-// those returned before, or nil if there are none. The result is valid until the next call.
+// those returned before, or nil if there are none. The result is valid until the next call. Of an
+// event that is too long nothing is kept.
 func (e *eventSplitter) feed(data []byte) []byte {
+	// A blank line may begin in the bytes before data, which hold no whole one.
+	from := max(len(e.partial)-maxEventEnd, 0)
 	all := append(e.partial, data...)
-	end := completeLength(all)
+	end := completeLength(all, from)
+	if e.tooLong = len(all)-end > maxEventLength; e.tooLong {
+		all = all[:end]
+	}
 	if end == 0 {
 		e.partial = all
 		return nil
@@ -75,12 +87,13 @@
 	return e.accept(complete)
 }
 
-// completeLength returns the length in bytes of all complete events at the start of data.
-func completeLength(data []byte) int {
+// completeLength returns the length in bytes of all complete events at the start of data. It searches for
+// their ends at the offset from and after it.
+func completeLength(data []byte, from int) int {
 	end := 0
 	for _, blank := range eventEnds {
-		if i := bytes.LastIndex(data, blank); i >= 0 {
-			end = max(end, i+len(blank))
+		if i := bytes.LastIndex(data[from:], blank); i >= 0 {
+			end = max(end, from+i+len(blank))
 		}
 	}
 	return end
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -115,3 +115,45 @@
 		}
 	})
 }
+
+// An event that does not end must be detected after a bounded number of bytes, which are not kept. A
+// target in trouble may send one until its connection is closed.
+func TestEventWithoutEnd(t *testing.T) {
+	cases := map[string]struct {
+		before string // complete events
+		step   int    // bytes fed at once
+	}{
+		"first event":                {"", 16 << 10},
+		"after complete events":      {eventText(1, 3), 16 << 10},
+		"byte by byte":               {eventText(1, 3), 1},
+		"in one piece with complete": {eventText(1, 3), 2 * maxEventLength},
+	}
+	for name, q := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var e eventSplitter
+			var out strings.Builder
+			text := q.before + "id: 4\ndata: " + strings.Repeat("x", 2*maxEventLength)
+			fed := 0
+			for ; fed < len(text) && !e.tooLong; fed += q.step {
+				out.Write(e.feed([]byte(text[fed:min(fed+q.step, len(text))])))
+				c.Assert(len(e.partial) <= maxEventLength, qt.IsTrue)
+			}
+			c.Check(e.tooLong, qt.IsTrue)
+			c.Check(fed <= len(q.before)+maxEventLength+q.step, qt.IsTrue)
+			c.Check(out.String(), qt.Equals, q.before)
+		})
+	}
+}
+
+// Events that arrive in pieces must cost no more than their length: each piece was searched together
+// with all bytes before it.
+func BenchmarkLongEventInPieces(b *testing.B) {
+	piece := []byte(strings.Repeat("x", 64))
+	for b.Loop() {
+		var e eventSplitter
+		for range maxEventLength / len(piece) {
+			e.feed(piece)
+		}
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -17,6 +17,7 @@
 var (
 	errNotForwarded = eris.New("writing to the caller failed, or an event is missing from the stream")
 	errCutOff       = eris.New("the target ended the response before the end of its stream")
+	errLongEvent    = eris.Errorf("an event of the stream is longer than %d bytes", maxEventLength)
 	errNotResumed   = eris.New("the generation was stopped for a move and not resumed")
 )
 
@@ -95,6 +96,9 @@
 			c.undeliverable = true
 			return streamBroken, errNotForwarded
 		}
+		if c.events.tooLong {
+			return streamBroken, errLongEvent
+		}
 		if errors.Is(err, io.EOF) {
 			end := c.events.end(framingOf(resp))
 			if end == streamBroken {
