--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -73,6 +73,7 @@
 	EntryRefused   Number = 408
 	TargetTold     Number = 409
 	SourceRestored Number = 410
+	StateUnproven  Number = 411
 
 	PeerUp              Number = 501
 	PeerDown            Number = 502
@@ -143,6 +144,7 @@
 	{EntryRefused, "entry refused", hclog.Warn, "A published entry cannot be parsed and provides no target."},
 	{TargetTold, "target told", hclog.Info, "A target was queried because the list of targets cannot be read; it is leaving, or the query failed."},
 	{SourceRestored, "source restored", hclog.Warn, "The configuration service has begun a new era: it lost its last changes and assigns their revisions again."},
+	{StateUnproven, "state unproven", hclog.Info, "A peer of an earlier build has content that this host may lack, and cannot prove that it is complete; this host reads the configuration service itself."},
 	{PeerUp, "peer up", hclog.Info, "A peer is live."},
 	{PeerDown, "peer down", hclog.Warn, "A peer is no longer live."},
 	{PeerRefused, "peer refused", hclog.Warn, "A message or connection from a peer was rejected."},
--- a/host/registry.go
+++ b/host/registry.go
@@ -85,6 +85,7 @@
 		Era:             hb.Era,
 		Revision:        hb.Revision,
 		ContentRevision: hb.Content,
+		Exact:           hb.Exact,
 		Age:             time.Duration(hb.Confirmed) * time.Millisecond,
 	})
 	if !upToDate {
@@ -134,6 +135,7 @@
 		Revision: r.Revision,
 		Age:      uint32(age.Milliseconds()),
 		Removed:  r.Removed,
+		Content:  r.ContentRevision,
 	}
 	if r.Config != nil {
 		n.Published, n.Sheet = r.Config.Revision, compress(r.Config.Data)
@@ -147,7 +149,7 @@
 // updateFromWire returns the update in a message and its age. Parts that cannot be parsed are left out
 // and noted in ParseErrors.
 func updateFromWire(n *wire.News) (registry.Update, time.Duration) {
-	r := registry.Update{Era: n.Era, Base: n.Base, Full: n.Whole, Revision: n.Revision, Removed: n.Removed}
+	r := registry.Update{Era: n.Era, Base: n.Base, Full: n.Whole, Revision: n.Revision, Removed: n.Removed, ContentRevision: n.Content}
 	if n.Published > 0 {
 		if data, err := decompress(n.Sheet); err == nil {
 			r.Config = &registry.Config{Revision: n.Published, Data: data}
--- a/registry/source.go
+++ b/registry/source.go
@@ -42,7 +42,12 @@
 		Config      *Config        // nil if the configuration has not changed since Base
 		Targets     []table.Target // targets added or changed; Target.Service holds the pool, also for engines
 		Removed     []string       // names of removed targets
+		Skips       bool           // a target changed more than once: the content was another between Base and Revision
 		ParseErrors []string       // for the log, an error for each entry that could not be parsed and is left out
+
+		// ContentRevision is the revision since which the content of a full snapshot from a peer has been the
+		// same; 0 if the peer does not state it. See Confirmation.
+		ContentRevision uint64
 	}
 
 	// A Config is the configuration in the encoding in which the source publishes it.
@@ -57,17 +62,35 @@
 
 // Put adds a target to Targets. It replaces an earlier Put or Remove of the same name.
 func (r *Update) Put(t table.Target) {
+	if old, ok := r.put(t.Name); ok && old == t {
+		return
+	}
 	r.drop(t.Name)
 	r.Targets = append(r.Targets, t)
 }
 
 // Remove adds a target's name to Removed. It replaces an earlier Put or Remove of that name.
 func (r *Update) Remove(name string) {
+	if slices.Contains(r.Removed, name) {
+		return
+	}
 	r.drop(name)
 	r.Removed = append(r.Removed, name)
 }
 
+// put returns the target with a name in Targets, if there is one.
+func (r *Update) put(name string) (table.Target, bool) {
+	i := slices.IndexFunc(r.Targets, func(t table.Target) bool { return t.Name == name })
+	if i < 0 {
+		return table.Target{}, false
+	}
+	return r.Targets[i], true
+}
+
+// drop undoes an earlier Put or Remove of a name, and records that the content was another in between.
 func (r *Update) drop(name string) {
+	before := len(r.Targets) + len(r.Removed)
 	r.Targets = slices.DeleteFunc(r.Targets, func(t table.Target) bool { return t.Name == name })
 	r.Removed = slices.DeleteFunc(r.Removed, func(n string) bool { return n == name })
+	r.Skips = r.Skips || len(r.Targets)+len(r.Removed) < before
 }
--- a/registry/syncer.go
+++ b/registry/syncer.go
@@ -152,9 +152,18 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	defer s.updateConfirmedAt(now)
+	defer s.logUnproven(s.view.ReadsUnproven(), c.Revision, "confirmation")
 	return s.view.Confirm(now, c)
 }
 
+// logUnproven logs that a message of a peer, with a revision, has made a read of the source due. before is
+// whether one was due before the message. The caller holds the lock.
+func (s *Syncer) logUnproven(before bool, revision uint64, message string) {
+	if !before && s.view.ReadsUnproven() {
+		s.log.Emit(event.StateUnproven, event.Fields{Detail: message, Values: []any{"revision", s.view.Revision(), "peer_revision", revision}})
+	}
+}
+
 // Snapshot returns the full state as an update, and the time since the source confirmed it.
 func (s *Syncer) Snapshot() (Update, time.Duration) {
 	s.mu.Lock()
@@ -170,6 +179,7 @@
 	defer s.mu.Unlock()
 	s.logParseErrors(r, peer)
 	now := time.Now()
+	defer s.logUnproven(s.view.ReadsUnproven(), r.Revision, "update of peer "+peer)
 	c, ok := s.view.ApplyPeerUpdate(now, age, r)
 	s.updateConfirmedAt(now)
 	if ok {
@@ -183,6 +193,9 @@
 func (s *Syncer) read(ctx context.Context) {
 	s.mu.Lock()
 	era, after := s.view.Era(), s.view.Revision()
+	if s.view.NeedsFull() {
+		after = 0
+	}
 	s.mu.Unlock()
 	began := time.Now()
 	r, err := s.fetch(ctx, era, after)
@@ -205,16 +218,17 @@
 		s.sourceLost = false
 		s.log.Emit(event.PlatformFound, event.Fields{Values: []any{"revision", r.Revision, "failures", s.view.FailureCount()}})
 	}
-	if r.Era > era && after > 0 {
-		s.log.Emit(event.SourceRestored, event.Fields{Values: []any{"era", r.Era, "revision", r.Revision, "previous", after}})
+	if r.Era > era && s.view.Initialized() {
+		s.log.Emit(event.SourceRestored, event.Fields{Values: []any{"era", r.Era, "revision", r.Revision, "previous", s.view.Revision()}})
 	}
 	s.logParseErrors(r, "")
 	c := s.view.ApplySourceUpdate(now, began, r)
 	s.updateConfirmedAt(now)
 	s.applyChange(c, "source", now.Sub(began))
 	// Peers that have the base revision of a delta apply it; the others fetch the full
-	// state from this host.
-	if c.Config || c.Targets || len(c.Retained) > 0 {
+	// state from this host. They get it also if it changes nothing here: their content may
+	// be that of a revision in between.
+	if c.Content {
 		s.handler.Broadcast(r, now.Sub(began))
 	} else {
 		s.handler.BroadcastConfirmation()
@@ -242,7 +256,10 @@
 		}
 	}
 	s.countRead(func(r *ReadCounts) { r.Full++ })
-	return s.source.Read(ctx)
+	r, err := s.source.Read(ctx)
+	// The changes up to this revision are not known one by one.
+	r.ContentRevision = r.Revision
+	return r, err
 }
 
 func (s *Syncer) countRead(add func(*ReadCounts)) {
@@ -268,7 +285,7 @@
 	s.handler.ApplyTargets(s.view.Revision(), targets)
 	if c.Targets {
 		s.log.Emit(event.FleetChanged, event.Fields{Values: []any{
-			"targets", len(targets), "revision", s.view.Revision(), "from", from, "age_ms", age.Milliseconds(),
+			"targets", len(targets), "listed", s.view.ListedCount(), "revision", s.view.Revision(), "from", from, "age_ms", age.Milliseconds(),
 		}})
 	}
 }
--- a/registry/view.go
+++ b/registry/view.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -19,17 +20,25 @@
 		startedAt        time.Time     // see WaitForPeers
 		startDelay       time.Duration // see WaitForPeers
 		revision         uint64        // revision of the newest update or confirmation
-		contentRevision  uint64        // revision of the last change of the configuration or the targets; lease renewals do not count
+		contentRevision  uint64        // revision of the last change of the published content; see Confirmation
 		config           Config
-		targets          map[string]table.Target
-		retained         map[string]time.Time // for each target in use that the source no longer lists, the end of its grace period
-		confirmedAt      time.Time            // time at which the source last confirmed this state; zero after a pause
-		recoveredAt      time.Time            // time at which the source was last found available again after an outage
-		ignorePeersUntil time.Time            // time until which updates and confirmations of peers are ignored
-		failureCount     int                  // consecutive failed reads
-		lastFailure      time.Time            // time of the last failed read
-		rank             int                  // position among the hosts that read the source, from 0
-		departed         map[string]departure // targets of the current era that were leaving or removed, by name
+		listed           map[string]table.Target // targets that the source lists at the revision, by name
+		retained         map[string]retention    // targets in use that the source no longer lists, by name
+		confirmedAt      time.Time               // time at which the source last confirmed this state; zero after a pause
+		recoveredAt      time.Time               // time at which the source was last found available again after an outage
+		ignorePeersUntil time.Time               // time until which updates and confirmations of peers are ignored
+		failureCount     int                     // consecutive failed reads
+		lastFailure      time.Time               // time of the last failed read
+		rank             int                     // position among the hosts that read the source, from 0
+		behind           bool                    // a peer that cannot be relied on has content that this host may lack
+		unproven         bool                    // the state is from such a peer
+		departed         map[string]departure    // targets of the current era that were leaving or removed, by name
+	}
+
+	// A retention keeps a target in use that the source no longer lists.
+	retention struct {
+		target table.Target
+		until  time.Time // end of the grace period
 	}
 
 	// A departure records that a target was leaving or removed.
@@ -42,17 +51,19 @@
 	// View.
 	Change struct {
 		Config   bool     // the configuration changed
+		Content  bool     // the published content changed, if only for a time; peers must get the update
 		Targets  bool     // targets in use were added, changed or deleted
 		Retained []string // names of targets that the source no longer lists and that remain in use for a grace period
 		Stale    bool     // the update was ignored: it is older than the view, or came from a peer shortly after a pause
 	}
 
-	// A Confirmation states that a source had a revision at a time, and that its content
-	// has not changed since an earlier revision. Hosts send it in heartbeats.
+	// A Confirmation states that a source had a revision at a time, and that its content has been
+	// the same at all revisions since an earlier one. Hosts send it in heartbeats.
 	Confirmation struct {
 		Era             uint64        // era of the source to which the revisions belong
 		Revision        uint64        // newest revision that the sender has
 		ContentRevision uint64        // revision at which the content last changed
+		Exact           bool          // ContentRevision is that of the source; earlier builds send that of their own targets in use
 		Age             time.Duration // time since the source last confirmed the sender's state
 	}
 )
@@ -124,6 +135,9 @@
 // Due returns the time at which the host should read the source next. The zero time means
 // immediately.
 func (v *View) Due() time.Time {
+	if v.ReadsUnproven() && v.failureCount == 0 {
+		return time.Time{}
+	}
 	if v.confirmedAt.IsZero() && v.failureCount == 0 {
 		if v.Initialized() || v.startedAt.IsZero() {
 			return time.Time{}
@@ -181,16 +195,26 @@
 
 // Targets returns a copy of the targets in use, by name. Retained targets have Unlisted set.
 func (v *View) Targets() map[string]table.Target {
-	out := make(map[string]table.Target, len(v.targets))
-	maps.Copy(out, v.targets)
-	for name := range v.retained {
-		t := out[name]
-		t.Unlisted = true
-		out[name] = t
+	out := make(map[string]table.Target, len(v.listed)+len(v.retained))
+	maps.Copy(out, v.listed)
+	for name, k := range v.retained {
+		k.target.Unlisted = true
+		out[name] = k.target
 	}
 	return out
 }
 
+// ListedCount returns the number of targets that the source lists at the view's revision.
+func (v *View) ListedCount() int { return len(v.listed) }
+
+// ReadsUnproven reports whether the host reads the source next because of a peer whose state is not proven to
+// be complete.
+func (v *View) ReadsUnproven() bool { return v.behind || v.unproven }
+
+// NeedsFull reports whether the next read of the source must be that of the full state, because the
+// view's is not known to be that of its revision.
+func (v *View) NeedsFull() bool { return !v.Initialized() || v.unproven }
+
 // RecordFailure records a failed read of the source, which delays the next one by the backoff.
 func (v *View) RecordFailure(now time.Time) {
 	v.failureCount++
@@ -211,7 +235,8 @@
 // ApplySourceUpdate applies an update from the source. The state counts as confirmed at the
 // time at which the read began.
 func (v *View) ApplySourceUpdate(now, began time.Time, r Update) Change {
-	v.failureCount = 0
+	v.failureCount, v.behind = 0, false
+	v.unproven = v.unproven && !r.Full
 	return v.apply(now, began, r)
 }
 
@@ -228,16 +253,39 @@
 	if !r.Full && r.Era == v.era && r.Base > v.revision {
 		return Change{}, r.Revision <= v.revision
 	}
+	if r.Full && r.ContentRevision == 0 {
+		return v.applyUnproven(now, r), true
+	}
+	if !r.Full {
+		// Peers send a delta if the content has changed, if only between its revisions.
+		r.ContentRevision = r.Revision
+	}
 	return v.apply(now, now.Add(-age), r), true
 }
 
+// applyUnproven applies a full state from a peer that does not state since when the content is the same,
+// which earlier builds do not. Such a peer may have missed changes. Its state is used only if the view is
+// empty. In either case the host reads the source next.
+func (v *View) applyUnproven(now time.Time, r Update) Change {
+	if v.Initialized() {
+		v.behind = v.behind || r.Era > v.era || r.Era == v.era && r.Revision > v.revision
+		return Change{Stale: true}
+	}
+	v.unproven = true
+	r.ContentRevision = r.Revision
+	return v.apply(now, now, r)
+}
+
 // Confirm adopts the revision and the confirmation time of a peer if the peer has the same
-// content. It ignores a peer with an older revision. It reports false if the peer has content
-// that this host lacks.
+// content. It ignores a peer with an older revision, and one whose confirmation is not exact
+// unless the view is empty. It reports false if the peer has content that this host lacks.
 func (v *View) Confirm(now time.Time, c Confirmation) bool {
 	switch {
 	case now.Before(v.ignorePeersUntil) || c.Era < v.era || c.Era == v.era && c.Revision < v.revision:
 		return true
+	case !c.Exact && v.Initialized():
+		v.behind = v.behind || c.Era > v.era || c.ContentRevision > v.revision
+		return true
 	case c.Era > v.era || c.ContentRevision > v.revision:
 		return false
 	}
@@ -248,20 +296,21 @@
 
 // Confirmation returns the Confirmation of this view, for the host's heartbeats.
 func (v *View) Confirmation(now time.Time) Confirmation {
-	return Confirmation{Era: v.era, Revision: v.revision, ContentRevision: v.contentRevision, Age: v.Age(now)}
+	return Confirmation{Era: v.era, Revision: v.revision, ContentRevision: v.contentRevision, Exact: !v.unproven, Age: v.Age(now)}
 }
 
 // Snapshot returns the full state as an update for a peer, without retained targets.
 func (v *View) Snapshot() Update {
 	r := Update{Full: true, Era: v.era, Revision: v.revision}
+	if !v.unproven {
+		r.ContentRevision = v.contentRevision
+	}
 	if v.config.Revision > 0 {
 		config := v.config
 		r.Config = &config
 	}
-	for name, t := range v.targets {
-		if _, missing := v.retained[name]; !missing {
-			r.Targets = append(r.Targets, t)
-		}
+	for _, t := range v.listed {
+		r.Targets = append(r.Targets, t)
 	}
 	slices.SortFunc(r.Targets, func(a, b table.Target) int { return strings.Compare(a.Name, b.Name) })
 	return r
@@ -302,10 +351,11 @@
 		c.Targets = v.remove(now, name, &c) || c.Targets
 	}
 	v.expireDepartures(now)
-	v.revision = r.Revision
-	if c.Config || c.Targets || len(c.Retained) > 0 {
-		v.contentRevision = r.Revision
+	c.Content = c.Config || c.Targets || len(c.Retained) > 0 || r.Skips || r.Full && r.Revision > v.revision
+	if c.Content {
+		v.contentRevision = max(v.contentRevision, cmp.Or(r.ContentRevision, r.Revision))
 	}
+	v.revision = r.Revision
 	return c
 }
 
@@ -317,7 +367,7 @@
 		isListed[t.Name] = true
 	}
 	var out []string
-	for name := range v.targets {
+	for name := range v.listed {
 		if !isListed[name] {
 			out = append(out, name)
 		}
@@ -334,7 +384,7 @@
 	if v.Initialized() {
 		v.recoveredAt = now
 	}
-	v.era, v.contentRevision = r.Era, 0
+	v.era, v.revision, v.contentRevision = r.Era, 0, 0
 	v.config.Revision = 0
 	for i := range r.Targets {
 		t := &r.Targets[i]
@@ -357,7 +407,7 @@
 	maps.DeleteFunc(v.departed, func(_ string, d departure) bool { return now.Sub(d.at) >= departureTTL })
 }
 
-// upsert adds or replaces a target. It reports whether the target was new or different.
+// upsert adds or replaces a listed target. It reports whether the target was not listed or different.
 func (v *View) upsert(now time.Time, t table.Target) bool {
 	delete(v.retained, t.Name)
 	if t.Leaving {
@@ -367,47 +417,44 @@
 	} else {
 		delete(v.departed, t.Name)
 	}
-	if old, ok := v.targets[t.Name]; ok && old == t {
+	if old, ok := v.listed[t.Name]; ok && old == t {
 		return false
 	}
-	if v.targets == nil {
-		v.targets = map[string]table.Target{}
+	if v.listed == nil {
+		v.listed = map[string]table.Target{}
 	}
-	v.targets[t.Name] = t
+	v.listed[t.Name] = t
 	return true
 }
 
-// remove deletes a target. If the source recovered from an outage less than recoveryGrace ago,
-// it retains the target until the end of that time instead and adds its name to c. It reports
-// whether the target was deleted.
+// remove deletes a listed target. If the source recovered from an outage less than recoveryGrace ago,
+// the target remains in use until the end of that time, and remove adds its name to c. It reports
+// whether a target in use was deleted.
 func (v *View) remove(now time.Time, name string, c *Change) bool {
-	if _, ok := v.targets[name]; !ok {
+	t, ok := v.listed[name]
+	if !ok {
 		return false
 	}
+	delete(v.listed, name)
 	until := v.recoveredAt.Add(recoveryGrace)
 	if v.recoveredAt.IsZero() || !now.Before(until) {
-		v.recordDeparture(now, v.targets[name])
-		delete(v.targets, name)
-		delete(v.retained, name)
+		v.recordDeparture(now, t)
 		return true
 	}
-	if _, isRetained := v.retained[name]; !isRetained {
-		if v.retained == nil {
-			v.retained = map[string]time.Time{}
-		}
-		v.retained[name] = until
-		c.Retained = append(c.Retained, name)
+	if v.retained == nil {
+		v.retained = map[string]retention{}
 	}
+	v.retained[name] = retention{t, until}
+	c.Retained = append(c.Retained, name)
 	return false
 }
 
 // Expire deletes the retained targets whose grace period has ended.
 func (v *View) Expire(now time.Time) Change {
 	var c Change
-	for name, until := range v.retained {
-		if !now.Before(until) {
+	for name, k := range v.retained {
+		if !now.Before(k.until) {
 			delete(v.retained, name)
-			delete(v.targets, name)
 			c.Targets = true
 		}
 	}
--- a/registry/view_test.go
+++ b/registry/view_test.go
@@ -73,11 +73,11 @@
 	now := start
 	for range 20 {
 		now = now.Add(ReadInterval)
-		c.Assert(v.Confirm(now, Confirmation{Revision: v.Revision() + 3, ContentRevision: 10, Age: 20 * time.Millisecond}), qt.IsTrue)
+		c.Assert(v.Confirm(now, Confirmation{Revision: v.Revision() + 3, ContentRevision: 10, Exact: true, Age: 20 * time.Millisecond}), qt.IsTrue)
 		c.Assert(v.Due().After(now.Add(ReadInterval)), qt.IsTrue)
 	}
 	c.Assert(v.Age(now), qt.Equals, 20*time.Millisecond)
-	c.Assert(v.Confirm(now, Confirmation{Revision: 200, ContentRevision: 150}), qt.IsFalse)
+	c.Assert(v.Confirm(now, Confirmation{Revision: 200, ContentRevision: 150, Exact: true}), qt.IsFalse)
 }
 
 func TestDeltaRequiresBaseRevision(t *testing.T) {
@@ -137,7 +137,7 @@
 	v.SetRank(3)
 	woke := start.Add(5 * time.Second)
 	v.HandlePause(woke)
-	c.Assert(v.Confirm(woke, Confirmation{Revision: 12, ContentRevision: 10}), qt.IsTrue)
+	c.Assert(v.Confirm(woke, Confirmation{Revision: 12, ContentRevision: 10, Exact: true}), qt.IsTrue)
 	c.Assert(v.Due().After(woke), qt.IsFalse)
 	_, _ = v.ApplyPeerUpdate(woke, 0, Update{Base: 10, Revision: 14, Targets: targets("b")})
 	c.Assert(snapshotNames(v), qt.DeepEquals, []string{"a"})
@@ -179,7 +179,7 @@
 	change, ok := fresh.ApplyPeerUpdate(start, 0, Update{Base: 4, Revision: 90, Targets: targets("old")})
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(change.Stale, qt.IsTrue)
-	c.Assert(fresh.Confirm(start, Confirmation{Revision: 95, ContentRevision: 90}), qt.IsTrue)
+	c.Assert(fresh.Confirm(start, Confirmation{Revision: 95, ContentRevision: 90, Exact: true}), qt.IsTrue)
 	c.Assert(fresh.Revision(), qt.Equals, uint64(5))
 
 	late := newTestView("a")
@@ -227,7 +227,7 @@
 	c.Assert(v.Due(), qt.Equals, start.Add(startDelay))
 	v.SetRank(1)
 	c.Assert(v.Due(), qt.Equals, start.Add(startDelay+standbyReadAge-ReadInterval))
-	_, ok := v.ApplyPeerUpdate(start.Add(startDelay), 0, Update{Full: true, Revision: 10, Targets: targets("a")})
+	_, ok := v.ApplyPeerUpdate(start.Add(startDelay), 0, Update{Full: true, Revision: 10, ContentRevision: 10, Targets: targets("a")})
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(v.Due().After(start.Add(startDelay+standbyReadAge-ReadInterval)), qt.IsTrue)
 }
@@ -241,3 +241,73 @@
 	v.ApplySourceUpdate(start, start, Update{Full: true, Revision: 10})
 	c.Assert(v.Due(), qt.Equals, start.Add(maxReadAge))
 }
+
+// Hosts of an earlier build may confirm a revision whose changes they have not passed on. A host must
+// not take the revision from them, and must read the source if they have content that it lacks.
+func TestConfirmationOfEarlierBuild(t *testing.T) {
+	c := qt.New(t)
+	v := newTestView("a")
+	v.SetRank(3)
+	c.Check(v.Confirm(start, Confirmation{Revision: 14, ContentRevision: 10}), qt.IsTrue)
+	c.Check(v.Revision(), qt.Equals, uint64(10))
+	c.Check(v.Due(), qt.Equals, start.Add(standbyReadAge+2*readStagger))
+	c.Check(v.Confirm(start, Confirmation{Revision: 14, ContentRevision: 12}), qt.IsTrue)
+	c.Check(v.Due().IsZero(), qt.IsTrue)
+	c.Check(v.NeedsFull(), qt.IsFalse)
+	v.ApplySourceUpdate(start, start, Update{Base: 10, Revision: 14, Targets: targets("b")})
+	c.Check(v.Due(), qt.Equals, start.Add(standbyReadAge+2*readStagger))
+}
+
+// The full state of a host of an earlier build may lack targets. A host with a state of its own must not
+// use it, and a host without one only until it has read the source. It must not pass such a state on as
+// exact.
+func TestStateOfEarlierBuild(t *testing.T) {
+	c := qt.New(t)
+	old := Update{Full: true, Revision: 14, Targets: targets("a")}
+	v := newTestView("a", "b")
+	change, ok := v.ApplyPeerUpdate(start, 0, old)
+	c.Check(ok, qt.IsTrue)
+	c.Check(change.Stale, qt.IsTrue)
+	c.Check(snapshotNames(v), qt.DeepEquals, []string{"a", "b"})
+	c.Check(v.Due().IsZero(), qt.IsTrue)
+
+	started := &View{}
+	started.WaitForPeers(start, 1)
+	c.Check(started.Confirm(start, Confirmation{Revision: 14, ContentRevision: 14}), qt.IsFalse)
+	_, ok = started.ApplyPeerUpdate(start, 0, old)
+	c.Check(ok, qt.IsTrue)
+	c.Check(snapshotNames(started), qt.DeepEquals, []string{"a"})
+	c.Check(started.Due().IsZero(), qt.IsTrue)
+	c.Check(started.NeedsFull(), qt.IsTrue)
+	c.Check(started.Confirmation(start).Exact, qt.IsFalse)
+	c.Check(started.Snapshot().ContentRevision, qt.Equals, uint64(0))
+	started.ApplySourceUpdate(start, start, Update{Full: true, Revision: 14, Targets: targets("a", "b")})
+	c.Check(snapshotNames(started), qt.DeepEquals, []string{"a", "b"})
+	c.Check(started.NeedsFull(), qt.IsFalse)
+	c.Check(started.Confirmation(start).Exact, qt.IsTrue)
+}
+
+// A delta in which a target lapsed and returned changes nothing for a host that had the target before,
+// and must reach hosts that have the content in between.
+func TestDeltaThatSkipsContent(t *testing.T) {
+	c := qt.New(t)
+	cases := map[string]struct {
+		change func(*Update)
+		skips  bool
+	}{
+		"lapsed and listed again":   {func(r *Update) { r.Remove("a"); r.Put(table.Target{Name: "a"}) }, true},
+		"listed and removed":        {func(r *Update) { r.Put(table.Target{Name: "b"}); r.Remove("b") }, true},
+		"another and the same":      {func(r *Update) { r.Put(table.Target{Name: "a", Slots: 2}); r.Put(table.Target{Name: "a"}) }, true},
+		"written twice, unchanged":  {func(r *Update) { r.Put(table.Target{Name: "a"}); r.Put(table.Target{Name: "a"}) }, false},
+		"removed twice, not listed": {func(r *Update) { r.Remove("b"); r.Remove("b") }, false},
+	}
+	for name, q := range cases {
+		v := newTestView("a")
+		r := Update{Base: 10, Revision: 14}
+		q.change(&r)
+		change := v.ApplySourceUpdate(start, start, r)
+		c.Check(change.Targets, qt.IsFalse, qt.Commentf(name))
+		c.Check(change.Content, qt.Equals, q.skips, qt.Commentf(name))
+		c.Check(v.Confirmation(start).ContentRevision == 14, qt.Equals, q.skips, qt.Commentf(name))
+	}
+}
