--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,18 +19,39 @@
 	"github.com/wigeonlink/wigeonlink/detour"
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/limit"
 	"github.com/wigeonlink/wigeonlink/relay"
 	"github.com/wigeonlink/wigeonlink/route"
 	"github.com/wigeonlink/wigeonlink/target"
 )
 
-// bufferedResponse is a target's response held in memory: the whole response, or its first
-// maxBufferedResponse+1 bytes if it is longer.
-type bufferedResponse struct {
-	status int
-	header http.Header
-	data   []byte // body
-}
+type (
+	// attempt is one attempt of a call at a target, with all that its response leaves behind. The next
+	// attempt begins with a new one; what the caller has already been sent belongs to the call.
+	attempt struct {
+		*call
+		cancel        context.CancelCauseFunc // aborts the attempt
+		target        string                  // name of the target, after a move that of the engine which serves the stream
+		via           string                  // host through which the target was connected; empty if directly
+		framing       framing                 // of the latest response
+		limit         *limit.Reading          // of the latest response; nil if that says nothing
+		events        eventSplitter           // of the stream
+		lastEvent     atomic.Int64            // identifier of the last event forwarded to the caller
+		lastArrival   time.Time               // arrival of the last event
+		longestGap    time.Duration           // longest time between two consecutive events
+		moveCount     int                     // completed moves of the stream to another engine
+		undeliverable bool                    // an event is missing, or a write to the caller failed
+		placement     placement
+	}
+
+	// bufferedResponse is a target's response held in memory: the whole response, or its first
+	// maxBufferedResponse+1 bytes if it is longer.
+	bufferedResponse struct {
+		status int
+		header http.Header
+		data   []byte // body
+	}
+)
 
 var (
 	errRequestIDMismatch = eris.New("the response carries the identifier of another request")
@@ -39,31 +61,37 @@
 	errAttemptTimeout    = eris.New("the target did not respond within the timeout of the attempt")
 )
 
-// attempt sends the request to the target that the reducer chose in decision and forwards the
+// newAttempt returns the next attempt of the call, at the named target.
+func (c *call) newAttempt(name string) *attempt {
+	c.attemptCount++
+	c.latest = &attempt{call: c, target: name}
+	return c.latest
+}
+
+// run sends the request to the target that the reducer chose in decision and forwards the
 // target's response to the caller.
-func (c *call) attempt(ctx context.Context, decision dispatch.Effect) relay.Result {
+func (a *attempt) run(ctx context.Context, decision dispatch.Effect) relay.Result {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	c.cancelAttempt = cancel
-	c.via = ""
-	ctx = traceRelay(ctx, &c.via)
-	stop := c.limitAttempt(cancel)
+	a.cancel = cancel
+	ctx = traceRelay(ctx, &a.via)
+	stop := a.limitDuration()
 	sent := time.Now()
-	resp, err := c.gateway.transport.RoundTrip(c.newRequest(ctx, decision, nil))
+	resp, err := a.gateway.transport.RoundTrip(a.newRequest(ctx, decision, nil))
 	stop()
 	if err != nil {
 		return failedResult(ctx, err)
 	}
 	defer resp.Body.Close()
-	c.framing = framingOf(resp)
-	reply := c.parseResponse(resp, decision, sent, c.via)
+	a.framing = framingOf(resp)
+	reply := a.parseResponse(resp, decision, sent, a.via)
 	switch {
 	case reply.NotExecuted:
 		return relay.Result{
 			Ending: relay.EndFailed, Certainty: target.CertaintyNotRun, TargetFailed: true, RetryAfter: reply.RetryAfter,
 			Cause: eris.Errorf("the target refused the request without executing it: status %d", resp.StatusCode),
 		}
-	case reply.ID != "" && reply.ID != c.info.ID:
+	case reply.ID != "" && reply.ID != a.info.ID:
 		return failedResult(ctx, errRequestIDMismatch)
 	case resp.StatusCode < 300 && !reply.HasProof:
 		return failedResult(ctx, errNoProof)
@@ -71,9 +99,9 @@
 		return failedResult(ctx, errContentEncoding)
 	}
 	if isEventStream(resp) && resp.StatusCode < 300 {
-		return c.stream(ctx, decision, resp)
+		return a.stream(ctx, decision, resp)
 	}
-	return c.forwardBuffered(ctx, resp)
+	return a.forwardBuffered(ctx, resp)
 }
 
 // traceRelay returns a context for one request that sets via to the host through which its connection goes, if not
@@ -89,42 +117,42 @@
 // parseResponse parses the status and headers of a target's response to a request that was sent at the
 // given time, through the host via if not directly, and passes on what the response says about the target: that it
 // leaves or asks for rest, and its limit.
-func (c *call) parseResponse(resp *http.Response, decision dispatch.Effect, sent time.Time, via string) ResponseInfo {
-	reply := c.gateway.dialect.ParseResponse(resp.StatusCode, resp.Header)
-	c.limit = reply.Limit
+func (a *attempt) parseResponse(resp *http.Response, decision dispatch.Effect, sent time.Time, via string) ResponseInfo {
+	reply := a.gateway.dialect.ParseResponse(resp.StatusCode, resp.Header)
+	a.limit = reply.Limit
 	if reply.StatusError != nil {
-		c.gateway.host.Log().Emit(event.TargetLimited, event.Fields{Request: c.info.ID, Target: decision.Target, Detail: reply.StatusError.Error()})
+		a.gateway.host.Log().Emit(event.TargetLimited, event.Fields{Request: a.info.ID, Target: decision.Target, Detail: reply.StatusError.Error()})
 	}
-	if reply.Leaving && (reply.ID == "" || reply.ID == c.info.ID) {
-		c.hostRequest.LeavingRead(decision.Target)
+	if reply.Leaving && (reply.ID == "" || reply.ID == a.info.ID) {
+		a.hostRequest.LeavingRead(decision.Target)
 	}
 	if reply.NotExecuted && reply.RetryAfter > 0 {
-		c.hostRequest.RestAsked(decision.To, reply.RetryAfter, via)
+		a.hostRequest.RestAsked(decision.To, reply.RetryAfter, via)
 	}
-	if reply.Brittle != nil && (reply.Brittle.Named || decision.Brittle) && (reply.ID == "" || reply.ID == c.info.ID) {
-		c.hostRequest.BrittleRead(dispatch.BrittleRead{Target: decision.Target, Reading: *reply.Brittle, Sent: sent, Received: time.Now()})
+	if reply.Brittle != nil && (reply.Brittle.Named || decision.Brittle) && (reply.ID == "" || reply.ID == a.info.ID) {
+		a.hostRequest.BrittleRead(dispatch.BrittleRead{Target: decision.Target, Reading: *reply.Brittle, Sent: sent, Received: time.Now()})
 	}
-	if reply.Limit == nil || reply.ID != "" && reply.ID != c.info.ID {
+	if reply.Limit == nil || reply.ID != "" && reply.ID != a.info.ID {
 		return reply
 	}
 	// Without a limit before, a response without one is no news.
 	if reply.Limit.Named || decision.Limit.Record.Named {
-		c.hostRequest.LimitRead(dispatch.LimitRead{Target: decision.Target, Reading: *reply.Limit, Sent: sent, Received: time.Now()})
+		a.hostRequest.LimitRead(dispatch.LimitRead{Target: decision.Target, Reading: *reply.Limit, Sent: sent, Received: time.Now()})
 	}
 	return reply
 }
 
-// limitAttempt sets a timer that cancels an attempt of an idempotent request if the target
+// limitDuration sets a timer that cancels the attempt of an idempotent request if the target
 // sends no response headers within a fraction of the time until the deadline, or within twice
 // the route's first-byte objective if that is longer. The rest of the time is left for an
 // attempt at another target. The last attempt that the route allows has no such limit.
 // The returned function stops the timer.
-func (c *call) limitAttempt(cancel context.CancelCauseFunc) func() {
-	if c.route.Kind != route.Idempotent || c.attemptCount >= c.route.MaxAttempts {
+func (a *attempt) limitDuration() func() {
+	if a.route.Kind != route.Idempotent || a.attemptCount >= a.route.MaxAttempts {
 		return func() {}
 	}
-	limit := max(2*c.route.FirstByteObjective, time.Until(c.deadline)/attemptTimeoutDivisor)
-	t := time.AfterFunc(limit, func() { cancel(errAttemptTimeout) })
+	limit := max(2*a.route.FirstByteObjective, time.Until(a.deadline)/attemptTimeoutDivisor)
+	t := time.AfterFunc(limit, func() { a.cancel(errAttemptTimeout) })
 	return func() { t.Stop() }
 }
 
@@ -207,21 +235,21 @@
 // forwardBuffered reads a response to its end before it forwards it, so that a truncated
 // response fails the attempt instead of reaching the caller. A response longer than
 // maxBufferedResponse is forwarded as it arrives.
-func (c *call) forwardBuffered(ctx context.Context, resp *http.Response) relay.Result {
+func (a *attempt) forwardBuffered(ctx context.Context, resp *http.Response) relay.Result {
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
 	if err != nil {
 		return failedResult(ctx, eris.Wrap(err, "answer"))
 	}
 	f := &bufferedResponse{resp.StatusCode, resp.Header, data}
 	if len(data) > maxBufferedResponse {
-		return c.forwardLong(ctx, resp, f)
+		return a.forwardLong(ctx, resp, f)
 	}
-	if resp.StatusCode >= 500 && c.route.Kind == route.Idempotent {
-		c.failedResponse = f
+	if resp.StatusCode >= 500 && a.route.Kind == route.Idempotent {
+		a.failedResponse = f
 		return relay.Result{Ending: relay.EndFailed, TargetFailed: true, Cause: eris.Errorf("the target failed with status %d", resp.StatusCode)}
 	}
-	f.writeTo(c)
-	return c.completeResult()
+	f.writeTo(a.call)
+	return a.completeResult()
 }
 
 // writeTo sends the buffered response to the caller of c with the target's status and body.
@@ -241,20 +269,20 @@
 
 // forwardLong forwards a response that is longer than maxBufferedResponse: first the bytes in f,
 // then the rest of the body as it arrives.
-func (c *call) forwardLong(ctx context.Context, resp *http.Response, f *bufferedResponse) relay.Result {
-	c.copyHeader(f.header)
+func (a *attempt) forwardLong(ctx context.Context, resp *http.Response, f *bufferedResponse) relay.Result {
+	a.copyHeader(f.header)
 	if resp.ContentLength >= 0 {
-		c.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+		a.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
-	c.writeHeader(f.status)
-	n, err := io.Copy(c.w, io.MultiReader(bytes.NewReader(f.data), resp.Body))
-	c.bodyBytes += n
+	a.writeHeader(f.status)
+	n, err := io.Copy(a.w, io.MultiReader(bytes.NewReader(f.data), resp.Body))
+	a.bodyBytes += n
 	if err != nil {
 		r := failedResult(ctx, eris.Wrap(err, "answer"))
 		r.DeliveredTokens = 1 // the caller has received part of the response
 		return r
 	}
-	return c.completeResult()
+	return a.completeResult()
 }
 
 // copyHeader copies the end-to-end headers of a target's response to the response for the
@@ -280,3 +308,10 @@
 	c.firstByte = time.Since(c.started)
 	c.w.WriteHeader(status)
 }
+
+// completeResult returns the result of an attempt whose response is complete.
+func (a *attempt) completeResult() relay.Result {
+	r := relay.Result{Ending: relay.EndComplete, DeliveredTokens: a.events.eventCount * a.tokensPerEvent}
+	r.Usage.Prompt, r.Usage.Output = a.info.PromptTokens, a.events.eventCount*a.tokensPerEvent
+	return r
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,9 +15,7 @@
 	"github.com/wigeonlink/wigeonlink/answer"
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/host"
-	"github.com/wigeonlink/wigeonlink/limit"
 	"github.com/wigeonlink/wigeonlink/quarantine"
-	"github.com/wigeonlink/wigeonlink/relay"
 	"github.com/wigeonlink/wigeonlink/route"
 	"github.com/wigeonlink/wigeonlink/table"
 )
@@ -43,24 +40,12 @@
 	hostRequest    *host.Request
 	failedResponse *bufferedResponse // last 5xx response, forwarded if no other target succeeds
 
-	target        string         // name of the target of the latest attempt
-	via           string         // host through which the latest attempt was connected to its target; empty if directly
-	framing       framing        // of the latest response of a target
-	limit         *limit.Reading // of the latest response of a target; nil if that says nothing
-	attemptCount  int            // attempts started
-	status        int            // HTTP status sent to the caller
-	firstByte     time.Duration  // from started to the first response byte
-	bodyBytes     int64          // body bytes sent to the caller
-	written       bool           // the response headers have been sent
-	events        eventSplitter
-	lastArrival   time.Time               // arrival of the last event
-	longestGap    time.Duration           // longest time between two consecutive events
-	moveCount     int                     // completed moves of the stream to another engine
-	undeliverable bool                    // an event is missing, or a write to the caller failed
-	cancelAttempt context.CancelCauseFunc // aborts the current attempt
-
-	placement placement
-	lastEvent atomic.Int64 // identifier of the last event forwarded to the caller
+	attemptCount int           // attempts started
+	latest       *attempt      // latest attempt; one without a target before the first
+	status       int           // HTTP status sent to the caller
+	firstByte    time.Duration // from started to the first response byte
+	bodyBytes    int64         // body bytes sent to the caller
+	written      bool          // the response headers have been sent
 }
 
 // serve admits the request, reads its body and forwards it to a target. It returns an error if
@@ -201,9 +186,7 @@
 		if err != nil {
 			return c.finalError(err)
 		}
-		c.attemptCount++
-		c.target = decision.Target
-		res := c.attempt(ctx, decision)
+		res := c.newAttempt(decision.Target).run(ctx, decision)
 		if c.r.Context().Err() != nil {
 			c.hostRequest.Abandon()
 			return answer.New(answer.KindCallerGone, "")
@@ -256,10 +239,3 @@
 	}
 	return max(min(d, time.Until(c.deadline)/retryAfterDivisor), minRetryAfter)
 }
-
-// completeResult returns the result of an attempt whose response is complete.
-func (c *call) completeResult() relay.Result {
-	r := relay.Result{Ending: relay.EndComplete, DeliveredTokens: c.events.eventCount * c.tokensPerEvent}
-	r.Usage.Prompt, r.Usage.Output = c.info.PromptTokens, c.events.eventCount*c.tokensPerEvent
-	return r
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,7 +63,7 @@
 	retryAfterDivisor            = 4                     // Retry-After is at most the time until the deadline divided by this
 	firstEventFraction           = 0.75                  // part of the stream timeout within which a stream must be dispatched; the rest is for its prompt
 	dispatchDeadlineDivisor      = 3                     // the request must be dispatched within the time until its deadline divided by this
-	attemptTimeoutDivisor        = 3                     // an attempt of an idempotent request, except the last, gets the time until the deadline divided by this; see limitAttempt
+	attemptTimeoutDivisor        = 3                     // an attempt of an idempotent request, except the last, gets the time until the deadline divided by this; see limitDuration
 	minStreamTimeout             = 2 * time.Second       // lower bound of the stream timeout, see streamTimeout
 	streamTimeoutFirstByteFactor = 4                     // the stream timeout is at least the route's first-byte objective times this
 	streamTimeoutGapFactor       = 8                     // the stream timeout is at least the route's gap objective times this
@@ -124,7 +124,7 @@
 
 // ServeHTTP forwards the request to a target and the target's response to the caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{gateway: g, w: w, r: r, started: time.Now()}
+	c := &call{gateway: g, w: w, r: r, started: time.Now(), latest: &attempt{}}
 	err := c.serve()
 	if err == nil {
 		c.recordEnd(nil)
@@ -159,7 +159,7 @@
 func (c *call) stats(e *answer.Error) RequestStats {
 	r := RequestStats{
 		Status: c.status, FirstByte: c.firstByte, Duration: time.Since(c.started),
-		LongestGap: c.longestGap, EventCount: c.events.eventCount, MoveCount: c.moveCount,
+		LongestGap: c.latest.longestGap, EventCount: c.latest.events.eventCount, MoveCount: c.latest.moveCount,
 	}
 	if c.route != nil {
 		r.Kind = c.route.Kind.String()
@@ -177,7 +177,7 @@
 // it, or nil if its response is complete.
 func (c *call) recordEnd(e *answer.Error) {
 	c.gateway.observer.RequestFinished(c.stats(e))
-	fields := event.Fields{Request: c.info.ID, Organisation: c.organisation, Target: c.target, TableVersion: c.tableVersion}
+	fields := event.Fields{Request: c.info.ID, Organisation: c.organisation, Target: c.latest.target, TableVersion: c.tableVersion}
 	fields.Values = []any{
 		"status", c.status, "ms", time.Since(c.started).Milliseconds(), "first_ms", c.firstByte.Milliseconds(),
 		"attempts", c.attemptCount, "bytes", c.bodyBytes,
@@ -185,18 +185,18 @@
 	if c.route != nil {
 		fields.Values = append(fields.Values, "route", c.route.Name, "kind", c.route.Kind.String())
 	}
-	if c.framing != framingNone {
+	if c.latest.framing != framingNone {
 		// partial counts the bytes after the last complete event.
-		fields.Values = append(fields.Values, "framing", c.framing.String(), "partial", len(c.events.partial))
+		fields.Values = append(fields.Values, "framing", c.latest.framing.String(), "partial", len(c.latest.events.partial))
 	}
-	if c.via != "" {
-		fields.Values = append(fields.Values, "via", c.via)
+	if c.latest.via != "" {
+		fields.Values = append(fields.Values, "via", c.latest.via)
 	}
-	if c.limit != nil && c.limit.Named {
-		fields.Values = append(fields.Values, "limit", c.limit.Rate)
+	if c.latest.limit != nil && c.latest.limit.Named {
+		fields.Values = append(fields.Values, "limit", c.latest.limit.Rate)
 	}
-	if c.events.eventCount > 0 {
-		fields.Values = append(fields.Values, "events", c.events.eventCount, "longest_gap_ms", c.longestGap.Milliseconds())
+	if c.latest.events.eventCount > 0 {
+		fields.Values = append(fields.Values, "events", c.latest.events.eventCount, "longest_gap_ms", c.latest.longestGap.Milliseconds())
 	}
 	if len(c.info.PromptParts) > 0 {
 		fields.Values = append(fields.Values, "parts", formatParts(c.info.PromptParts))
@@ -204,8 +204,8 @@
 	if c.digest != 0 {
 		fields.Values = append(fields.Values, "digest", strconv.FormatUint(c.digest, 16))
 	}
-	if c.moveCount > 0 {
-		fields.Values = append(fields.Values, "moves", c.moveCount)
+	if c.latest.moveCount > 0 {
+		fields.Values = append(fields.Values, "moves", c.latest.moveCount)
 	}
 	if e != nil {
 		fields.Detail = e.Error()
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -86,38 +86,38 @@
 )
 
 // runMoves executes the moves that the reducer requests, one at a time, until moving is
-// cancelled. Responses that it opens for the reader of the stream use the context attempt, and
+// cancelled. Responses that it opens for the reader of the stream use the context streaming, and
 // so remain open after moving is cancelled.
-func (c *call) runMoves(moving, attempt context.Context) {
+func (a *attempt) runMoves(moving, streaming context.Context) {
 	for {
 		select {
 		case <-moving.Done():
 			return
-		case f := <-c.hostRequest.Moves():
+		case f := <-a.hostRequest.Moves():
 			if f.Kind == dispatch.EffectNoMove {
-				c.notifyReader(nil)
+				a.notifyReader(nil)
 				continue
 			}
 			m := &move{effect: f, to: f.To, started: time.Now(), done: make(chan struct{})}
-			c.placement.mu.Lock()
-			m.from, c.placement.currentMove = c.placement.target, m
-			c.placement.mu.Unlock()
+			a.placement.mu.Lock()
+			m.from, a.placement.currentMove = a.placement.target, m
+			a.placement.mu.Unlock()
 			if f.ToBackup {
-				c.resumeAtBackup(attempt, m)
+				a.resumeAtBackup(streaming, m)
 			} else {
-				c.migrate(moving, m)
+				a.migrate(moving, m)
 			}
 			close(m.done)
-			c.notifyReader(m)
+			a.notifyReader(m)
 		}
 	}
 }
 
 // notifyReader passes the completed move m to a reader that waits in requestMove. A nil m means
 // that the stream cannot be moved.
-func (c *call) notifyReader(m *move) {
+func (a *attempt) notifyReader(m *move) {
 	select {
-	case c.placement.finishedMoves <- m:
+	case a.placement.finishedMoves <- m:
 	default:
 	}
 }
@@ -125,37 +125,37 @@
 // resumeAtBackup resumes the stream at the engine that holds a backup of its KV cache, while the
 // source engine still streams. It then closes the connection to the source engine, which makes
 // the reader of the stream continue with the new response. The stream does not pause.
-func (c *call) resumeAtBackup(ctx context.Context, m *move) {
-	resp, err := c.openResumed(ctx, m, m.to, ResumePoint{Engine: m.to.Address, Handle: c.info.ID})
-	c.placement.mu.Lock()
-	defer c.placement.mu.Unlock()
-	if err != nil || c.placement.ended {
+func (a *attempt) resumeAtBackup(ctx context.Context, m *move) {
+	resp, err := a.openResumed(ctx, m, m.to, ResumePoint{Engine: m.to.Address, Handle: a.info.ID})
+	a.placement.mu.Lock()
+	defer a.placement.mu.Unlock()
+	if err != nil || a.placement.ended {
 		if resp != nil {
 			resp.Body.Close()
 		}
-		c.placement.currentMove = nil
+		a.placement.currentMove = nil
 		if err != nil && ctx.Err() == nil {
-			c.logMove(event.MoveFailed, m, err.Error())
-			c.hostRequest.MoveFailed(false)
+			a.logMove(event.MoveFailed, m, err.Error())
+			a.hostRequest.MoveFailed(false)
 		}
 		return
 	}
 	m.mu.Lock()
 	m.backupResponse = resp
 	m.mu.Unlock()
-	c.placement.response.Body.Close()
+	a.placement.response.Body.Close()
 }
 
 // migrate copies the KV cache while the generation runs, then stops the generation and copies
 // the rest. The source engine then ends the stream, and its reader resumes the generation from
 // the copy.
-func (c *call) migrate(ctx context.Context, m *move) {
-	plan := copyPlan{maxGap: c.route.GapObjective, deadline: m.effect.At}
+func (a *attempt) migrate(ctx context.Context, m *move) {
+	plan := copyPlan{maxGap: a.route.GapObjective, deadline: m.effect.At}
 	for {
 		copyStart := time.Now()
-		copied, err := c.copyCache(ctx, m, false)
+		copied, err := a.copyCache(ctx, m, false)
 		if err != nil || copied.NotFound || copied.HeldAtSource || copied.Handle == "" {
-			c.abandonMove(m, copied, err)
+			a.abandonMove(m, copied, err)
 			return
 		}
 		m.mu.Lock()
@@ -167,9 +167,9 @@
 			break
 		}
 	}
-	last, err := c.copyCache(ctx, m, true)
+	last, err := a.copyCache(ctx, m, true)
 	if err != nil {
-		c.logMove(event.MoveFailed, m, "final copy: "+err.Error())
+		a.logMove(event.MoveFailed, m, "final copy: "+err.Error())
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -181,21 +181,21 @@
 
 // copyCache copies the part of the KV cache that the previous copy lacks. If last is set, the
 // source engine stops the generation first.
-func (c *call) copyCache(ctx context.Context, m *move, last bool) (CopyResult, error) {
+func (a *attempt) copyCache(ctx context.Context, m *move, last bool) (CopyResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	return c.gateway.copier.Copy(ctx, m.from.Address, m.to.Address, c.info.ID, last)
+	return a.gateway.copier.Copy(ctx, m.from.Address, m.to.Address, a.info.ID, last)
 }
 
 // abandonMove ends a move because a copy failed while the generation ran. It logs the reason and
 // reports the failed move to the reducer; the source engine continues to serve the stream. After
 // the end of the stream it does nothing.
-func (c *call) abandonMove(m *move, copied CopyResult, err error) {
-	c.placement.mu.Lock()
-	if c.placement.currentMove == m {
-		c.placement.currentMove = nil
+func (a *attempt) abandonMove(m *move, copied CopyResult, err error) {
+	a.placement.mu.Lock()
+	if a.placement.currentMove == m {
+		a.placement.currentMove = nil
 	}
-	c.placement.mu.Unlock()
+	a.placement.mu.Unlock()
 	detail := "the destination has no capacity for the copy"
 	switch {
 	case errors.Is(err, context.Canceled):
@@ -205,13 +205,13 @@
 	case copied.NotFound:
 		detail = "the source target has no such generation"
 	}
-	c.logMove(event.MoveFailed, m, detail)
-	c.hostRequest.MoveFailed(copied.NotFound)
+	a.logMove(event.MoveFailed, m, detail)
+	a.hostRequest.MoveFailed(copied.NotFound)
 }
 
 // logMove logs the end of a move with the durations of its steps; detail is the cause of a
 // failure.
-func (c *call) logMove(n event.Number, m *move, detail string) {
+func (a *attempt) logMove(n event.Number, m *move, detail string) {
 	m.mu.Lock()
 	copied, stopped := m.copiedAt, m.stoppedAt
 	m.mu.Unlock()
@@ -220,25 +220,25 @@
 		values = append(values, "copy_ms", copied.Sub(m.started).Milliseconds(),
 			"last_ms", stopped.Sub(copied).Milliseconds(), "resume_ms", time.Since(stopped).Milliseconds())
 	}
-	c.gateway.host.Log().Emit(n, event.Fields{
-		Request: c.info.ID, Organisation: c.organisation, Target: m.from.Name, Detail: detail, Values: values,
+	a.gateway.host.Log().Emit(n, event.Fields{
+		Request: a.info.ID, Organisation: a.organisation, Target: m.from.Name, Detail: detail, Values: values,
 	})
 }
 
 // nextResponse returns the response that continues a stream whose current response has ended, or
 // nil if no engine continues it. end is what that end proves about the stream. stopped reports whether
 // the response may have ended only because the generation was stopped for a move.
-func (c *call) nextResponse(ctx context.Context, end streamEnd) (next *http.Response, stopped bool) {
-	m := c.takeMove()
+func (a *attempt) nextResponse(ctx context.Context, end streamEnd) (next *http.Response, stopped bool) {
+	m := a.takeMove()
 	if m == nil && end == streamBroken {
-		m = c.requestMove(ctx)
-		c.takeMove()
+		m = a.requestMove(ctx)
+		a.takeMove()
 	}
 	if m == nil {
 		return nil, false
 	}
 	if end != streamBroken && !m.mayHaveStopped() {
-		c.freeCopy(m)
+		a.freeCopy(m)
 		return nil, false
 	}
 	select {
@@ -251,26 +251,26 @@
 	next, handle, heldAtSource, notFound := m.backupResponse, m.handle, m.heldAtSource, m.notFound
 	m.mu.Unlock()
 	if next != nil {
-		c.completeMove(m, m.to, false)
+		a.completeMove(m, m.to, false)
 		return next, false
 	}
 	ended := notFound && end != streamBroken // the generation ended before it could be stopped
 	if m.effect.ToBackup || handle == "" || ended {
 		if !m.effect.ToBackup {
-			c.hostRequest.MoveFailed(true)
+			a.hostRequest.MoveFailed(true)
 		}
 		return nil, !ended
 	}
-	return c.resumeFromCopy(ctx, m, handle, heldAtSource), true
+	return a.resumeFromCopy(ctx, m, handle, heldAtSource), true
 }
 
 // takeMove returns the move in progress and clears it, so that no other step completes it again.
 // It returns nil if there is none.
-func (c *call) takeMove() *move {
-	c.placement.mu.Lock()
-	defer c.placement.mu.Unlock()
-	m := c.placement.currentMove
-	c.placement.currentMove = nil
+func (a *attempt) takeMove() *move {
+	a.placement.mu.Lock()
+	defer a.placement.mu.Unlock()
+	m := a.placement.currentMove
+	a.placement.currentMove = nil
 	return m
 }
 
@@ -284,17 +284,17 @@
 
 // requestMove reports a broken stream to the reducer and waits for the resulting move. It returns
 // nil if the reducer does not move the stream or moveTimeout has passed.
-func (c *call) requestMove(ctx context.Context) *move {
-	if c.gateway.copier == nil {
+func (a *attempt) requestMove(ctx context.Context) *move {
+	if a.gateway.copier == nil {
 		return nil
 	}
 	select {
-	case <-c.placement.finishedMoves: // discards the result of an earlier move
+	case <-a.placement.finishedMoves: // discards the result of an earlier move
 	default:
 	}
-	c.hostRequest.StreamBroken()
+	a.hostRequest.StreamBroken()
 	select {
-	case m := <-c.placement.finishedMoves:
+	case m := <-a.placement.finishedMoves:
 		return m
 	case <-time.After(moveTimeout):
 	case <-ctx.Done():
@@ -306,40 +306,40 @@
 // during a move, from the copy with the given handle: at the destination or, if the destination
 // refuses, at the source engine. heldAtSource means that only the source engine holds the copy,
 // so that the generation can be resumed only there.
-func (c *call) resumeFromCopy(ctx context.Context, m *move, handle string, heldAtSource bool) *http.Response {
+func (a *attempt) resumeFromCopy(ctx context.Context, m *move, handle string, heldAtSource bool) *http.Response {
 	to := m.to
 	if heldAtSource {
 		to = m.from
 	}
 	point := ResumePoint{Engine: m.from.Address, Handle: handle}
-	resp, err := c.openResumed(ctx, m, to, point)
+	resp, err := a.openResumed(ctx, m, to, point)
 	if !heldAtSource && (target.Unsent(err) || errors.Is(err, errResumeRejected)) {
 		// The destination has not resumed the generation, and the source engine still holds the
 		// KV cache.
-		c.logMove(event.MoveFailed, m, err.Error())
+		a.logMove(event.MoveFailed, m, err.Error())
 		heldAtSource = true
-		resp, err = c.openResumed(ctx, m, m.from, point)
+		resp, err = a.openResumed(ctx, m, m.from, point)
 	}
 	if err != nil {
-		c.logMove(event.MoveFailed, m, err.Error())
-		c.hostRequest.MoveFailed(true)
+		a.logMove(event.MoveFailed, m, err.Error())
+		a.hostRequest.MoveFailed(true)
 		return nil
 	}
-	c.completeMove(m, m.to, heldAtSource)
+	a.completeMove(m, m.to, heldAtSource)
 	return resp
 }
 
 // openResumed sends the caller's request to engine and returns the response, in which engine
 // resumes the generation from the copy that point identifies, after the last event forwarded.
-func (c *call) openResumed(ctx context.Context, m *move, engine table.Target, point ResumePoint) (*http.Response, error) {
+func (a *attempt) openResumed(ctx context.Context, m *move, engine table.Target, point ResumePoint) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	timer := time.AfterFunc(resumeTimeout, func() { cancel(errResumeFailed) })
-	point.After = int(c.lastEvent.Load())
+	point.After = int(a.lastEvent.Load())
 	decision := dispatch.Effect{Target: engine.Name, To: engine, Priority: m.effect.Priority, Backup: m.effect.Backup}
 	sent := time.Now()
 	via := ""
 	ctx = traceRelay(ctx, &via)
-	resp, err := c.gateway.transport.RoundTrip(c.newRequest(ctx, decision, &point))
+	resp, err := a.gateway.transport.RoundTrip(a.newRequest(ctx, decision, &point))
 	if !timer.Stop() && err == nil {
 		resp.Body.Close()
 		return nil, errResumeFailed
@@ -348,8 +348,8 @@
 		cancel(err)
 		return nil, err
 	}
-	reply := c.parseResponse(resp, decision, sent, via)
-	if reply.NotExecuted || !reply.HasProof || reply.ID != "" && reply.ID != c.info.ID || !isEventStream(resp) || resp.StatusCode >= 300 {
+	reply := a.parseResponse(resp, decision, sent, via)
+	if reply.NotExecuted || !reply.HasProof || reply.ID != "" && reply.ID != a.info.ID || !isEventStream(resp) || resp.StatusCode >= 300 {
 		resp.Body.Close()
 		cancel(errResumeFailed)
 		if reply.NotExecuted {
@@ -363,24 +363,24 @@
 // completeMove prepares the stream for the response of the engine that resumed it. If atSource is
 // set, that is the source engine, and the move is reported as failed. Otherwise completeMove
 // records to as the stream's engine and reports the move as successful.
-func (c *call) completeMove(m *move, to table.Target, atSource bool) {
-	c.events.resume()
+func (a *attempt) completeMove(m *move, to table.Target, atSource bool) {
+	a.events.resume()
 	if atSource {
-		c.logMove(event.MoveFailed, m, "the generation was resumed at its source target")
-		c.hostRequest.MoveFailed(false)
+		a.logMove(event.MoveFailed, m, "the generation was resumed at its source target")
+		a.hostRequest.MoveFailed(false)
 		return
 	}
-	c.placement.mu.Lock()
-	c.placement.target = to
-	c.placement.mu.Unlock()
-	c.target, c.moveCount = to.Name, c.moveCount+1
-	c.logMove(event.RequestMoved, m, "")
-	c.hostRequest.MoveSucceeded()
+	a.placement.mu.Lock()
+	a.placement.target = to
+	a.placement.mu.Unlock()
+	a.target, a.moveCount = to.Name, a.moveCount+1
+	a.logMove(event.RequestMoved, m, "")
+	a.hostRequest.MoveSucceeded()
 }
 
 // freeCopy frees, in the background, the copy of a KV cache that is no longer needed because the
 // stream was complete before its move.
-func (c *call) freeCopy(m *move) {
+func (a *attempt) freeCopy(m *move) {
 	if m.effect.ToBackup {
 		return // the engines free a backup when its generation ends
 	}
@@ -398,8 +398,8 @@
 		if handle == "" {
 			return
 		}
-		if err := c.gateway.copier.Drop(ctx, m.from.Address, handle); err != nil && !target.Unsent(err) {
-			c.logMove(event.MoveFailed, m, "freeing the copy: "+err.Error())
+		if err := a.gateway.copier.Drop(ctx, m.from.Address, handle); err != nil && !target.Unsent(err) {
+			a.logMove(event.MoveFailed, m, "freeing the copy: "+err.Error())
 		}
 	}()
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -23,45 +23,45 @@
 
 // stream forwards the events of resp to the caller, each when it is complete. When the stream is
 // moved, it continues with the response of the other engine.
-func (c *call) stream(ctx context.Context, decision dispatch.Effect, resp *http.Response) relay.Result {
-	timeout := c.streamTimeout()
-	watchdog := time.AfterFunc(timeout, func() { c.cancelAttempt(errStreamTimeout) })
+func (a *attempt) stream(ctx context.Context, decision dispatch.Effect, resp *http.Response) relay.Result {
+	timeout := a.streamTimeout()
+	watchdog := time.AfterFunc(timeout, func() { a.cancel(errStreamTimeout) })
 	defer watchdog.Stop()
-	c.placement.target, c.placement.response = decision.To, resp
-	c.placement.finishedMoves = make(chan *move, 1)
-	if c.gateway.copier != nil {
+	a.placement.target, a.placement.response = decision.To, resp
+	a.placement.finishedMoves = make(chan *move, 1)
+	if a.gateway.copier != nil {
 		moving, stop := context.WithCancel(ctx)
 		defer stop()
-		go c.runMoves(moving, ctx)
+		go a.runMoves(moving, ctx)
 	}
-	defer c.closeStream()
+	defer a.closeStream()
 	for {
-		end, err := c.forwardEvents(resp, watchdog, timeout)
+		end, err := a.forwardEvents(resp, watchdog, timeout)
 		resp.Body.Close()
-		if ctx.Err() != nil || c.undeliverable {
-			return c.brokenResult(ctx, err)
+		if ctx.Err() != nil || a.undeliverable {
+			return a.brokenResult(ctx, err)
 		}
 		watchdog.Reset(timeout)
-		next, stopped := c.nextResponse(ctx, end)
+		next, stopped := a.nextResponse(ctx, end)
 		if next == nil {
-			return c.streamResult(ctx, resp, end, stopped, err)
+			return a.streamResult(ctx, resp, end, stopped, err)
 		}
 		resp = next
-		c.framing = framingOf(resp)
-		c.placement.mu.Lock()
-		c.placement.response = resp
-		c.placement.mu.Unlock()
+		a.framing = framingOf(resp)
+		a.placement.mu.Lock()
+		a.placement.response = resp
+		a.placement.mu.Unlock()
 		watchdog.Reset(timeout)
 	}
 }
 
 // closeStream marks the stream as ended, so that no move opens another response, and closes a
 // response that a move has opened but the reader has not used.
-func (c *call) closeStream() {
-	c.placement.mu.Lock()
-	defer c.placement.mu.Unlock()
-	c.placement.ended = true
-	if m := c.placement.currentMove; m != nil {
+func (a *attempt) closeStream() {
+	a.placement.mu.Lock()
+	defer a.placement.mu.Unlock()
+	a.placement.ended = true
+	if m := a.placement.currentMove; m != nil {
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		if m.backupResponse != nil {
@@ -73,34 +73,34 @@
 // streamResult returns the result of the attempt when no other engine continues the stream, whose
 // last response ended with end and err. stopped means that the target was asked to stop the generation,
 // so that a closed connection does not show that it was complete.
-func (c *call) streamResult(ctx context.Context, resp *http.Response, end streamEnd, stopped bool, err error) relay.Result {
+func (a *attempt) streamResult(ctx context.Context, resp *http.Response, end streamEnd, stopped bool, err error) relay.Result {
 	switch {
 	case end == streamBroken:
-		return c.brokenResult(ctx, err)
+		return a.brokenResult(ctx, err)
 	case end == streamClosed && stopped:
-		return c.brokenResult(ctx, errNotResumed)
+		return a.brokenResult(ctx, errNotResumed)
 	}
-	return c.endStream(resp)
+	return a.endStream(resp)
 }
 
 // forwardEvents forwards the events of one response until it ends, and restarts watchdog with
 // timeout after each read. It returns what the end proves about the stream, with the reason if the
 // stream is broken.
-func (c *call) forwardEvents(resp *http.Response, watchdog *time.Timer, timeout time.Duration) (streamEnd, error) {
-	control := http.NewResponseController(c.w)
+func (a *attempt) forwardEvents(resp *http.Response, watchdog *time.Timer, timeout time.Duration) (streamEnd, error) {
+	control := http.NewResponseController(a.w)
 	buffer := make([]byte, readBufferSize)
 	for {
 		n, err := resp.Body.Read(buffer)
 		watchdog.Reset(timeout)
-		if n > 0 && !c.writeEvents(resp, control, buffer[:n]) {
-			c.undeliverable = true
+		if n > 0 && !a.writeEvents(resp, control, buffer[:n]) {
+			a.undeliverable = true
 			return streamBroken, errNotForwarded
 		}
-		if c.events.tooLong {
+		if a.events.tooLong {
 			return streamBroken, errLongEvent
 		}
 		if errors.Is(err, io.EOF) {
-			end := c.events.end(framingOf(resp))
+			end := a.events.end(framingOf(resp))
 			if end == streamBroken {
 				return end, errCutOff
 			}
@@ -120,62 +120,62 @@
 
 // writeEvents adds data to the stream and sends the events that are now complete to the caller.
 // It reports false if an event is missing or the write fails.
-func (c *call) writeEvents(resp *http.Response, control *http.ResponseController, data []byte) bool {
-	before := c.events.eventCount
-	complete := c.events.feed(data)
-	if c.events.missingEvent {
+func (a *attempt) writeEvents(resp *http.Response, control *http.ResponseController, data []byte) bool {
+	before := a.events.eventCount
+	complete := a.events.feed(data)
+	if a.events.missingEvent {
 		return false // nothing after a missing event may reach the caller
 	}
 	if complete == nil {
 		return true
 	}
-	c.recordProgress(c.events.eventCount - before)
-	c.lastEvent.Store(int64(c.events.last))
-	if !c.written {
-		c.copyHeader(resp.Header)
-		c.writeHeader(resp.StatusCode)
+	a.recordProgress(a.events.eventCount - before)
+	a.lastEvent.Store(int64(a.events.last))
+	if !a.written {
+		a.copyHeader(resp.Header)
+		a.writeHeader(resp.StatusCode)
 	}
 	// Response writers that support no write deadline, such as those of tests, return an error,
 	// which is ignored.
 	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
-	n, err := c.w.Write(complete)
-	c.bodyBytes += int64(n)
+	n, err := a.w.Write(complete)
+	a.bodyBytes += int64(n)
 	return err == nil && control.Flush() == nil
 }
 
 // recordProgress adds count new events, which have just arrived, to the progress of the stream.
-func (c *call) recordProgress(count int) {
+func (a *attempt) recordProgress(count int) {
 	if count == 0 {
 		return
 	}
 	now := time.Now()
 	gap := time.Duration(0)
-	if !c.lastArrival.IsZero() {
-		gap = now.Sub(c.lastArrival)
+	if !a.lastArrival.IsZero() {
+		gap = now.Sub(a.lastArrival)
 	}
-	c.longestGap = max(c.longestGap, gap)
-	c.lastArrival = now
-	c.hostRequest.Progress.Advance(count*c.tokensPerEvent, now, gap)
+	a.longestGap = max(a.longestGap, gap)
+	a.lastArrival = now
+	a.hostRequest.Progress.Advance(count*a.tokensPerEvent, now, gap)
 }
 
 // endStream completes the caller's response after the target has completed the stream.
-func (c *call) endStream(resp *http.Response) relay.Result {
-	if !c.written {
-		c.copyHeader(resp.Header)
-		c.writeHeader(resp.StatusCode)
+func (a *attempt) endStream(resp *http.Response) relay.Result {
+	if !a.written {
+		a.copyHeader(resp.Header)
+		a.writeHeader(resp.StatusCode)
 	}
 	// Blank lines and comments after the last event are forwarded unchanged.
-	n, _ := c.w.Write(c.events.partial)
-	c.bodyBytes += int64(n)
-	return c.completeResult()
+	n, _ := a.w.Write(a.events.partial)
+	a.bodyBytes += int64(n)
+	return a.completeResult()
 }
 
 // brokenResult returns the result of a stream that failed with err. The target may have executed
 // the request.
-func (c *call) brokenResult(ctx context.Context, err error) relay.Result {
+func (a *attempt) brokenResult(ctx context.Context, err error) relay.Result {
 	r := failedResult(ctx, err)
-	r.DeliveredTokens = c.events.eventCount * c.tokensPerEvent
-	if c.written && r.DeliveredTokens == 0 {
+	r.DeliveredTokens = a.events.eventCount * a.tokensPerEvent
+	if a.written && r.DeliveredTokens == 0 {
 		r.DeliveredTokens = 1
 	}
 	r.Certainty = target.CertaintyUnknown
