--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -55,6 +55,7 @@
 
 var (
 	errRequestIDMismatch = eris.New("the response carries the identifier of another request")
+	errRequestURI        = eris.New("the request line has no path that can be forwarded unchanged")
 	errNoProof           = eris.New("the response carries no proof of its target")
 	errContentEncoding   = eris.New("the response has a Content-Encoding that was not requested")
 	errStreamTimeout     = eris.New("the target sent no event within the stream timeout")
@@ -205,9 +206,11 @@
 		o.Organisation = ""
 	}
 	c.gateway.dialect.SetHeaders(header, o)
+	to := urlOf(c.uri)
+	to.Scheme, to.Host = "http", decision.To.Address.String()
 	req := (&http.Request{
 		Method: c.r.Method,
-		URL:    &url.URL{Scheme: "http", Host: decision.To.Address.String(), Opaque: requestURI(c.r)},
+		URL:    to,
 		Host:   c.r.Host,
 		Header: header,
 	}).WithContext(ctx)
@@ -220,12 +223,33 @@
 	return req
 }
 
-// requestURI returns the path and query of the request, escaped as the caller sent them.
-func requestURI(r *http.Request) string {
-	if strings.HasPrefix(r.RequestURI, "/") {
-		return r.RequestURI
+// requestURI returns the path and query of the request, escaped as the caller sent them, from a request
+// line with a path or an absolute URI. It reports false if the request cannot be forwarded with them.
+func requestURI(r *http.Request) (string, bool) {
+	text := r.RequestURI
+	if !strings.HasPrefix(text, "/") {
+		_, rest, absolute := strings.Cut(text, "://")
+		if !absolute {
+			return "", false // an asterisk, or the authority of a tunnel
+		}
+		text = rest[min(len(rest), strings.IndexAny(rest+"/", "/?")):]
+		if !strings.HasPrefix(text, "/") {
+			text = "/" + text
+		}
+	}
+	return text, urlOf(text).RequestURI() == text
+}
+
+// urlOf returns a URL without scheme and host for a path and query. net/http sends the opaque part of a URL
+// unchanged, but takes one that begins with two slashes for a host and a path.
+func urlOf(text string) *url.URL {
+	if !strings.HasPrefix(text, "//") {
+		return &url.URL{Opaque: text}
 	}
-	return r.URL.RequestURI() // the request line has an absolute URI
+	raw, query, hasQuery := strings.Cut(text, "?")
+	// A path that cannot be decoded differs from its raw form, which requestURI reports.
+	path, _ := url.PathUnescape(raw)
+	return &url.URL{Path: path, RawPath: raw, RawQuery: query, ForceQuery: hasQuery && query == ""}
 }
 
 func isEventStream(resp *http.Response) bool {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -28,6 +28,7 @@
 	started time.Time
 
 	info           RequestInfo
+	uri            string // path and query of the request, as the caller sent them
 	route          *route.Route
 	organisation   string
 	tableVersion   uint64 // version of the table that routed the request
@@ -62,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	c.digest = requestDigest(c.r.Method, c.r.RequestURI, c.body.data)
+	c.digest = requestDigest(c.r.Method, c.uri, c.body.data)
 	c.hostRequest = c.gateway.host.SubmitAs(c.info.ID, c.submission())
 	defer c.hostRequest.Release()
 	return c.run(ctx)
@@ -79,7 +80,9 @@
 	c.tableVersion = t.Version
 	var err error
 	c.info, err = c.gateway.dialect.ParseRequest(c.r.Header)
-	path, _, _ := strings.Cut(c.r.RequestURI, "?")
+	var forwardable bool
+	c.uri, forwardable = requestURI(c.r)
+	path, _, _ := strings.Cut(c.uri, "?")
 	if c.route = t.Routes.Find(c.r.Host, path); c.route == nil {
 		return answer.New(answer.KindUnknownRoute, "")
 	}
@@ -94,6 +97,9 @@
 	if err != nil {
 		return answer.Wrap(answer.KindBadRequest, err, "")
 	}
+	if !forwardable {
+		return answer.Wrap(answer.KindBadRequest, errRequestURI, "")
+	}
 	c.setDeadline()
 	c.pool = c.route.PickPool(xxhash.Sum64String(c.info.ID))
 	if _, c.plainService = t.Services[c.pool]; !c.plainService {
