--- a/forward.go
+++ b/forward.go
@@ -33,8 +33,8 @@
 	// drainPollInterval is how often a stopping host counts its requests in flight.
 	drainPollInterval = 50 * time.Millisecond
 
-	// connectionCloseTimeout is how long a stopping host without requests in flight waits for those
-	// whose headers or bodies are still on their way.
+	// connectionCloseTimeout is how long a stopping host without requests waits for connections on which
+	// nothing has been sent.
 	connectionCloseTimeout = 1500 * time.Millisecond
 
 	// gatewayHeaderTimeout is the time limit for receiving the headers of a request. The
@@ -119,34 +119,45 @@
 			serve(h, s, a.callerListener)
 			return nil
 		},
-		OnStop: func(ctx context.Context) error { return stopGateway(ctx, a, h, s) },
+		OnStop: func(ctx context.Context) error { return stopGateway(ctx, a, h, s, g) },
 	})
 }
 
 // stopGateway makes the readiness probe fail and still accepts requests for
-// Settings.ShutdownDelay, in which the load balancer stops sending them. It then waits for
-// the requests in flight, both within Settings.DrainTimeout.
-func stopGateway(ctx context.Context, a *assembly, h *host.Host, s *http.Server) error {
+// Settings.ShutdownDelay, in which the load balancer stops sending them. It then closes the connections
+// without a request, and waits for all requests that have begun to arrive, within Settings.DrainTimeout.
+func stopGateway(ctx context.Context, a *assembly, h *host.Host, s *http.Server, g *gateway.Gateway) error {
 	startedAt := time.Now()
 	h.Drain(startedAt.Add(a.settings.DrainTimeout))
 	ctx, cancel := context.WithTimeout(ctx, a.settings.DrainTimeout)
 	defer cancel()
 	pause.For(ctx, a.settings.ShutdownDelay)
-	for h.InFlightCount() > 0 && ctx.Err() == nil {
-		pause.For(ctx, drainPollInterval)
+	waitForRequests(ctx, h, g)
+	// A caller may send a request until its connection is closed, also on one that was new and on which nothing
+	// has been sent. Shutdown waits for those, hence the time limit.
+	for ctx.Err() == nil && shutdown(ctx, s) != nil && g.ActiveConnCount() > 0 {
+		waitForRequests(ctx, h, g)
 	}
-	remaining := h.InFlightCount()
+	remaining := max(h.InFlightCount(), g.ActiveConnCount())
 	h.Log().Emit(event.HostStopped, event.Fields{Values: []any{"open", remaining, "after_ms", time.Since(startedAt).Milliseconds()}})
+	err := s.Close()
 	if remaining > 0 {
-		s.Close()
 		return eris.Errorf("%d requests still in flight after the drain timeout of %s", remaining, a.settings.DrainTimeout)
 	}
-	// Shutdown closes idle connections and waits for requests that are still being read. It also waits for
-	// connections on which nothing was sent, hence the time limit.
-	closing, stopWaiting := context.WithTimeout(ctx, connectionCloseTimeout)
-	defer stopWaiting()
-	if s.Shutdown(closing) != nil {
-		return s.Close()
+	return err
+}
+
+// waitForRequests waits until no request is being read, held, running or relayed for a peer, or ctx is done.
+func waitForRequests(ctx context.Context, h *host.Host, g *gateway.Gateway) {
+	for h.InFlightCount()+g.ActiveConnCount() > 0 && ctx.Err() == nil {
+		pause.For(ctx, drainPollInterval)
 	}
-	return nil
+}
+
+// shutdown closes the listeners and idle connections, and waits until the others are idle, for up to
+// connectionCloseTimeout.
+func shutdown(ctx context.Context, s *http.Server) error {
+	ctx, cancel := context.WithTimeout(ctx, connectionCloseTimeout)
+	defer cancel()
+	return s.Shutdown(ctx)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,7 +24,7 @@
 		copier     CacheCopier // nil disables moves of streams
 		observer   Observer
 		bodyMemory memoryBudget
-		idleConns  *idleConns
+		conns  *callerConns
 	}
 
 	// An Observer is notified of each finished request, for instance to record metrics.
@@ -96,15 +96,20 @@
 func NewGateway(h *host.Host, d Dialect, opts ...Option) *Gateway {
 	g := &Gateway{host: h, dialect: d, transport: target.NewShortDialTransport(network.System{}), observer: noObserver{}}
 	g.bodyMemory.limit = defaultBodyMemory
-	g.idleConns = newIdleConns(g.idleTimeout)
+	g.conns = newCallerConns(g.idleTimeout)
 	for _, o := range opts {
 		o.apply(g)
 	}
 	return g
 }
 
-// ConnState closes idle connections of callers. It is to be set as http.Server.ConnState.
-func (g *Gateway) ConnState(c net.Conn, s http.ConnState) { g.idleConns.setState(c, s) }
+// ConnState closes idle connections of callers and counts active ones. It is to be set as
+// http.Server.ConnState.
+func (g *Gateway) ConnState(c net.Conn, s http.ConnState) { g.conns.setState(c, s) }
+
+// ActiveConnCount returns the number of callers' connections with a request, from its first byte to the last
+// byte of its response.
+func (g *Gateway) ActiveConnCount() int { return g.conns.activeCount() }
 
 func (g *Gateway) idleTimeout() time.Duration {
 	if t := g.host.Table(); t != nil && t.CallerLimits.IdleTimeout > 0 {
