--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -70,6 +70,9 @@
 	// stopSlowdown is the factor by which an engine is assumed to be slower than an idle one when
 	// a stopping host decides whether a new stream ends in time.
 	stopSlowdown = 3
+
+	// stopSilence is the time that is left beside that, because a sound target may fall silent for about a second.
+	stopSilence = 1200 * time.Millisecond
 )
 
 // Counts are totals since the reducer was created:
@@ -275,7 +278,7 @@
 	}
 	tokens := max(e.MaxOutputTokens, e.KnownOutputTokens)
 	run := time.Duration(tokens)*stopSlowdown*r.options.stepBase + time.Duration(e.PromptTokens)*stopSlowdown*r.options.prefillPerToken
-	return tokens > 0 && run <= left
+	return tokens > 0 && run+stopSilence <= left
 }
 
 // reduce removes expired state, cancels generations whose callers have not reconnected, moves
