A stopping host opens connections for hosts that have none (RECOVER)

Cause: a stopping host refused to relay, and was not asked. A stopping host relays until 2 s before its stop; others ask it after those that do not stop, and before hosts that have no connections themselves.

--- a/host/relay.go
+++ b/host/relay.go
@@ -54,10 +54,10 @@
 }
 
 // Connect opens a connection to a target for a peer that cannot. A stopping host waits for the end of such
-// connections as for that of its own requests, and opens no further ones.
+// connections as for that of its own requests; see mayRelay.
 func (h peerHandler) Connect(ctx context.Context, to netip.AddrPort, further bool) (net.Conn, func(), error) {
 	switch {
-	case h.detours == nil || h.Draining():
+	case h.detours == nil || !h.mayRelay(time.Now()):
 		return nil, nil, errNotRelaying
 	case !h.listed.contains(to):
 		return nil, nil, errNotTarget
--- a/host/stop.go
+++ b/host/stop.go
@@ -34,8 +34,23 @@
 // Drain makes the host not ready. Until the given time it still accepts requests that are certain to
 // end by then, because senders of requests need some time to detect that it is not ready.
 func (h *Host) Drain(until time.Time) {
+	h.drainUntil.Store(&until)
 	if !h.draining.Swap(true) {
 		h.log.Emit(event.HostStopping, event.Fields{Values: []any{"open", h.InFlightCount(), "until_ms", time.Until(until).Milliseconds()}})
 		h.Post(dispatch.Stop{Until: until})
 	}
 }
+
+// relayReserve is the time before the stop of a host from which it opens no connections for peers: it
+// leaves most calls time to end.
+const relayReserve = 2 * time.Second
+
+// mayRelay reports whether the host opens connections for peers. A stopping host does, since it may be the only
+// one with connections to targets, as long as it has time for the requests on them.
+func (h *Host) mayRelay(now time.Time) bool {
+	if h.stopping.Load() {
+		return false
+	}
+	until := h.drainUntil.Load()
+	return until == nil || now.Add(relayReserve).Before(*until)
+}
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -91,7 +91,7 @@
 }
 
 // relayCandidates returns up to two peers in the order in which they are asked for a connection: such that have
-// connections to targets themselves first, then those of this host's own failure domain. The second one is
+// connections to targets themselves first, then such that do not stop, then those of this host's own failure domain. The second one is
 // of another domain if there is one, since the hosts of a domain may lose their connections together. Among
 // equal ones the first differs from call to call.
 func (m *Mesh) relayCandidates() []Peer {
@@ -102,7 +102,7 @@
 	var found []Peer
 	for i := range live {
 		p := live[(i+turn)%len(live)]
-		if l := m.links[p.Address]; l != nil && l.conn.Load() != nil && !p.Stopping {
+		if l := m.links[p.Address]; l != nil && l.conn.Load() != nil {
 			found = append(found, p)
 		}
 	}
@@ -118,6 +118,9 @@
 func (m *Mesh) relayRank(p Peer) int {
 	rank := 0
 	if p.Detached {
+		rank += 4
+	}
+	if p.Stopping {
 		rank += 2
 	}
 	if p.Domain != m.settings.Domain {
