Audit: hosts without connections are compared while another host has some

The check 'reachable' counted requests at detached hosts also while no other host had connections: the rule compares them with the others, and no path to a target is left then. Requests at detached hosts count unless each other host that callers use is detached or has a fault between their sending and their response; bounds and shares are as before.

--- a/audit/request.go
+++ b/audit/request.go
@@ -50,6 +50,7 @@
 	q := a.request(o.ID)
 	q.sent, q.sentAt, q.wasSent = o, at, true
 	a.sent = append(a.sent, q)
+	a.hosts[o.Host] = true
 	if o.Pool != "" {
 		p := a.pool(o.Pool)
 		p.sent = append(p.sent, at)
