Give a slow upload a part of the time that it has left

Requests whose body took longer than a quarter of their time were always refused with 503: the time in which they had to be dispatched was counted from their head. Now it is counted from the end of the body.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -163,15 +163,16 @@
 	return s
 }
 
-// dispatchDeadline returns the time by which the request must be dispatched: a fraction of the time
-// until its deadline. The caller of a stream leaves earlier if no event arrives, so that a later
+// dispatchDeadline returns the time by which the request, whose body has arrived, must be dispatched: a
+// fraction of the time that is left until its deadline. The caller of a stream leaves earlier if no event arrives, so that a later
 // dispatch would be in vain.
 func (c *call) dispatchDeadline() time.Time {
-	limit := time.Until(c.deadline) / dispatchDeadlineDivisor
+	now := time.Now()
+	limit := c.deadline.Sub(now) / dispatchDeadlineDivisor
 	if !c.plainService {
 		limit = min(limit, time.Duration(firstEventFraction*float64(c.streamTimeout())))
 	}
-	return c.started.Add(limit)
+	return now.Add(limit)
 }
 
 // lengthClass returns the key under which the output length of the request is forecast. Requests
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,7 +24,7 @@
 		copier     CacheCopier // nil disables moves of streams
 		observer   Observer
 		bodyMemory memoryBudget
-		conns  *callerConns
+		conns      *callerConns
 	}
 
 	// An Observer is notified of each finished request, for instance to record metrics.
