Take a status below 200 for an invalid response

A response with status 099 made the handler panic, so that its caller got a closed connection; 101 was passed on as a final response to callers who had asked for no other protocol. Both are invalid responses now: a lookup is repeated elsewhere, other callers get 502. Evidence: two cases of TestInvalidAnswersAreNotForwarded, which failed before with no response and with 101.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -56,6 +56,7 @@
 var (
 	errRequestIDMismatch = eris.New("the response carries the identifier of another request")
 	errRequestURI        = eris.New("the request line has no path that can be forwarded unchanged")
+	errStatus            = eris.New("the response has a status that is not that of a final response")
 	errNoProof           = eris.New("the response carries no proof of its target")
 	errContentEncoding   = eris.New("the response has a Content-Encoding that was not requested")
 	errStreamTimeout     = eris.New("the target sent no event within the stream timeout")
@@ -85,6 +86,9 @@
 	}
 	defer resp.Body.Close()
 	a.framing = framingOf(resp)
+	if resp.StatusCode < http.StatusOK {
+		return failedResult(ctx, eris.Wrap(errStatus, resp.Status))
+	}
 	reply := a.parseResponse(resp, decision, sent, a.via)
 	switch {
 	case reply.NotExecuted:
