--- a/audit/detached_test.go
+++ b/audit/detached_test.go
@@ -28,31 +28,37 @@
 	for name, q := range cases {
 		t.Run(name, func(t *testing.T) {
 			a := audit.NewAudit(audit.Bounds{DetachedDelay: time.Second})
-			send := func(after time.Duration, id, host string, status int) {
-				sent := requestSent
-				sent.ID, sent.Host = id, host
-				a.Record(start.Add(after), sent)
-				if status == 200 {
-					a.Record(start.Add(after+time.Millisecond), audit.RunStarted{ID: id, Target: "t", Pool: sent.Pool})
-					a.Record(start.Add(after+2*time.Millisecond), audit.RunEnded{ID: id, Target: "t"})
-				}
-				a.Record(start.Add(after+3*time.Millisecond), audit.ResponseEnded{ID: id, Status: status, Intact: status == 200, Complete: true, FromHost: status != 200, NotRun: status != 200})
-			}
-			for _, o := range q.other[:len(q.other)/2] {
-				a.Record(start.Add(o.after), o.observation)
-			}
-			send(-time.Second, "first", "other", 200)
+			before := len(q.other) / 2
+			recordAll(a, q.other[:before])
+			recordAttempt(a, -time.Second, "first", "other", true)
 			a.Record(start, audit.HostDetached{Host: "cut"})
-			for _, o := range q.other[len(q.other)/2:] {
-				a.Record(start.Add(o.after), o.observation)
-			}
+			recordAll(a, q.other[before:])
 			for n := range failures {
 				at := 3*time.Second + time.Duration(n)*10*time.Millisecond
-				send(at, fmt.Sprint("there-", n), "cut", 503)
-				send(at, fmt.Sprint("elsewhere-", n), "other", 200)
+				recordAttempt(a, at, fmt.Sprint("there-", n), "cut", false)
+				recordAttempt(a, at, fmt.Sprint("elsewhere-", n), "other", true)
 			}
 			got := slices.ContainsFunc(a.Check(start.Add(time.Minute)), func(v audit.Violation) bool { return v.Guarantee == audit.GuaranteeReachable })
 			qt.Check(t, got, qt.Equals, q.want)
 		})
 	}
 }
+
+func recordAll(a *audit.Audit, observations []timedObservation) {
+	for _, o := range observations {
+		a.Record(start.Add(o.after), o.observation)
+	}
+}
+
+// recordAttempt records a request to a host, and that it is served or refused 3 ms later.
+func recordAttempt(a *audit.Audit, after time.Duration, id, host string, served bool) {
+	sent, ended := requestSent, audit.ResponseEnded{ID: id, Status: 503, Complete: true, FromHost: true, NotRun: true}
+	sent.ID, sent.Host = id, host
+	a.Record(start.Add(after), sent)
+	if served {
+		a.Record(start.Add(after+time.Millisecond), audit.RunStarted{ID: id, Target: "t", Pool: sent.Pool})
+		a.Record(start.Add(after+2*time.Millisecond), audit.RunEnded{ID: id, Target: "t"})
+		ended = audit.ResponseEnded{ID: id, Status: 200, Complete: true, Intact: true}
+	}
+	a.Record(start.Add(after+3*time.Millisecond), ended)
+}
--- a/gateway/call_test.go
+++ b/gateway/call_test.go
@@ -21,7 +21,7 @@
 				q := &call{started: time.Now(), route: &route.Route{FirstByteObjective: 1800 * time.Millisecond}, plainService: plain}
 				q.deadline = q.started.Add(timeout)
 				time.Sleep(upload)
-				left := q.dispatchDeadline().Sub(time.Now())
+				left := time.Until(q.dispatchDeadline())
 				c.Check(left, qt.Equals, time.Duration(part*float64(timeout-upload)))
 			})
 		}
