--- a/forward.go
+++ b/forward.go
@@ -125,7 +125,7 @@
 
 // stopGateway makes the readiness probe fail and still accepts requests for
 // Settings.ShutdownDelay, in which the load balancer stops sending them. It then closes the connections
-// without a request, and waits for all requests that have begun to arrive, within Settings.DrainTimeout.
+// without a request, and waits for all requests whose heads have arrived, within Settings.DrainTimeout.
 func stopGateway(ctx context.Context, a *assembly, h *host.Host, s *http.Server, g *gateway.Gateway) error {
 	startedAt := time.Now()
 	h.Drain(startedAt.Add(a.settings.DrainTimeout))
@@ -134,8 +134,12 @@
 	pause.For(ctx, a.settings.ShutdownDelay)
 	waitForRequests(ctx, h, g)
 	// A caller may send a request until its connection is closed, also on one that was new and on which nothing
-	// has been sent. Shutdown waits for those, hence the time limit.
-	for ctx.Err() == nil && shutdown(ctx, s) != nil && g.ActiveConnCount() > 0 {
+	// has been sent; Shutdown waits for those, hence its time limit. Peers may open relayed connections meanwhile.
+	for ctx.Err() == nil {
+		closed := shutdown(ctx, s) == nil
+		if h.InFlightCount() == 0 && (closed || g.ActiveConnCount() == 0) {
+			break
+		}
 		waitForRequests(ctx, h, g)
 	}
 	remaining := max(h.InFlightCount(), g.ActiveConnCount())
--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -12,7 +12,7 @@
 // to it, because the caller may expect either.
 type callerConns struct {
 	mu      sync.Mutex
-	active  map[net.Conn]bool        // connections from the first byte of a request to the last byte of its response
+	active  map[net.Conn]bool        // connections from the head of a request to the last byte of its response
 	timers  map[net.Conn]*time.Timer // by idle connection
 	timeout func() time.Duration
 }
@@ -29,8 +29,8 @@
 }
 
 // setState is called by the HTTP server when a connection changes its state. It starts the timer
-// of a connection that is new or idle and stops the timer of any other. A connection is active as soon
-// as the first byte of a request has been read.
+// of a connection that is new or idle and stops the timer of any other. A connection is active from the
+// moment on at which the head of a request has been read.
 func (s *callerConns) setState(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,8 +107,8 @@
 // http.Server.ConnState.
 func (g *Gateway) ConnState(c net.Conn, s http.ConnState) { g.conns.setState(c, s) }
 
-// ActiveConnCount returns the number of callers' connections with a request, from its first byte to the last
-// byte of its response.
+// ActiveConnCount returns the number of callers' connections with a request, from its head to the last byte of its
+// response.
 func (g *Gateway) ActiveConnCount() int { return g.conns.activeCount() }
 
 func (g *Gateway) idleTimeout() time.Duration {
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -91,9 +91,9 @@
 }
 
 // relayCandidates returns up to two peers in the order in which they are asked for a connection: such that have
-// connections to targets themselves first, then such that do not stop, then those of this host's own failure domain. The second one is
-// of another domain if there is one, since the hosts of a domain may lose their connections together. Among
-// equal ones the first differs from call to call.
+// connections to targets themselves first, then such that do not stop, then those of this host's own failure
+// domain. The second one is of another domain if there is one, since the hosts of a domain may lose their
+// connections together. Among equal ones the first differs from call to call.
 func (m *Mesh) relayCandidates() []Peer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
