--- a/registry/agreement_test.go
+++ b/registry/agreement_test.go
@@ -142,10 +142,10 @@
 	}
 }
 
-// Hosts must have the targets that the source had at their revision, whichever of them reads it, whatever updates
-// are lost, and whether or not an update changes the reader's own targets in use. After an outage of the
-// source in which entries lapsed, the reader retained the targets and sent no update when they were listed again, so that the
-// other hosts lost them for good, and later missed that one left (review/2).
+// Hosts must have the targets that the source had at their revision, also if updates between them are lost, and if
+// an update does not change the reader's own targets in use. After an outage of the source in which entries lapsed, the
+// reader retained the targets and sent no update when they were listed again, so that the other hosts lost them for good, and
+// later missed that one left (review/2).
 func TestHostsAgreeWithSource(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		hosts := rapid.IntRange(2, 4).Draw(t, "hosts")
