--- a/gateway/call.go
+++ b/gateway/call.go
@@ -164,8 +164,8 @@
 }
 
 // dispatchDeadline returns the time by which the request, whose body has arrived, must be dispatched: a
-// fraction of the time that is left until its deadline. The caller of a stream leaves earlier if no event arrives, so that a later
-// dispatch would be in vain.
+// fraction of the time that is left until its deadline. The caller of a stream leaves earlier if no event
+// arrives, so that a later dispatch would be in vain.
 func (c *call) dispatchDeadline() time.Time {
 	now := time.Now()
 	limit := c.deadline.Sub(now) / dispatchDeadlineDivisor
