--- a/dispatch/stop_test.go
+++ b/dispatch/stop_test.go
@@ -7,6 +7,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/table"
+	"github.com/wigeonlink/wigeonlink/target"
 )
 
 // A stopping host accepts a stream only if it ends in time also if its target falls silent for a second. Streams that left no
@@ -32,3 +34,122 @@
 		f.Check(f.requireEffect(EffectRefuse).Answer, qt.Equals, answer.KindStopping, qt.Commentf(name))
 	}
 }
+
+const (
+	fullPrompt   = 30_000 // tokens that leave no room for another prompt of heldPrompt in the engine of newFleetTest
+	heldPrompt   = 6_000
+	shortOutput  = 30    // tokens of a stream that ends 1.8 s after its dispatch at the latest, by stopSlowdown and stopSilence
+	reportOutput = 2_200 // tokens of a stream that takes far longer than the stop of stopTest
+)
+
+// newStopTest returns a reducer with one engine that is full, and a held stream of the given output.
+func newStopTest(t *testing.T, output int) *fleetTest {
+	f := newFleetTest(t, 1)
+	f.reduce(0, Submit{ID: 1, Organisation: "one", Pool: "model", NonIdempotent: true, Route: "reports", PromptTokens: fullPrompt, MaxOutputTokens: 1_000})
+	f.requireEffect(EffectDispatch)
+	f.hold(2, output)
+	return f
+}
+
+// hold submits a stream that has to wait for room.
+func (f *fleetTest) hold(id ID, output int) {
+	f.Helper()
+	f.reduce(0, Submit{
+		ID: id, Organisation: "one", Pool: "model", NonIdempotent: true, Route: "reports", PromptTokens: heldPrompt, MaxOutputTokens: output, MaxAttempts: 1,
+		DispatchDeadline: f.now.Add(10 * time.Second), CallerDeadline: f.now.Add(40 * time.Second),
+	})
+	f.Check(f.effectOf(id), qt.IsNil)
+}
+
+// effectOf returns the latest decision about a request, or nil.
+func (f *fleetTest) effectOf(id ID) *Effect {
+	for i := range f.effects {
+		if e := &f.effects[i]; e.ID == id && (e.Kind == EffectDispatch || e.Kind == EffectRefuse) {
+			return e
+		}
+	}
+	return nil
+}
+
+// requireStopping checks that the request is refused because the host stops.
+func (f *fleetTest) requireStopping(id ID) {
+	f.Helper()
+	e := f.effectOf(id)
+	f.Assert(e, qt.IsNotNil)
+	f.Check(e.Kind, qt.Equals, EffectRefuse)
+	f.Check(e.Answer, qt.Equals, answer.KindStopping)
+}
+
+// A stream that was held as its host got the signal was dispatched 0.1 s before the stop, and cut off (issue 42).
+func TestHeldStreamIsDispatchedTooLateToEnd(t *testing.T) {
+	f := newStopTest(t, reportOutput)
+	f.reduce(0, Stop{Until: f.now.Add(4 * time.Second)})
+	f.requireStopping(2)
+	f.reduce(3900*time.Millisecond, Ended{ID: 1})
+	f.Check(f.effectOf(2), qt.IsNil)
+}
+
+// A stream that a stopping host accepted, since its run would end in time, was held until it could not any more.
+func TestStreamAcceptedDuringStopIsHeldTooLong(t *testing.T) {
+	for _, early := range []bool{false, true} {
+		f := newStopTest(t, shortOutput)
+		f.reduce(0, Stop{Until: f.now.Add(4 * time.Second)})
+		f.Check(f.effectOf(2), qt.IsNil)
+		f.hold(3, shortOutput)
+		if early {
+			f.reduce(time.Second, Ended{ID: 1})
+			f.Check(f.effectOf(2).Kind, qt.Equals, EffectDispatch)
+			continue
+		}
+		f.reduce(2500*time.Millisecond, Tick{})
+		f.requireStopping(2)
+		f.requireStopping(3)
+	}
+}
+
+// A coordinator's place came too late for a stream of a stopping host, which used it.
+func TestPlaceThatComesTooLateIsUsed(t *testing.T) {
+	f := newFleetTest(t, 1)
+	f.reduce(0, LiveHosts{Hosts: 2, Delegated: true})
+	f.reduce(0, Stop{Until: f.now.Add(4 * time.Second)})
+	f.reduce(0, Submit{
+		ID: 2, Organisation: "one", Pool: "model", NonIdempotent: true, Route: "reports", PromptTokens: heldPrompt, MaxOutputTokens: shortOutput, MaxAttempts: 1,
+		DispatchDeadline: f.now.Add(10 * time.Second), CallerDeadline: f.now.Add(40 * time.Second),
+	})
+	place := f.requireEffect(EffectPlace)
+	f.Check(place.Placement.Remaining < 4*time.Second, qt.IsTrue, qt.Commentf("the coordinator may place the request for %s", place.Placement.Remaining))
+	f.reduce(3900*time.Millisecond, Placed{ID: 2, Target: "engine-0"})
+	f.requireStopping(2)
+}
+
+// A stream whose target refused it was sent to another one just before the stop.
+func TestRetryDuringStopBeginsTooLate(t *testing.T) {
+	f := newFleetTest(t, 2)
+	f.reduce(0, Submit{ID: 1, Organisation: "one", Pool: "model", NonIdempotent: true, Route: "reports", MaxOutputTokens: shortOutput, MaxAttempts: 2})
+	f.requireEffect(EffectDispatch)
+	f.reduce(0, Stop{Until: f.now.Add(4 * time.Second)})
+	f.reduce(3900*time.Millisecond, AttemptFailed{ID: 1, Certainty: target.CertaintyNotRun, Answered: true})
+	f.requireStopping(1)
+}
+
+// A call of a plain service that was held as its host got the signal, and whose deadline is after the stop, was dispatched
+// just before it.
+func TestHeldCallIsDispatchedTooLateToEnd(t *testing.T) {
+	const objective = 500 * time.Millisecond
+	for left, kind := range map[time.Duration]EffectKind{4 * time.Second: EffectDispatch, time.Second: EffectRefuse} {
+		f := newFleetTest(t, 0)
+		f.reduce(0, Submit{
+			ID: 1, Organisation: "one", Pool: "plain", Plain: true, NonIdempotent: true, FirstTokenObjective: objective,
+			DispatchDeadline: f.now.Add(10 * time.Second), CallerDeadline: f.now.Add(40 * time.Second),
+		})
+		f.reduce(0, Stop{Until: f.now.Add(left)})
+		if e := f.effectOf(1); e != nil {
+			f.Check(e.Kind, qt.Equals, kind, qt.Commentf("%s before the stop", left))
+			f.Check(e.Answer, qt.Equals, answer.KindStopping)
+			continue
+		}
+		f.fleet["plain-0"] = table.Target{Name: "plain-0", Kind: table.TargetService, Service: "plain", Domain: "north", Slots: 24}
+		f.announceFleet(0)
+		f.Check(f.effectOf(1).Kind, qt.Equals, kind, qt.Commentf("%s before the stop", left))
+	}
+}
