--- a/dispatch/coordinator.go
+++ b/dispatch/coordinator.go
@@ -298,8 +298,7 @@
 	for _, origin := range slices.Sorted(maps.Keys(r.remoteHosts)) {
 		for _, q := range r.remoteHosts[origin].sorted() {
 			if q.phase == phaseHeld {
-				r.dequeue(q)
-				r.refuse(q, answer.KindStopping, stoppingRetryAfter)
+				r.refuseHeldForStop(q)
 			}
 		}
 	}
--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -130,7 +130,11 @@
 		r.awaitProbe(q, t, e)
 	} else {
 		r.counts.Lost++
-		r.refuse(q, failedKind(q, e), 0)
+		kind, delay := failedKind(q, e), time.Duration(0)
+		if kind == answer.KindRefused && r.latestStart(q) < r.now {
+			kind, delay = answer.KindStopping, stoppingRetryAfter
+		}
+		r.refuse(q, kind, delay)
 	}
 	r.dispatchHeld(p)
 }
@@ -150,7 +154,7 @@
 		return false
 	}
 	repeatable := q.plain && !q.nonIdempotent
-	if !over && !repeatable || e.Delivered || q.attached || q.disconnectedAt > 0 || r.stopping && r.now >= r.stopDeadline {
+	if !over && !repeatable || e.Delivered || q.attached || q.disconnectedAt > 0 || r.stopping && r.now >= r.stopDeadline || r.latestStart(q) < r.now {
 		return false
 	}
 	if e.Rebooted && q.rebooted || q.attempts >= maxAttempts || q.attempts-q.unsentAttempts >= q.maxTargets || q.callerDeadline <= r.now {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -73,6 +73,7 @@
 // older than maxBypassAge; in this case, and after maxBypassedOrganisations bypasses, nothing more
 // is dispatched.
 func (r *Reducer) dispatchHeld(p *pool) {
+	r.refuseOutlasting(p)
 	if p.held == 0 {
 		r.returnPlaces(p)
 		return
@@ -113,6 +114,11 @@
 			r.askPlace(q, t)
 			continue
 		}
+		if q.remote == nil && r.latestStart(q) < r.now {
+			r.refuseHeldForStop(q)
+			r.sortQueues(p)
+			continue
+		}
 		r.dispatch(q, t)
 		queue.normalisedRate = r.normalisedRate(queue.organisation, p)
 		r.restoreOrder(p)
--- a/dispatch/random_test.go
+++ b/dispatch/random_test.go
@@ -35,6 +35,8 @@
 	asked                   []Effect        // EffectReserve without a reply
 	suspected               []Effect        // EffectTrial without a reply
 	probed                  []Effect        // EffectProbe without a result
+	outputs                 map[ID]int      // output limits of the requests
+	stopAt                  time.Time       // end of the stop; zero before the Stop event
 }
 
 func newCallerModel(t *rapid.T) *callerModel {
@@ -49,6 +51,7 @@
 		nonIdempotentDispatches: map[ID]int{},
 		leaving:                 map[string]bool{},
 		places:                  map[string]int{},
+		outputs:                 map[ID]int{},
 		inflightCap:             rapid.IntRange(0, 6).Draw(t, "limit"),
 	}
 	m.changeTable(t, 3, 2, 4)
@@ -147,6 +150,9 @@
 			t.Fatalf("request %d was dispatched to %s without a place", f.ID, f.Target)
 		}
 	}
+	if run := time.Duration(m.outputs[f.ID]) * m.reducer.options.stepBase; !m.stopAt.IsZero() && (run == 0 || m.now.Add(run).After(m.stopAt)) {
+		t.Fatalf("request %d was dispatched %s before the stop, its output takes %s or more", f.ID, m.stopAt.Sub(m.now), run)
+	}
 	delete(m.held, f.ID)
 	m.sent[f.ID] = f.Target
 	if n, ok := m.nonIdempotentDispatches[f.ID]; ok {
@@ -204,10 +210,18 @@
 	if s.NonIdempotent {
 		m.nonIdempotentDispatches[s.ID] = 0
 	}
-	m.held[s.ID] = true
+	m.held[s.ID], m.outputs[s.ID] = true, s.MaxOutputTokens
 	m.reduce(t, s)
 }
 
+// stop stops the reducer's host, once in a sequence.
+func (m *callerModel) stop(t *rapid.T) {
+	if m.stopAt.IsZero() && rapid.IntRange(0, 9).Draw(t, "stop") == 0 {
+		m.stopAt = m.now.Add(time.Duration(rapid.IntRange(1, 8000).Draw(t, "left")) * time.Millisecond)
+		m.reduce(t, Stop{Until: m.stopAt})
+	}
+}
+
 // progress lets each dispatched request deliver a random number of tokens.
 func (m *callerModel) progress(t *rapid.T) {
 	var samples []Sample
@@ -375,7 +389,7 @@
 // runRandomEvents applies a random sequence of events and then ends all requests.
 func runRandomEvents(t *rapid.T) {
 	m := newCallerModel(t)
-	steps := []func(*rapid.T){m.submit, m.submit, m.submit, m.progress, m.progress, m.ended, m.failed, m.callerLeaves, m.externalEvent, m.limitEvent, m.limitEvent, m.wait, m.moveOrBreak}
+	steps := []func(*rapid.T){m.submit, m.submit, m.submit, m.progress, m.progress, m.ended, m.failed, m.callerLeaves, m.externalEvent, m.limitEvent, m.limitEvent, m.wait, m.moveOrBreak, m.stop}
 	for range rapid.IntRange(1, 300).Draw(t, "events") {
 		steps[rapid.IntRange(0, len(steps)-1).Draw(t, "step")](t)
 	}
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -58,21 +58,10 @@
 }
 
 const (
-	// stoppingRetryAfter is the retry delay sent to callers that a stopping host refuses. It is
-	// short because other hosts can take the request immediately.
-	stoppingRetryAfter = 100 * time.Millisecond
-
 	// minRetryAfter is the shortest retry delay sent to callers that are refused because no target
 	// is available. It keeps them from retrying at the moment when the first request after the
 	// circuit breaker's pause probes the target.
 	minRetryAfter = 50 * time.Millisecond
-
-	// stopSlowdown is the factor by which an engine is assumed to be slower than an idle one when
-	// a stopping host decides whether a new stream ends in time.
-	stopSlowdown = 3
-
-	// stopSilence is the time that is left beside that, because a sound target may fall silent for about a second.
-	stopSilence = 1200 * time.Millisecond
 )
 
 // Counts are totals since the reducer was created:
@@ -256,31 +245,6 @@
 	r.emit(Effect{Kind: EffectRefuse, ID: e.ID, Answer: kind, RetryAfter: retry, Basis: basis})
 }
 
-// reduce makes the host refuse new requests from now on, except as endsBeforeStop allows.
-func (e Stop) reduce(r *Reducer) {
-	r.stopping, r.stopDeadline = true, 0
-	if !e.Until.IsZero() {
-		r.stopDeadline = r.sinceEpoch(e.Until)
-	}
-	r.returnRemoteHeld()
-}
-
-// endsBeforeStop reports whether a new request is sure to end before the host stops. Load
-// balancers keep sending callers to a host for seconds after it has announced that it stops.
-// Requests that end in time are accepted; a stream that outlived the host would be cut off.
-func (r *Reducer) endsBeforeStop(e Submit) bool {
-	left := r.stopDeadline - r.now
-	if r.stopDeadline == 0 || left <= 0 {
-		return false
-	}
-	if e.Plain {
-		return !e.CallerDeadline.IsZero() && r.sinceEpoch(e.CallerDeadline) <= r.stopDeadline
-	}
-	tokens := max(e.MaxOutputTokens, e.KnownOutputTokens)
-	run := time.Duration(tokens)*stopSlowdown*r.options.stepBase + time.Duration(e.PromptTokens)*stopSlowdown*r.options.prefillPerToken
-	return tokens > 0 && run+stopSilence <= left
-}
-
 // reduce removes expired state, cancels generations whose callers have not reconnected, moves
 // streams off leaving targets and dispatches held requests.
 func (e Tick) reduce(r *Reducer) {
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -36,6 +36,7 @@
 		rank                                         time.Duration     // sort key in the organisation's queue, lowest first: see newRequest
 		notBefore                                    time.Duration     // end of the backoff before the next attempt
 		callerDeadline                               time.Duration     // time until which the caller waits
+		hasDeadline                                  bool              // whether the caller set callerDeadline
 		trialUntil                                   time.Duration     // time until which this host may send the request although it is suspected; see trial.go
 		lease                                        uint64            // number of the lease of the place that the request uses at a brittle target; 0 if there is none
 		awaitedPlace                                 *targetState      // target for a place at which the request waits, until notBefore; nil if none
@@ -113,7 +114,7 @@
 	}
 	q.callerDeadline = q.holdDeadline
 	if !e.CallerDeadline.IsZero() {
-		q.callerDeadline = max(q.holdDeadline, r.sinceEpoch(e.CallerDeadline))
+		q.callerDeadline, q.hasDeadline = max(q.holdDeadline, r.sinceEpoch(e.CallerDeadline)), true
 	}
 	q.rank = r.now
 	if !q.plain {
--- /dev/null
+++ b/dispatch/stop.go
@@ -0,0 +1,96 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/wigeonlink/wigeonlink/answer"
+)
+
+const (
+	// stoppingRetryAfter is the retry delay sent to callers that a stopping host refuses. It is
+	// short because other hosts can take the request immediately.
+	stoppingRetryAfter = 100 * time.Millisecond
+
+	// stopSlowdown is the factor by which a target is assumed to be slower than an idle one when
+	// a stopping host decides whether a request ends in time.
+	stopSlowdown = 3
+
+	// stopSilence is the time that is left beside that, because a sound target may fall silent for about a second.
+	stopSilence = 1200 * time.Millisecond
+)
+
+// reduce makes the host refuse, from now on, new and held requests that are not sure to end before it stops.
+func (e Stop) reduce(r *Reducer) {
+	r.stopping, r.stopDeadline = true, 0
+	if !e.Until.IsZero() {
+		r.stopDeadline = max(r.sinceEpoch(e.Until), 1)
+	}
+	r.returnRemoteHeld()
+	for _, p := range r.poolList {
+		r.refuseOutlasting(p)
+	}
+}
+
+// endsBeforeStop reports whether a new request is sure to end before the host stops if it is dispatched now. Load
+// balancers keep sending callers to a host for seconds after it has announced that it stops.
+// Requests that end in time are accepted; a stream that outlived the host would be cut off.
+func (r *Reducer) endsBeforeStop(e Submit) bool {
+	if r.stopDeadline <= r.now {
+		return false
+	}
+	if e.Plain {
+		return !e.CallerDeadline.IsZero() && r.sinceEpoch(e.CallerDeadline) <= r.stopDeadline
+	}
+	tokens := max(e.MaxOutputTokens, e.KnownOutputTokens)
+	return tokens > 0 && r.now <= r.stopDeadline-r.longestRun(tokens, e.PromptTokens)-stopSilence
+}
+
+// latestStart returns the latest time at which a request can be dispatched and be sure to end before the host stops. It is math.MaxInt64 if the host does not stop, or at no known time.
+func (r *Reducer) latestStart(q *request) time.Duration {
+	if !r.stopping || r.stopDeadline == 0 {
+		return math.MaxInt64
+	}
+	if q.plain {
+		if q.hasDeadline && q.callerDeadline <= r.stopDeadline {
+			return math.MaxInt64
+		}
+		return r.stopDeadline - stopSlowdown*q.firstTokenObjective - stopSilence
+	}
+	tokens := max(q.maxOutput, q.knownOutput)
+	if tokens == 0 {
+		return -1
+	}
+	return r.stopDeadline - r.longestRun(tokens, q.prompt) - stopSilence
+}
+
+// longestRun returns an upper bound of the time from the dispatch of a stream to its end.
+func (r *Reducer) longestRun(tokens, prompt int) time.Duration {
+	return time.Duration(tokens)*stopSlowdown*r.options.stepBase + time.Duration(prompt)*stopSlowdown*r.options.prefillPerToken
+}
+
+// refuseOutlasting refuses the held requests of a pool that would not end before the host stops, so that their callers
+// have time at another host. It requests a Tick for the others.
+func (r *Reducer) refuseOutlasting(p *pool) {
+	if !r.stopping || r.stopDeadline == 0 {
+		return
+	}
+	for _, queue := range p.queues {
+		for i := len(queue.held) - 1; i >= 0; i-- {
+			q := queue.held[i]
+			switch latest := r.latestStart(q); {
+			case q.remote != nil || latest == math.MaxInt64:
+			case latest < r.now:
+				r.refuseHeldForStop(q)
+			default:
+				r.wakeBy(latest + 1)
+			}
+		}
+	}
+}
+
+// refuseHeldForStop refuses a held request because the host stops.
+func (r *Reducer) refuseHeldForStop(q *request) {
+	r.dequeue(q)
+	r.refuse(q, answer.KindStopping, stoppingRetryAfter)
+}
