--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -131,7 +131,7 @@
 	} else {
 		r.counts.Lost++
 		kind, delay := failedKind(q, e), time.Duration(0)
-		if kind == answer.KindRefused && r.latestStart(q) < r.now {
+		if kind == answer.KindRefused && r.latestStart(q, nil) < r.now {
 			kind, delay = answer.KindStopping, stoppingRetryAfter
 		}
 		r.refuse(q, kind, delay)
@@ -154,7 +154,7 @@
 		return false
 	}
 	repeatable := q.plain && !q.nonIdempotent
-	if !over && !repeatable || e.Delivered || q.attached || q.disconnectedAt > 0 || r.stopping && r.now >= r.stopDeadline || r.latestStart(q) < r.now {
+	if !over && !repeatable || e.Delivered || q.attached || q.disconnectedAt > 0 || r.stopping && r.now >= r.stopDeadline || r.latestStart(q, nil) < r.now {
 		return false
 	}
 	if e.Rebooted && q.rebooted || q.attempts >= maxAttempts || q.attempts-q.unsentAttempts >= q.maxTargets || q.callerDeadline <= r.now {
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -118,7 +118,7 @@
 	a := &PlacementRequest{
 		Origin: r.options.origin, ID: q.id, Name: q.name, Organisation: q.organisation.spec.Name, Pool: q.pool.name, Route: q.lengthKey.Route,
 		PromptTokens: q.prompt, PrefixHash: q.prefix, PrefixTokens: q.prefixTokens, MaxOutputTokens: q.maxOutput, KnownOutputTokens: q.knownOutput,
-		FirstTokenObjective: q.firstTokenObjective, Remaining: min(q.holdDeadline, r.latestStart(q)) - r.now, Waited: r.now - q.arrived, Attempt: q.attempts + 1,
+		FirstTokenObjective: q.firstTokenObjective, Remaining: min(q.holdDeadline, r.latestStart(q, nil)) - r.now, Waited: r.now - q.arrived, Attempt: q.attempts + 1,
 	}
 	for _, t := range q.triedTargets {
 		a.Excluded = append(a.Excluded, t.spec.Name)
@@ -153,7 +153,7 @@
 		r.wakeBy(q.notBefore)
 		return
 	}
-	if r.latestStart(q) < r.now {
+	if r.latestStart(q, t) < r.now {
 		r.refuseHeldForStop(q)
 		return
 	}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -114,7 +114,7 @@
 			r.askPlace(q, t)
 			continue
 		}
-		if q.remote == nil && r.latestStart(q) < r.now {
+		if q.remote == nil && r.latestStart(q, t) < r.now {
 			r.refuseHeldForStop(q)
 			r.sortQueues(p)
 			continue
--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -43,11 +43,12 @@
 		return !e.CallerDeadline.IsZero() && r.sinceEpoch(e.CallerDeadline) <= r.stopDeadline
 	}
 	tokens := max(e.MaxOutputTokens, e.KnownOutputTokens)
-	return tokens > 0 && r.now <= r.stopDeadline-r.longestRun(tokens, e.PromptTokens)-stopSilence
+	return tokens > 0 && r.now <= r.stopDeadline-r.longestRun(tokens, e.PromptTokens, nil)-stopSilence
 }
 
-// latestStart returns the latest time at which a request can be dispatched and be sure to end before the host stops. It is math.MaxInt64 if the host does not stop, or at no known time.
-func (r *Reducer) latestStart(q *request) time.Duration {
+// latestStart returns the latest time at which a request can be dispatched to t, or to any target if t is nil, and be
+// sure to end before the host stops. It is math.MaxInt64 if the host does not stop, or at no known time.
+func (r *Reducer) latestStart(q *request, t *targetState) time.Duration {
 	if !r.stopping || r.stopDeadline == 0 {
 		return math.MaxInt64
 	}
@@ -61,12 +62,18 @@
 	if tokens == 0 {
 		return -1
 	}
-	return r.stopDeadline - r.longestRun(tokens, q.prompt) - stopSilence
+	return r.stopDeadline - r.longestRun(tokens, q.prompt, t) - stopSilence
 }
 
-// longestRun returns an upper bound of the time from the dispatch of a stream to its end.
-func (r *Reducer) longestRun(tokens, prompt int) time.Duration {
-	return time.Duration(tokens)*stopSlowdown*r.options.stepBase + time.Duration(prompt)*stopSlowdown*r.options.prefillPerToken
+// longestRun returns an upper bound of the time from the dispatch of a stream to its end, at t or, if t is nil, at a
+// target of which nothing is known.
+func (r *Reducer) longestRun(tokens, prompt int, t *targetState) time.Duration {
+	interval := stopSlowdown * r.options.stepBase
+	if t != nil {
+		interval = max(interval, t.tokenInterval.At(t.totalDemand(r.now).Streams+1))
+		prompt += t.pendingPrefill
+	}
+	return time.Duration(tokens)*interval + time.Duration(prompt)*stopSlowdown*r.options.prefillPerToken
 }
 
 // refuseOutlasting refuses the held requests of a pool that would not end before the host stops, so that their callers
@@ -78,7 +85,7 @@
 	for _, queue := range p.queues {
 		for i := len(queue.held) - 1; i >= 0; i-- {
 			q := queue.held[i]
-			switch latest := r.latestStart(q); {
+			switch latest := r.latestStart(q, nil); {
 			case q.remote != nil || latest == math.MaxInt64:
 			case latest < r.now:
 				r.refuseHeldForStop(q)
--- a/dispatch/stop_test.go
+++ b/dispatch/stop_test.go
@@ -153,3 +153,17 @@
 		f.Check(f.effectOf(1).Kind, qt.Equals, kind, qt.Commentf("%s before the stop", left))
 	}
 }
+
+// A stream that ends in time at a third of an idle engine's speed was dispatched to an engine that had become slower than that.
+func TestStreamAtSlowEngineBeginsTooLateToEnd(t *testing.T) {
+	for interval, kind := range map[time.Duration]EffectKind{7 * time.Millisecond: EffectDispatch, 200 * time.Millisecond: EffectRefuse} {
+		f := newFleetTest(t, 1)
+		f.reduce(0, Submit{ID: 1, Organisation: "one", Pool: "model", NonIdempotent: true, Route: "reports", MaxOutputTokens: 1_000})
+		for n := range 50 {
+			f.reduce(interval, Progress{Samples: []Sample{{ID: 1, Tokens: n + 1, LastToken: f.now.Add(interval)}}})
+		}
+		f.reduce(0, Stop{Until: f.now.Add(4 * time.Second)})
+		f.reduce(0, Submit{ID: 2, Organisation: "one", Pool: "model", NonIdempotent: true, Route: "reports", MaxOutputTokens: shortOutput, MaxAttempts: 1})
+		f.Check(f.effectOf(2).Kind, qt.Equals, kind, qt.Commentf("%s between tokens", interval))
+	}
+}
