Leave a silent stream to its caller

Callers saw a stream end without a whole answer at the very time at which they would have left it, also around the stop of their host, although its server was sound and only silent. The time limit of a stream was equal to the time that callers wait for an event, and counted from the arrival of the last one at the host, so that the host was the first of both.

The host now ends a silent stream one second after the time that its caller waits. A caller that leaves still ends the attempt at once. The time by which a stream must be dispatched is not changed.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -170,7 +170,7 @@
 	now := time.Now()
 	limit := c.deadline.Sub(now) / dispatchDeadlineDivisor
 	if !c.plainService {
-		limit = min(limit, time.Duration(firstEventFraction*float64(c.streamTimeout())))
+		limit = min(limit, time.Duration(firstEventFraction*float64(c.streamPatience())))
 	}
 	return now.Add(limit)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,21 +55,22 @@
 )
 
 const (
-	defaultMaxBody               = 1 << 20 // largest request body in bytes
-	defaultIdleTimeout           = 2 * time.Minute
-	defaultTimeout               = time.Minute           // of a request whose caller set no timeout
-	writeTimeout                 = 10 * time.Second      // limit on one write to a caller
-	minRetryAfter                = 50 * time.Millisecond // shortest Retry-After; sooner retries only add load
-	retryAfterDivisor            = 4                     // Retry-After is at most the time until the deadline divided by this
-	firstEventFraction           = 0.75                  // part of the stream timeout within which a stream must be dispatched; the rest is for its prompt
-	dispatchDeadlineDivisor      = 3                     // the request must be dispatched within the time until its deadline divided by this
-	attemptTimeoutDivisor        = 3                     // an attempt of an idempotent request, except the last, gets the time until the deadline divided by this; see limitDuration
-	minStreamTimeout             = 2 * time.Second       // lower bound of the stream timeout, see streamTimeout
-	streamTimeoutFirstByteFactor = 4                     // the stream timeout is at least the route's first-byte objective times this
-	streamTimeoutGapFactor       = 8                     // the stream timeout is at least the route's gap objective times this
-	maxBufferedResponse          = 1 << 20               // bytes; a longer response is forwarded before it has been read to its end
-	readBufferSize               = 16 << 10              // bytes
-	defaultBodyMemory            = 32 << 20              // bytes of all request bodies held at once
+	defaultMaxBody          = 1 << 20 // largest request body in bytes
+	defaultIdleTimeout      = 2 * time.Minute
+	defaultTimeout          = time.Minute           // of a request whose caller set no timeout
+	writeTimeout            = 10 * time.Second      // limit on one write to a caller
+	minRetryAfter           = 50 * time.Millisecond // shortest Retry-After; sooner retries only add load
+	retryAfterDivisor       = 4                     // Retry-After is at most the time until the deadline divided by this
+	firstEventFraction      = 0.75                  // part of the caller's patience within which a stream must be dispatched; the rest is for its prompt
+	dispatchDeadlineDivisor = 3                     // the request must be dispatched within the time until its deadline divided by this
+	attemptTimeoutDivisor   = 3                     // an attempt of an idempotent request, except the last, gets the time until the deadline divided by this; see limitDuration
+	minStreamPatience       = 2 * time.Second       // lower bound of the time that callers wait for an event, see streamPatience
+	patienceFirstByteFactor = 4                     // callers wait for at least the route's first-byte objective times this
+	patienceGapFactor       = 8                     // callers wait for at least the route's gap objective times this
+	callerEndDelay          = time.Second           // time within which the end of a caller's connection reaches the host
+	maxBufferedResponse     = 1 << 20               // bytes; a longer response is forwarded before it has been read to its end
+	readBufferSize          = 16 << 10              // bytes
+	defaultBodyMemory       = 32 << 20              // bytes of all request bodies held at once
 )
 
 // WithBodyMemory limits the memory for request bodies, in bytes over all requests. A request
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -112,12 +112,15 @@
 	}
 }
 
-// streamTimeout returns how long the gateway waits for the next bytes of a stream before it
-// cancels the attempt.
-func (c *call) streamTimeout() time.Duration {
-	return max(minStreamTimeout, streamTimeoutFirstByteFactor*c.route.FirstByteObjective, streamTimeoutGapFactor*c.route.GapObjective)
+// streamPatience returns how long callers wait for the next event of a stream before they leave.
+func (c *call) streamPatience() time.Duration {
+	return max(minStreamPatience, patienceFirstByteFactor*c.route.FirstByteObjective, patienceGapFactor*c.route.GapObjective)
 }
 
+// streamTimeout returns how long the gateway waits for the next bytes of a stream before it
+// cancels the attempt. The caller leaves first: a stream that the gateway ends is one that it has cut off.
+func (c *call) streamTimeout() time.Duration { return c.streamPatience() + callerEndDelay }
+
 // writeEvents adds data to the stream and sends the events that are now complete to the caller.
 // It reports false if an event is missing or the write fails.
 func (a *attempt) writeEvents(resp *http.Response, control *http.ResponseController, data []byte) bool {
