Give an engine that resumes a stream as long as its caller waits

Callers saw streams that moved off a leaving engine end without a whole answer, although the other engine was about to continue them. A resumed stream had 1 s until its response headers, which a full engine sends with its next event, and a request that has been sent cannot be made again elsewhere.

A stream that was stopped for its move has no other way left, so the host now waits for the resumed one as for any event. A backup that is opened while the source engine still streams keeps the limit.

TestStreamIsCutOffBecauseItIsResumedSlowly, with an engine that takes 1.5 s, failed before: cut after 866 bytes, "not resumed".

--- a/gateway/move.go
+++ b/gateway/move.go
@@ -77,7 +77,7 @@
 	copyTimeout   = 3 * time.Second        // of one copy; includes queueing behind other copies on the same links
 	dropTimeout   = 500 * time.Millisecond // of freeing a copy; short, because unused copies also expire at the engines
 	moveTimeout   = time.Second            // how long the reader of an ended stream waits for a move
-	resumeTimeout = time.Second            // of the response headers of a resumed generation
+	resumeTimeout = time.Second            // of the response headers of a backup while the source engine still streams
 )
 
 var (
@@ -126,7 +126,7 @@
 // source engine still streams. It then closes the connection to the source engine, which makes
 // the reader of the stream continue with the new response. The stream does not pause.
 func (a *attempt) resumeAtBackup(ctx context.Context, m *move) {
-	resp, err := a.openResumed(ctx, m, m.to, ResumePoint{Engine: m.to.Address, Handle: a.info.ID})
+	resp, err := a.openResumed(ctx, m, m.to, ResumePoint{Engine: m.to.Address, Handle: a.info.ID}, resumeTimeout)
 	a.placement.mu.Lock()
 	defer a.placement.mu.Unlock()
 	if err != nil || a.placement.ended {
@@ -312,13 +312,13 @@
 		to = m.from
 	}
 	point := ResumePoint{Engine: m.from.Address, Handle: handle}
-	resp, err := a.openResumed(ctx, m, to, point)
+	resp, err := a.openResumed(ctx, m, to, point, a.streamTimeout())
 	if !heldAtSource && (target.Unsent(err) || errors.Is(err, errResumeRejected)) {
 		// The destination has not resumed the generation, and the source engine still holds the
 		// KV cache.
 		a.logMove(event.MoveFailed, m, err.Error())
 		heldAtSource = true
-		resp, err = a.openResumed(ctx, m, m.from, point)
+		resp, err = a.openResumed(ctx, m, m.from, point, a.streamTimeout())
 	}
 	if err != nil {
 		a.logMove(event.MoveFailed, m, err.Error())
@@ -330,10 +330,11 @@
 }
 
 // openResumed sends the caller's request to engine and returns the response, in which engine
-// resumes the generation from the copy that point identifies, after the last event forwarded.
-func (a *attempt) openResumed(ctx context.Context, m *move, engine table.Target, point ResumePoint) (*http.Response, error) {
+// resumes the generation from the copy that point identifies, after the last event forwarded. The response
+// headers must arrive within timeout.
+func (a *attempt) openResumed(ctx context.Context, m *move, engine table.Target, point ResumePoint, timeout time.Duration) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(resumeTimeout, func() { cancel(errResumeFailed) })
+	timer := time.AfterFunc(timeout, func() { cancel(errResumeFailed) })
 	point.After = int(a.lastEvent.Load())
 	decision := dispatch.Effect{Target: engine.Name, To: engine, Priority: m.effect.Priority, Backup: m.effect.Backup}
 	sent := time.Now()
