Resume a moved stream only from its complete copy

An engine was asked to continue a stream while the final copy of its KV cache was still under way. It may refuse, as may the engine that was stopped, and the caller then sees a stream without a whole answer. The reader of the stream waited for the move for 1 s, whereas a final copy may take 3 s while it queues behind others on a link.

The reader now waits until the move has ended.

TestStreamIsResumedBeforeItsFinalCopy failed before: resumed 500 ms before the copy had ended.

--- a/gateway/move.go
+++ b/gateway/move.go
@@ -76,7 +76,7 @@
 const (
 	copyTimeout   = 3 * time.Second        // of one copy; includes queueing behind other copies on the same links
 	dropTimeout   = 500 * time.Millisecond // of freeing a copy; short, because unused copies also expire at the engines
-	moveTimeout   = time.Second            // how long the reader of an ended stream waits for a move
+	moveTimeout   = time.Second            // how long the reader of a broken stream waits for a move to start
 	resumeTimeout = time.Second            // of the response headers of a backup while the source engine still streams
 )
 
@@ -241,9 +241,9 @@
 		a.freeCopy(m)
 		return nil, false
 	}
+	// Each step of the move has a timeout. Until the final copy is complete, no engine can resume the generation.
 	select {
 	case <-m.done:
-	case <-time.After(moveTimeout):
 	case <-ctx.Done():
 		return nil, true
 	}
