Keep links between hosts while connections are relayed on them

Callers saw streams that ran through another host break off, although both hosts and the target were sound. In a deployment of more than 12 hosts, a host closes its links to hosts that are no longer partners after 5 s.

Links now count the relayed connections on them, at both ends, and a link is closed 5 s after the last of them has ended.

TestUnneededLinkCutsOffRelayedConnections failed before: the link was closed with a connection in use.

--- a/peer/link.go
+++ b/peer/link.go
@@ -229,7 +229,7 @@
 }
 
 // updateLinks dials the partners of this host and removes the links to hosts that have not been
-// partners for unwantedTime. A coordinator that has become unreachable is dialled until linkExpiry,
+// partners for unwantedTime, unless connections are relayed on them. A coordinator that has become unreachable is dialled until linkExpiry,
 // as the network may be partitioned.
 func (m *Mesh) updateLinks(ctx context.Context, now time.Time) {
 	m.mu.Lock()
@@ -245,7 +245,7 @@
 		case partners[a]:
 		case l.cancel == nil:
 			// The peer dialled, and keeps the connection for as long as it needs it.
-		case l.unwantedSince.IsZero():
+		case l.unwantedSince.IsZero(), m.relayed.inUse(l.dialled.Load()):
 			l.unwantedSince = now
 		case now.Sub(l.unwantedSince) >= unwantedTime && (l.conn.Load() != nil || !l.coordinator && !l.seed):
 			m.remove(l)
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -36,6 +36,7 @@
 		kick           chan struct{} // makes streamLoop report early
 		relays         atomic.Int64  // connections that this host relays now
 		relayTurn      atomic.Uint64 // counts the choices of a peer that relays
+		relayed        connUse
 
 		mu        sync.Mutex
 		view      *View                    // membership list
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -27,6 +27,7 @@
 		*quic.Stream
 		local, remote net.Addr
 		closed        atomic.Bool
+		release       func() // ends the use of the connection with the peer
 	}
 
 	// relayResult is the result of asking a peer for a connection.
@@ -148,7 +149,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "relay")
 	}
-	c := &relayedConn{Stream: s, local: conn.LocalAddr(), remote: net.TCPAddrFromAddrPort(to)}
+	c := &relayedConn{Stream: s, local: conn.LocalAddr(), remote: net.TCPAddrFromAddrPort(to), release: m.relayed.add(conn)}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	var reply wire.Connected
 	err = writeMessage(s, q)
@@ -221,6 +222,7 @@
 		return
 	}
 	defer m.relays.Add(-1)
+	defer m.relayed.add(conn)()
 	dialCtx, cancel := context.WithTimeout(ctx, relayDialTime)
 	c, release, err := m.handler.Connect(dialCtx, to, !q.Last)
 	cancel()
@@ -285,6 +287,7 @@
 // Close gives the connection up: the peer closes its connection to the target.
 func (c *relayedConn) Close() error {
 	c.closed.Store(true)
+	c.release()
 	c.CancelRead(codeReset)
 	c.CancelWrite(codeReset)
 	return nil
