Wait for connections that are being opened for peers before a host ends

A stopping host opens connections for hosts that have none. It counted them once they were open, and opened more of them until its process ended, so that it could end between the opening of a connection and the first response on it. Callers of the other host then got an unknown outcome, or a part of an answer.

A connection counts from the request for it on. Before the mesh closes, the host refuses further ones, and waits for those that are open until the end of its stop.

TestStopCutsOffConnectionBeingOpenedForPeer failed before: nothing in flight while the connection was being opened.

--- a/components.go
+++ b/components.go
@@ -113,7 +113,7 @@
 func runHost(a *assembly, l fx.Lifecycle, h *host.Host) { runInBackground(a, l, h.Run) }
 
 // runMesh connects the host with its peers, unless Settings.Credential is nil. When the host
-// stops, it waits until the mesh has closed its connections.
+// stops, it waits for what it relays for them, and until the mesh has closed its connections.
 func runMesh(a *assembly, l fx.Lifecycle, h *host.Host) error {
 	if a.settings.Credential == nil {
 		return nil
@@ -137,7 +137,12 @@
 			go func() { defer close(ended); m.Run(ctx) }()
 			return nil
 		},
-		OnStop: func(context.Context) error { cancel(); <-ended; return nil },
+		OnStop: func(ctx context.Context) error {
+			h.EndRelays(ctx)
+			cancel()
+			<-ended
+			return nil
+		},
 	})
 	return nil
 }
--- a/host/host.go
+++ b/host/host.go
@@ -40,6 +40,7 @@
 		incarnation     string                      // identifies this run of the host: its start time as a number
 		stopping        atomic.Bool                 // Stop was called
 		drainUntil      atomic.Pointer[time.Time]   // end of the stop that Drain announced; nil before
+		relaysEnded     atomic.Bool                 // EndRelays was called
 		draining        atomic.Bool                 // Drain was called: the host is not ready but may still accept requests
 		stopSignal      chan struct{}               // closed by Stop
 		inFlight        inFlightCounter
--- a/host/relay.go
+++ b/host/relay.go
@@ -56,16 +56,21 @@
 // Connect opens a connection to a target for a peer that cannot. A stopping host waits for the end of such
 // connections as for that of its own requests; see mayRelay.
 func (h peerHandler) Connect(ctx context.Context, to netip.AddrPort, further bool) (net.Conn, func(), error) {
-	switch {
-	case h.detours == nil || !h.mayRelay(time.Now()):
-		return nil, nil, errNotRelaying
-	case !h.listed.contains(to):
-		return nil, nil, errNotTarget
-	}
-	c, err := h.detours.DialForPeer(ctx, to, further)
+	h.inFlight.add() // before mayRelay, so that EndRelays refuses the connection or waits for it
+	c, err := h.connectForPeer(ctx, to, further)
 	if err != nil {
+		h.inFlight.done()
 		return nil, nil, err
 	}
-	h.inFlight.add()
 	return c, h.inFlight.done, nil
 }
+
+func (h *Host) connectForPeer(ctx context.Context, to netip.AddrPort, further bool) (net.Conn, error) {
+	switch {
+	case h.detours == nil || !h.mayRelay(time.Now()):
+		return nil, errNotRelaying
+	case !h.listed.contains(to):
+		return nil, errNotTarget
+	}
+	return h.detours.DialForPeer(ctx, to, further)
+}
--- a/host/relay_test.go
+++ b/host/relay_test.go
@@ -70,3 +70,53 @@
 	c.Check(l.contains(one), qt.IsFalse)
 	c.Check(l.contains(two), qt.IsTrue)
 }
+
+// slowNetwork is a network on which a connection opens when it is received from open.
+type slowNetwork struct {
+	network.System
+	dialling chan struct{}
+	open     chan net.Conn
+}
+
+func (s slowNetwork) Dial(context.Context, netip.AddrPort) (net.Conn, error) {
+	s.dialling <- struct{}{}
+	return <-s.open, nil
+}
+
+// A host waits for a connection that it is opening for a peer before it ends, and opens none afterwards. It counted open
+// connections only, so that it ended between the opening and the first request.
+func TestStopCutsOffConnectionBeingOpenedForPeer(t *testing.T) {
+	c := qt.New(t)
+	n := slowNetwork{dialling: make(chan struct{}, 1), open: make(chan net.Conn)}
+	log := event.NewLog("host")
+	h := NewHost(log, WithDetours(detour.NewNetwork(n, log)))
+	to := netip.MustParseAddrPort("10.2.0.1:1")
+	h.listed.record(map[string]table.Target{"one": {Address: to}}, time.Now())
+	released := make(chan func(), 1)
+	go func() {
+		_, release, err := peerHandler{h}.Connect(context.Background(), to, false)
+		c.Check(err, qt.IsNil)
+		released <- release
+	}()
+	<-n.dialling
+	c.Check(h.InFlightCount(), qt.Equals, 1)
+	until := time.Now().Add(time.Minute)
+	h.drainUntil.Store(&until)
+	ended := make(chan struct{})
+	go func() { defer close(ended); h.EndRelays(context.Background()) }()
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	n.open <- near
+	release := <-released
+	select {
+	case <-ended:
+		c.Error("the host has ended while it relays a connection")
+	case <-time.After(50 * time.Millisecond):
+	}
+	release()
+	<-ended
+	_, _, err := peerHandler{h}.Connect(context.Background(), to, false)
+	c.Check(err, qt.Equals, errNotRelaying)
+	c.Check(h.InFlightCount(), qt.Equals, 0)
+}
--- a/host/stop.go
+++ b/host/stop.go
@@ -48,9 +48,25 @@
 // mayRelay reports whether the host opens connections for peers. A stopping host does, since it may be the only
 // one with connections to targets, as long as it has time for the requests on them.
 func (h *Host) mayRelay(now time.Time) bool {
-	if h.stopping.Load() {
+	if h.stopping.Load() || h.relaysEnded.Load() {
 		return false
 	}
 	until := h.drainUntil.Load()
 	return until == nil || now.Add(relayReserve).Before(*until)
 }
+
+// EndRelays refuses to open connections for peers from now on, and waits for those that are open, until the stop that
+// Drain has announced. It does not wait if there was none.
+func (h *Host) EndRelays(ctx context.Context) {
+	h.relaysEnded.Store(true)
+	until := h.drainUntil.Load()
+	if until == nil {
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, *until)
+	defer cancel()
+	select {
+	case <-h.inFlight.drained():
+	case <-ctx.Done():
+	}
+}
