--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -276,9 +276,18 @@
 	if e.Plain {
 		return !e.CallerDeadline.IsZero() && r.sinceEpoch(e.CallerDeadline) <= r.stopDeadline
 	}
+	run := r.RunEstimate(e)
+	return run > 0 && run <= left
+}
+
+// RunEstimate returns the time from the dispatch of a stream to its end that is assumed when the host stops, or 0 if
+// the length of its output has no limit.
+func (r *Reducer) RunEstimate(e Submit) time.Duration {
 	tokens := max(e.MaxOutputTokens, e.KnownOutputTokens)
-	run := time.Duration(tokens)*stopSlowdown*r.options.stepBase + time.Duration(e.PromptTokens)*stopSlowdown*r.options.prefillPerToken
-	return tokens > 0 && run+stopSilence <= left
+	if e.Plain || tokens <= 0 {
+		return 0
+	}
+	return time.Duration(tokens)*stopSlowdown*r.options.stepBase + time.Duration(e.PromptTokens)*stopSlowdown*r.options.prefillPerToken + stopSilence
 }
 
 // reduce removes expired state, cancels generations whose callers have not reconnected, moves
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -52,6 +52,9 @@
 	PartCleared       Number = 220
 	PlaceAsked        Number = 221
 	TrialAsked        Number = 222
+	RequestHeld       Number = 223
+	RequestCut        Number = 224
+	ConnectionEnded   Number = 225
 
 	TargetLost     Number = 301
 	TargetReturned Number = 302
@@ -98,7 +101,7 @@
 	{HostStarted, "host started", hclog.Info, "The process has opened its listeners."},
 	{HostReady, "host ready", hclog.Info, "The host has a table and accepts requests."},
 	{HostStopping, "host stopping", hclog.Info, "The host is draining: it accepts no new requests, or only those that end before its announced stop, and completes or hands over those in flight."},
-	{HostStopped, "host stopped", hclog.Info, "The host has stopped with no request in flight."},
+	{HostStopped, "host stopped", hclog.Info, "The host has stopped; the fields count the requests since it began to stop, by what became of them, and those that it cuts off."},
 	{HostSlept, "host slept", hclog.Warn, "The process was suspended for longer than its leases; the reports that it held have expired."},
 	{HostFault, "host fault", hclog.Error, "An invariant is violated, or a component of the host failed."},
 	{LogThinned, "log thinned", hclog.Warn, "Log lines were suppressed by the rate limit, those about single requests first."},
@@ -125,6 +128,9 @@
 	{PartCleared, "part cleared", hclog.Info, "An answer has shown that this request, or this part of prompts, does not crash targets."},
 	{PlaceAsked, "place asked", hclog.Debug, "This host asked for a place at a target that names a limit of requests a second; the fields say whether there is one and when."},
 	{TrialAsked, "trial asked", hclog.Debug, "This host asked whether a request that may have crashed a target may be sent to another one; the fields say whether it may."},
+	{RequestHeld, "request held", hclog.Info, "A request waits at a stopping host: it was held when the stop began, or was accepted since and not dispatched at once."},
+	{RequestCut, "request cut", hclog.Warn, "The stopping host closes the connection of a request whose response is not complete."},
+	{ConnectionEnded, "connection ended", hclog.Info, "A caller's connection ended before the response on it was complete; the fields say which side ended it, and why."},
 	{TargetLost, "target lost", hclog.Warn, "A target no longer responds to load queries."},
 	{TargetReturned, "target returned", hclog.Info, "A target responds to load queries again, or is no longer leaving."},
 	{TargetRebooted, "target rebooted", hclog.Warn, "A target's boot identifier has changed; its generations are lost."},
--- a/host/effects.go
+++ b/host/effects.go
@@ -29,8 +29,9 @@
 		r.target = f.Target
 		h.log.Emit(event.RequestDispatched, event.Fields{
 			Request: r.Name, Organisation: r.Submit.Organisation, Target: f.Target,
-			Values: append(h.basisValues(f.Basis), "backup", f.Backup.Name),
+			Values: append(append(h.basisValues(f.Basis), "backup", f.Backup.Name), h.requestStopValues(r)...),
 		})
+		h.stopRecord.count(&h.stopRecord.dispatched)
 		r.deliver(f)
 	case dispatch.EffectPlace:
 		go h.place(f.Placement)
@@ -38,13 +39,15 @@
 		delete(h.requests, f.ID)
 		h.log.Emit(event.RequestRefused, event.Fields{
 			Request: r.Name, Organisation: r.Submit.Organisation, Detail: f.Answer.String(),
-			Values: append(h.basisValues(f.Basis), "retry_ms", f.RetryAfter.Milliseconds()),
+			Values: append(append(h.basisValues(f.Basis), "retry_ms", f.RetryAfter.Milliseconds()), h.requestStopValues(r)...),
 		})
+		h.stopRecord.count(&h.stopRecord.refused)
 		r.deliver(f)
 	case dispatch.EffectMove:
 		r.moveTarget = f.To.Name
 		h.log.Emit(event.MoveAsked, event.Fields{
-			Request: r.Name, Organisation: r.Submit.Organisation, Target: f.Target, Values: append(h.basisValues(f.Basis), "to", f.To.Name, "backup", f.ToBackup, "next_backup", f.Backup.Name),
+			Request: r.Name, Organisation: r.Submit.Organisation, Target: f.Target,
+			Values: append(append(h.basisValues(f.Basis), "to", f.To.Name, "backup", f.ToBackup, "next_backup", f.Backup.Name), h.requestStopValues(r)...),
 		})
 		r.deliverMove(f)
 	case dispatch.EffectNoMove:
--- a/host/host.go
+++ b/host/host.go
@@ -40,8 +40,9 @@
 		incarnation     string                      // identifies this run of the host: its start time as a number
 		stopping        atomic.Bool                 // Stop was called
 		drainUntil      atomic.Pointer[time.Time]   // end of the stop that Drain announced; nil before
-		draining        atomic.Bool                 // Drain was called: the host is not ready but may still accept requests
-		stopSignal      chan struct{}               // closed by Stop
+		stopRecord      stopRecord
+		draining        atomic.Bool   // Drain was called: the host is not ready but may still accept requests
+		stopSignal      chan struct{} // closed by Stop
 		inFlight        inFlightCounter
 		observer        Observer
 		loadInterval    time.Duration     // average time between two reads of an engine's load
@@ -89,6 +90,8 @@
 		target     string               // target of the current attempt; empty before the first dispatch
 		started    bool                 // the first token of the stream was sampled
 		moveTarget string               // destination of the last move that the reducer requested
+		submitted  time.Time            // time of Submit or Attach
+		estimate   atomic.Int64         // see RunEstimate, in nanoseconds
 		moves      chan dispatch.Effect // effects that Moves returns
 	}
 
@@ -363,8 +366,10 @@
 	}
 	if m.request != nil {
 		h.requests[m.request.ID] = m.request
+		m.request.estimate.Store(int64(h.reducer.RunEstimate(m.request.Submit)))
 	}
 	h.reduce(m.event, timer)
+	h.logHeld(m)
 	if c, ok := m.event.(dispatch.TableChange); ok {
 		h.storeAppliedTable(c.Table)
 	}
--- a/host/placement.go
+++ b/host/placement.go
@@ -65,7 +65,7 @@
 		if a.Target != "" || a.Refusal != 0 {
 			h.log.Emit(event.RequestPlaced, event.Fields{
 				Request: r.Name, Peer: from, Target: a.Target, Organisation: r.Organisation,
-				Values: []any{"ms", time.Since(asked).Milliseconds(), "refusal", answer.Kind(a.Refusal).String(), "attempt", r.Attempt},
+				Values: append([]any{"ms", time.Since(asked).Milliseconds(), "refusal", answer.Kind(a.Refusal).String(), "attempt", r.Attempt}, h.StopValues(time.Now())...),
 			})
 			h.Post(dispatch.Placed{
 				ID: r.ID, Target: a.Target, Refusal: answer.Kind(a.Refusal), RetryAfter: time.Duration(a.Retry) * time.Millisecond,
@@ -207,7 +207,7 @@
 	if f.Answer != answer.KindNone {
 		values = append(values, "refusal", f.Answer.String())
 	}
-	h.log.Emit(event.PlacementDecided, event.Fields{Request: f.Name, Target: f.Target, Values: values})
+	h.log.Emit(event.PlacementDecided, event.Fields{Request: f.Name, Target: f.Target, Values: append(values, h.StopValues(time.Now())...)})
 }
 
 // orderMove sends another host the order to move one of its streams.
--- a/host/request.go
+++ b/host/request.go
@@ -27,6 +27,7 @@
 		ID:        id,
 		Submit:    s,
 		Name:      name,
+		submitted: time.Now(),
 		host:      h,
 		decisions: make(chan dispatch.Effect, decisionBuffer),
 		moves:     make(chan dispatch.Effect, decisionBuffer),
@@ -44,9 +45,9 @@
 func (h *Host) SubmitAs(name string, s dispatch.Submit) *Request {
 	r := h.newRequest(name, s)
 	h.beginRequest()
-	h.log.Emit(event.RequestSubmitted, event.Fields{Request: r.Name, Organisation: s.Organisation, Values: []any{
+	h.log.Emit(event.RequestSubmitted, event.Fields{Request: r.Name, Organisation: s.Organisation, Values: append([]any{
 		"pool", s.Pool, "route", s.Route, "prompt", s.PromptTokens, "limit", s.MaxOutputTokens, "once", s.NonIdempotent,
-	}})
+	}, h.StopValues(time.Now())...)})
 	h.send(message{event: r.Submit, request: r})
 	return r
 }
--- a/host/stop.go
+++ b/host/stop.go
@@ -16,6 +16,7 @@
 		return false
 	}
 	close(h.stopSignal)
+	h.stopRecord.begin(time.Now(), h.InFlightCount())
 	h.log.Emit(event.HostStopping, event.Fields{})
 	h.Post(dispatch.Stop{})
 	select {
@@ -36,7 +37,11 @@
 func (h *Host) Drain(until time.Time) {
 	h.drainUntil.Store(&until)
 	if !h.draining.Swap(true) {
-		h.log.Emit(event.HostStopping, event.Fields{Values: []any{"open", h.InFlightCount(), "until_ms", time.Until(until).Milliseconds()}})
+		open := h.InFlightCount()
+		h.stopRecord.begin(time.Now(), open)
+		h.log.Emit(event.HostStopping, event.Fields{Values: []any{
+			"open", open, "until_ms", time.Until(until).Milliseconds(), "until", until.UTC().Format(time.RFC3339Nano),
+		}})
 		h.Post(dispatch.Stop{Until: until})
 	}
 }
