--- a/forward.go
+++ b/forward.go
@@ -108,6 +108,7 @@
 	g := gateway.NewGateway(h, a.forward.dialect, opts...)
 	s := newServer(a, closeWhenDraining(h, g))
 	s.ReadHeaderTimeout, s.IdleTimeout, s.ConnState = gatewayHeaderTimeout, 0, g.ConnState
+	s.ConnContext = g.ConnContext
 	ready := newServer(a, http.HandlerFunc(g.Ready))
 	l.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -143,7 +144,7 @@
 		waitForRequests(ctx, h, g)
 	}
 	remaining := max(h.InFlightCount(), g.ActiveConnCount())
-	h.Log().Emit(event.HostStopped, event.Fields{Values: []any{"open", remaining, "after_ms", time.Since(startedAt).Milliseconds()}})
+	h.Log().Emit(event.HostStopped, event.Fields{Values: append([]any{"open", remaining, "after_ms", time.Since(startedAt).Milliseconds()}, g.CutRequests()...)})
 	err := s.Close()
 	if remaining > 0 {
 		return eris.Errorf("%d requests still in flight after the drain timeout of %s", remaining, a.settings.DrainTimeout)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -51,6 +51,9 @@
 		header http.Header
 		data   []byte // body
 	}
+
+	// delivered writes the body of the response to a call's caller.
+	delivered struct{ *call }
 )
 
 var (
@@ -65,6 +68,9 @@
 
 // newAttempt returns the next attempt of the call, at the named target.
 func (c *call) newAttempt(name string) *attempt {
+	c.state.mu.Lock()
+	defer c.state.mu.Unlock()
+	c.state.phase, c.state.dispatched = phaseRunning, time.Now()
 	c.attemptCount++
 	c.latest = &attempt{call: c, target: name}
 	return c.latest
@@ -76,7 +82,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	a.cancel = cancel
-	ctx = traceRelay(ctx, &a.via)
+	ctx = traceRelay(ctx, a.setVia)
 	stop := a.limitDuration()
 	sent := time.Now()
 	resp, err := a.gateway.transport.RoundTrip(a.newRequest(ctx, decision, nil))
@@ -109,12 +115,12 @@
 	return a.forwardBuffered(ctx, resp)
 }
 
-// traceRelay returns a context for one request that sets via to the host through which its connection goes, if not
+// traceRelay returns a context for one request that calls setVia with the host through which its connection goes, if not
 // directly.
-func traceRelay(ctx context.Context, via *string) context.Context {
+func traceRelay(ctx context.Context, setVia func(string)) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if d, ok := info.Conn.(*detour.Conn); ok {
-			*via = d.Via
+			setVia(d.Via)
 		}
 	}})
 }
@@ -287,8 +293,17 @@
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(f.data)))
 	}
 	c.writeHeader(f.status)
-	n, _ := c.w.Write(f.data) // an error means that the caller has disconnected
-	c.bodyBytes += int64(n)
+	_, _ = delivered{c}.Write(f.data) // which records an error
+}
+
+// Write sends a part of the body to the caller, counts its bytes and records an error.
+func (d delivered) Write(b []byte) (int, error) {
+	n, err := d.w.Write(b)
+	d.bodyBytes.Add(int64(n))
+	if err != nil {
+		d.recordWriteError(err)
+	}
+	return n, err
 }
 
 func bodyAllowed(status int) bool {
@@ -303,8 +318,7 @@
 		a.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
 	a.writeHeader(f.status)
-	n, err := io.Copy(a.w, io.MultiReader(bytes.NewReader(f.data), resp.Body))
-	a.bodyBytes += n
+	_, err := io.Copy(delivered{a.call}, io.MultiReader(bytes.NewReader(f.data), resp.Body))
 	if err != nil {
 		r := failedResult(ctx, eris.Wrap(err, "answer"))
 		r.DeliveredTokens = 1 // the caller has received part of the response
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -45,8 +46,10 @@
 	latest       *attempt      // latest attempt; one without a target before the first
 	status       int           // HTTP status sent to the caller
 	firstByte    time.Duration // from started to the first response byte
-	bodyBytes    int64         // body bytes sent to the caller
+	bodyBytes    atomic.Int64  // body bytes sent to the caller
 	written      bool          // the response headers have been sent
+	failedWrite  error         // of the first failed write to the caller
+	state        callPhase
 }
 
 // serve admits the request, reads its body and forwards it to a target. It returns an error if
@@ -55,6 +58,7 @@
 	if err := c.admit(); err != nil {
 		return err
 	}
+	c.enter(phaseBody)
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	var err error
@@ -66,6 +70,7 @@
 	c.digest = requestDigest(c.r.Method, c.uri, c.body.data)
 	c.hostRequest = c.gateway.host.SubmitAs(c.info.ID, c.submission())
 	defer c.hostRequest.Release()
+	c.enter(phaseHeld)
 	return c.run(ctx)
 }
 
@@ -201,6 +206,7 @@
 		if !c.hostRequest.ReportResult(res) {
 			return nil
 		}
+		c.enter(phaseHeld)
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,16 +25,22 @@
 		observer   Observer
 		bodyMemory memoryBudget
 		conns      *callerConns
+		inHand     callsInHand
 	}
 
-	// An Observer is notified of each finished request, for instance to record metrics.
-	Observer interface{ RequestFinished(RequestStats) }
+	// An Observer is notified of each finished request, and of the requests in each phase that the end of a stop cuts
+	// off, for instance to record metrics.
+	Observer interface {
+		RequestFinished(RequestStats)
+		RequestsCut(phase string, count int)
+	}
 
 	// RequestStats holds the result, the durations and the counts of a finished request.
 	RequestStats struct {
 		Kind       string        // route kind; empty if no route matched
 		Status     int           // HTTP status sent to the caller, or that of the error if no response was started
 		Code       string        // error code; empty on success
+		EndedBy    string        // how the request ended, or which side ended its connection
 		FirstByte  time.Duration // from the request's start to the first response byte
 		Duration   time.Duration // from the request's start to its end
 		LongestGap time.Duration // longest time between two consecutive events of a stream
@@ -86,6 +92,7 @@
 func WithObserver(o Observer) Option { return withObserver{o} }
 
 func (noObserver) RequestFinished(RequestStats) {}
+func (noObserver) RequestsCut(string, int)      {}
 
 func (o withObserver) apply(g *Gateway)    { g.observer = o.observer }
 func (o withCacheCopier) apply(g *Gateway) { g.copier = o.copier }
@@ -130,6 +137,9 @@
 // ServeHTTP forwards the request to a target and the target's response to the caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{gateway: g, w: w, r: r, started: time.Now(), latest: &attempt{}}
+	c.latest.call = c
+	g.inHand.add(c)
+	defer g.inHand.remove(c)
 	err := c.serve()
 	if err == nil {
 		c.recordEnd(nil)
@@ -181,11 +191,15 @@
 // recordEnd reports the finished request to the observer and logs it. e is the error that ended
 // it, or nil if its response is complete.
 func (c *call) recordEnd(e *answer.Error) {
-	c.gateway.observer.RequestFinished(c.stats(e))
+	by := c.endedBy(e)
+	stats := c.stats(e)
+	stats.EndedBy = by.String()
+	c.gateway.observer.RequestFinished(stats)
+	c.recordConnEnd(by, e)
 	fields := event.Fields{Request: c.info.ID, Organisation: c.organisation, Target: c.latest.target, TableVersion: c.tableVersion}
 	fields.Values = []any{
 		"status", c.status, "ms", time.Since(c.started).Milliseconds(), "first_ms", c.firstByte.Milliseconds(),
-		"attempts", c.attemptCount, "bytes", c.bodyBytes,
+		"attempts", c.attemptCount, "bytes", c.bodyBytes.Load(), "ended_by", by.String(),
 	}
 	if c.route != nil {
 		fields.Values = append(fields.Values, "route", c.route.Name, "kind", c.route.Kind.String())
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -338,7 +338,7 @@
 	decision := dispatch.Effect{Target: engine.Name, To: engine, Priority: m.effect.Priority, Backup: m.effect.Backup}
 	sent := time.Now()
 	via := ""
-	ctx = traceRelay(ctx, &via)
+	ctx = traceRelay(ctx, func(host string) { via = host })
 	resp, err := a.gateway.transport.RoundTrip(a.newRequest(ctx, decision, &point))
 	if !timer.Stop() && err == nil {
 		resp.Body.Close()
@@ -373,7 +373,9 @@
 	a.placement.mu.Lock()
 	a.placement.target = to
 	a.placement.mu.Unlock()
+	a.state.mu.Lock()
 	a.target, a.moveCount = to.Name, a.moveCount+1
+	a.state.mu.Unlock()
 	a.logMove(event.RequestMoved, m, "")
 	a.hostRequest.MoveSucceeded()
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -138,9 +138,14 @@
 	// Response writers that support no write deadline, such as those of tests, return an error,
 	// which is ignored.
 	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
-	n, err := a.w.Write(complete)
-	a.bodyBytes += int64(n)
-	return err == nil && control.Flush() == nil
+	if _, err := (delivered{a.call}).Write(complete); err != nil {
+		return false
+	}
+	if err := control.Flush(); err != nil {
+		a.recordWriteError(err)
+		return false
+	}
+	return true
 }
 
 // recordProgress adds count new events, which have just arrived, to the progress of the stream.
@@ -165,8 +170,7 @@
 		a.writeHeader(resp.StatusCode)
 	}
 	// Blank lines and comments after the last event are forwarded unchanged.
-	n, _ := a.w.Write(a.events.partial)
-	a.bodyBytes += int64(n)
+	_, _ = delivered{a.call}.Write(a.events.partial) // which records an error
 	return a.completeResult()
 }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -35,6 +35,8 @@
 		duration         metric.Float64Histogram
 		longestGap       metric.Float64Histogram
 		moves            metric.Int64Counter
+		ended            metric.Int64Counter
+		cut              metric.Int64Counter
 	}
 
 	// snapshot holds the state of the reducer that the gauges show, read in one call so that
@@ -137,6 +139,8 @@
 	resumed := gauge("wigeonlink.resumed", "Fresh connections asked for because of a stall")
 	reads := gauge("wigeonlink.registry.reads", "Readings of the service that publishes, by kind")
 	age := gauge("wigeonlink.registry.age", "Seconds since the published state was last confirmed")
+	stopInFlight := gauge("wigeonlink.stop.inflight", "Requests in flight when the host began to stop")
+	stopDispatched := gauge("wigeonlink.stop.dispatched", "Requests dispatched since the host began to stop")
 	if failed != nil {
 		return failed
 	}
@@ -145,6 +149,9 @@
 		o.ObserveFloat64(version, float64(s.version))
 		o.ObserveFloat64(retried, float64(s.counts.Retried))
 		o.ObserveFloat64(resumed, float64(s.counts.Resumed))
+		stop := h.StopCounts()
+		o.ObserveFloat64(stopInFlight, float64(stop.InFlight))
+		o.ObserveFloat64(stopDispatched, float64(stop.Dispatched))
 		if k := h.Syncer(); k != nil {
 			r := k.ReadCounts()
 			o.ObserveFloat64(reads, float64(r.Changes), metric.WithAttributes(attribute.String("kind", "changes")))
@@ -165,7 +172,7 @@
 			o.ObserveFloat64(open, boolValue(row.AcceptsWork), by)
 		}
 		return nil
-	}, promised, got, held, inflight, peak, open, version, retried, resumed, reads, age)
+	}, promised, got, held, inflight, peak, open, version, retried, resumed, reads, age, stopInFlight, stopDispatched)
 	return eris.Wrap(err, "gauges")
 }
 
--- a/meter/request.go
+++ b/meter/request.go
@@ -29,11 +29,28 @@
 			return eris.Wrap(err, h.name)
 		}
 	}
-	m.moves, err = scope.Int64Counter("wigeonlink.stream.moves", metric.WithDescription("Changes of engine of running streams"))
-	return eris.Wrap(err, "moves")
+	counters := []struct {
+		to         *metric.Int64Counter
+		name, text string
+	}{
+		{&m.moves, "wigeonlink.stream.moves", "Changes of engine of running streams"},
+		{&m.ended, "wigeonlink.request.ended", "Forwarded requests that ended, by what ended them"},
+		{&m.cut, "wigeonlink.stop.cut", "Requests that the end of a stop cut off, by phase"},
+	}
+	for _, c := range counters {
+		if *c.to, err = scope.Int64Counter(c.name, metric.WithDescription(c.text)); err != nil {
+			return eris.Wrap(err, c.name)
+		}
+	}
+	return nil
+}
+
+// RequestsCut counts requests that the end of the host's stop has cut off. It implements gateway.Observer.
+func (m *Meter) RequestsCut(phase string, count int) {
+	m.cut.Add(context.Background(), int64(count), metric.WithAttributes(attribute.String("phase", phase)))
 }
 
-// RequestFinished records the durations and the number of moves of a request that the gateway has
+// RequestFinished records the durations, the number of moves and the end of a request that the gateway has
 // forwarded. It implements gateway.Observer.
 func (m *Meter) RequestFinished(r gateway.RequestStats) {
 	ctx := context.Background()
@@ -43,6 +60,7 @@
 	}
 	m.duration.Record(ctx, r.Duration.Seconds(), metric.WithAttributes(kind,
 		attribute.String("status", strconv.Itoa(r.Status)), attribute.String("code", r.Code)))
+	m.ended.Add(ctx, 1, metric.WithAttributes(attribute.String("by", r.EndedBy)))
 	if r.EventCount > 1 {
 		m.longestGap.Record(ctx, r.LongestGap.Seconds())
 	}
