--- a/gateway/in_hand.go
+++ b/gateway/in_hand.go
@@ -38,6 +38,7 @@
 		phase      phase
 		submitted  time.Time // to the reducer
 		dispatched time.Time // time of the latest dispatch
+		cut        bool      // the call has a line of event.RequestCut
 	}
 
 	// connKey is the key of a caller's connection in the context of its requests.
@@ -129,6 +130,7 @@
 		p, fields := c.describe(time.Now())
 		cut[p]++
 		if lines++; lines <= maxCutLines {
+			c.markCut()
 			g.host.Log().Emit(event.RequestCut, fields)
 		}
 	}
@@ -154,6 +156,18 @@
 	return values
 }
 
+func (c *call) markCut() {
+	c.state.mu.Lock()
+	defer c.state.mu.Unlock()
+	c.state.cut = true
+}
+
+func (c *call) isCut() bool {
+	c.state.mu.Lock()
+	defer c.state.mu.Unlock()
+	return c.state.cut
+}
+
 // describe returns the phase of the call and the fields of its line in the event log. It may be called while the handler of
 // the call runs.
 func (c *call) describe(now time.Time) (phase, event.Fields) {
@@ -264,12 +278,13 @@
 	return conn.SetWriteDeadline(time.Now()) // no more writes follow on a connection that has ended
 }
 
-// recordConnEnd logs the end of the caller's connection, unless the response is complete or the host has answered.
+// recordConnEnd logs the end of the caller's connection, unless the response is complete, the host has answered or the
+// request has been logged as cut off.
 func (c *call) recordConnEnd(by endCause, e *answer.Error) {
 	if _, stopping := c.gateway.host.StopBegun(); stopping {
 		c.gateway.inHand.countEnd(by)
 	}
-	if by == endComplete || by == endRefused {
+	if by == endComplete || by == endRefused || c.isCut() {
 		return
 	}
 	p, fields := c.describe(time.Now())
