--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -42,8 +42,18 @@
 	if e.Plain {
 		return !e.CallerDeadline.IsZero() && r.sinceEpoch(e.CallerDeadline) <= r.stopDeadline
 	}
+	run := r.RunEstimate(e)
+	return run > 0 && r.now <= r.stopDeadline-run
+}
+
+// RunEstimate returns the time from the dispatch of a stream to its end that is assumed when the host stops, or 0 if
+// the length of its output has no limit.
+func (r *Reducer) RunEstimate(e Submit) time.Duration {
 	tokens := max(e.MaxOutputTokens, e.KnownOutputTokens)
-	return tokens > 0 && r.now <= r.stopDeadline-r.longestRun(tokens, e.PromptTokens, nil)-stopSilence
+	if e.Plain || tokens <= 0 {
+		return 0
+	}
+	return r.longestRun(tokens, e.PromptTokens, nil)
 }
 
 // latestStart returns the latest time at which a request can be dispatched to t, or to any target if t is nil, and be
@@ -62,7 +72,7 @@
 	if tokens == 0 {
 		return -1
 	}
-	return r.stopDeadline - r.longestRun(tokens, q.prompt, t) - stopSilence
+	return r.stopDeadline - r.longestRun(tokens, q.prompt, t)
 }
 
 // longestRun returns an upper bound of the time from the dispatch of a stream to its end, at t or, if t is nil, at a
@@ -73,7 +83,7 @@
 		interval = max(interval, t.tokenInterval.At(t.totalDemand(r.now).Streams+1))
 		prompt += t.pendingPrefill
 	}
-	return time.Duration(tokens)*interval + time.Duration(prompt)*stopSlowdown*r.options.prefillPerToken
+	return time.Duration(tokens)*interval + time.Duration(prompt)*stopSlowdown*r.options.prefillPerToken + stopSilence
 }
 
 // refuseOutlasting refuses the held requests of a pool that would not end before the host stops, so that their callers
