--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -59,7 +59,8 @@
 	patience    = 2 * time.Second // time beyond the deadline for which a caller waits
 )
 
-// run sends requests of one kind until ctx is done, on one connection as long as it lasts.
+// run sends requests of one kind until ctx is done, on one connection as long as it lasts. It then closes the connection,
+// and a request that is under way has no result.
 func (s *soak) run(ctx context.Context, k *kind, number int, rng *rand.Rand) {
 	var c *connection
 	defer func() {
@@ -78,7 +79,11 @@
 				continue
 			}
 		}
+		leave := context.AfterFunc(ctx, func() { c.Close() })
 		r, reusable := s.exchange(c, k, fmt.Sprintf("%08x%08x", uint32(s.seed), s.lastID.Add(1)))
+		if !leave() {
+			return
+		}
 		s.mu.Lock()
 		s.results = append(s.results, r)
 		s.mu.Unlock()
