--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/wigeonlink/wigeonlink/platform/emulator"
@@ -18,7 +17,7 @@
 	// kind is a kind of request.
 	kind struct {
 		name             string
-		method, prefix   string
+		prefix           string // of the path
 		deadline         time.Duration
 		timeout          time.Duration // of the route
 		prompt, output   int           // tokens; 0 for plain calls
@@ -52,8 +51,6 @@
 
 const (
 	checksPrefix = "/checks/" // prefix of short streams
-	firstPart    = "5c1e07a2" // part that all prompts begin with
-	firstTokens  = 79
 
 	dialTimeout = time.Second
 	patience    = 2 * time.Second // time beyond the deadline for which a caller waits
@@ -114,50 +111,30 @@
 	}
 	m := all[number/len(domains)%len(all)]
 	p := m.current()
-	n, err := net.DialTimeout("tcp", m.front, dialTimeout)
+	n, err := net.DialTimeout("tcp", m.caller.String(), dialTimeout)
 	if err != nil {
 		return nil // the caller tries again after its pause
 	}
 	return &connection{Conn: n, reader: bufio.NewReader(n), process: p}
 }
 
-// text returns the request with an identifier as it is sent.
-func (k *kind) text(id string) string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s1 HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer %s\r\n",
-		k.method, k.prefix, emulator.HostName, id, k.deadline.Milliseconds(), emulator.DefaultKey)
-	if k.prompt > 0 {
-		fmt.Fprintf(&b, "Token-Usage: %d,%d\r\nPrompt-Prefix: %s:%d,%s:%d\r\n", k.prompt, k.output, firstPart, firstTokens, id, k.prompt-firstTokens)
-	}
-	if k.method == http.MethodPost {
-		return b.String() + "Content-Length: 6\r\n\r\nprompt"
-	}
-	return b.String() + "\r\n"
-}
-
-// wantBody returns the body of a target's whole response.
-func (k *kind) wantBody(id string) string {
-	if k.prompt == 0 {
-		return emulator.ResponseBody(id)
-	}
-	var b strings.Builder
-	for n := 1; n <= emulator.EventCount(id, k.output); n++ {
-		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", n, emulator.EventData(id, n))
-	}
-	return b.String()
+// request returns a request with an identifier.
+func (k *kind) request(id string) emulator.CallerRequest {
+	return emulator.CallerRequest{ID: id, Path: k.prefix + "1", Deadline: k.deadline, PromptTokens: k.prompt, MaxOutputTokens: k.output}
 }
 
 // exchange sends a request and reads the response. It reports whether the connection can be used again.
 func (s *soak) exchange(c *connection, k *kind, id string) (r result, reusable bool) {
+	q := k.request(id)
 	r = result{id: id, kind: k, process: c.process, used: c.used}
 	c.used++
 	r.sentAt = time.Now()
 	var resp *http.Response
 	if r.err = c.SetDeadline(r.sentAt.Add(k.deadline + patience)); r.err == nil {
-		_, r.err = io.WriteString(c, k.text(id))
+		_, r.err = io.WriteString(c, q.String())
 	}
 	if r.err == nil {
-		resp, r.err = http.ReadResponse(c.reader, &http.Request{Method: k.method})
+		resp, r.err = http.ReadResponse(c.reader, &http.Request{Method: q.Method()})
 	}
 	if r.err == nil {
 		r.firstAt, r.status = time.Now(), resp.StatusCode
@@ -165,7 +142,7 @@
 		body, r.err = io.ReadAll(resp.Body)
 		resp.Body.Close()
 		r.bytes, r.complete = len(body), r.err == nil
-		r.intact = r.complete && (r.status != http.StatusOK || string(body) == k.wantBody(id))
+		r.intact = r.complete && (r.status != http.StatusOK || string(body) == q.ResponseBody())
 		reusable = r.complete && !resp.Close
 	}
 	r.endedAt = time.Now()
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -88,7 +88,7 @@
 	for _, g := range p.signals {
 		fmt.Fprintf(&b, "  %s at %s\n", g.signal, since(g.at))
 	}
-	fmt.Fprintf(&b, "  process ended %s: %v\n", since(p.endedAt), p.cmd.ProcessState)
+	fmt.Fprintf(&b, "  process ended %s: %s\n", since(p.endedAt), p.exit)
 	for _, m := range s.machines {
 		for _, line := range m.linesWith(r.id, p.machine == m) {
 			fmt.Fprintf(&b, "  %s: %s\n", m.name, line)
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -5,22 +5,25 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/wigeonlink/wigeonlink/platform/emulator"
 )
 
 type (
 	// machine is where a host runs: a loopback address and the settings of one process after another.
 	machine struct {
-		name, domain, ip string
-		front, ready     string
-		settings         string // path of the settings file
-		logPath          string
+		name, domain  string
+		ip            netip.Addr
+		caller, ready netip.AddrPort
+		settings      string // path of the settings file
+		logPath       string
 
 		mu       sync.Mutex
 		process  *process // the latest
@@ -39,6 +42,7 @@
 		terminatedAt time.Time // time of the first SIGTERM; zero before
 		endedAt      time.Time // zero while it runs
 		killed       bool      // it ran longer than the grace period
+		exit         string    // how it ended; empty while it runs
 		signals      []sentSignal
 	}
 
@@ -59,69 +63,45 @@
 	secret = "a secret for tests only"
 )
 
-// settingsTemplate is the format string for a host's settings file.
-const settingsTemplate = `NodeName = %q
-Ip = %q
-Zone = %q
-InternalPortRange = [%d, %d]
-SeedNodes = [%s]
-[Listen]
-Front = %q
-Ready = %q
-Control = %q
-[Limits]
-CpuShare = 0.4
-CpuCores = 1
-MemoryMb = 134
-MaxFds = 4100
-[Bounds]
-GraceS = 8
-RetryBudgetRatio = 0.2
-RetrySlack = 56
-[Platform]
-Address = %q
-`
-
-// freePort returns a port that is free at a loopback address.
-func freePort(ip string) (int, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return 0, err
+// freePorts sets ports to different ones that are free at a loopback address.
+func freePorts(ip netip.Addr, ports ...*uint16) error {
+	for _, port := range ports {
+		l, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
+		if err != nil {
+			return err
+		}
+		defer l.Close()
+		*port = l.Addr().(*net.TCPAddr).AddrPort().Port()
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return nil
 }
 
 // addMachines writes the settings files of hosts. All hosts use the same ports, each at its own address.
 func (s *soak) addMachines(perDomain int) error {
-	const internalPorts = 16
-	network := 20 + s.pickAddress.IntN(200)
-	subnet := s.pickAddress.IntN(250)
+	network, subnet := byte(20+s.pickAddress.IntN(200)), byte(s.pickAddress.IntN(250))
 	for i := range perDomain {
 		for n, domain := range domains {
 			name := fmt.Sprintf("%s-%d", domain, i+1)
-			ip := fmt.Sprintf("127.%d.%d.%d", network, subnet, 1+i*len(domains)+n)
+			ip := netip.AddrFrom4([4]byte{127, network, subnet, byte(1 + i*len(domains) + n)})
 			s.machines = append(s.machines, &machine{name: name, domain: domain, ip: ip, logPath: filepath.Join(s.folder, name+".log")})
 		}
 	}
-	var ports [5]int // front, ready, control, internal, metrics
-	for n := range ports {
-		var err error
-		if ports[n], err = freePort(s.machines[0].ip); err != nil {
-			return err
-		}
+	var caller, ready, control, first uint16
+	if err := freePorts(s.machines[0].ip, &caller, &ready, &control, &first, &s.metricsPort); err != nil {
+		return err
 	}
-	s.metricsPort = ports[4]
-	var seeds []string
+	var seeds []netip.AddrPort
 	for _, m := range s.machines[:len(domains)] {
-		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", m.ip, ports[2])))
+		seeds = append(seeds, netip.AddrPortFrom(m.ip, control))
 	}
 	for _, m := range s.machines {
-		m.front, m.ready = fmt.Sprintf("%s:%d", m.ip, ports[0]), fmt.Sprintf("%s:%d", m.ip, ports[1])
+		m.caller, m.ready = netip.AddrPortFrom(m.ip, caller), netip.AddrPortFrom(m.ip, ready)
 		m.settings = filepath.Join(s.folder, m.name+".toml")
-		text := fmt.Sprintf(settingsTemplate, m.name, m.ip, m.domain, ports[3], ports[3]+internalPorts-1, strings.Join(seeds, ","),
-			m.front, m.ready, fmt.Sprintf("%s:%d", m.ip, ports[2]), s.site.StoreAddress)
-		if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
+		settings := emulator.HostSettings{
+			Name: m.name, Domain: m.domain, IP: m.ip, Caller: m.caller, Ready: m.ready, Control: netip.AddrPortFrom(m.ip, control),
+			FirstPort: first, Seeds: seeds, StoreAddress: s.site.StoreAddress, Grace: gracePeriod,
+		}
+		if err := os.WriteFile(m.settings, []byte(settings.String()), 0o600); err != nil {
 			return err
 		}
 	}
@@ -137,7 +117,7 @@
 	defer out.Close()
 	cmd := exec.Command(s.program, "platform", "--lines", "0", "--metrics", fmt.Sprint(s.metricsPort), "--secret", secret)
 	cmd.Dir = s.folder
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + s.folder, "LANG=C", "WIGEONLINK_CONFIG=" + m.settings}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + s.folder, "LANG=C", emulator.SettingsVariable + "=" + m.settings}
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return err
@@ -152,7 +132,7 @@
 	go func() {
 		_ = cmd.Wait() // the record shows the exit status
 		p.mu.Lock()
-		p.endedAt = time.Now()
+		p.endedAt, p.exit = time.Now(), cmd.ProcessState.String()
 		p.mu.Unlock()
 		close(p.ended)
 	}()
@@ -202,7 +182,7 @@
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		ok := false
-		if resp, err := client.Get("http://" + m.ready + "/v1/readyz"); err == nil {
+		if resp, err := client.Get("http://" + m.ready.String() + emulator.ReadyPath); err == nil {
 			ok = resp.StatusCode == http.StatusOK
 			resp.Body.Close()
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -39,7 +39,7 @@
 	folder      string // of logs and settings
 	site        *emulator.Site
 	machines    []*machine
-	metricsPort int
+	metricsPort uint16
 	pickAddress *rand.Rand // independent of the seed, so that runs side by side use different addresses
 	lastID      atomic.Uint32
 
@@ -142,23 +142,25 @@
 	reportPriority := rng.IntN(2)
 	c.Assert(s.site.Configure(func(o *emulator.Config) {
 		for n := range o.Routes {
-			if o.Routes[n].Prefix == emulator.ReportsPrefix {
-				o.Routes[n].Priority = reportPriority
+			r := &o.Routes[n]
+			if r.Prefix != emulator.ReportsPrefix {
+				continue
 			}
+			short := *r
+			short.Name, short.Prefix, short.TimeoutMs = "checks", checksPrefix, int(checkTimeout.Milliseconds())
+			r.Priority = reportPriority
+			o.Routes = append(o.Routes, short)
+			return
 		}
-		o.Routes = append(o.Routes, emulator.Route{
-			Name: "checks", Host: emulator.HostName, Prefix: checksPrefix, Kind: "streaming", Service: emulator.ModelService,
-			TimeoutMs: int(checkTimeout.Milliseconds()), TargetLatencyMs: 1500, GapAimMs: 180, MaxAttempts: 1,
-		})
 	}), qt.IsNil)
 	checks, reports := 110+rng.IntN(80), 30+rng.IntN(30)
 	checks, reports = int(float64(checks)**load), int(float64(reports)**load)
 	s.plan = append(s.plan, fmt.Sprintf("timeout of checks %s, priority of reports %d, callers of checks %d, of reports %d", checkTimeout, reportPriority, checks, reports))
 	return []callerGroup{
-		{kind{"check", "POST", checksPrefix, checkTimeout, checkTimeout, 1500, 16, 200 * time.Millisecond, 8 * time.Second}, checks},
-		{kind{"report", "POST", emulator.ReportsPrefix, 20 * time.Second, 20 * time.Second, 3000, 900, 200 * time.Millisecond, 2 * time.Second}, reports},
-		{kind{"charge", "POST", emulator.ChargesPrefix, time.Second, time.Second, 0, 0, 50 * time.Millisecond, 6 * time.Second}, 24},
-		{kind{"lookup", "GET", emulator.LookupsPrefix, time.Second, time.Second, 0, 0, 50 * time.Millisecond, 6 * time.Second}, 24},
+		{kind{"check", checksPrefix, checkTimeout, checkTimeout, 1500, 16, 200 * time.Millisecond, 8 * time.Second}, checks},
+		{kind{"report", emulator.ReportsPrefix, 20 * time.Second, 20 * time.Second, 3000, 900, 200 * time.Millisecond, 2 * time.Second}, reports},
+		{kind{"charge", emulator.ChargesPrefix, time.Second, time.Second, 0, 0, 50 * time.Millisecond, 6 * time.Second}, 24},
+		{kind{"lookup", emulator.LookupsPrefix, time.Second, time.Second, 0, 0, 50 * time.Millisecond, 6 * time.Second}, 24},
 	}
 }
 
