--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -33,10 +33,9 @@
 
 	// process is one process of a host.
 	process struct {
-		machine   *machine
-		cmd       *exec.Cmd
-		ended     chan struct{}
-		startedAt time.Time
+		machine *machine
+		cmd     *exec.Cmd
+		ended   chan struct{}
 
 		mu           sync.Mutex
 		terminatedAt time.Time // time of the first SIGTERM; zero before
@@ -122,7 +121,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	p := &process{machine: m, cmd: cmd, ended: make(chan struct{}), startedAt: time.Now()}
+	p := &process{machine: m, cmd: cmd, ended: make(chan struct{})}
 	m.mu.Lock()
 	m.process = p
 	m.mu.Unlock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -263,7 +263,7 @@
 		if at := r.process.stoppedAt(); !at.IsZero() && r.sentAt.After(at.Add(lateArrival)) && len(runs) > 0 {
 			late++
 		}
-		if why, counts := r.judge(runs); counts {
+		if why, isLost := r.judge(runs); isLost {
 			lost = append(lost, s.describe(r, why))
 		} else if why != "" {
 			allowed = append(allowed, s.describe(r, why))
