--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -29,7 +29,8 @@
 	programPath = flag.String("program", "", "program under test (empty: the one of this repository is built)")
 	logFolder   = flag.String("soak-logs", "", "folder that keeps the logs of each run (empty: none is kept)")
 
-	domains = []string{"east", "north", "south"}
+	domains      = []string{"east", "north", "south"}
+	checkOutputs = []int{100, 16, 16, 40} // maximum output tokens of short streams, by seed
 )
 
 // soak is one run: an emulated site, the hosts that serve it, and their callers.
@@ -155,9 +156,10 @@
 	}), qt.IsNil)
 	checks, reports := 110+rng.IntN(80), 30+rng.IntN(30)
 	checks, reports = int(float64(checks)**load), int(float64(reports)**load)
-	s.plan = append(s.plan, fmt.Sprintf("timeout of checks %s, priority of reports %d, callers of checks %d, of reports %d", checkTimeout, reportPriority, checks, reports))
+	output := checkOutputs[s.seed%uint64(len(checkOutputs))]
+	s.plan = append(s.plan, fmt.Sprintf("timeout of checks %s, at most %d tokens, priority of reports %d, callers of checks %d, of reports %d", checkTimeout, output, reportPriority, checks, reports))
 	return []callerGroup{
-		{kind{"check", checksPrefix, checkTimeout, checkTimeout, 1500, 16, 200 * time.Millisecond, 8 * time.Second}, checks},
+		{kind{"check", checksPrefix, checkTimeout, checkTimeout, 1500, output, 200 * time.Millisecond, 8 * time.Second}, checks},
 		{kind{"report", emulator.ReportsPrefix, 20 * time.Second, 20 * time.Second, 3000, 900, 200 * time.Millisecond, 2 * time.Second}, reports},
 		{kind{"charge", emulator.ChargesPrefix, time.Second, time.Second, 0, 0, 50 * time.Millisecond, 6 * time.Second}, 24},
 		{kind{"lookup", emulator.LookupsPrefix, time.Second, time.Second, 0, 0, 50 * time.Millisecond, 6 * time.Second}, 24},
