--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -223,7 +223,7 @@
 		return
 	}
 	r.chooseBackup(q, &q.backup, t)
-	e := Effect{Kind: EffectDispatch, ID: q.id, Target: t.spec.Name, To: t.spec, Priority: r.priority(q), Limit: r.limitOfTarget(t), Brittle: t.brittle, Basis: basis}
+	e := Effect{Kind: EffectDispatch, ID: q.id, Target: t.spec.Name, To: t.spec, Priority: r.priority(q), Limit: r.limitOfTarget(t), Brittle: t.brittle, Run: r.usualRun(q, t), Basis: basis}
 	if q.backup.target != nil {
 		e.Backup = q.backup.target.spec
 	}
--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -86,6 +86,16 @@
 	return time.Duration(tokens)*interval + time.Duration(prompt)*stopSlowdown*r.options.prefillPerToken + stopSilence
 }
 
+// usualRun returns the time from the dispatch of a stream to t to its end at the limit of its output, at the speed that
+// streams have there, or 0 if the output has no limit.
+func (r *Reducer) usualRun(q *request, t *targetState) time.Duration {
+	tokens := max(q.maxOutput, q.knownOutput)
+	if q.plain || tokens == 0 {
+		return 0
+	}
+	return time.Duration(tokens)*t.tokenInterval.At(t.totalDemand(r.now).Streams+1) + time.Duration(q.prompt)*r.options.prefillPerToken + stopSilence
+}
+
 // refuseOutlasting refuses the held requests of a pool that would not end before the host stops, so that their callers
 // have time at another host. It requests a Tick for the others.
 func (r *Reducer) refuseOutlasting(p *pool) {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -223,7 +223,7 @@
 		URL:    to,
 		Host:   c.r.Host,
 		Header: header,
-	}).WithContext(ctx)
+	}).WithContext(detour.WithNeeded(ctx, c.needed(decision)))
 	if n := len(c.body.data); n > 0 {
 		// The wrapper hides the reader's type, so that net/http cannot rewind the body and
 		// resend the request on its own.
@@ -233,6 +233,16 @@
 	return req
 }
 
+// needed returns the time for which the connection of an attempt may be in use: until the deadline, or, for a stream
+// with a limit of its output, until its usual end.
+func (c *call) needed(decision dispatch.Effect) time.Duration {
+	left := max(time.Until(c.deadline), time.Millisecond)
+	if decision.Run > 0 {
+		return min(left, decision.Run)
+	}
+	return left
+}
+
 // requestURI returns the path and query of the request, escaped as the caller sent them, from a request
 // line with a path or an absolute URI. It reports false if the request cannot be forwarded with them.
 func requestURI(r *http.Request) (string, bool) {
--- a/host/relay.go
+++ b/host/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/wigeonlink/wigeonlink/detour"
 	"github.com/wigeonlink/wigeonlink/table"
 )
 
@@ -67,7 +68,7 @@
 
 func (h *Host) connectForPeer(ctx context.Context, to netip.AddrPort, further bool) (net.Conn, error) {
 	switch {
-	case h.detours == nil || !h.mayRelay(time.Now()):
+	case h.detours == nil || !h.mayRelay(time.Now(), detour.Needed(ctx)):
 		return nil, errNotRelaying
 	case !h.listed.contains(to):
 		return nil, errNotTarget
--- a/host/stop.go
+++ b/host/stop.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -46,18 +47,19 @@
 	}
 }
 
-// relayReserve is the time before the stop of a host from which it opens no connections for peers: it
-// leaves most calls time to end.
+// relayReserve is the time before the stop of a host from which it opens no connections for peers that do not
+// say for how long they need them: it leaves most calls time to end.
 const relayReserve = 2 * time.Second
 
 // mayRelay reports whether the host opens connections for peers. A stopping host does, since it may be the only
-// one with connections to targets, as long as it has time for the requests on them.
-func (h *Host) mayRelay(now time.Time) bool {
+// one with connections to targets, if they are not needed for longer than it has left. needed is 0 if the peer does not
+// say.
+func (h *Host) mayRelay(now time.Time, needed time.Duration) bool {
 	if h.stopping.Load() || h.relaysEnded.Load() {
 		return false
 	}
 	until := h.drainUntil.Load()
-	return until == nil || now.Add(relayReserve).Before(*until)
+	return until == nil || now.Add(cmp.Or(needed, relayReserve)).Before(*until)
 }
 
 // EndRelays refuses to open connections for peers from now on, and waits for those that are open, until the stop that
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -64,7 +64,7 @@
 		select {
 		case <-timer.C:
 			if asked < len(candidates) {
-				go m.connectThrough(ctx, candidates[asked], &wire.Connect{Address: to.String(), Last: last}, to, results)
+				go m.connectThrough(ctx, candidates[asked], &wire.Connect{Address: to.String(), Last: last, Needed: uint32(detour.Needed(ctx).Milliseconds())}, to, results)
 				asked, pending = asked+1, pending+1
 				timer.Reset(relayDelay)
 			}
@@ -223,7 +223,7 @@
 	}
 	defer m.relays.Add(-1)
 	defer m.relayed.add(conn)()
-	dialCtx, cancel := context.WithTimeout(ctx, relayDialTime)
+	dialCtx, cancel := context.WithTimeout(detour.WithNeeded(ctx, time.Duration(q.Needed)*time.Millisecond), relayDialTime)
 	c, release, err := m.handler.Connect(dialCtx, to, !q.Last)
 	cancel()
 	if err != nil {
