--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -109,14 +109,7 @@
 			p.queueOrder = slices.Delete(p.queueOrder, 0, 1)
 			continue
 		}
-		if !t.hasPlace(r.now) {
-			q.waitCause = WaitPlace
-			r.askPlace(q, t)
-			continue
-		}
-		if q.remote == nil && r.latestStart(q, t) < r.now {
-			r.refuseHeldForStop(q)
-			r.sortQueues(p)
+		if !r.mayStart(q, t) {
 			continue
 		}
 		r.dispatch(q, t)
@@ -125,6 +118,21 @@
 	}
 }
 
+// mayStart reports whether a held request can be dispatched to t, which has capacity. It refuses a request that would
+// not end before the host stops, and asks for a place if t names a limit and has none.
+func (r *Reducer) mayStart(q *request, t *targetState) bool {
+	switch {
+	case q.remote == nil && r.latestStart(q, t) < r.now:
+		r.refuseHeldForStop(q)
+	case !t.hasPlace(r.now):
+		q.waitCause = WaitPlace
+		r.askPlace(q, t)
+	default:
+		return true
+	}
+	return false
+}
+
 // mustYield reports whether a request must wait for other requests or a cap, independently of the targets' capacity.
 func (r *Reducer) mustYield(q *request, queue *organisationQueue, p *pool) bool {
 	switch {
