Write the end of a stream with a deadline of its own

Callers saw a stream with all its events end without its end, if the server ended it more than 10 s after the last event. The write of each event sets a deadline of 10 s on the caller's connection, and the end of the response was written with that of the last event.

The end now has its own deadline. TestLateEndOfStreamIsNotWritten, with an end 11 s after the last event on a route whose callers wait for 12 s, failed before: "unexpected EOF" after 41 of 41 events.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -167,6 +167,8 @@
 		a.copyHeader(resp.Header)
 		a.writeHeader(resp.StatusCode)
 	}
+	// The end of the response is written with the deadline of its latest write, which may have passed.
+	_ = http.NewResponseController(a.w).SetWriteDeadline(time.Now().Add(writeTimeout)) // as in writeEvents
 	// Blank lines and comments after the last event are forwarded unchanged.
 	n, _ := a.w.Write(a.events.partial)
 	a.bodyBytes += int64(n)
