Apply a changed time to stop to a running host

After a change of the settings that shortens the time to stop, a host accepted requests that end only after it is killed, and its callers saw closed connections. The drain timeout and the shutdown delay were those of the start of the process; a change was only logged as one that needs a restart, and the restart is when the old value is used.

TestStopTakesLongerThanChangedGrace, from 8 s to 2 s, failed before: a stream whose run is assumed to take up to 1.7 s was accepted with 1.6 s left.

--- a/wigeonlink.go
+++ b/wigeonlink.go
@@ -52,6 +52,7 @@
 		readyListener    net.Listener // nil unless the host forwards requests
 		cancel           context.CancelFunc
 		mesh             *peer.Mesh // nil if the host has no peers
+		settings         *Settings
 	}
 
 	// An Option configures an Entry.
@@ -121,7 +122,7 @@
 	if a.settings.Name == "" {
 		a.settings.Name = a.callerListener.Addr().String()
 	}
-	e := &Entry{callerListener: a.callerListener, operatorListener: a.operatorListener, readyListener: a.readyListener}
+	e := &Entry{callerListener: a.callerListener, operatorListener: a.operatorListener, readyListener: a.readyListener, settings: &a.settings}
 	a.runCtx, e.cancel = context.WithCancel(context.Background())
 	e.app = fx.New(
 		fx.NopLogger,
@@ -174,6 +175,12 @@
 	return eris.Wrap(e.app.Stop(ctx), "stop")
 }
 
+// SetDrain replaces Settings.DrainTimeout and Settings.ShutdownDelay, for a host whose time to stop changes while it
+// runs. It must not be called after Stop.
+func (e *Entry) SetDrain(timeout, shutdownDelay time.Duration) {
+	e.settings.DrainTimeout, e.settings.ShutdownDelay = timeout, shutdownDelay
+}
+
 // Kill stops the host at once, as a crash would, and closes its connections.
 func (e *Entry) Kill() {
 	e.cancel()
