Refuse a request whose attempt was under way when its host ended as unknown

A request that was sent to a target, and whose attempt ended as its host ended, was refused as not run: its caller may send it again, and a request that is not idempotent then runs twice. The event loop refused all requests that had not ended alike, and so did what waits for a decision after its end. Callers' connections are closed before, so that the refusal reaches few of them, if any.

Only a request that was never dispatched is refused as not run then.

--- a/host/host.go
+++ b/host/host.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/wigeonlink/wigeonlink/answer"
 	"github.com/wigeonlink/wigeonlink/detour"
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/event"
@@ -352,7 +351,7 @@
 // refuseWaitingRequests refuses the requests that wait for a decision when the loop ends.
 func (h *Host) refuseWaitingRequests() {
 	for _, r := range h.requests {
-		r.deliver(dispatch.Effect{Kind: dispatch.EffectRefuse, ID: r.ID, Answer: answer.KindStopping})
+		r.deliver(dispatch.Effect{Kind: dispatch.EffectRefuse, ID: r.ID, Answer: r.kindAtEnd()})
 	}
 }
 
--- a/host/request.go
+++ b/host/request.go
@@ -87,10 +87,19 @@
 		r.finish(dispatch.AbandonedByCaller{ID: r.ID})
 		return dispatch.Effect{}, answer.New(answer.KindCallerGone, "")
 	case <-r.host.done:
-		return dispatch.Effect{}, answer.New(answer.KindStopping, "")
+		return dispatch.Effect{}, answer.New(r.kindAtEnd(), "")
 	}
 }
 
+// kindAtEnd returns the kind of the refusal of a request that has not ended when the event loop does. It must be
+// called on the event loop or after its end.
+func (r *Request) kindAtEnd() answer.Kind {
+	if r.target != "" {
+		return answer.KindUnknownOutcome // an attempt may have run
+	}
+	return answer.KindStopping
+}
+
 // GenerationID returns the identifier that a target gets for the generation of an attempt.
 func (r *Request) GenerationID(attempt int) string { return r.Name + "-" + strconv.Itoa(attempt) }
 
