--- /dev/null
+++ b/dispatch/stop.go
@@ -0,0 +1,113 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/wigeonlink/wigeonlink/answer"
+)
+
+const (
+	// stoppingRetryAfter is the retry delay sent to callers that a stopping host refuses. It is
+	// short because other hosts can take the request immediately.
+	stoppingRetryAfter = 100 * time.Millisecond
+
+	// stopSlowdown is the factor by which a target is assumed to be slower than an idle one when
+	// a stopping host decides whether a request ends in time.
+	stopSlowdown = 3
+
+	// stopSilence is the time that is left beside that, because a sound target may fall silent for about a second.
+	stopSilence = 1200 * time.Millisecond
+)
+
+// reduce makes the host refuse, from now on, new and held requests that are not sure to end before it stops.
+func (e Stop) reduce(r *Reducer) {
+	r.stopping, r.stopDeadline = true, 0
+	if !e.Until.IsZero() {
+		r.stopDeadline = max(r.sinceEpoch(e.Until), 1)
+	}
+	r.returnRemoteHeld()
+	for _, p := range r.poolList {
+		r.refuseOutlasting(p)
+	}
+}
+
+// endsBeforeStop reports whether a new request is sure to end before the host stops if it is dispatched now. Load
+// balancers keep sending callers to a host for seconds after it has announced that it stops.
+// Requests that end in time are accepted; a stream that outlived the host would be cut off.
+func (r *Reducer) endsBeforeStop(e Submit) bool {
+	if r.stopDeadline <= r.now {
+		return false
+	}
+	if e.Plain {
+		return !e.CallerDeadline.IsZero() && r.sinceEpoch(e.CallerDeadline) <= r.stopDeadline
+	}
+	run := r.RunEstimate(e)
+	return run > 0 && r.now <= r.stopDeadline-run
+}
+
+// RunEstimate returns the time from the dispatch of a stream to its end that is assumed when the host stops, or 0 if
+// the length of its output has no limit.
+func (r *Reducer) RunEstimate(e Submit) time.Duration {
+	tokens := max(e.MaxOutputTokens, e.KnownOutputTokens)
+	if e.Plain || tokens <= 0 {
+		return 0
+	}
+	return r.longestRun(tokens, e.PromptTokens, nil)
+}
+
+// latestStart returns the latest time at which a request can be dispatched to t, or to any target if t is nil, and be
+// sure to end before the host stops. It is math.MaxInt64 if the host does not stop, or at no known time.
+func (r *Reducer) latestStart(q *request, t *targetState) time.Duration {
+	if !r.stopping || r.stopDeadline == 0 {
+		return math.MaxInt64
+	}
+	if q.plain {
+		if q.hasDeadline && q.callerDeadline <= r.stopDeadline {
+			return math.MaxInt64
+		}
+		return r.stopDeadline - stopSlowdown*q.firstTokenObjective - stopSilence
+	}
+	tokens := max(q.maxOutput, q.knownOutput)
+	if tokens == 0 {
+		return -1
+	}
+	return r.stopDeadline - r.longestRun(tokens, q.prompt, t)
+}
+
+// longestRun returns an upper bound of the time from the dispatch of a stream to its end, at t or, if t is nil, at a
+// target of which nothing is known.
+func (r *Reducer) longestRun(tokens, prompt int, t *targetState) time.Duration {
+	interval := stopSlowdown * r.options.stepBase
+	if t != nil {
+		interval = max(interval, t.tokenInterval.At(t.totalDemand(r.now).Streams+1))
+		prompt += t.pendingPrefill
+	}
+	return time.Duration(tokens)*interval + time.Duration(prompt)*stopSlowdown*r.options.prefillPerToken + stopSilence
+}
+
+// refuseOutlasting refuses the held requests of a pool that would not end before the host stops, so that their callers
+// have time at another host. It requests a Tick for the others.
+func (r *Reducer) refuseOutlasting(p *pool) {
+	if !r.stopping || r.stopDeadline == 0 {
+		return
+	}
+	for _, queue := range p.queues {
+		for i := len(queue.held) - 1; i >= 0; i-- {
+			q := queue.held[i]
+			switch latest := r.latestStart(q, nil); {
+			case q.remote != nil || latest == math.MaxInt64:
+			case latest < r.now:
+				r.refuseHeldForStop(q)
+			default:
+				r.wakeBy(latest + 1)
+			}
+		}
+	}
+}
+
+// refuseHeldForStop refuses a held request because the host stops.
+func (r *Reducer) refuseHeldForStop(q *request) {
+	r.dequeue(q)
+	r.refuse(q, answer.KindStopping, stoppingRetryAfter)
+}
