Refuse held requests as soon as no target can take them in time

Callers were held for seconds although all targets had begun to leave, or rested until after the request's dispatch deadline.

--- a/dispatch/organisation.go
+++ b/dispatch/organisation.go
@@ -177,8 +177,8 @@
 	}
 }
 
-// expireHeld refuses the held requests whose holdDeadline has passed, and requests a Tick for the
-// others.
+// expireHeld refuses the held requests whose holdDeadline has passed, or before which no target will accept them, and
+// requests a Tick for the others.
 func (r *Reducer) expireHeld() {
 	for _, p := range r.poolList {
 		for _, queue := range p.queues {
@@ -192,10 +192,13 @@
 
 func (r *Reducer) expireQueue(queue *organisationQueue) {
 	for i := len(queue.held) - 1; i >= 0; i-- {
-		q := queue.held[i]
-		if q.holdDeadline <= r.now {
+		switch q := queue.held[i]; {
+		case q.holdDeadline <= r.now:
 			r.dequeue(q)
 			r.refuse(q, answer.KindDeadline, r.queueDrainTime(q.organisation))
+		case r.unavailableUntil(q.holdDeadline, q.pool):
+			r.dequeue(q)
+			r.refuse(q, answer.KindNoTarget, r.noTargetRetryAfter(q.pool))
 		}
 	}
 }
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -196,7 +197,13 @@
 // in a failure domain that is partitioned from all targets of a service, callers would
 // otherwise wait until their deadline for nothing.
 func (r *Reducer) unavailableUntilDeadline(e Submit, p *pool) bool {
-	return len(p.targets) > 0 && !e.DispatchDeadline.IsZero() && r.earliestRetry(p) > r.sinceEpoch(e.DispatchDeadline)
+	return !e.DispatchDeadline.IsZero() && r.unavailableUntil(r.sinceEpoch(e.DispatchDeadline), p)
+}
+
+// unavailableUntil reports whether, by the state known to this host, no target of the pool will accept requests before
+// the given time. It is false for a pool without targets, which may get some.
+func (r *Reducer) unavailableUntil(at time.Duration, p *pool) bool {
+	return len(p.targets) > 0 && r.earliestRetry(p) > at
 }
 
 // earliestRetry returns the earliest time at which the circuit breaker of one of the pool's targets, and its wish
@@ -211,6 +218,14 @@
 	return soonest
 }
 
+// noTargetRetryAfter returns the time until a target of the pool allows requests, or 0 if all are leaving.
+func (r *Reducer) noTargetRetryAfter(p *pool) time.Duration {
+	if at := r.earliestRetry(p); at < math.MaxInt64 {
+		return max(at-r.now, minRetryAfter)
+	}
+	return 0
+}
+
 // refuseNew refuses a request that was never held.
 func (r *Reducer) refuseNew(e Submit, kind answer.Kind) {
 	r.counts.Refused++
@@ -221,9 +236,7 @@
 			retry = r.queueDrainTime(org)
 		}
 		if kind == answer.KindNoTarget {
-			if at := r.earliestRetry(r.pools[e.Pool]); at < math.MaxInt64 {
-				retry = max(at-r.now, minRetryAfter)
-			}
+			retry = cmp.Or(r.noTargetRetryAfter(r.pools[e.Pool]), retry)
 		}
 		if kind == answer.KindStopping {
 			retry = stoppingRetryAfter
