Close callers' connections as idle only if no request has begun

Callers saw the connection of a request that the host had read close without a response: at the idle timeout, as a stopping host closed its idle connections, and if the head of a request arrived in part before and in part after that.

Cause: the idle timer and http.Server.Shutdown looked at the state of a connection, which changes only once the head has been parsed, and closed it whatever had been read. After Shutdown, http.Server also drops each request whose head it reads. The stop then ended after one look at two counts, with new connections still open.

A close interrupts the read in progress, and that read decides: if it has read a byte, the request is served; if not, nothing more is read. The stop closes the listener itself, before Shutdown could drop a request, and waits until the server has closed every connection. It stops accepting 2 s before the drain timeout, so that the last requests get a response. A request that has begun holds the stop up to the drain timeout. A byte on an idle connection starts the header timeout, which net/http starts only after four.

--- a/forward.go
+++ b/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -33,10 +34,13 @@
 	// drainPollInterval is how often a stopping host counts its requests in flight.
 	drainPollInterval = 50 * time.Millisecond
 
-	// connectionCloseTimeout is how long a stopping host without requests waits for connections on which
-	// nothing has been sent.
+	// connectionCloseTimeout is how long a stopping host without requests waits for the first byte on new
+	// connections.
 	connectionCloseTimeout = 1500 * time.Millisecond
 
+	// refusalTime is the least time that a stopping host has for a request on a connection that it accepted last.
+	refusalTime = 500 * time.Millisecond
+
 	// gatewayHeaderTimeout is the time limit for receiving the headers of a request. The
 	// configuration of the gateway may set a shorter limit.
 	gatewayHeaderTimeout = 10 * time.Second
@@ -106,8 +110,9 @@
 		gateway.WithObserver(m),
 	}, a.forward.options...)
 	g := gateway.NewGateway(h, a.forward.dialect, opts...)
-	s := newServer(a, closeWhenDraining(h, g))
-	s.ReadHeaderTimeout, s.IdleTimeout, s.ConnState = gatewayHeaderTimeout, 0, g.ConnState
+	s, callers := newServer(a, closeWhenDraining(h, g)), network.NewRetiringListener(a.callerListener)
+	callers.IdleTimeout, callers.HeaderTimeout = g.IdleTimeout, gatewayHeaderTimeout
+	s.ReadHeaderTimeout, s.IdleTimeout, s.ConnState = gatewayHeaderTimeout, 0, callers.ConnState
 	ready := newServer(a, http.HandlerFunc(g.Ready))
 	l.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -116,52 +121,43 @@
 				Values: []any{"version", Version, "domain", a.settings.Domain},
 			})
 			serve(h, ready, a.readyListener)
-			serve(h, s, a.callerListener)
+			serve(h, s, callers)
 			return nil
 		},
-		OnStop: func(ctx context.Context) error { return stopGateway(ctx, a, h, s, g) },
+		OnStop: func(ctx context.Context) error { return stopGateway(ctx, a, h, s, callers) },
 	})
 }
 
 // stopGateway makes the readiness probe fail and still accepts requests for
-// Settings.ShutdownDelay, in which the load balancer stops sending them. It then closes the connections
-// without a request, and waits for all requests whose heads have arrived, within Settings.DrainTimeout.
-func stopGateway(ctx context.Context, a *assembly, h *host.Host, s *http.Server, g *gateway.Gateway) error {
+// Settings.ShutdownDelay, in which the load balancer stops sending them, and then until it has none in flight.
+// It then closes the connections on which no request has begun, and waits until all others are closed, within
+// Settings.DrainTimeout, of which connectionCloseTimeout and refusalTime are left for requests that arrive last.
+func stopGateway(ctx context.Context, a *assembly, h *host.Host, s *http.Server, callers *network.RetiringListener) error {
 	startedAt := time.Now()
 	h.Drain(startedAt.Add(a.settings.DrainTimeout))
 	ctx, cancel := context.WithTimeout(ctx, a.settings.DrainTimeout)
 	defer cancel()
-	pause.For(ctx, a.settings.ShutdownDelay)
-	waitForRequests(ctx, h, g)
-	// A caller may send a request until its connection is closed, also on one that was new and on which nothing
-	// has been sent; Shutdown waits for those, hence its time limit. Peers may open relayed connections meanwhile.
-	for ctx.Err() == nil {
-		closed := shutdown(ctx, s) == nil
-		if h.InFlightCount() == 0 && (closed || g.ActiveConnCount() == 0) {
-			break
-		}
-		waitForRequests(ctx, h, g)
-	}
-	remaining := max(h.InFlightCount(), g.ActiveConnCount())
+	accepting, endAccepting := context.WithTimeout(ctx, a.settings.DrainTimeout-connectionCloseTimeout-refusalTime)
+	defer endAccepting()
+	pause.For(accepting, a.settings.ShutdownDelay)
+	waitUntilZero(accepting, func() int { return h.InFlightCount() + callers.ActiveCount() })
+	// http.Server.Shutdown would drop the requests whose heads it reads from now on.
+	listenErr := callers.Close()
+	callers.CloseIdle(connectionCloseTimeout)
+	waitUntilZero(ctx, func() int { return h.InFlightCount() + callers.OpenCount() })
+	remaining := max(h.InFlightCount(), callers.BegunCount())
 	h.Log().Emit(event.HostStopped, event.Fields{Values: []any{"open", remaining, "after_ms", time.Since(startedAt).Milliseconds()}})
-	err := s.Close()
+	err := errors.Join(listenErr, s.Close())
+	callers.Wait()
 	if remaining > 0 {
 		return eris.Errorf("%d requests still in flight after the drain timeout of %s", remaining, a.settings.DrainTimeout)
 	}
 	return err
 }
 
-// waitForRequests waits until no request is being read, held, running or relayed for a peer, or ctx is done.
-func waitForRequests(ctx context.Context, h *host.Host, g *gateway.Gateway) {
-	for h.InFlightCount()+g.ActiveConnCount() > 0 && ctx.Err() == nil {
+// waitUntilZero waits until count returns 0 or ctx is done.
+func waitUntilZero(ctx context.Context, count func() int) {
+	for count() > 0 && ctx.Err() == nil {
 		pause.For(ctx, drainPollInterval)
 	}
 }
-
-// shutdown closes the listeners and idle connections, and waits until the others are idle, for up to
-// connectionCloseTimeout.
-func shutdown(ctx context.Context, s *http.Server) error {
-	ctx, cancel := context.WithTimeout(ctx, connectionCloseTimeout)
-	defer cancel()
-	return s.Shutdown(ctx)
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -24,7 +23,6 @@
 		copier     CacheCopier // nil disables moves of streams
 		observer   Observer
 		bodyMemory memoryBudget
-		conns      *callerConns
 	}
 
 	// An Observer is notified of each finished request, for instance to record metrics.
@@ -96,22 +94,14 @@
 func NewGateway(h *host.Host, d Dialect, opts ...Option) *Gateway {
 	g := &Gateway{host: h, dialect: d, transport: target.NewShortDialTransport(network.System{}), observer: noObserver{}}
 	g.bodyMemory.limit = defaultBodyMemory
-	g.conns = newCallerConns(g.idleTimeout)
 	for _, o := range opts {
 		o.apply(g)
 	}
 	return g
 }
 
-// ConnState closes idle connections of callers and counts active ones. It is to be set as
-// http.Server.ConnState.
-func (g *Gateway) ConnState(c net.Conn, s http.ConnState) { g.conns.setState(c, s) }
-
-// ActiveConnCount returns the number of callers' connections with a request, from its head to the last byte of its
-// response.
-func (g *Gateway) ActiveConnCount() int { return g.conns.activeCount() }
-
-func (g *Gateway) idleTimeout() time.Duration {
+// IdleTimeout returns how long a caller's connection may be idle, by the current configuration.
+func (g *Gateway) IdleTimeout() time.Duration {
 	if t := g.host.Table(); t != nil && t.CallerLimits.IdleTimeout > 0 {
 		return t.CallerLimits.IdleTimeout
 	}
--- a/network/retire.go
+++ b/network/retire.go
@@ -9,17 +9,36 @@
 )
 
 type (
-	// A RetiringListener accepts connections of an HTTP server that can end its idle connections with a
-	// last response. A caller that sends a request at that moment receives the response, and so learns that
-	// the request was not read. Callers that send none ignore it if its status is 408.
+	// A RetiringListener accepts connections of an HTTP server and closes those that are idle. It decides, per
+	// connection, whether a byte of a request has been read since the last response: only if none has, the
+	// connection is closed as idle, and nothing is read from it after that. So a caller whose request arrives
+	// at that moment gets a response, or its request was not read.
+	//
+	// RetireIdle ends idle connections with a last response instead. A caller that sends a request at that
+	// moment receives the response, which says that the request was not executed. Callers that send none
+	// ignore it if its status is 408.
 	//
 	// ConnState must be set as http.Server.ConnState.
 	RetiringListener struct {
 		net.Listener
-		mu      sync.Mutex
-		conns   map[*retiringConn]bool
-		last    []byte         // response to connections that are retired; nil before RetireIdle
-		closing sync.WaitGroup // connections that are retired and not yet closed
+
+		// IdleTimeout, if not nil, returns how long a connection may be new or idle. If the value changes
+		// meanwhile, the longer one applies, because the caller may expect either.
+		IdleTimeout func() time.Duration
+
+		// HeaderTimeout limits the time from the first byte of a request on an idle connection until the
+		// server sets its own limit, which http.Server does only after several bytes. 0 means no limit.
+		HeaderTimeout time.Duration
+
+		mu        sync.Mutex
+		conns     map[*retiringConn]bool
+		closed    bool      // no further connection is accepted
+		lingering int       // connections that the server has closed and that are not yet closed
+		lingered  sync.Cond // signals that lingering is 0
+
+		draining   bool          // connections are closed as soon as they are idle
+		newTimeout time.Duration // while draining, limit for the first byte on a new connection
+		last       []byte        // response to connections that are retired; nil before RetireIdle
 	}
 
 	// retiringConn is a connection of a RetiringListener.
@@ -27,25 +46,31 @@
 		net.Conn
 		listener *RetiringListener
 
-		mu      sync.Mutex
-		waiting bool // the server waits for a request
-		begun   bool // bytes of a request were read since the server wrote last
-		retired bool
-		closed  bool
+		mu           sync.Mutex
+		state        http.ConnState
+		begun        bool        // bytes were read since the server last wrote
+		ending       bool        // to be closed as idle, unless the Read in progress has read bytes
+		ended        bool        // closed as idle: nothing more is read
+		retired      bool        // the last response has been written
+		closed       bool        // the server has closed the connection
+		readDeadline time.Time   // set by the server
+		idleTimer    *time.Timer // nil unless the connection is new or idle
 	}
 )
 
 const (
 	retireWriteTimeout = 100 * time.Millisecond // of the last response
 
-	// lingerTime is how long a retired connection reads and discards what its caller sends, so that the
+	// lingerTime is how long a closed connection reads and discards what its caller sends, so that the
 	// operating system does not reset it before the caller has read the last response.
 	lingerTime = 250 * time.Millisecond
 )
 
 // NewRetiringListener returns a RetiringListener that accepts the connections of l.
 func NewRetiringListener(l net.Listener) *RetiringListener {
-	return &RetiringListener{Listener: l, conns: map[*retiringConn]bool{}}
+	r := &RetiringListener{Listener: l, conns: map[*retiringConn]bool{}}
+	r.lingered.L = &r.mu
+	return r
 }
 
 // Accept waits for the next connection.
@@ -57,11 +82,23 @@
 	r := &retiringConn{Conn: c, listener: l}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.closed {
+		_ = c.Close() // nothing has been read or written
+		return nil, net.ErrClosed
+	}
 	l.conns[r] = true
 	return r, nil
 }
 
-// ConnState records whether a connection is idle.
+// Close closes the listener. Accept returns no connection after that.
+func (l *RetiringListener) Close() error {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
+	return l.Listener.Close()
+}
+
+// ConnState records whether the server waits for a request on a connection.
 func (l *RetiringListener) ConnState(c net.Conn, s http.ConnState) {
 	r, ok := c.(*retiringConn)
 	if !ok {
@@ -69,7 +106,59 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.waiting = s == http.StateIdle
+	r.state = s
+	r.stopIdleTimer()
+	if r.waiting() {
+		r.limitWait()
+	} else {
+		r.cancelEnd()
+	}
+}
+
+// CloseIdle closes idle connections, now and as soon as they are idle, and new ones on which nothing arrives
+// within newTimeout. It does not wait until they are closed.
+func (l *RetiringListener) CloseIdle(newTimeout time.Duration) {
+	l.mu.Lock()
+	l.draining, l.newTimeout = true, newTimeout
+	l.mu.Unlock()
+	for _, c := range l.openConns() {
+		c.mu.Lock()
+		if c.waiting() {
+			c.limitWait()
+		}
+		c.mu.Unlock()
+	}
+}
+
+// OpenCount returns the number of connections that the server has not closed.
+func (l *RetiringListener) OpenCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+// ActiveCount returns the number of connections with a request, from its head to the last byte of its response.
+func (l *RetiringListener) ActiveCount() int {
+	return l.count(func(c *retiringConn) bool { return !c.waiting() })
+}
+
+// BegunCount returns the number of connections with a request, from its first byte to the last byte of its
+// response.
+func (l *RetiringListener) BegunCount() int {
+	return l.count(func(c *retiringConn) bool { return !c.waiting() || c.begun })
+}
+
+// count returns the number of open connections for which f returns true. f is called with c.mu held.
+func (l *RetiringListener) count(f func(*retiringConn) bool) int {
+	n := 0
+	for _, c := range l.openConns() {
+		c.mu.Lock()
+		if f(c) {
+			n++
+		}
+		c.mu.Unlock()
+	}
+	return n
 }
 
 // RetireIdle writes the last response to all idle connections and closes them, and to those that the server
@@ -78,14 +167,10 @@
 func (l *RetiringListener) RetireIdle(last []byte) {
 	l.mu.Lock()
 	l.last = last
-	conns := make([]*retiringConn, 0, len(l.conns))
-	for c := range l.conns {
-		conns = append(conns, c)
-	}
 	l.mu.Unlock()
-	for _, c := range conns {
+	for _, c := range l.openConns() {
 		c.mu.Lock()
-		if c.waiting && !c.begun && !c.retired && !c.closed {
+		if c.state == http.StateIdle && !c.begun && !c.retired && !c.closed {
 			c.retire(last)
 		}
 		c.mu.Unlock()
@@ -93,39 +178,184 @@
 	l.Wait()
 }
 
-// Wait waits until the retired connections are closed.
-func (l *RetiringListener) Wait() { l.closing.Wait() }
+// Wait waits until the connections that the server has closed are closed.
+func (l *RetiringListener) Wait() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.lingering > 0 {
+		l.lingered.Wait()
+	}
+}
+
+func (l *RetiringListener) openConns() []*retiringConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	conns := make([]*retiringConn, 0, len(l.conns))
+	for c := range l.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// waiting reports whether the server waits for a request. The caller holds c.mu.
+func (c *retiringConn) waiting() bool {
+	return c.state == http.StateNew || c.state == http.StateIdle
+}
+
+// limitWait limits how long the connection waits for a request. The caller holds c.mu.
+func (c *retiringConn) limitWait() {
+	c.listener.mu.Lock()
+	draining, timeout := c.listener.draining, c.listener.IdleTimeout
+	newTimeout := c.listener.newTimeout
+	c.listener.mu.Unlock()
+	switch {
+	case draining && c.state == http.StateIdle:
+		c.end()
+	case draining:
+		c.startIdleTimer(func() time.Duration { return newTimeout })
+	case timeout != nil:
+		c.startIdleTimer(timeout)
+	}
+}
+
+// startIdleTimer closes the connection when it has been idle for timeout, from now on. The caller holds c.mu.
+func (c *retiringConn) startIdleTimer(timeout func() time.Duration) {
+	c.stopIdleTimer()
+	idleSince, initial := time.Now(), timeout()
+	var t *time.Timer
+	t = time.AfterFunc(initial, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.idleTimer != t {
+			return
+		}
+		if rest := max(initial, timeout()) - time.Since(idleSince); rest > 0 {
+			t.Reset(rest)
+			return
+		}
+		c.end()
+	})
+	c.idleTimer = t
+}
+
+// stopIdleTimer stops the idle timer. The caller holds c.mu.
+func (c *retiringConn) stopIdleTimer() {
+	if c.idleTimer != nil {
+		c.idleTimer.Stop()
+		c.idleTimer = nil
+	}
+}
+
+// end closes the connection as idle, unless bytes of a request have been read. A Read in progress is
+// interrupted and decides by whether it has read any. The caller holds c.mu.
+func (c *retiringConn) end() {
+	if !c.waiting() || c.begun || c.ending || c.retired || c.closed {
+		return
+	}
+	c.ending = true
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed
+}
+
+// cancelEnd lets the server read again, as a request has arrived. The caller holds c.mu.
+func (c *retiringConn) cancelEnd() {
+	if c.ending && !c.ended {
+		c.ending = false
+		_ = c.Conn.SetReadDeadline(c.effectiveDeadline()) // fails only if the connection is closed
+	}
+}
+
+// begin records that bytes have been read. The caller holds c.mu.
+func (c *retiringConn) begin() {
+	first := !c.begun
+	c.begun = true
+	c.cancelEnd()
+	if first && c.waiting() {
+		_ = c.Conn.SetReadDeadline(c.effectiveDeadline()) // fails only if the connection is closed
+	}
+}
+
+// effectiveDeadline returns the deadline of reads: that of the server, or HeaderTimeout from now on if a request
+// has begun and the server has set none. The caller holds c.mu.
+func (c *retiringConn) effectiveDeadline() time.Time {
+	if c.waiting() && c.begun && c.readDeadline.IsZero() && c.listener.HeaderTimeout > 0 {
+		return time.Now().Add(c.listener.HeaderTimeout)
+	}
+	return c.readDeadline
+}
 
 // retire writes the last response and closes the connection in the background. The caller holds c.mu.
 func (c *retiringConn) retire(last []byte) {
 	c.retired = true
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(retireWriteTimeout))
 	_, _ = c.Conn.Write(last) // a caller that has left needs no response
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		_ = half.CloseWrite() // as above
+	c.closeWrite()
+	c.listener.linger(c)
+}
+
+// closeWrite ends the direction to the caller, if the connection can be closed in halves. It reports whether
+// it can.
+func (c *retiringConn) closeWrite() bool {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if ok {
+		_ = half.CloseWrite() // fails only if the connection is closed
 	}
-	c.listener.closing.Go(c.linger)
+	return ok
 }
 
-// linger waits until the caller closes a retired connection, for lingerTime at most, and closes it.
-func (c *retiringConn) linger() {
-	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.Copy(io.Discard, c.Conn) // what arrives is not read as a request
-	_ = c.Conn.Close()                 // nothing is left to be sent
+// linger waits in the background until the caller closes the connection, for lingerTime at most, and closes it.
+func (l *RetiringListener) linger(c *retiringConn) {
+	l.mu.Lock()
+	l.lingering++
+	l.mu.Unlock()
+	go func() {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+		_, _ = io.Copy(io.Discard, c.Conn) // what arrives is not read as a request
+		_ = c.Conn.Close()                 // nothing is left to be sent
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.lingering--; l.lingering == 0 {
+			l.lingered.Broadcast()
+		}
+	}()
 }
 
-// Read reads from the connection. From a retired one it reads nothing more.
+// Read reads from the connection. From one that is retired or closed as idle it reads nothing more.
 func (c *retiringConn) Read(b []byte) (int, error) {
+	c.mu.Lock()
+	if c.ending && !c.begun {
+		c.ended = true
+	}
+	if c.retired || c.ended {
+		c.mu.Unlock()
+		return 0, io.EOF
+	}
+	c.mu.Unlock()
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.retired {
+	switch {
+	case c.retired:
+		return 0, io.EOF
+	case n > 0:
+		c.begin()
+	case c.ending:
+		c.ended = true
 		return 0, io.EOF
 	}
-	c.begun = c.begun || n > 0
 	return n, err
 }
 
+// SetReadDeadline sets the deadline of reads.
+func (c *retiringConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	if c.ending {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(c.effectiveDeadline())
+}
+
 // Write writes to the connection.
 func (c *retiringConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
@@ -138,22 +368,46 @@
 	return c.Conn.Write(b)
 }
 
-// Close closes the connection. After RetireIdle it retires a connection on which the server waits for a
-// request, as that may be on its way, or has read one without a response. A retired connection is closed
-// in the background.
+// SetLinger makes Close reset the connection if sec is 0, like SetLinger of net.TCPConn.
+func (c *retiringConn) SetLinger(sec int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		return l.SetLinger(sec)
+	}
+	return nil
+}
+
+// CloseWrite ends the direction to the caller.
+func (c *retiringConn) CloseWrite() error {
+	c.closeWrite()
+	return nil
+}
+
+// Close closes the connection. After RetireIdle, it retires a connection on which the server waits for a
+// request, as that may be on its way, or has read one without a response.
 func (c *retiringConn) Close() error {
 	c.listener.mu.Lock()
-	delete(c.listener.conns, c)
 	last := c.listener.last
 	c.listener.mu.Unlock()
+	// The connection counts as open until its end in the background is counted.
+	defer c.listener.remove(c)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if (c.waiting || c.begun) && last != nil && !c.retired && !c.closed {
+	if c.closed {
+		return net.ErrClosed
+	}
+	if (c.state == http.StateIdle || c.begun) && last != nil && !c.retired && !c.ended {
 		c.retire(last)
 	}
 	c.closed = true
+	c.stopIdleTimer()
 	if c.retired {
 		return nil
 	}
 	return c.Conn.Close()
 }
+
+func (l *RetiringListener) remove(c *retiringConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
--- a/network/retire_test.go
+++ b/network/retire_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -117,3 +118,26 @@
 	}
 	c.Assert(served.Load(), qt.Equals, int64(5))
 }
+
+// A caller that sends a byte on an idle connection and no more holds it for the header timeout, not for good.
+func TestStalledByteHoldsConnection(t *testing.T) {
+	c := qt.New(t)
+	var served atomic.Int64
+	var stopping atomic.Bool
+	l, _ := serveRetiring(c, &served, &stopping)
+	l.HeaderTimeout = 200 * time.Millisecond
+	conn, err := net.Dial("tcp", l.Addr().String())
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	_, err = fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	in := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(in, nil)
+	c.Assert(err, qt.IsNil)
+	resp.Body.Close()
+	_, err = fmt.Fprint(conn, "G")
+	c.Assert(err, qt.IsNil)
+	c.Assert(conn.SetReadDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+	_, err = in.ReadByte()
+	c.Assert(err, qt.Equals, io.EOF)
+}
