Read on after a last response, so that unread input does not reset it

The operating system discards what is unsent when a connection with unread input is closed, also at the exit of the process.

RetiringListener closes a connection after a response in halves, reads and discards input for up to 250 ms, and closes it. The stop waits for that. A connection whose caller has left, that is closed while a read is in progress or that is to be reset is closed at once, as before.

--- a/network/retire.go
+++ b/network/retire.go
@@ -1,9 +1,13 @@
 package network
 
 import (
+	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"sync"
 	"time"
 )
@@ -32,9 +36,8 @@
 
 		mu        sync.Mutex
 		conns     map[*retiringConn]bool
-		closed    bool      // no further connection is accepted
-		lingering int       // connections that the server has closed and that are not yet closed
-		lingered  sync.Cond // signals that lingering is 0
+		closed    bool                            // no further connection is accepted
+		lingering map[*retiringConn]chan struct{} // closed by the server and not yet closed; each channel is closed then
 
 		draining   bool          // connections are closed as soon as they are idle
 		newTimeout time.Duration // while draining, limit for the first byte on a new connection
@@ -49,8 +52,11 @@
 		mu           sync.Mutex
 		state        http.ConnState
 		begun        bool        // bytes were read since the server last wrote
+		reading      bool        // a Read is in progress
 		ending       bool        // to be closed as idle, unless the Read in progress has read bytes
 		ended        bool        // closed as idle: nothing more is read
+		left         bool        // the caller has closed the connection, or it has failed
+		resetOnClose bool        // see SetLinger
 		retired      bool        // the last response has been written
 		closed       bool        // the server has closed the connection
 		readDeadline time.Time   // set by the server
@@ -68,9 +74,7 @@
 
 // NewRetiringListener returns a RetiringListener that accepts the connections of l.
 func NewRetiringListener(l net.Listener) *RetiringListener {
-	r := &RetiringListener{Listener: l, conns: map[*retiringConn]bool{}}
-	r.lingered.L = &r.mu
-	return r
+	return &RetiringListener{Listener: l, conns: map[*retiringConn]bool{}, lingering: map[*retiringConn]chan struct{}{}}
 }
 
 // Accept waits for the next connection.
@@ -178,12 +182,13 @@
 	l.Wait()
 }
 
-// Wait waits until the connections that the server has closed are closed.
+// Wait waits until the connections that the server has closed so far are closed.
 func (l *RetiringListener) Wait() {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	for l.lingering > 0 {
-		l.lingered.Wait()
+	lingering := slices.Collect(maps.Values(l.lingering))
+	l.mu.Unlock()
+	for _, closed := range lingering {
+		<-closed
 	}
 }
 
@@ -304,18 +309,18 @@
 
 // linger waits in the background until the caller closes the connection, for lingerTime at most, and closes it.
 func (l *RetiringListener) linger(c *retiringConn) {
+	closed := make(chan struct{})
 	l.mu.Lock()
-	l.lingering++
+	l.lingering[c] = closed
 	l.mu.Unlock()
 	go func() {
+		defer close(closed)
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
 		_, _ = io.Copy(io.Discard, c.Conn) // what arrives is not read as a request
 		_ = c.Conn.Close()                 // nothing is left to be sent
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		if l.lingering--; l.lingering == 0 {
-			l.lingered.Broadcast()
-		}
+		delete(l.lingering, c)
 	}()
 }
 
@@ -329,10 +334,12 @@
 		c.mu.Unlock()
 		return 0, io.EOF
 	}
+	c.reading = true
 	c.mu.Unlock()
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = false
 	switch {
 	case c.retired:
 		return 0, io.EOF
@@ -342,6 +349,7 @@
 		c.ended = true
 		return 0, io.EOF
 	}
+	c.left = c.left || (err != nil && !errors.Is(err, os.ErrDeadlineExceeded))
 	return n, err
 }
 
@@ -370,6 +378,9 @@
 
 // SetLinger makes Close reset the connection if sec is 0, like SetLinger of net.TCPConn.
 func (c *retiringConn) SetLinger(sec int) error {
+	c.mu.Lock()
+	c.resetOnClose = sec == 0
+	c.mu.Unlock()
 	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
 		return l.SetLinger(sec)
 	}
@@ -382,7 +393,8 @@
 	return nil
 }
 
-// Close closes the connection. After RetireIdle, it retires a connection on which the server waits for a
+// Close closes the connection. After a response, it is closed in the background once the caller has had time
+// to read the response. After RetireIdle, Close retires a connection on which the server waits for a
 // request, as that may be on its way, or has read one without a response.
 func (c *retiringConn) Close() error {
 	c.listener.mu.Lock()
@@ -400,7 +412,11 @@
 	}
 	c.closed = true
 	c.stopIdleTimer()
-	if c.retired {
+	switch {
+	case c.retired:
+		return nil
+	case !c.waiting() && !c.reading && !c.left && !c.resetOnClose && c.closeWrite():
+		c.listener.linger(c)
 		return nil
 	}
 	return c.Conn.Close()
--- a/network/retire_test.go
+++ b/network/retire_test.go
@@ -119,6 +119,52 @@
 	c.Assert(served.Load(), qt.Equals, int64(5))
 }
 
+// A response with "Connection: close" is received whole although its caller has sent more bytes than the server
+// reads, and reads the response only after the server has closed the connection.
+func TestUnreadInputResetsLastResponse(t *testing.T) {
+	const size = 128 << 10
+	for name, extra := range map[string]int{"slow caller": 0, "more bytes sent": 64 << 10} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			tcp, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			l := NewRetiringListener(tcp)
+			closed := make(chan struct{})
+			sent := make(chan struct{})
+			s := &http.Server{
+				ConnState: func(conn net.Conn, state http.ConnState) {
+					l.ConnState(conn, state)
+					if state == http.StateClosed {
+						close(closed)
+					}
+				},
+				Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					<-sent
+					w.Header().Set("Connection", "close")
+					_, err := w.Write(make([]byte, size))
+					qt.Check(t, err, qt.IsNil)
+				}),
+			}
+			go func() { _ = s.Serve(l) }()
+			defer s.Close()
+			conn, err := net.Dial("tcp", tcp.Addr().String())
+			c.Assert(err, qt.IsNil)
+			defer conn.Close()
+			c.Assert(conn.(*net.TCPConn).SetReadBuffer(4<<10), qt.IsNil)
+			_, err = fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", strings.Repeat("x", extra))
+			c.Assert(err, qt.IsNil)
+			close(sent)
+			<-closed
+			l.Wait()
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			c.Assert(err, qt.IsNil)
+			body, err := io.ReadAll(resp.Body)
+			c.Assert(err, qt.IsNil, qt.Commentf("%d of %d bytes", len(body), size))
+			c.Assert(len(body), qt.Equals, size)
+		})
+	}
+}
+
 // A caller that sends a byte on an idle connection and no more holds it for the header timeout, not for good.
 func TestStalledByteHoldsConnection(t *testing.T) {
 	c := qt.New(t)
