Limit the last write of a stream anew

Callers got a stream without its end if the target was silent for more than 10 s between its last event and the end of the response: the write deadline of the last event had passed, so the last chunk was not written.

A stream timeout over 10 s, without which the gateway cancels the attempt first, needs a first-byte objective over 2.5 s or a gap objective over 1.25 s.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -135,14 +135,19 @@
 		a.copyHeader(resp.Header)
 		a.writeHeader(resp.StatusCode)
 	}
-	// Response writers that support no write deadline, such as those of tests, return an error,
-	// which is ignored.
-	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	limitWrite(control)
 	n, err := a.w.Write(complete)
 	a.bodyBytes += int64(n)
 	return err == nil && control.Flush() == nil
 }
 
+// limitWrite sets the time limit of the next write to the caller.
+func limitWrite(control *http.ResponseController) {
+	// Response writers that support no write deadline, such as those of tests, return an error,
+	// which is ignored.
+	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
 // recordProgress adds count new events, which have just arrived, to the progress of the stream.
 func (a *attempt) recordProgress(count int) {
 	if count == 0 {
@@ -164,6 +169,8 @@
 		a.copyHeader(resp.Header)
 		a.writeHeader(resp.StatusCode)
 	}
+	// The limit of the last event may have passed, and applies to the end of the response as well.
+	limitWrite(http.NewResponseController(a.w))
 	// Blank lines and comments after the last event are forwarded unchanged.
 	n, _ := a.w.Write(a.events.partial)
 	a.bodyBytes += int64(n)
