--- a/gateway/in_hand.go
+++ b/gateway/in_hand.go
@@ -117,11 +117,10 @@
 }
 
 // CutRequests logs each request in hand as one that the end of the host's stop cuts off; the caller of CutRequests closes
-// the connections then. It returns the numbers of these and of the requests that have ended since the stop began as key-value
+// the connections then, of which begun have a request. It returns the numbers of these and of the requests that have ended since the stop began as key-value
 // pairs for the event log.
-func (g *Gateway) CutRequests() []any {
+func (g *Gateway) CutRequests(begun int) []any {
 	g.inHand.closing.Store(true)
-	active := g.ActiveConnCount()
 	g.inHand.mu.Lock()
 	defer g.inHand.mu.Unlock()
 	var cut [phaseCount]int
@@ -142,7 +141,7 @@
 			g.observer.RequestsCut(phase(p).String(), count)
 		}
 	}
-	if unread := active - len(g.inHand.calls); unread > 0 {
+	if unread := begun - len(g.inHand.calls); unread > 0 {
 		values = append(values, "unread", unread)
 	}
 	if relayed := g.host.InFlightCount() - cut[phaseHeld] - cut[phaseRunning] - cut[phaseMoving]; relayed > 0 {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -138,9 +138,7 @@
 		a.copyHeader(resp.Header)
 		a.writeHeader(resp.StatusCode)
 	}
-	// Response writers that support no write deadline, such as those of tests, return an error,
-	// which is ignored.
-	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	limitWrite(control)
 	if _, err := (delivered{a.call}).Write(complete); err != nil {
 		return false
 	}
@@ -151,6 +149,13 @@
 	return true
 }
 
+// limitWrite sets the time limit of the next write to the caller.
+func limitWrite(control *http.ResponseController) {
+	// Response writers that support no write deadline, such as those of tests, return an error,
+	// which is ignored.
+	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
 // recordProgress adds count new events, which have just arrived, to the progress of the stream.
 func (a *attempt) recordProgress(count int) {
 	if count == 0 {
@@ -172,8 +177,8 @@
 		a.copyHeader(resp.Header)
 		a.writeHeader(resp.StatusCode)
 	}
-	// The end of the response is written with the deadline of its latest write, which may have passed.
-	_ = http.NewResponseController(a.w).SetWriteDeadline(time.Now().Add(writeTimeout)) // as in writeEvents
+	// The limit of the last event may have passed, and applies to the end of the response as well.
+	limitWrite(http.NewResponseController(a.w))
 	// Blank lines and comments after the last event are forwarded unchanged.
 	_, _ = delivered{a.call}.Write(a.events.partial) // which records an error
 	return a.completeResult()
