--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -161,7 +161,10 @@
 	// Tick advances the time: expired state is removed and held requests are tried again.
 	Tick struct{}
 
-	// Stop makes the host refuse new requests, except those that are sure to end before
-	// Until. A zero Until means that the host refuses all.
-	Stop struct{ Until time.Time }
+	// Stop makes the host refuse new requests, except those that are sure to end before Until, and held ones that would
+	// not. Without Until, or if Closed is set, the host refuses all new requests.
+	Stop struct {
+		Until  time.Time
+		Closed bool
+	}
 )
--- a/dispatch/held_test.go
+++ b/dispatch/held_test.go
@@ -49,3 +49,28 @@
 	f, ok := r.firstEffect(EffectRefuse)
 	r.Assert(ok && f.ID == id, qt.IsTrue, qt.Commentf("effects %v", r.effects))
 }
+
+// A coordinator places a request that its stopping host has refused, and its room is kept from others for about a second.
+func TestCoordinatorPlacesRequestThatStoppingHostRefused(t *testing.T) {
+	stopping := newFleetTest(t, 1)
+	stopping.reduce(0, LiveHosts{Hosts: 2, Delegated: true})
+	stopping.reduce(0, Submit{
+		ID: 7, Organisation: "one", Pool: "model", NonIdempotent: true, Route: "reports", PromptTokens: 20_000, MaxOutputTokens: 1_000,
+		DispatchDeadline: stopping.now.Add(8 * time.Second), CallerDeadline: stopping.now.Add(30 * time.Second),
+	})
+	q := *stopping.requireEffect(EffectPlace).Placement
+	q.Origin = "a/1"
+	coordinator := newFleetTest(t, 1)
+	coordinator.reduce(0, LiveHosts{Hosts: 2})
+	coordinator.reduce(0, Submit{ID: 1, Organisation: "one", Pool: "model", NonIdempotent: true, Route: "reports", PromptTokens: fullPrompt, MaxOutputTokens: 1_000})
+	coordinator.reduce(0, PlacementAsked{q})
+	stopping.reduce(0, Stop{Until: stopping.now.Add(7600 * time.Millisecond)})
+	stopping.requireStopping(7)
+	coordinator.reduce(0, Submit{
+		ID: 2, Organisation: "one", Pool: "model", NonIdempotent: true, Route: "reports", PromptTokens: 20_000, MaxOutputTokens: 1_000,
+		DispatchDeadline: coordinator.now.Add(10 * time.Second),
+	})
+	coordinator.reduce(300*time.Millisecond, Ended{ID: 1})
+	coordinator.reduce(50*time.Millisecond, HostStreams{Origin: "a/1", Sequence: 1})
+	coordinator.Check(coordinator.effectOf(2), qt.IsNotNil, qt.Commentf("request 2 waits for room that request 7 holds"))
+}
--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -18,11 +18,14 @@
 
 	// stopSilence is the time that is left beside that, because a sound target may fall silent for about a second.
 	stopSilence = 1200 * time.Millisecond
+
+	// maxRunTokens limits the tokens of an estimate, which is a duration.
+	maxRunTokens = 1 << 24
 )
 
 // reduce makes the host refuse, from now on, new and held requests that are not sure to end before it stops.
 func (e Stop) reduce(r *Reducer) {
-	r.stopping, r.stopDeadline = true, 0
+	r.stopping, r.closed = true, r.closed || e.Closed || e.Until.IsZero()
 	if !e.Until.IsZero() {
 		r.stopDeadline = max(r.sinceEpoch(e.Until), 1)
 	}
@@ -36,7 +39,7 @@
 // balancers keep sending callers to a host for seconds after it has announced that it stops.
 // Requests that end in time are accepted; a stream that outlived the host would be cut off.
 func (r *Reducer) endsBeforeStop(e Submit) bool {
-	if r.stopDeadline <= r.now {
+	if r.closed || r.stopDeadline <= r.now {
 		return false
 	}
 	if e.Plain {
@@ -56,8 +59,9 @@
 	return r.longestRun(tokens, e.PromptTokens, nil)
 }
 
-// latestStart returns the latest time at which a request can be dispatched to t, or to any target if t is nil, and be
-// sure to end before the host stops. It is math.MaxInt64 if the host does not stop, or at no known time.
+// latestStart returns the latest time at which a request can be dispatched to t, or to any target if t is nil, and end
+// before the host stops. A call whose deadline is later is assumed to take stopSlowdown times its objective. The result is
+// math.MaxInt64 if the host does not stop, or at no known time.
 func (r *Reducer) latestStart(q *request, t *targetState) time.Duration {
 	if !r.stopping || r.stopDeadline == 0 {
 		return math.MaxInt64
@@ -69,7 +73,10 @@
 		return r.stopDeadline - stopSlowdown*q.firstTokenObjective - stopSilence
 	}
 	tokens := max(q.maxOutput, q.knownOutput)
-	if tokens == 0 {
+	switch {
+	case tokens == 0 && r.closed:
+		return math.MaxInt64 // the caller of such a host resumes the stream at another one
+	case tokens == 0:
 		return -1
 	}
 	return r.stopDeadline - r.longestRun(tokens, q.prompt, t)
@@ -83,7 +90,7 @@
 		interval = max(interval, t.tokenInterval.At(t.totalDemand(r.now).Streams+1))
 		prompt += t.pendingPrefill
 	}
-	return time.Duration(tokens)*interval + time.Duration(prompt)*stopSlowdown*r.options.prefillPerToken + stopSilence
+	return time.Duration(min(tokens, maxRunTokens))*interval + time.Duration(min(prompt, maxRunTokens))*stopSlowdown*r.options.prefillPerToken + stopSilence
 }
 
 // usualRun returns the time from the dispatch of a stream to t to its end at the limit of its output, at the speed that
@@ -93,7 +100,8 @@
 	if q.plain || tokens == 0 {
 		return 0
 	}
-	return time.Duration(tokens)*t.tokenInterval.At(t.totalDemand(r.now).Streams+1) + time.Duration(q.prompt)*r.options.prefillPerToken + stopSilence
+	interval := t.tokenInterval.At(t.totalDemand(r.now).Streams + 1)
+	return time.Duration(min(tokens, maxRunTokens))*interval + time.Duration(min(q.prompt, maxRunTokens))*r.options.prefillPerToken + stopSilence
 }
 
 // refuseOutlasting refuses the held requests of a pool that would not end before the host stops, so that their callers
--- a/host/stop.go
+++ b/host/stop.go
@@ -19,7 +19,8 @@
 	close(h.stopSignal)
 	h.stopRecord.begin(time.Now(), h.InFlightCount())
 	h.log.Emit(event.HostStopping, event.Fields{})
-	h.Post(dispatch.Stop{})
+	until, _ := ctx.Deadline() // zero if there is none
+	h.Post(dispatch.Stop{Until: until, Closed: true})
 	select {
 	case <-h.inFlight.drained():
 		h.handOverTickets(ctx)
