Refuse as stopping what a coordinator was asked for until the stop only

Callers got a Retry-After of seconds if the coordinator's answer, that the time was over, came before the stopping host's own refusal. TestCoordinatorsDeadlineAtStopIsPassedOn shows it. Three tests guard parts of the estimate that no test covered: prompts, a slow engine chosen by the coordinator, calls that end before the stop.

--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -139,6 +139,10 @@
 		return
 	}
 	q.placement = placementNone
+	if r.stopping && e.Refusal == answer.KindDeadline {
+		r.refuseHeldForStop(q) // the coordinator's time was that until the stop
+		return
+	}
 	if e.Refusal != answer.KindNone {
 		r.dequeue(q)
 		r.refuse(q, e.Refusal, e.RetryAfter)
--- a/dispatch/stop_test.go
+++ b/dispatch/stop_test.go
@@ -167,3 +167,62 @@
 		f.Check(f.effectOf(2).Kind, qt.Equals, kind, qt.Commentf("%s between tokens", interval))
 	}
 }
+
+// A place at an engine that has become slow was used although the stream could not end there.
+func TestPlaceAtSlowEngineIsUsed(t *testing.T) {
+	f := newFleetTest(t, 1)
+	f.reduce(0, Submit{ID: 1, Organisation: "one", Pool: "model", NonIdempotent: true, Route: "reports", MaxOutputTokens: 1_000})
+	for n := range 50 {
+		f.reduce(200*time.Millisecond, Progress{Samples: []Sample{{ID: 1, Tokens: n + 1, LastToken: f.now.Add(200 * time.Millisecond)}}})
+	}
+	f.reduce(0, LiveHosts{Hosts: 2, Delegated: true})
+	f.reduce(0, Stop{Until: f.now.Add(4 * time.Second)})
+	f.reduce(0, Submit{ID: 2, Organisation: "one", Pool: "model", NonIdempotent: true, Route: "reports", MaxOutputTokens: shortOutput, MaxAttempts: 1})
+	f.requireEffect(EffectPlace)
+	f.reduce(0, Placed{ID: 2, Target: "engine-0"})
+	f.requireStopping(2)
+}
+
+// The prompt of a held stream, and those that its engine still has to read, are a part of its run.
+func TestPromptOfHeldStreamDoesNotCount(t *testing.T) {
+	const prefill = 100 * time.Microsecond
+	for pending, kind := range map[int]EffectKind{0: EffectDispatch, 8_000: EffectRefuse} {
+		f := newFleetTest(t, 1, WithStepTime(7*time.Millisecond, 300*time.Microsecond, prefill))
+		if pending > 0 {
+			f.reduce(0, Submit{ID: 1, Organisation: "one", Pool: "model", NonIdempotent: true, Route: "reports", PromptTokens: pending, MaxOutputTokens: 1_000})
+		}
+		f.reduce(0, Stop{Until: f.now.Add(4 * time.Second)})
+		f.reduce(0, Submit{ID: 2, Organisation: "one", Pool: "model", NonIdempotent: true, Route: "reports", PromptTokens: heldPrompt, MaxOutputTokens: shortOutput, MaxAttempts: 1})
+		f.Check(f.effectOf(2).Kind, qt.Equals, kind, qt.Commentf("%d tokens pending", pending))
+	}
+	f := newFleetTest(t, 1, WithStepTime(7*time.Millisecond, 300*time.Microsecond, prefill))
+	f.reduce(0, Stop{Until: f.now.Add(4 * time.Second)})
+	f.reduce(0, Submit{ID: 2, Organisation: "one", Pool: "model", NonIdempotent: true, Route: "reports", PromptTokens: 2 * heldPrompt, MaxOutputTokens: shortOutput, MaxAttempts: 1})
+	f.requireStopping(2)
+}
+
+// A held call whose deadline is before the stop is served during it.
+func TestHeldCallWithEarlyDeadlineIsRefused(t *testing.T) {
+	f := newFleetTest(t, 0)
+	f.reduce(0, Submit{
+		ID: 1, Organisation: "one", Pool: "plain", Plain: true, NonIdempotent: true, FirstTokenObjective: 500 * time.Millisecond,
+		DispatchDeadline: f.now.Add(2 * time.Second), CallerDeadline: f.now.Add(2 * time.Second),
+	})
+	f.reduce(0, Stop{Until: f.now.Add(2500 * time.Millisecond)})
+	f.Check(f.effectOf(1), qt.IsNil)
+	f.fleet["plain-0"] = table.Target{Name: "plain-0", Kind: table.TargetService, Service: "plain", Domain: "north", Slots: 24}
+	f.announceFleet(time.Second)
+	f.Check(f.effectOf(1).Kind, qt.Equals, EffectDispatch)
+}
+
+// The refusal of a coordinator that was asked for the time until the stop reached callers with a long Retry-After.
+func TestCoordinatorsDeadlineAtStopIsPassedOn(t *testing.T) {
+	f := newFleetTest(t, 1)
+	f.reduce(0, LiveHosts{Hosts: 2, Delegated: true})
+	f.reduce(0, Stop{Until: f.now.Add(4 * time.Second)})
+	f.hold(2, shortOutput)
+	left := f.requireEffect(EffectPlace).Placement.Remaining
+	f.reduce(left, Placed{ID: 2, Refusal: answer.KindDeadline, RetryAfter: 5 * time.Second})
+	f.requireStopping(2)
+	f.Check(f.effectOf(2).RetryAfter, qt.Equals, stoppingRetryAfter)
+}
