Relay short calls through a stopping host as before

A call of a plain service said that it needs its connection until its deadline, and a resumed stream as well, so that a stopping host refused calls of some ms with a deadline of 20 s. Both say nothing again, and are relayed until 2 s before the stop.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -233,14 +233,17 @@
 	return req
 }
 
-// needed returns the time for which the connection of an attempt may be in use: until the deadline, or, for a stream
-// with a limit of its output, until its usual end.
+// needed returns the time for which the connection of an attempt may be in use, or 0 if nothing is known of it: for a
+// stream until its usual end, or until the deadline if its output has no limit.
 func (c *call) needed(decision dispatch.Effect) time.Duration {
 	left := max(time.Until(c.deadline), time.Millisecond)
-	if decision.Run > 0 {
+	switch {
+	case decision.Run > 0:
 		return min(left, decision.Run)
+	case !c.plainService && c.info.MaxOutputTokens == 0:
+		return left
 	}
-	return left
+	return 0
 }
 
 // requestURI returns the path and query of the request, escaped as the caller sent them, from a request
