--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -51,7 +51,7 @@
 	ledger           *share.Ledger
 	lengths          *length.Predictor
 	stopping         bool          // whether a Stop event has arrived
-	closed           bool          // whether new requests are refused whatever time is left
+	closed           bool          // whether all new requests are refused
 	stopDeadline     time.Duration // time by which requests accepted while stopping must end; 0 means none are accepted
 	nextWake         time.Duration // earliest Tick that the current event has requested; math.MaxInt64 if none
 	candidate        Candidate     // reused by score
--- a/peer/link.go
+++ b/peer/link.go
@@ -229,8 +229,8 @@
 }
 
 // updateLinks dials the partners of this host and removes the links to hosts that have not been
-// partners for unwantedTime, unless connections are relayed on them. A coordinator that has become unreachable is dialled until linkExpiry,
-// as the network may be partitioned.
+// partners for unwantedTime, unless connections are relayed on them. A coordinator that has become
+// unreachable is dialled until linkExpiry, as the network may be partitioned.
 func (m *Mesh) updateLinks(ctx context.Context, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
