Estimate the usual run of a stream before it counts at its target

The time for which a relayed connection is needed was computed after the stream had been assigned, so that the stream counted twice and the sum of the target's demand was computed once more. It is computed beside the other facts of the decision now, and is shorter by the part of one stream. The two estimates of a run share their formula. A stopping host holds no requests of other hosts, so two checks for that go.

--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -122,7 +122,7 @@
 // not end before the host stops, and asks for a place if t names a limit and has none.
 func (r *Reducer) mayStart(q *request, t *targetState) bool {
 	switch {
-	case q.remote == nil && r.latestStart(q, t) < r.now:
+	case r.latestStart(q, t) < r.now:
 		r.refuseHeldForStop(q)
 	case !t.hasPlace(r.now):
 		q.waitCause = WaitPlace
@@ -217,6 +217,7 @@
 	basis := r.basis
 	basis.HeldFor, basis.Attempt = r.now-q.arrived, q.attempts
 	basis.Streams, basis.OtherDomain = t.totalDemand(r.now).Streams, r.inOtherDomain(t)
+	run := r.usualRun(q, t)
 	if q.attempts > 1 {
 		r.counts.Retried++
 	}
@@ -231,7 +232,7 @@
 		return
 	}
 	r.chooseBackup(q, &q.backup, t)
-	e := Effect{Kind: EffectDispatch, ID: q.id, Target: t.spec.Name, To: t.spec, Priority: r.priority(q), Limit: r.limitOfTarget(t), Brittle: t.brittle, Run: r.usualRun(q, t), Basis: basis}
+	e := Effect{Kind: EffectDispatch, ID: q.id, Target: t.spec.Name, To: t.spec, Priority: r.priority(q), Limit: r.limitOfTarget(t), Brittle: t.brittle, Run: run, Basis: basis}
 	if q.backup.target != nil {
 		e.Backup = q.backup.target.spec
 	}
--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -29,7 +29,7 @@
 	if !e.Until.IsZero() {
 		r.stopDeadline = max(r.sinceEpoch(e.Until), 1)
 	}
-	r.returnRemoteHeld()
+	r.returnRemoteHeld() // and accepts none from now on, so that all held requests are this host's
 	for _, p := range r.poolList {
 		r.refuseOutlasting(p)
 	}
@@ -90,7 +90,12 @@
 		interval = max(interval, t.tokenInterval.At(t.totalDemand(r.now).Streams+1))
 		prompt += t.pendingPrefill
 	}
-	return time.Duration(min(tokens, maxRunTokens))*interval + time.Duration(min(prompt, maxRunTokens))*stopSlowdown*r.options.prefillPerToken + stopSilence
+	return runTime(tokens, prompt, interval, stopSlowdown*r.options.prefillPerToken)
+}
+
+// runTime returns the time of a run with the given times for each token of its output and of its prompt.
+func runTime(tokens, prompt int, interval, prefill time.Duration) time.Duration {
+	return time.Duration(min(tokens, maxRunTokens))*interval + time.Duration(min(prompt, maxRunTokens))*prefill + stopSilence
 }
 
 // usualRun returns the time from the dispatch of a stream to t to its end at the limit of its output, at the speed that
@@ -100,8 +105,7 @@
 	if q.plain || tokens == 0 {
 		return 0
 	}
-	interval := t.tokenInterval.At(t.totalDemand(r.now).Streams + 1)
-	return time.Duration(min(tokens, maxRunTokens))*interval + time.Duration(min(q.prompt, maxRunTokens))*r.options.prefillPerToken + stopSilence
+	return runTime(tokens, q.prompt, t.tokenInterval.At(t.totalDemand(r.now).Streams+1), r.options.prefillPerToken)
 }
 
 // refuseOutlasting refuses the held requests of a pool that would not end before the host stops, so that their callers
@@ -114,7 +118,7 @@
 		for i := len(queue.held) - 1; i >= 0; i-- {
 			q := queue.held[i]
 			switch latest := r.latestStart(q, nil); {
-			case q.remote != nil || latest == math.MaxInt64:
+			case latest == math.MaxInt64:
 			case latest < r.now:
 				r.refuseHeldForStop(q)
 			default:
