--- a/gateway/in_hand.go
+++ b/gateway/in_hand.go
@@ -36,7 +36,6 @@
 	callPhase struct {
 		mu         sync.Mutex
 		phase      phase
-		submitted  time.Time // to the reducer
 		dispatched time.Time // time of the latest dispatch
 		cut        bool      // the call has a line of event.RequestCut
 	}
@@ -111,14 +110,11 @@
 	c.state.mu.Lock()
 	defer c.state.mu.Unlock()
 	c.state.phase = p
-	if p == phaseHeld && c.state.submitted.IsZero() {
-		c.state.submitted = time.Now()
-	}
 }
 
 // CutRequests logs each request in hand as one that the end of the host's stop cuts off; the caller of CutRequests closes
-// the connections then, of which begun have a request. It returns the numbers of these and of the requests that have ended since the stop began as key-value
-// pairs for the event log.
+// the connections then, of which begun have a request. It returns the numbers of these and of the requests that have
+// ended since the stop began as key-value pairs for the event log.
 func (g *Gateway) CutRequests(begun int) []any {
 	g.inHand.closing.Store(true)
 	g.inHand.mu.Lock()
@@ -184,7 +180,7 @@
 		if c.attemptCount > 0 {
 			until = c.state.dispatched
 		}
-		values = append(values, "held_ms", until.Sub(c.state.submitted).Milliseconds(), "attempts", c.attemptCount,
+		values = append(values, "held_ms", until.Sub(c.hostRequest.SubmittedAt()).Milliseconds(), "attempts", c.attemptCount,
 			"estimate_ms", c.hostRequest.RunEstimate().Milliseconds())
 	}
 	if p >= phaseHeld && c.attemptCount > 0 {
--- a/host/stop_record.go
+++ b/host/stop_record.go
@@ -90,6 +90,9 @@
 // RunEstimate returns the assumed time from the dispatch of the request to its end; see dispatch.Reducer.RunEstimate.
 func (r *Request) RunEstimate() time.Duration { return time.Duration(r.estimate.Load()) }
 
+// SubmittedAt returns the time of Submit or Attach.
+func (r *Request) SubmittedAt() time.Time { return r.submitted }
+
 // Arrival returns "before" or "after" for a request that arrived at the given time, before the host began to stop or
 // since then.
 func (h *Host) Arrival(at time.Time) string {
--- a/network/retire.go
+++ b/network/retire.go
@@ -199,11 +199,7 @@
 func (l *RetiringListener) openConns() []*retiringConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	conns := make([]*retiringConn, 0, len(l.conns))
-	for c := range l.conns {
-		conns = append(conns, c)
-	}
-	return conns
+	return slices.Collect(maps.Keys(l.conns))
 }
 
 // waiting reports whether the server waits for a request. The caller holds c.mu.
