Let only the coordinator order moves of other hosts' streams

A host that stands by has the same reports as the coordinator and ordered moves off leaving targets, too. Each chose other streams and destinations, so two copies shared the link of a target that was about to end, and the coordinator's reservations were wrong. Callers saw more broken streams.

--- a/dispatch/coordinator_test.go
+++ b/dispatch/coordinator_test.go
@@ -215,16 +215,36 @@
 	r.Assert(r.placed("h/2", 1).Answer, qt.Equals, answer.KindStopping)
 }
 
+// allowMoves makes all engines able to move streams.
+func (r *reducerTest) allowMoves() {
+	for name, model := range r.reducer.table.Models {
+		model.Engine.CanMove = true
+		r.reducer.table.Models[name] = model
+	}
+}
+
+// A host that stands by records the streams of other hosts like the coordinator. If it orders moves, too, two streams are
+// copied off an engine at once, to destinations that the coordinator has not reserved.
+func TestStandbyOrdersMoves(t *testing.T) {
+	r := newReducerTest(t, 1, 3, WithMoves(true))
+	r.allowMoves()
+	r.reduce(0, LiveHosts{Hosts: 40, Delegated: true})
+	stream := StreamState{ID: 1, Organisation: "organisation-0", Pool: "model-0", Target: "engine-0000", PromptTokens: 100, Tokens: 10, KnownOutput: 1000}
+	r.reduce(0, HostStreams{Origin: "a/1", Sequence: 1, Streams: []StreamState{stream}})
+	r.reduce(time.Millisecond, LeavingTargets{Leaving: map[string]bool{"engine-0000": true}})
+	r.reduce(time.Millisecond, Tick{})
+	r.requireNoEffect(EffectMove)
+	r.reduce(time.Millisecond, LiveHosts{Hosts: 40, Coordinates: true})
+	r.reduce(0, Tick{})
+	r.requireEffect(EffectMove)
+}
+
 // The coordinator moves the streams of all hosts off an engine that is about to end one after the
 // other, the longest first, since their copies share the engine's link; a move that the host does
 // not begin is tried again with another destination.
 func TestCoordinatorOrdersMoves(t *testing.T) {
 	r := newCoordinator(t, 3, WithMoves(true))
-	table := *r.reducer.table
-	for name, model := range table.Models {
-		model.Engine.CanMove = true
-		table.Models[name] = model
-	}
+	r.allowMoves()
 	origins := []string{"a/1", "b/1", "c/1"}
 	streams := map[string]StreamState{}
 	for i, o := range origins {
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -191,9 +191,14 @@
 	r.emitMove(q, t, t == q.backup.target)
 }
 
-// movesElsewhere reports whether a coordinator decides about the moves of q. The coordinator has no
-// record of the backups of other hosts' streams; a stream with one needs no order.
+// movesElsewhere reports whether another host decides about the moves of q: the coordinator, also for the streams that
+// this host records because it stands by. Two hosts that order moves off one target choose different streams and
+// destinations, whose copies share the target's link. The coordinator has no record of the backups of other
+// hosts' streams; a stream with one needs no order.
 func (r *Reducer) movesElsewhere(q *request) bool {
+	if q.remote != nil {
+		return !r.coordinates
+	}
 	return r.delegated && q.placement == placementRemote && !r.canRunAt(q.backup.target)
 }
 
