Order held requests by urgency in pools with mixed objectives

A pool is mixed if the objectives of its stream routes differ by a factor of 2 or more. There, urgent requests that can be on time go first over all organisations, do not yield to requests that other hosts hold, and are bypassed without limit. An organisation whose urgent streams hold more than a quarter of its share of the memory competes with the others.

--- a/dispatch/organisation.go
+++ b/dispatch/organisation.go
@@ -35,6 +35,8 @@
 		lastEmpty      time.Duration // time when held was last empty
 		inflight       int           // requests of the organisation in flight at the pool's targets
 		normalisedRate float64       // normalisedRate of the organisation in the pool, when last computed
+		urgentHeld     int           // memory that the prompts of the organisation's urgent streams hold at the pool's targets, in tokens
+		tooLarge       float64       // size of the smallest urgent request that was bypassed for lack of capacity; valid within dispatchClass
 	}
 )
 
@@ -141,6 +143,28 @@
 	return here + r.options.otherPoolsWeight*max(all-here, 0)
 }
 
+// sortQueues sets queueOrder to the queues with held requests, sorted by normalisedRate.
+func (r *Reducer) sortQueues(p *pool) {
+	p.queueOrder = p.queueOrder[:0]
+	for _, queue := range p.queues {
+		if len(queue.held) == 0 {
+			continue
+		}
+		queue.normalisedRate = r.normalisedRate(queue.organisation, p)
+		p.queueOrder = append(p.queueOrder, queue)
+	}
+	slices.SortStableFunc(p.queueOrder, byRate)
+}
+
+func byRate(a, b *organisationQueue) int { return cmp.Compare(a.normalisedRate, b.normalisedRate) }
+
+// restoreOrder sorts queueOrder again after the normalisedRate of its first queue has grown.
+func (r *Reducer) restoreOrder(p *pool) {
+	for i := 0; i+1 < len(p.queueOrder) && p.queueOrder[i].normalisedRate > p.queueOrder[i+1].normalisedRate; i++ {
+		p.queueOrder[i], p.queueOrder[i+1] = p.queueOrder[i+1], p.queueOrder[i]
+	}
+}
+
 // queueDrainTime estimates the time until half of an organisation's held requests are dispatched,
 // from minQueueDrain to maxQueueDrain. It serves as the retry delay of a refused request.
 func (r *Reducer) queueDrainTime(org *organisation) time.Duration {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -26,16 +25,18 @@
 	queueOrder            []*organisationQueue // queues that dispatchHeld has still to visit, by normalisedRate; valid within dispatchHeld
 	fairRateAt            time.Duration        // time when fairRate was computed; 0 means never
 	fairRate              float64              // sum of the projected rates of the pool's active organisations divided by the sum of their weights
+	activeWeights         float64              // sum of the weights of the pool's active organisations when fairRate was computed
 	highestNormalisedRate float64              // highest normalisedRate of an active organisation
 	retryBudget           retryBudget
 	fragility             limit.Record  // refusals a second that its targets survive, as they say
 	nextRetry             time.Duration // latest time at which the caller of a request that was refused for limits may come back
+	mixed                 mixedPool
 }
 
 const (
 	heldRetryInterval        = 25 * time.Millisecond  // time between two attempts to dispatch held requests
 	fairRateInterval         = 100 * time.Millisecond // time for which a pool's fairRate and highestNormalisedRate are cached
-	maxBypassedOrganisations = 4                      // largest number of organisations that one dispatchHeld bypasses for lack of capacity
+	maxBypassedOrganisations = 4                      // largest number of organisations that one dispatchByRate bypasses for lack of capacity
 	maxBypassAge             = 2 * time.Second        // age above which a request that waits for capacity is not bypassed
 	overShareTolerance       = 0.02                   // fraction of the fair rate by which a normalised rate may exceed it within the share
 	fullShareExcess          = 0.25                   // fraction of the fair rate by which a normalised rate must exceed it for a share excess of 1
@@ -67,11 +68,7 @@
 	return len(p.targets) == 0
 }
 
-// dispatchHeld dispatches the held requests of a pool while targets have capacity: those of the
-// organisation with the lowest normalisedRate first, and by rank within an organisation. An
-// organisation for whose first request no target has capacity is bypassed, unless that request is
-// older than maxBypassAge; in this case, and after maxBypassedOrganisations bypasses, nothing more
-// is dispatched.
+// dispatchHeld dispatches the held requests of a pool while targets have capacity.
 func (r *Reducer) dispatchHeld(p *pool) {
 	r.refuseOutlasting(p)
 	if p.held == 0 {
@@ -85,6 +82,19 @@
 		r.dropOldPlaces(t)
 	}
 	defer r.refuseExcess(p)
+	if p.isMixed() {
+		r.dispatchMixed(p)
+	} else {
+		r.dispatchByRate(p)
+	}
+}
+
+// dispatchByRate dispatches the held requests of a pool while targets have capacity: those of the
+// organisation with the lowest normalisedRate first, and by rank within an organisation. An
+// organisation for whose first request no target has capacity is bypassed, unless that request is
+// older than maxBypassAge; in this case, and after maxBypassedOrganisations bypasses, nothing more
+// is dispatched.
+func (r *Reducer) dispatchByRate(p *pool) {
 	r.sortQueues(p)
 	bypassed := 0
 	for len(p.queueOrder) > 0 && bypassed < maxBypassedOrganisations {
@@ -146,28 +156,6 @@
 	return true
 }
 
-// sortQueues sets queueOrder to the queues with held requests, sorted by normalisedRate.
-func (r *Reducer) sortQueues(p *pool) {
-	p.queueOrder = p.queueOrder[:0]
-	for _, queue := range p.queues {
-		if len(queue.held) == 0 {
-			continue
-		}
-		queue.normalisedRate = r.normalisedRate(queue.organisation, p)
-		p.queueOrder = append(p.queueOrder, queue)
-	}
-	slices.SortStableFunc(p.queueOrder, byRate)
-}
-
-func byRate(a, b *organisationQueue) int { return cmp.Compare(a.normalisedRate, b.normalisedRate) }
-
-// restoreOrder sorts queueOrder again after the normalisedRate of its first queue has grown.
-func (r *Reducer) restoreOrder(p *pool) {
-	for i := 0; i+1 < len(p.queueOrder) && p.queueOrder[i].normalisedRate > p.queueOrder[i+1].normalisedRate; i++ {
-		p.queueOrder[i], p.queueOrder[i+1] = p.queueOrder[i+1], p.queueOrder[i]
-	}
-}
-
 // nextReady returns the first request of a queue that is not in retry backoff and that this host
 // places, or nil. It requests a Tick for the end of the backoffs that it passes. Requests that can
 // still be on time go before those that are late already: in a crowd, serving all in the order of
@@ -298,6 +286,7 @@
 	for name := range r.table.Services {
 		r.ensurePool(name, true)
 	}
+	r.applyObjectives()
 	slices.SortFunc(r.poolList, func(a, b *pool) int { return strings.Compare(a.name, b.name) })
 }
 
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -62,6 +62,7 @@
 		pendingPrefill  int             // prompt tokens that the target is not known to have computed
 		demand          forecast.Demand // the stream's part of the target's localDemand
 		demandTokens    int             // value of tokens when demand was computed
+		urgentHeld      int             // the request's part of its queue's urgentHeld
 		serviceUnitRate float64         // the request's part of its organisation's current rate in the ledger, in service units a second
 
 		backup            reservation   // on the target to which the stream's memory is copied while it runs
@@ -193,6 +194,7 @@
 	q.organisation.inflight++
 	q.pool.inflight++
 	q.pool.queueOf(q.organisation).inflight++
+	r.holdUrgent(q)
 	r.updateDemand(q)
 	if !q.plain {
 		q.pendingPrefill = q.prompt
@@ -255,6 +257,7 @@
 	q.organisation.inflight--
 	q.pool.inflight--
 	q.pool.queueOf(q.organisation).inflight--
+	q.releaseUrgent()
 	r.setServiceRate(q, 0)
 	q.demand, q.pendingPrefill, q.target = forecast.Demand{}, 0, nil
 }
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -107,7 +107,8 @@
 
 // fairRate returns the normalised rate of an organisation that uses exactly its share of a pool:
 // the sum of the projected rates of the organisations active in the pool divided by the sum of
-// their weights, or +Inf if none is active. It also updates highestNormalisedRate.
+// their weights, or +Inf if none is active. It also updates highestNormalisedRate
+// and activeWeights.
 func (r *Reducer) fairRate(p *pool) float64 {
 	if p.fairRateAt != 0 && r.now-p.fairRateAt < fairRateInterval {
 		return p.fairRate
@@ -122,7 +123,7 @@
 			weights += r.weight(org, p)
 		}
 	}
-	p.fairRateAt, p.fairRate = max(r.now, 1), math.Inf(1)
+	p.fairRateAt, p.fairRate, p.activeWeights = max(r.now, 1), math.Inf(1), weights
 	if weights > 0 {
 		p.fairRate = sum / weights
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -3,6 +3,8 @@
 package route
 
 import (
+	"iter"
+	"maps"
 	"strings"
 	"time"
 )
@@ -79,6 +81,14 @@
 	return m.size
 }
 
+// All iterates over the routes in no particular order. The caller must not change them.
+func (m *Map) All() iter.Seq[*Route] {
+	if m == nil {
+		return func(func(*Route) bool) {}
+	}
+	return maps.Values(m.routes)
+}
+
 // Find returns the route whose host name equals host and whose prefix is the longest one that path
 // starts with, or nil if there is none. It ignores the letter case, port and trailing dot of
 // host.
--- a/trial/engine.go
+++ b/trial/engine.go
@@ -41,6 +41,9 @@
 		finished        bool              // the caller has received its final answer
 		started         bool              // its first token was sampled
 		deliveredTokens int               // tokens delivered to the caller by all attempts
+		deadline        time.Duration     // time at which the caller leaves; 0 means never
+		retries         int               // submissions of the same request before this one
+		onTime          bool              // the first token came within the objective
 	}
 )
 
--- /dev/null
+++ b/trial/mixed_test.go
@@ -0,0 +1,106 @@
+package trial
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wigeonlink/wigeonlink/dispatch"
+	"github.com/wigeonlink/wigeonlink/standin"
+)
+
+// mixedLoad returns the load of package precedence: 4 hosts, each of which places requests at 44 engines, and ten
+// organisations, one of which sends 40% of two kinds of requests.
+func mixedLoad(seed uint64) Config {
+	c := Config{
+		Hosts: 4, Scattered: true, Engines: 32, Seed: seed, Duration: 60 * time.Second,
+		Spec: standin.Spec{
+			MemoryTokens: 26_851, MaxSequences: 24, MaxPrefillTokens: 112,
+			BaseStepTime: 8500 * time.Microsecond, StepTimePerSequence: 120 * time.Microsecond, StepTimePerPromptToken: 71 * time.Microsecond,
+		},
+		LoadReportInterval: 500 * time.Millisecond, LoadReportDelay: 50 * time.Millisecond, PeerReportInterval: 100 * time.Millisecond,
+		LinkDelay: time.Millisecond, EventsPerCheck: 2000,
+		Options: []dispatch.Option{dispatch.WithMaxLoadAge(0), dispatch.WithStepTime(7*time.Millisecond, 120*time.Microsecond, 71*time.Microsecond)},
+	}
+	seconds := func(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+	for i := range 10 {
+		part := 0.6 / 9
+		if i == 0 {
+			part = 0.4
+		}
+		long := Kind{
+			Name: "long", Rate: 24 * part, Prompt: 3000, Output: 748, Objective: seconds(4), Hold: seconds(8), Deadline: seconds(24),
+			Bursts: []Burst{{seconds(12), seconds(18), 2.4}},
+		}
+		short := Kind{
+			Name: "short", Rate: 27 * part, Prompt: 2200, Output: 8, Objective: seconds(1.5), Hold: seconds(2), Deadline: seconds(6),
+			Bursts: []Burst{{seconds(24), seconds(34), 2.5}},
+		}
+		if i == 1 {
+			long.Bursts = append(long.Bursts, Burst{seconds(36), seconds(42.5), 7.5})
+			short.Bursts = append(short.Bursts, Burst{seconds(36), seconds(42.5), 7.5})
+		}
+		for _, k := range []*Kind{&long, &short} {
+			c.Organisations = append(c.Organisations, Organisation{Name: fmt.Sprint("o", i), Weight: 1, Kind: k, End: 48 * time.Second})
+		}
+	}
+	return c
+}
+
+// runMixed runs a load with and without the rules for mixed pools, and returns the counts by kind.
+func runMixed(t *testing.T, c Config) (before, after map[string]*KindResult) {
+	var results [2]map[string]*KindResult
+	for i, unrouted := range []bool{true, false} {
+		c.Unrouted = unrouted
+		tr, err := New(c)
+		qt.Assert(t, err, qt.IsNil)
+		result, err := tr.Run()
+		qt.Assert(t, err, qt.IsNil)
+		for name, k := range result.Kinds {
+			t.Logf("seed %d unrouted=%v %s: %+v, %d preemptions", c.Seed, unrouted, name, *k, result.Preemptions)
+		}
+		results[i] = result.Kinds
+	}
+	return results[0], results[1]
+}
+
+// Urgent requests wait behind long ones, and for peers, although engines have room for them.
+func TestUrgentRequestsGoFirst(t *testing.T) {
+	for seed := range uint64(2) {
+		before, after := runMixed(t, mixedLoad(seed+1))
+		qt.Check(t, after["short"].OnTime > before["short"].OnTime*5/4, qt.IsTrue)
+		qt.Check(t, after["long"].OnTime > before["long"].OnTime*9/10, qt.IsTrue)
+	}
+}
+
+// Under a load of about twice the capacity, a part of the requests of each organisation, of each kind and of the
+// largest tenth of a kind is served, also if one organisation states a short objective for all of its requests.
+func TestMixedPoolStarvesNone(t *testing.T) {
+	for seed := range uint64(4) {
+		c := mixedLoad(10 + seed)
+		c.Hosts, c.Scattered, c.Engines, c.Organisations, c.Duration = 3, false, 4, nil, 160*time.Second
+		for i := range 4 {
+			org := fmt.Sprint("o", i)
+			kinds := []Kind{
+				{Name: org + "/long", Rate: 1.3, Prompt: 3000, Output: 748, Objective: 4 * time.Second, Hold: 8 * time.Second},
+				{Name: org + "/largest", Rate: 0.15, Prompt: 9000, Output: 748, Objective: 4 * time.Second, Hold: 8 * time.Second},
+				{Name: org + "/short", Rate: 2, Prompt: 2200, Output: 8, Objective: 1500 * time.Millisecond, Hold: 2 * time.Second},
+			}
+			if i == 3 {
+				kinds[0].Rate, kinds[0].Objective, kinds[0].Hold = 3, 1500*time.Millisecond, 2*time.Second
+			}
+			for _, k := range kinds {
+				k.Deadline = 24 * time.Second
+				c.Organisations = append(c.Organisations, Organisation{Name: org, Weight: 1, Kind: &k, End: 150 * time.Second})
+			}
+		}
+		_, after := runMixed(t, c)
+		for name, k := range after {
+			qt.Check(t, k.OnTime+k.Late > 0 && k.OnTime+k.Late >= k.Submitted/20, qt.IsTrue, qt.Commentf("%s: %+v", name, *k))
+		}
+		honest, all := after["o1/long"], after["o3/long"] // o3 states a short objective
+		qt.Check(t, all.OnTime+all.Late <= (honest.OnTime+honest.Late)*3/2, qt.IsTrue, qt.Commentf("%+v and %+v", *honest, *all))
+	}
+}
--- a/trial/request.go
+++ b/trial/request.go
@@ -44,6 +44,10 @@
 // scheduleArrivals schedules the requests of an organisation's stream as a Poisson process
 // between org.Start and org.End.
 func (t *Trial) scheduleArrivals(org *Organisation) {
+	if org.Kind != nil {
+		t.scheduleKind(org)
+		return
+	}
 	if org.LoadFraction <= 0 {
 		return
 	}
@@ -170,6 +174,7 @@
 	}
 	c.attemptTokens++
 	c.deliveredTokens++
+	t.recordFirstToken(c)
 	c.lastTokenAt, c.queued = t.now, false
 	if c.deliveredTokens != c.attemptTokens {
 		t.fail("request %d: %d tokens delivered, but its attempt generated %d", c.id, c.deliveredTokens, c.attemptTokens)
@@ -206,6 +211,7 @@
 		t.fail("request %d completed after %d of %d tokens", c.id, c.attemptTokens, c.outputTokens)
 	}
 	t.finishRequest(c)
+	t.recordCompleted(c)
 	t.result.Completed++
 	usage := target.Usage{Prompt: s.PromptTokens, Output: c.outputTokens, Cached: s.CachedTokens}
 	t.after(t.config.LinkDelay, func() {
@@ -238,6 +244,7 @@
 		t.fail("request %d refused as not run, with %d tokens delivered", c.id, c.deliveredTokens)
 	}
 	t.finishRequest(c)
+	t.recordRefused(c, f)
 	t.result.Refused++
 	t.result.organisation(c.organisation.Name).Refused++
 }
--- a/trial/result.go
+++ b/trial/result.go
@@ -25,6 +25,7 @@
 		TimeToFirstToken  latency.Histogram
 		TimeBetweenTokens latency.Histogram
 		Organisations     map[string]*OrganisationResult // by name
+		Kinds             map[string]*KindResult         // by name of the kind
 		Counts            []dispatch.Counts              // counters of the reducers, in the order of the hosts
 		LengthCalibration length.Calibration             // accuracy of the length forecasts of the last host
 	}
@@ -42,7 +43,7 @@
 )
 
 func newResult() Result {
-	return Result{TimeToFirstToken: latency.NewHistogram(), TimeBetweenTokens: latency.NewHistogram(), Organisations: map[string]*OrganisationResult{}}
+	return Result{TimeToFirstToken: latency.NewHistogram(), TimeBetweenTokens: latency.NewHistogram(), Organisations: map[string]*OrganisationResult{}, Kinds: map[string]*KindResult{}}
 }
 
 // organisation returns the measurements of an organisation. It adds an empty entry if there is
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -54,7 +54,8 @@
 		Scattered          bool              // each host places its requests itself; otherwise the first host places those of all
 		LinkDelay          time.Duration     // one-way network delay
 		Faults             []Fault
-		EventsPerCheck     int // number of events passed to reducers between two checks of their invariants; 0 disables checks during the trial
+		Unrouted           bool // the table has no routes of the Kinds, so that no pool is mixed
+		EventsPerCheck     int  // number of events passed to reducers between two checks of their invariants; 0 disables checks during the trial
 	}
 
 	// An Organisation is an organisation and a stream of requests that it submits. Further
@@ -70,6 +71,7 @@
 		MaxInFlight  int           // limit of requests in flight over all hosts; 0 means no limit
 		MaxQueued    int           // limit of queued requests; 0 means defaultMaxQueued
 		Start, End   time.Duration // period in which requests of this stream arrive; an End of 0 means the end of the trial
+		Kind         *Kind         // nil means requests of random size, with LoadFraction
 	}
 
 	// A Fault is a fault that the trial injects.
@@ -179,7 +181,11 @@
 	for i := range c.Engines {
 		fmt.Fprintf(&b, "engine,,%s,,,m,d,127.0.0.1:%d,yes,%d\n", engineName(i), i+1, memory)
 	}
-	return table.Read("trial.csv", strings.NewReader(b.String()))
+	t, err := table.Read("trial.csv", strings.NewReader(b.String()))
+	if err == nil && !c.Unrouted {
+		t.Routes = c.routes()
+	}
+	return t, err
 }
 
 // scheduleInitialEvents schedules the first arrival of each request stream, the periodic
