Count the streams that a choice makes late in pools of unevenly fast engines

Package pace learns the idle interval of each engine and the probability that a prompt read beside a stream makes it exceed its pause objective. Pools whose engines are equally fast are served as before.

--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -32,6 +32,7 @@
 		Slots          int           // requests that the target serves concurrently; 0 means unknown
 		OtherDomain    bool          // whether the target is in another failure domain than the host
 		FailureRate    float64       // decayed fraction of this host's attempts at the target that failed, from 0 to 1
+		ExpectedLate   float64       // expected number of streams that become late because of a pause if the request is added
 		Unlisted       bool          // whether the target is missing from the store's list and may have ended
 	}
 
@@ -44,7 +45,8 @@
 // NewForecastChooser returns a chooser whose cost of an engine, in seconds, is the sum of
 // the time to first token, the slowdown of the request's own tokens by the other streams,
 // and the delay of the other streams while the request's prompt is computed. The cost of a
-// plain service's target is the number of all hosts' requests in flight at it. A target's failure
+// plain service's target is the number of all hosts' requests in flight at it. In a pool of unevenly fast engines,
+// the streams that are expected to become late add to the cost of an engine. A target's failure
 // rate, its being in another failure domain and its being unlisted add to either cost.
 func NewForecastChooser() Chooser { return forecastChooser{} }
 
@@ -71,7 +73,7 @@
 	first := c.Prefill + c.Interval
 	slower := c.ExpectedOutput * (c.Interval - c.IdleInterval).Seconds()
 	others := c.Streams * c.RequestPrefill.Seconds()
-	return first.Seconds() + c.TailWeight*(slower+others) + engineFailureCost*c.FailureRate + costIf(c.OtherDomain, engineOtherDomainCost) + costIf(c.Unlisted, engineUnlistedCost)
+	return first.Seconds() + c.TailWeight*(slower+others) + engineFailureCost*c.FailureRate + lateStreamCost*c.ExpectedLate + costIf(c.OtherDomain, engineOtherDomainCost) + costIf(c.Unlisted, engineUnlistedCost)
 }
 
 func costIf(condition bool, cost float64) float64 {
@@ -207,6 +209,7 @@
 	}
 	c.RequestPrefill = time.Duration(uncached) * r.options.prefillPerToken
 	c.Prefill = c.RequestPrefill + time.Duration(t.pendingPrefill)*r.options.prefillPerToken
+	c.ExpectedLate = r.expectedLate(q, t, c)
 	cost := r.options.chooser.Score(c)
 	if q.target != nil {
 		cost += r.moveCost(q, t)
--- a/dispatch/coordinator.go
+++ b/dispatch/coordinator.go
@@ -86,7 +86,7 @@
 	s := Submit{
 		Name: e.Name, Organisation: e.Organisation, Pool: e.Pool, NonIdempotent: true, Route: e.Route, PromptTokens: e.PromptTokens,
 		PrefixHash: e.PrefixHash, PrefixTokens: e.PrefixTokens, MaxOutputTokens: e.MaxOutputTokens, KnownOutputTokens: e.KnownOutputTokens,
-		FirstTokenObjective: e.FirstTokenObjective, DispatchDeadline: r.epoch.Add(r.now + e.Remaining),
+		FirstTokenObjective: e.FirstTokenObjective, PauseObjective: e.PauseObjective, DispatchDeadline: r.epoch.Add(r.now + e.Remaining),
 	}
 	if kind := r.remoteAdmissionFailure(s); kind != answer.KindNone {
 		r.emit(Effect{Kind: EffectPlaced, Remote: key.origin, ID: key.id, Name: e.Name, Answer: kind, RetryAfter: kind.Properties().RetryDelay})
@@ -172,6 +172,7 @@
 			r.chargeTokens(q, f.Tokens)
 			r.lengths.Observe(q.lengthKey, f.Tokens)
 			q.target.failureRate.record(0, r.now)
+			r.finishPace(q, f.LongestPause)
 			r.endRemote(q)
 		}
 	}
@@ -237,7 +238,7 @@
 	q.name, q.nonIdempotent = s.Name, true
 	q.remote = &remoteState{remoteID: remoteID{origin, s.ID}}
 	q.prompt, q.tokens, q.maxOutput, q.knownOutput = s.PromptTokens, s.Tokens, s.MaxOutput, s.KnownOutput
-	q.arrived, q.attempts = r.now, 1
+	q.arrived, q.attempts, q.pauseObjective = r.now, 1, s.PauseObjective
 	q.lengthKey = length.Key{Organisation: s.Organisation, Model: s.Pool, Route: s.Route}
 	q.curve = r.lengths.Curve(q.lengthKey)
 	r.requests[q.id] = q
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -197,6 +197,7 @@
 func (r *Reducer) changeTarget(q *request, to *targetState) {
 	from := q.target
 	from.localDemand.Sub(&q.demand)
+	from.addPaced(q, -1)
 	from.running--
 	if from.running == 0 {
 		from.localDemand = forecast.Demand{}
@@ -205,6 +206,7 @@
 	from.invalidateTotalDemand()
 	q.pendingPrefill = 0
 	q.target, q.demand = to, forecast.Demand{}
+	to.addPaced(q, 1)
 	to.running++
 	r.updateDemand(q)
 	q.lastToken, q.moveAttempts = r.now, 0
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -38,6 +38,7 @@
 		KnownOutputTokens   int               // output length, in tokens, if known in advance; 0 means unknown
 		MaxAttempts         int               // maximum number of attempts that may reach a target; 0 means defaultMaxTargets
 		FirstTokenObjective time.Duration     // time to the first token within which the request is on time; 0 means a default
+		PauseObjective      time.Duration     // longest pause between two events with which a stream is on time; 0 means none
 		DispatchDeadline    time.Time         // time by which the request must be dispatched; zero means only the reducer's longest hold limits it
 		CallerDeadline      time.Time         // time until which the caller waits and the request may be retried; zero means the time by which it must be dispatched
 	}
@@ -66,8 +67,9 @@
 
 	// Ended reports that the caller of a request has received the complete answer.
 	Ended struct {
-		ID    ID
-		Usage target.Usage
+		ID           ID
+		Usage        target.Usage
+		LongestPause time.Duration // longest time between two events of a stream; 0 if it is not known
 	}
 
 	// AttemptFailed reports that the latest dispatch of a request ended without a complete
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -50,6 +50,7 @@
 		KnownOutputTokens   int
 		Excluded            []string // names of targets that are not to be chosen
 		FirstTokenObjective time.Duration
+		PauseObjective      time.Duration // 0 means none, or that the host does not state it
 		Remaining           time.Duration // time in which the request must be dispatched
 		Waited              time.Duration // time since the request arrived
 		Attempt             int           // number of the dispatch, from 1
@@ -64,12 +65,15 @@
 		PromptTokens, Tokens      int // prompt, and output delivered so far
 		MaxOutput, KnownOutput    int // 0 means none and unknown
 		Moving                    bool
+		PauseObjective            time.Duration // 0 means none, or that the host does not state it
 	}
 
 	// A FinishedStream is a stream that a host has delivered to its end.
 	FinishedStream struct {
 		ID     ID
 		Tokens int // length of the output
+
+		LongestPause time.Duration // between two events; 0 means that the host does not state it
 	}
 
 	// TargetFailures counts attempts at a target that failed.
@@ -118,7 +122,7 @@
 	a := &PlacementRequest{
 		Origin: r.options.origin, ID: q.id, Name: q.name, Organisation: q.organisation.spec.Name, Pool: q.pool.name, Route: q.lengthKey.Route,
 		PromptTokens: q.prompt, PrefixHash: q.prefix, PrefixTokens: q.prefixTokens, MaxOutputTokens: q.maxOutput, KnownOutputTokens: q.knownOutput,
-		FirstTokenObjective: q.firstTokenObjective, Remaining: min(q.holdDeadline, r.latestStart(q, nil)) - r.now, Waited: r.now - q.arrived, Attempt: q.attempts + 1,
+		FirstTokenObjective: q.firstTokenObjective, PauseObjective: q.pauseObjective, Remaining: min(q.holdDeadline, r.latestStart(q, nil)) - r.now, Waited: r.now - q.arrived, Attempt: q.attempts + 1,
 	}
 	for _, t := range q.triedTargets {
 		a.Excluded = append(a.Excluded, t.spec.Name)
@@ -210,7 +214,7 @@
 		e.Streams = append(e.Streams, StreamState{
 			ID: q.id, Name: q.name, Organisation: q.organisation.spec.Name, Pool: q.pool.name, Route: q.lengthKey.Route, Target: q.target.spec.Name,
 			PromptTokens: q.prompt, Tokens: q.tokens, MaxOutput: q.maxOutput, KnownOutput: q.knownOutput,
-			Moving: q.moveReservation.target != nil,
+			Moving: q.moveReservation.target != nil, PauseObjective: q.pauseObjective,
 		})
 	}
 	slices.SortFunc(e.Streams, func(a, b StreamState) int { return cmp.Compare(a.ID, b.ID) })
@@ -218,9 +222,9 @@
 }
 
 // recordFinished adds a stream that has ended to the next report to the coordinators.
-func (r *Reducer) recordFinished(q *request) {
+func (r *Reducer) recordFinished(q *request, longestPause time.Duration) {
 	if r.delegated && !q.plain {
-		r.finished = append(r.finished, FinishedStream{q.id, q.tokens})
+		r.finished = append(r.finished, FinishedStream{q.id, q.tokens, longestPause})
 	}
 }
 
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -30,6 +30,7 @@
 	retryBudget           retryBudget
 	fragility             limit.Record  // refusals a second that its targets survive, as they say
 	nextRetry             time.Duration // latest time at which the caller of a request that was refused for limits may come back
+	pace                  poolPace
 }
 
 const (
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -52,6 +52,7 @@
 		}
 		q.tokenInterval += time.Duration(intervalSmoothing * float64(interval-q.tokenInterval))
 		q.target.tokenInterval.Observe(q.target.reportedStreams(), interval)
+		r.observePace(q, s.Tokens-q.tokens, last-q.lastToken)
 	}
 	if q.pendingPrefill > 0 {
 		q.target.pendingPrefill -= q.pendingPrefill
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -7,6 +7,7 @@
 
 	"github.com/wigeonlink/wigeonlink/answer"
 	"github.com/wigeonlink/wigeonlink/length"
+	"github.com/wigeonlink/wigeonlink/pace"
 	"github.com/wigeonlink/wigeonlink/quarantine"
 	"github.com/wigeonlink/wigeonlink/share"
 	"github.com/wigeonlink/wigeonlink/table"
@@ -55,6 +56,7 @@
 	stopDeadline     time.Duration // time by which requests accepted while stopping must end; 0 means none are accepted
 	nextWake         time.Duration // earliest Tick that the current event has requested; math.MaxInt64 if none
 	candidate        Candidate     // reused by score
+	paceEngines      []pace.Engine // reused by refreshPace
 	effects          []Effect      // effects of the current event
 	counts           Counts
 }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -31,6 +31,7 @@
 		prompt, prefixTokens, maxOutput, knownOutput int               // in tokens; a maxOutput of 0 means no limit, a knownOutput of 0 unknown
 		prefix                                       uint64            // hash of the shareable prefix; 0 means none
 		firstTokenObjective                          time.Duration     // time to the first token within which the request is on time
+		pauseObjective                               time.Duration     // longest pause between two events with which a stream is on time; 0 means none
 		arrived, holdDeadline                        time.Duration     // time of arrival, and time by which the request must be dispatched
 		expectedOutput                               float64           // output length expected when the request arrived, in tokens
 		rank                                         time.Duration     // sort key in the organisation's queue, lowest first: see newRequest
@@ -62,6 +63,9 @@
 		pendingPrefill  int             // prompt tokens that the target is not known to have computed
 		demand          forecast.Demand // the stream's part of the target's localDemand
 		demandTokens    int             // value of tokens when demand was computed
+		paceObjective   time.Duration   // pauseObjective per token, as counted in the target's running streams
+		paceTarget      *targetState    // target that read the prompt in the latest dispatch
+		promptsBefore   int             // prompts dispatched to paceTarget up to this one
 		serviceUnitRate float64         // the request's part of its organisation's current rate in the ledger, in service units a second
 
 		backup            reservation   // on the target to which the stream's memory is copied while it runs
@@ -108,6 +112,7 @@
 	}
 	q.arrived = r.now
 	q.firstTokenObjective = cmp.Or(e.FirstTokenObjective, defaultFirstTokenObjective)
+	q.pauseObjective = e.PauseObjective
 	q.holdDeadline = r.now + r.options.maxHold
 	if !e.DispatchDeadline.IsZero() {
 		q.holdDeadline = min(q.holdDeadline, r.sinceEpoch(e.DispatchDeadline))
@@ -202,6 +207,7 @@
 		t.pendingPrefill += q.pendingPrefill
 		t.recordPrefix(q.prefix, r.now)
 	}
+	r.startPace(q)
 	r.charge(q, promptTokenCost*float64(q.prompt))
 }
 
@@ -247,6 +253,7 @@
 	t := q.target
 	t.localDemand.Sub(&q.demand)
 	t.pendingPrefill -= q.pendingPrefill
+	t.addPaced(q, -1)
 	t.running--
 	if t.running == 0 {
 		t.localDemand = forecast.Demand{}
@@ -305,7 +312,8 @@
 	if !q.plain {
 		r.recordUsage(q, e.Usage)
 	}
-	r.recordFinished(q)
+	r.finishPace(q, e.LongestPause)
+	r.recordFinished(q, e.LongestPause)
 	r.recordAnswered(q)
 	q.target.breaker.recordSuccess()
 	q.target.failureRate.record(0, r.now)
--- a/dispatch/target_state.go
+++ b/dispatch/target_state.go
@@ -40,6 +40,7 @@
 		places                places        // of this host in that limit, or among the target's slots
 		leases                leases        // of the places that this host gives out
 		pacer                 limit.Pacer   // gives out the target's places, if this host does so
+		pace                  paceState
 	}
 )
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -368,5 +368,6 @@
 func (a *attempt) completeResult() relay.Result {
 	r := relay.Result{Ending: relay.EndComplete, DeliveredTokens: a.events.eventCount * a.tokensPerEvent}
 	r.Usage.Prompt, r.Usage.Output = a.info.PromptTokens, a.events.eventCount*a.tokensPerEvent
+	r.LongestPause = a.longestGap
 	return r
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -147,6 +147,7 @@
 		MaxOutputTokens:     c.info.MaxOutputTokens,
 		MaxAttempts:         max(c.route.MaxAttempts, 1),
 		FirstTokenObjective: c.route.FirstByteObjective,
+		PauseObjective:      c.route.GapObjective,
 		DispatchDeadline:    c.dispatchDeadline(),
 		CallerDeadline:      c.deadline,
 	}
--- a/host/placement.go
+++ b/host/placement.go
@@ -237,7 +237,7 @@
 		out.Failures = append(out.Failures, &wire.Failure{Target: f.Target, Count: uint32(f.Count)})
 	}
 	for _, f := range e.Finished {
-		out.Finished = append(out.Finished, &wire.Finish{Id: uint64(f.ID), Tokens: uint32(f.Tokens)})
+		out.Finished = append(out.Finished, &wire.Finish{Id: uint64(f.ID), Tokens: uint32(f.Tokens), Pause: uint32(f.LongestPause.Milliseconds())})
 	}
 	return out
 }
@@ -252,7 +252,9 @@
 		e.Failures = append(e.Failures, dispatch.TargetFailures{Target: f.Target, Count: int(f.Count)})
 	}
 	for _, f := range r.Streams.Finished {
-		e.Finished = append(e.Finished, dispatch.FinishedStream{ID: dispatch.ID(f.Id), Tokens: int(f.Tokens)})
+		e.Finished = append(e.Finished, dispatch.FinishedStream{
+			ID: dispatch.ID(f.Id), Tokens: int(f.Tokens), LongestPause: time.Duration(f.Pause) * time.Millisecond,
+		})
 	}
 	h.Post(e)
 }
@@ -269,6 +271,7 @@
 	return &wire.Stream{
 		Id: uint64(s.ID), Name: s.Name, Organisation: s.Organisation, Pool: s.Pool, Route: s.Route, Target: s.Target,
 		Prompt: uint32(s.PromptTokens), Tokens: uint32(s.Tokens), Limit: uint32(s.MaxOutput), Output: uint32(s.KnownOutput), Moving: s.Moving,
+		Pause: uint32(s.PauseObjective.Milliseconds()),
 	}
 }
 
@@ -276,6 +279,7 @@
 	return dispatch.StreamState{
 		ID: dispatch.ID(s.Id), Name: s.Name, Organisation: s.Organisation, Pool: s.Pool, Route: s.Route, Target: s.Target,
 		PromptTokens: int(s.Prompt), Tokens: int(s.Tokens), MaxOutput: int(s.Limit), KnownOutput: int(s.Output), Moving: s.Moving,
+		PauseObjective: time.Duration(s.Pause) * time.Millisecond,
 	}
 }
 
@@ -285,7 +289,7 @@
 		Prompt: uint32(r.PromptTokens), Limit: uint32(r.MaxOutputTokens), Output: uint32(r.KnownOutputTokens),
 		Prefix: r.PrefixHash, Shared: uint32(r.PrefixTokens), Except: r.Excluded,
 		Within: uint32(max(r.Remaining, 0).Milliseconds()), Waited: uint32(r.Waited.Milliseconds()), Attempt: uint32(r.Attempt),
-		Objective: uint32(r.FirstTokenObjective.Milliseconds()),
+		Objective: uint32(r.FirstTokenObjective.Milliseconds()), Pause: uint32(r.PauseObjective.Milliseconds()),
 	}
 }
 
@@ -295,6 +299,6 @@
 		PromptTokens: int(q.Prompt), MaxOutputTokens: int(q.Limit), KnownOutputTokens: int(q.Output),
 		PrefixHash: q.Prefix, PrefixTokens: int(q.Shared), Excluded: q.Except,
 		Remaining: time.Duration(q.Within) * time.Millisecond, Waited: time.Duration(q.Waited) * time.Millisecond, Attempt: int(q.Attempt),
-		FirstTokenObjective: time.Duration(q.Objective) * time.Millisecond,
+		FirstTokenObjective: time.Duration(q.Objective) * time.Millisecond, PauseObjective: time.Duration(q.Pause) * time.Millisecond,
 	}
 }
--- a/host/request.go
+++ b/host/request.go
@@ -139,7 +139,7 @@
 		r.finish(dispatch.Superseded{ID: r.ID})
 	default:
 		r.host.log.Emit(event.RequestEnded, fields)
-		r.finish(dispatch.Ended{ID: r.ID, Usage: result.Usage})
+		r.finish(dispatch.Ended{ID: r.ID, Usage: result.Usage, LongestPause: result.LongestPause})
 	}
 	return false
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -52,6 +52,7 @@
 		Usage           target.Usage
 		Certainty       target.Certainty // of a failed attempt: whether the engine executed the request
 		Rebooted        bool             // the engine has restarted since the generation was started
+		LongestPause    time.Duration    // longest time between two events of a stream; 0 if it is not known
 		DeliveredTokens int              // number of tokens for the caller, including those before a resume; 1 if part of a response without tokens was sent
 		Cause           error            // of a failed attempt; logged
 		Unsent          bool             // no byte of the request has been sent
