Keep places for urgent requests; count their risk within their own run

A mixed pool keeps memory for the urgent requests that are usually present at once, as a number of places over all engines of the domain. The risk of an urgent request is that of the horizons up to its expected output. An organisation's urgent requests now go first up to half of its share of the memory; a quarter delayed the bursts of the one that sends 40% of all.

--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -198,7 +198,7 @@
 	}
 	c.IdleInterval = t.tokenInterval.At(1)
 	c.Interval = t.tokenInterval.At(total.Streams + 1)
-	if r.options.hold && !r.hasCapacity(t, total, demand, c, r.tolerableRisk(q, tail, stall), shareExcess) {
+	if r.options.hold && !r.hasCapacity(q, t, total, demand, c, r.tolerableRisk(q, tail, stall), shareExcess) {
 		return 0, false
 	}
 	uncached := q.prompt
@@ -214,10 +214,10 @@
 	return cost, true
 }
 
-// hasCapacity reports whether t can take a request with the given demand in addition to total, the
+// hasCapacity reports whether t can take q with the given demand in addition to total, the
 // demand on t, without exceeding its memory, its slots, the limit on waiting prompt tokens and the
 // limit on the time between tokens. risk is the tolerable probability that the memory is exceeded.
-func (r *Reducer) hasCapacity(t *targetState, total, demand *forecast.Demand, c *Candidate, risk, shareExcess float64) bool {
+func (r *Reducer) hasCapacity(q *request, t *targetState, total, demand *forecast.Demand, c *Candidate, risk, shareExcess float64) bool {
 	memory := float64(t.spec.Memory) * (1 - shareExcess*r.options.overShareReserve)
 	if r.exceedsPrefillBurst(t, demand, c.TailWeight) {
 		return false
@@ -225,7 +225,7 @@
 	if t.spec.Slots > 0 && total.Streams+1 > float64(t.spec.Slots) {
 		return false
 	}
-	if total.Streams > 0 && total.OverflowChance(demand, memory) > risk {
+	if r.exceedsMemory(q, t, total, demand, memory, risk) {
 		return false
 	}
 	limit := maxIntervalRatio / max(c.TailWeight, 0.1)
--- a/dispatch/mixed.go
+++ b/dispatch/mixed.go
@@ -11,7 +11,10 @@
 // mixedPool is the state of a pool whose routes have objectives that differ widely; see package precedence.
 type mixedPool struct {
 	objectives precedence.Objectives
-	sinceLate  int // dispatches of the class precedence.OnTime since the latest one of precedence.Late
+	demand     precedence.Demand // of urgent requests
+	places     int               // urgent requests for which engines of this domain have memory; valid within dispatchClass
+	reserved   int               // number of these that other requests must leave; valid within dispatchClass
+	sinceLate  int               // dispatches of the class precedence.OnTime since the latest one of precedence.Late
 }
 
 // blockingAge is the fraction of the time in which a request can be on time after which it is not bypassed any more.
@@ -90,6 +93,7 @@
 			r.askTrial(q)
 			continue
 		}
+		r.updateReserve(p, memory)
 		t := r.choose(q, r.shareExcess(queue.normalisedRate, r.now-queue.lastEmpty, p))
 		switch {
 		case t == nil && r.isUrgent(q):
@@ -177,7 +181,10 @@
 }
 
 // releaseUrgent subtracts what holdUrgent has added.
-func (q *request) releaseUrgent() {
+func (r *Reducer) releaseUrgent(q *request) {
+	if q.urgentHeld > 0 {
+		q.pool.mixed.demand.Leave(r.now - q.dispatchedAt)
+	}
 	q.pool.queueOf(q.organisation).urgentHeld -= q.urgentHeld
 	q.urgentHeld = 0
 }
--- a/dispatch/organisation.go
+++ b/dispatch/organisation.go
@@ -184,6 +184,7 @@
 	queue.held = slices.Insert(queue.held, i, q)
 	q.organisation.heldTotal++
 	q.pool.held++
+	r.recordUrgentArrival(q)
 	r.wakeBy(min(q.holdDeadline, r.now+heldRetryInterval))
 }
 
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -257,7 +257,7 @@
 	q.organisation.inflight--
 	q.pool.inflight--
 	q.pool.queueOf(q.organisation).inflight--
-	q.releaseUrgent()
+	r.releaseUrgent(q)
 	r.setServiceRate(q, 0)
 	q.demand, q.pendingPrefill, q.target = forecast.Demand{}, 0, nil
 }
--- a/forecast/demand.go
+++ b/forecast/demand.go
@@ -94,8 +94,16 @@
 // the given memory, in tokens, at the horizon where that is most likely. The memory that independent
 // streams need is taken as normally distributed.
 func (d *Demand) OverflowChance(extra *Demand, memory float64) float64 {
+	return d.OverflowChanceWithin(extra, memory, horizonTokens[Horizons-1])
+}
+
+// OverflowChanceWithin is OverflowChance at the horizons up to the given number of tokens, and at the first two.
+func (d *Demand) OverflowChanceWithin(extra *Demand, memory, tokens float64) float64 {
 	highest := 0.0
 	for i := range d.MeanMemory {
+		if i > 1 && horizonTokens[i] > tokens {
+			break
+		}
 		free := memory - d.MeanMemory[i] - extra.MeanMemory[i]
 		variance := d.MemoryVariance[i] + extra.MemoryVariance[i]
 		if variance <= 0 {
--- a/precedence/precedence.go
+++ b/precedence/precedence.go
@@ -27,9 +27,10 @@
 	// urgentRatio is the ratio of a pool's longest objective to that of an urgent request, at least.
 	urgentRatio = 2
 
-	// UrgentPart is the fraction of a pool's memory up to which urgent requests go before others. Above it, an
-	// organisation would gain by stating short objectives for all of its requests.
-	UrgentPart = 0.25
+	// UrgentPart is the fraction of its share of a pool's memory up to which an organisation's urgent requests go before
+	// others. Above it, an organisation would gain by stating short objectives for all of its requests. A quarter delays
+	// the bursts of an organisation that sends 40% of all urgent requests.
+	UrgentPart = 0.5
 
 	// LateTurn is the number of dispatches of the class OnTime after which a request of the class Late is next.
 	LateTurn = 15
