--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -155,7 +155,7 @@
 			r.basis.TargetsWithCapacity++
 		}
 		if ok && (best == nil || score < lowest-max(tolerance, tieTolerance*math.Abs(lowest))) {
-			best, lowest = t, score
+			best, lowest, r.basis.ExpectedLate = t, score, r.candidate.ExpectedLate
 		}
 	}
 	return best
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/pace"
 	"github.com/wigeonlink/wigeonlink/quarantine"
 	"github.com/wigeonlink/wigeonlink/table"
 )
@@ -34,6 +35,7 @@
 		Lease      uint64            // Release: number of the lease
 		Refused    bool              // Release: whether the target had no room
 		Within     time.Duration     // Reserve: longest time until the place; Trial: time until the trial has ended
+		Spread     pace.Spread       // Uneven: speeds of the pool's engines
 		Crashes    int               // Trial: crashes under the part that are known
 	}
 
@@ -47,6 +49,7 @@
 		Streams             float64       // streams on the chosen target before the decision, known or inferred
 		HeldFor             time.Duration // time since the request arrived at this host
 		Attempt             int           // number of the dispatch of the request, or of the move off its current target; from 1
+		ExpectedLate        float64       // streams that the choice is expected to make late; see Candidate
 		OtherDomain         bool          // whether the chosen target is in another failure domain
 		WaitCause           WaitCause     // why the request was not dispatched when it was last considered
 		Excluded            int           // targets that must not be chosen for the request
@@ -82,9 +85,10 @@
 	EffectShareFragilities                   // send the records of brittle pools to the peers
 	EffectRelease                            // report a free place to the host that gives out the target's places
 	EffectShareLeavers                       // send the targets that have said that they leave to the peers
+	EffectUneven                             // whether the engines of a pool are unevenly fast has changed; to be logged
 )
 
-var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay", "ask", "place", "placed", "probe", "share_suspects", "suspected", "quarantined", "cleared", "reserve", "limited", "trial", "share_limits", "leaver", "brittle", "share_fragilities", "release", "share_leavers"}
+var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay", "ask", "place", "placed", "probe", "share_suspects", "suspected", "quarantined", "cleared", "reserve", "limited", "trial", "share_limits", "leaver", "brittle", "share_fragilities", "release", "share_leavers", "uneven"}
 
 // String returns the name of the kind.
 func (k EffectKind) String() string { return effectNames[k] }
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -149,6 +149,9 @@
 	basis := r.newBasis(q)
 	basis.Attempt = q.moveAttempts
 	basis.Streams, basis.OtherDomain = t.totalDemand(r.now).Streams, r.inOtherDomain(t)
+	if !toBackup {
+		basis.ExpectedLate = r.basis.ExpectedLate
+	}
 	e := Effect{
 		Kind: EffectMove, ID: q.id, Target: q.target.spec.Name, To: t.spec, ToBackup: toBackup,
 		Priority: r.priority(q), Basis: basis,
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -20,10 +20,16 @@
 	poolPace struct {
 		pace.Pool
 		refreshedAt time.Duration // time of the latest refreshPace; 0 means never
+		loggedAt    time.Duration // time of the latest EffectUneven; 0 means never
+		logged      bool          // whether it said that the pool is uneven
 	}
 )
 
 const (
+	// minUnevenLog is the shortest time between two EffectUneven for a pool. It bounds the log while the intervals
+	// are close to the limit.
+	minUnevenLog = 5 * time.Second
+
 	// paceRefresh is the time between two evaluations of whether a pool is uneven.
 	paceRefresh = 250 * time.Millisecond
 
@@ -112,6 +118,21 @@
 		r.paceEngines = append(r.paceEngines, e)
 	}
 	p.pace.Refresh(r.paceEngines)
+	if s := p.pace.Spread(); s.Uneven != p.pace.logged && (p.pace.loggedAt == 0 || r.now-p.pace.loggedAt >= minUnevenLog) {
+		p.pace.logged, p.pace.loggedAt = s.Uneven, r.now
+		r.emit(Effect{Kind: EffectUneven, Name: p.name, Spread: s})
+	}
+}
+
+// UnevenPools returns for each pool of engines whether it is uneven.
+func (r *Reducer) UnevenPools() map[string]bool {
+	out := map[string]bool{}
+	for _, p := range r.poolList {
+		if !p.plain {
+			out[p.name] = p.pace.Uneven()
+		}
+	}
+	return out
 }
 
 // expectedLate returns the expected number of streams that become late because of a pause if q is sent to t. It is 0
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -36,6 +36,7 @@
 		Memory         int           `json:"memory"`   // memory of the target, in tokens
 		ReportedMemory int           `json:"reported"` // memory in use according to the last load report, in tokens
 		Interval       time.Duration `json:"interval"` // expected time between tokens of a stream on the target
+		Idle           time.Duration `json:"idle"`     // time between tokens of a stream while the target reads no prompt; 0 if unknown
 	}
 )
 
@@ -83,6 +84,7 @@
 				Memory:         t.spec.Memory,
 				ReportedMemory: t.load.UsedTokens,
 				Interval:       t.tokenInterval.At(d.Streams),
+				Idle:           t.pace.speed.Idle(),
 			})
 		}
 	}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -65,6 +65,7 @@
 	PathLost       Number = 307
 	PathFound      Number = 308
 	TargetsBrittle Number = 309
+	EnginesUneven  Number = 321
 
 	TableApplied   Number = 401
 	TableRefused   Number = 402
@@ -140,6 +141,7 @@
 	{PathLost, "path lost", hclog.Warn, "This host cannot connect to a target to which another host can; it connects through that host, or another one."},
 	{PathFound, "path found", hclog.Info, "This host can connect to a target again to which it could connect only through other hosts."},
 	{TargetsBrittle, "targets brittle", hclog.Info, "What the targets of a pool say in their responses about how many refusals a second they survive has changed or ended."},
+	{EnginesUneven, "engines uneven", hclog.Info, "Whether the engines of a pool differ in speed so much that the choice of an engine counts late streams has changed; the fields hold the times between two tokens."},
 	{TableApplied, "table applied", hclog.Info, "A table is in force on this host."},
 	{TableRefused, "table refused", hclog.Error, "A published table is invalid and was rejected as a whole; the last valid table stays in force."},
 	{TableStale, "table stale", hclog.Warn, "A published table is older than the one in force and was ignored."},
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -39,6 +39,8 @@
 		lastEvent     atomic.Int64            // identifier of the last event forwarded to the caller
 		lastArrival   time.Time               // arrival of the last event
 		longestGap    time.Duration           // longest time between two consecutive events
+		longestMove   time.Duration           // longest time between two consecutive events across a move
+		gapMoves      int                     // value of moveCount at the latest event
 		moveCount     int                     // completed moves of the stream to another engine
 		undeliverable bool                    // an event is missing, or a write to the caller failed
 		placement     placement
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -215,7 +215,7 @@
 		fields.Values = append(fields.Values, "digest", strconv.FormatUint(c.digest, 16))
 	}
 	if c.latest.moveCount > 0 {
-		fields.Values = append(fields.Values, "moves", c.latest.moveCount)
+		fields.Values = append(fields.Values, "moves", c.latest.moveCount, "longest_move_gap_ms", c.latest.longestMove.Milliseconds())
 	}
 	if e != nil {
 		fields.Detail = e.Error()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -167,6 +167,9 @@
 		gap = now.Sub(a.lastArrival)
 	}
 	a.longestGap = max(a.longestGap, gap)
+	if a.moveCount > a.gapMoves {
+		a.longestMove, a.gapMoves = max(a.longestMove, gap), a.moveCount
+	}
 	a.lastArrival = now
 	a.hostRequest.Progress.Advance(count*a.tokensPerEvent, now, gap)
 }
--- a/host/effects.go
+++ b/host/effects.go
@@ -86,6 +86,11 @@
 		h.shareFragilities()
 	case dispatch.EffectRelease:
 		go h.releasePlace(f)
+	case dispatch.EffectUneven:
+		h.log.Emit(event.EnginesUneven, event.Fields{Values: []any{
+			"pool", f.Name, "uneven", f.Spread.Uneven, "known", f.Spread.Known,
+			"fastest_us", f.Spread.Fastest.Microseconds(), "median_us", f.Spread.Median.Microseconds(), "slowest_us", f.Spread.Slowest.Microseconds(),
+		}})
 	case dispatch.EffectLeaver:
 		h.logLeaver(f)
 	case dispatch.EffectShareLeavers:
@@ -109,6 +114,9 @@
 	if b.Excluded > 0 {
 		out = append(out, "excluded", b.Excluded)
 	}
+	if b.ExpectedLate > 0 {
+		out = append(out, "expected_late", b.ExpectedLate)
+	}
 	if b.OtherDomain {
 		out = append(out, "away", true)
 	}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -45,7 +45,8 @@
 		counts  dispatch.Counts
 		shares  []dispatch.ShareRow
 		targets []dispatch.TargetRow
-		version uint64 // of the table; 0 if there is none
+		uneven  map[string]bool // by pool
+		version uint64          // of the table; 0 if there is none
 	}
 )
 
@@ -134,6 +135,8 @@
 	inflight := gauge("wigeonlink.inflight", "Requests at targets through this host, by organisation")
 	peak := gauge("wigeonlink.target.peak", "Forecast part of a target's memory")
 	open := gauge("wigeonlink.target.open", "1 if a target takes new work")
+	idle := gauge("wigeonlink.target.idle_interval", "Seconds between two tokens while an engine reads no prompt; 0 if unknown")
+	uneven := gauge("wigeonlink.pool.uneven", "1 if the engines of a pool are unevenly fast, so that the choice counts late streams")
 	version := gauge("wigeonlink.table.version", "Version of the table in force")
 	retried := gauge("wigeonlink.retried", "Attempts beyond the first")
 	resumed := gauge("wigeonlink.resumed", "Fresh connections asked for because of a stall")
@@ -171,11 +174,22 @@
 			o.ObserveFloat64(peak, row.Peak/float64(max(row.Memory, 1)), by)
 			o.ObserveFloat64(open, boolValue(row.AcceptsWork), by)
 		}
+		s.observeSpeeds(o, idle, uneven)
 		return nil
-	}, promised, got, held, inflight, peak, open, version, retried, resumed, reads, age, stopInFlight, stopDispatched)
+	}, promised, got, held, inflight, peak, open, idle, uneven, version, retried, resumed, reads, age, stopInFlight, stopDispatched)
 	return eris.Wrap(err, "gauges")
 }
 
+// observeSpeeds records the idle interval of each target and which pools are uneven.
+func (s *snapshot) observeSpeeds(o metric.Observer, idle, uneven metric.Float64Observable) {
+	for _, row := range s.targets {
+		o.ObserveFloat64(idle, row.Idle.Seconds(), metric.WithAttributes(attribute.String("target", row.Target)))
+	}
+	for pool, is := range s.uneven {
+		o.ObserveFloat64(uneven, boolValue(is), metric.WithAttributes(attribute.String("pool", pool)))
+	}
+}
+
 func boolValue(b bool) float64 {
 	if b {
 		return 1
@@ -187,7 +201,7 @@
 func readSnapshot(h *host.Host) snapshot {
 	var s snapshot
 	h.Inspect(func(r *dispatch.Reducer) {
-		s.counts, s.shares, s.targets = r.Counts(), r.Shares(), r.Targets()
+		s.counts, s.shares, s.targets, s.uneven = r.Counts(), r.Shares(), r.Targets(), r.UnevenPools()
 		if t := r.Table(); t != nil {
 			s.version = t.Version
 		}
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -25,7 +25,7 @@
 		firstAt   time.Duration // time of the first dispatched prompt
 		engines   int           // of the latest Refresh
 		known     []time.Duration
-		uneven    bool
+		spread    Spread
 		scarcity  float64
 	}
 
@@ -47,6 +47,13 @@
 		Streams int           // running streams with a pause objective
 	}
 
+	// A Spread describes how the engines of a pool differ in speed.
+	Spread struct {
+		Uneven                   bool
+		Known                    int           // engines with a known idle interval
+		Fastest, Median, Slowest time.Duration // idle intervals of the known engines
+	}
+
 	// A Load is a number of running streams that have the same pause objective.
 	Load struct {
 		Objective time.Duration // as in Outcome
@@ -136,14 +143,16 @@
 			p.known = append(p.known, e.Idle)
 		}
 	}
-	p.uneven = false
-	if len(p.known) < minKnown || p.objective == 0 {
+	p.spread = Spread{Known: len(p.known)}
+	if len(p.known) == 0 {
 		return
 	}
 	slices.Sort(p.known)
-	fastest, median, slowest := p.known[0], p.known[len(p.known)/2], p.known[len(p.known)-1]
-	p.uneven = float64(slowest) >= unevenFactor*float64(median) || float64(median) >= unevenFactor*float64(fastest)
-	if p.uneven {
+	s := &p.spread
+	s.Fastest, s.Median, s.Slowest = p.known[0], p.known[len(p.known)/2], p.known[len(p.known)-1]
+	s.Uneven = len(p.known) >= minKnown && p.objective > 0 &&
+		(float64(s.Slowest) >= unevenFactor*float64(s.Median) || float64(s.Median) >= unevenFactor*float64(s.Fastest))
+	if s.Uneven {
 		p.scarcity = p.scarcityOf(engines)
 	}
 }
@@ -167,7 +176,10 @@
 
 // Uneven reports whether the engines of the latest Refresh differ so much in speed that the choice of an engine
 // depends on it.
-func (p *Pool) Uneven() bool { return p.uneven }
+func (p *Pool) Uneven() bool { return p.spread.Uneven }
+
+// Spread describes the engines of the latest Refresh.
+func (p *Pool) Spread() Spread { return p.spread }
 
 // Hazard returns the probability that a prompt that is read beside a stream with the given objective makes it late,
 // on an engine with the given idle interval. For an unknown interval, 0, it is the mean over the engines of
