Keep moving streams and prompts to be read at an engine apart in uneven pools

An engine continues a moved stream only after the prompts that it has got before. Destinations with unread prompts, and engines to which a stream is moving as targets of prompts, cost what the pause makes late.

--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -141,6 +141,7 @@
 func (r *Reducer) emitMove(q *request, t *targetState, toBackup bool) {
 	q.moveAttempts++
 	q.moveReservation.reserve(t, q.forecastDemand())
+	t.addMoving(q, 1)
 	q.moveToBackup = toBackup
 	r.chooseBackup(q, &q.nextBackup, t)
 	if !toBackup {
@@ -176,6 +177,7 @@
 	if q.target != nil && !q.moveToBackup {
 		q.target.outgoingMoves--
 	}
+	q.moveReservation.target.addMoving(q, -1)
 	q.moveReservation.release()
 	q.nextBackup.release()
 }
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -14,6 +14,7 @@
 		idle    time.Duration // idle interval at the latest refresh of the pool; 0 if unknown
 		running []pace.Load   // streams at the target that have a pause objective
 		prompts int           // prompts dispatched to the target
+		moving  int           // streams with a pause objective that are moving to the target
 	}
 
 	// poolPace is what a pool records about the pauses of its streams.
@@ -74,6 +75,13 @@
 	t.pace.running = append(t.pace.running, pace.Load{Objective: q.paceObjective, Streams: n})
 }
 
+// addMoving adds n streams to those with a pause objective that are moving to the target.
+func (t *targetState) addMoving(q *request, n int) {
+	if q.paceObjective > 0 {
+		t.pace.moving += n
+	}
+}
+
 // finishPace learns from the longest pause of a stream that is complete; 0 means that it is not known. A
 // stream that has moved shows nothing: its prompts were read at another target, and the
 // move may have made the pause.
@@ -147,11 +155,12 @@
 	residence := time.Duration(remaining * float64(c.Interval))
 	moves := q.target != nil
 	f := pace.Candidate{
-		Idle: t.pace.idle, Running: t.pace.running, Reads: !moves, Objective: r.tokenObjective(q),
+		Idle: t.pace.idle, Running: t.pace.running, Arriving: t.pace.moving, Reads: !moves, Objective: r.tokenObjective(q),
 		Memory: float64(q.prompt+q.tokens) + remaining/2, Residence: residence,
 	}
 	if moves {
-		f.Waiting = float64(t.pendingPrefill) / float64(max(q.prompt, 1))
+		f.Pause = q.pauseObjective
+		f.Unread = time.Duration(t.pendingPrefill) * r.options.prefillPerToken
 	} else {
 		f.Residence += c.RequestPrefill
 	}
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -65,7 +65,9 @@
 		Idle      time.Duration // idle interval of the engine; 0 if unknown
 		Running   []Load        // running streams of the engine
 		Reads     bool          // whether the engine reads a prompt for the request; false for a move
-		Waiting   float64       // prompts that the engine will read beside the request's stream from the beginning
+		Arriving  int           // streams with a pause objective that are moving to the engine
+		Unread    time.Duration // time until the engine has read the prompts that wait there
+		Pause     time.Duration // longest pause for which the request is on time; 0 if it has no objective
 		Objective time.Duration // of the request, as in Outcome; 0 if it has none
 		Memory    float64       // that the request takes, in tokens
 		Residence time.Duration // expected time for which the request runs at the engine
@@ -86,6 +88,11 @@
 	promptWindow = 10 * time.Second // time constant of the rate of prompts
 	memoryWeight = 0.05             // weight of the latest stream in the mean memory
 
+	// arrivalHazard is the probability that a prompt makes a stream late that is moving to its engine. An engine
+	// continues a moved stream after the prompts that it has got before, and reading a prompt takes about as long as a
+	// move.
+	arrivalHazard = 0.8
+
 	// priceShare is the fraction of the lateness that a fast engine's capacity saves which a request is charged for
 	// taking it. Below 1 a long stream, which is charged for its capacity as well, keeps a gain from a fast engine.
 	priceShare = 0.5
@@ -206,11 +213,15 @@
 		for _, l := range c.Running {
 			late += float64(l.Streams) * p.Hazard(c.Idle, l.Objective)
 		}
+		late += arrivalHazard * float64(c.Arriving)
 	}
 	rate := p.promptRate(now)
 	if c.Objective > 0 {
-		beside := c.Waiting + rate*c.Residence.Seconds()
-		late += 1 - math.Pow(1-p.Hazard(c.Idle, c.Objective), beside)
+		onTime := math.Pow(1-p.Hazard(c.Idle, c.Objective), rate*c.Residence.Seconds())
+		if !c.Reads {
+			onTime *= 1 - min(c.Unread.Seconds()/c.Pause.Seconds(), 1)
+		}
+		late += 1 - onTime
 	}
 	saved := p.Hazard(0, p.objective) - p.Hazard(c.Idle, p.objective)
 	if saved > 0 && p.memory > 0 {
