Evacuate failure domains on the operators' request

Hosts read the requests from the source with the list of targets, state the whole set in each update to peers, and send nothing new to targets of these domains. Long streams move off without the assumption that their targets end. A host that gets its state from an earlier build, which does not state the set, reads the source itself.

--- a/audit/audit.go
+++ b/audit/audit.go
@@ -22,6 +22,7 @@
 		sent             []*request                 // requests with a RequestSent, in the order of recording
 		hosts            map[string]bool            // names of the hosts that callers have sent requests to
 		faults           map[string][]faultInterval // by name of the host or target, or ConfigSource
+		evacuatedSince   map[string]time.Time       // times at which evacuations in force were requested, by failure domain
 		leavingSince     map[string]time.Time       // times of the announcements that targets are leaving, by target
 		stopped          map[string]time.Time       // times at which targets stopped, by target
 		pools            map[string]*poolHistory    // by name of the pool
@@ -40,6 +41,7 @@
 	Bounds struct {
 		FaultGrace   time.Duration // time after the end of a fault during which the host, target or source is still exempt from checks
 		LeavingGrace time.Duration // time after the announcement that a target is leaving during which it may still receive requests
+		EvacuateTime time.Duration // time from the request to evacuate a failure domain until no request may reach its targets
 		ApplyDelay   time.Duration // time from the publication of a configuration until all hosts must apply it
 		NetworkDelay time.Duration // time for the transmission of a message between caller, host and target
 		CancelGrace  time.Duration // time from a caller's disconnection or deadline until its request must have ended
@@ -80,6 +82,7 @@
 	// RequestReceived is the arrival of a request at a target.
 	RequestReceived struct {
 		ID, Target, Pool string
+		Domain           string // failure domain of the target
 		Organisation     string
 		Path, Body       string
 		TimeLeft         time.Duration // time until the request's deadline, as the host passed it to the target
@@ -157,7 +160,7 @@
 func NewAudit(b Bounds) *Audit {
 	return &Audit{
 		bounds: b, requests: map[string]*request{}, hosts: map[string]bool{}, faults: map[string][]faultInterval{},
-		leavingSince: map[string]time.Time{}, stopped: map[string]time.Time{}, pools: map[string]*poolHistory{}, harmful: map[string]*harmfulPart{}, limited: map[string]*limitedTarget{},
+		leavingSince: map[string]time.Time{}, evacuatedSince: map[string]time.Time{}, stopped: map[string]time.Time{}, pools: map[string]*poolHistory{}, harmful: map[string]*harmfulPart{}, limited: map[string]*limitedTarget{},
 		brittle: map[string]*brittleTime{}, toldLeaving: map[hostTarget]time.Time{}, rests: map[hostTarget][]*restPeriod{},
 	}
 }
--- a/audit/guarantee.go
+++ b/audit/guarantee.go
@@ -29,7 +29,7 @@
 	GuaranteeBounded                    // the number of targets of a request, the deadline passed to them, the retries to a pool, the requests that crash targets and those to a target that names a limit are within bounds
 	GuaranteeReleased                   // targets stop working on a request after its caller disconnected
 	GuaranteeAnswered                   // each request ends in time with a response, unless a failure interrupted it
-	GuaranteeDrained                    // a leaving target receives no new requests
+	GuaranteeDrained                    // a leaving target, or one of an evacuated failure domain, receives no new requests
 	GuaranteeCurrent                    // hosts apply a new configuration within ApplyDelay and do not return to an earlier one
 	GuaranteePlaced                     // a request runs only in a pool and with a key that a configuration allows
 	GuaranteeOrdered                    // stream events arrive once and in order, and a stream that ends without error is complete
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -35,6 +35,7 @@
 		Refused    bool              // Release: whether the target had no room
 		Within     time.Duration     // Reserve: longest time until the place; Trial: time until the trial has ended
 		Crashes    int               // Trial: crashes under the part that are known
+		Domain     string            // Evacuated, Emptied, Readmitted: failure domain
 	}
 
 	// A Basis is the state on which a decision to dispatch, refuse or move a request was based.
@@ -81,10 +82,13 @@
 	EffectBrittle                            // what the targets of a pool say about refusals has changed; to be logged
 	EffectShareFragilities                   // send the records of brittle pools to the peers
 	EffectRelease                            // report a free place to the host that gives out the target's places
+	EffectEvacuated                          // the failure domain is to be evacuated: nothing new is sent to its targets; to be logged
+	EffectEmptied                            // no request is known to run in the evacuated domain any more; to be logged
+	EffectReadmitted                         // the evacuation of the domain was withdrawn; to be logged
 	EffectShareLeavers                       // send the targets that have said that they leave to the peers
 )
 
-var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay", "ask", "place", "placed", "probe", "share_suspects", "suspected", "quarantined", "cleared", "reserve", "limited", "trial", "share_limits", "leaver", "brittle", "share_fragilities", "release", "share_leavers"}
+var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay", "ask", "place", "placed", "probe", "share_suspects", "suspected", "quarantined", "cleared", "reserve", "limited", "trial", "share_limits", "leaver", "brittle", "share_fragilities", "release", "evacuated", "emptied", "readmitted", "share_leavers"}
 
 // String returns the name of the kind.
 func (k EffectKind) String() string { return effectNames[k] }
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -59,8 +59,8 @@
 	moveRetryInterval = 20 * time.Millisecond
 )
 
-// evacuate starts to move running streams off the targets that are leaving. It serves deployments
-// where some engines are preempted every few seconds and announce it only one or two seconds before
+// evacuate starts to move running streams off the targets that are leaving or in evacuated domains. It serves
+// deployments where some engines are preempted every few seconds and announce it only one or two seconds before
 // they end, while a stream runs several times as long.
 func (r *Reducer) evacuate() {
 	if !r.options.moves {
@@ -86,9 +86,15 @@
 	if q.target.outgoingMoves >= maxConcurrentMoves || !r.engineOf(q).CanMove {
 		return
 	}
+	if q.target.evacuated && !q.target.leaving && r.now < q.target.movesPausedUntil {
+		return
+	}
 	if t := r.chooseWithin(q, 0, moveCostTolerance); t != nil {
+		q.target.failedChoices = 0
 		r.emitMove(q, t, false)
+		return
 	}
+	q.target.recordNoDestination(r.now)
 }
 
 // engineOf returns the specification of the engines that serve q's model.
@@ -111,12 +117,17 @@
 	return out
 }
 
-// shouldMove reports whether q is a stream with at least one token that runs at a leaving target,
-// is not expected to end there in time, and may start another move.
+// shouldMove reports whether q is a stream with at least one token that runs at a leaving target or in an evacuated
+// domain, is not expected to end there in time, and may start another move.
 func (r *Reducer) shouldMove(q *request) bool {
-	return q.phase == phaseDispatched && !q.plain && q.target.leaving && !r.movesElsewhere(q) && q.tokens > 0 &&
-		q.moveReservation.target == nil && q.moveAttempts < maxMoveAttempts && !q.moveFailedFinally && q.disconnectedAt == 0 &&
-		r.remainingTime(q) >= time.Duration(finishInPlaceFraction*float64(q.target.leavingNoticeAt+minLeavingNotice-r.now))
+	if q.phase != phaseDispatched || q.plain || !q.target.leaving && !q.target.evacuated || r.movesElsewhere(q) || q.tokens == 0 ||
+		q.moveReservation.target != nil || q.moveAttempts >= maxMoveAttempts || q.moveFailedFinally || q.disconnectedAt != 0 {
+		return false
+	}
+	if !q.target.leaving {
+		return r.shouldEvacuate(q)
+	}
+	return r.remainingTime(q) >= time.Duration(finishInPlaceFraction*float64(q.target.leavingNoticeAt+minLeavingNotice-r.now))
 }
 
 // remainingTime returns the expected time until the end of a running stream.
@@ -152,7 +163,7 @@
 	e := Effect{
 		Kind: EffectMove, ID: q.id, Target: q.target.spec.Name, To: t.spec, ToBackup: toBackup,
 		Priority: r.priority(q), Basis: basis,
-		At: r.epoch.Add(q.target.leavingNoticeAt + minLeavingNotice - switchoverTime),
+		At: r.epoch.Add(r.switchDeadline(q)),
 	}
 	if q.nextBackup.target != nil {
 		e.Backup = q.nextBackup.target.spec
--- a/dispatch/leaving_query.go
+++ b/dispatch/leaving_query.go
@@ -27,7 +27,7 @@
 )
 
 // reduce emits EffectQueryLeaving for the engines that run streams of this host, if the list of
-// targets was not confirmed for unconfirmedLimit. It is needed when engines are removed every few
+// targets was not confirmed for unconfirmedLimit, except those in evacuated domains. It is needed when engines are removed every few
 // seconds while the list of targets cannot be read.
 func (e FleetUnconfirmed) reduce(r *Reducer) {
 	if !r.options.moves || e.Age < unconfirmedLimit {
@@ -38,7 +38,7 @@
 			continue
 		}
 		for _, t := range p.targets {
-			if t.running > 0 && !t.leaving && (t.queriedAt == 0 || r.now-t.queriedAt >= queryInterval) {
+			if t.running > 0 && !t.leaving && !t.evacuated && (t.queriedAt == 0 || r.now-t.queriedAt >= queryInterval) {
 				t.queriedAt = r.now
 				r.emit(Effect{Kind: EffectQueryLeaving, Target: t.spec.Name, To: t.spec})
 			}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -182,7 +182,7 @@
 	if q == nil || q.phase != phaseDispatched || q.target.spec.Name != e.From || q.moveReservation.target != nil || !r.canRunAt(t) {
 		return
 	}
-	if !q.target.leaving {
+	if !q.target.leaving && !q.target.evacuated {
 		q.target.setLeaving(true, r.now)
 	}
 	if r.canRunAt(q.backup.target) {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -342,6 +342,7 @@
 		t.spec = spec
 		t.setBrittle(p.fragility.Named)
 		t.setLeaving(r.isLeaving(spec), r.now)
+		t.evacuated = r.isEvacuated(spec.Domain)
 		p.targets = append(p.targets, t)
 		p.domains[spec.Domain]++
 	}
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -74,9 +74,10 @@
 // checkStall emits EffectResume, which opens a new connection to the target, when a stream has
 // delivered no token for stallFactor times its mean time between tokens, but at least minStall. If
 // the engine has queued or preempted the stream, the connection works and a resume is useless;
-// exponential backoff bounds the number of such resumes.
+// exponential backoff bounds the number of such resumes. A stream in an evacuated domain is
+// not resumed there.
 func (r *Reducer) checkStall(q *request) {
-	if q.plain || r.now < q.nextResume {
+	if q.plain || r.now < q.nextResume || q.target.evacuated {
 		return
 	}
 	since, limit := q.lastToken, max(stallFactor*q.tokenInterval, minStall)
--- a/dispatch/quarantine.go
+++ b/dispatch/quarantine.go
@@ -67,13 +67,14 @@
 func (q *request) mayCrashTargets() bool { return !q.answered && len(q.parts) > 0 }
 
 // recordPossibleCrash emits a probe of the target of a failed attempt if the target may have crashed as
-// it began to answer the request. Targets that are leaving end anyway.
+// it began to answer the request. Targets that are leaving end anyway,
+// and those in evacuated domains get no probes.
 func (r *Reducer) recordPossibleCrash(q *request, e AttemptFailed) {
 	t := q.target
 	if e.Tokens > beginningTokens || e.Answered && e.Certainty != target.CertaintyNotRun {
 		r.recordAnswered(q)
 	}
-	if !e.Ended || !q.mayCrashTargets() || t.leaving {
+	if !e.Ended || !q.mayCrashTargets() || t.leaving || t.evacuated {
 		return
 	}
 	c, pending := r.possibleCrashes[t.spec.Name]
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -31,6 +31,7 @@
 	peerList         []*peer                   // in order of their first report
 	disconnected     []ID                      // dispatched requests whose caller disconnected, in that order
 	leavingTargets   map[string]bool           // latest LeavingTargets event
+	evacuations      map[string]*evacuation    // of the failure domains that are to be evacuated, by name
 	rests            map[process]time.Duration // see targetState.restUntil
 	leavers          map[process]time.Duration // processes that have said that they leave, and when that was last recorded
 	remoteHosts      map[string]*remoteHost    // hosts whose streams this host records, by origin
@@ -198,7 +199,7 @@
 // in a failure domain that is partitioned from all targets of a service, callers would
 // otherwise wait until their deadline for nothing.
 func (r *Reducer) unavailableUntilDeadline(e Submit, p *pool) bool {
-	return !e.DispatchDeadline.IsZero() && r.unavailableUntil(r.sinceEpoch(e.DispatchDeadline), p)
+	return p.allEvacuated() || !e.DispatchDeadline.IsZero() && r.unavailableUntil(r.sinceEpoch(e.DispatchDeadline), p)
 }
 
 // unavailableUntil reports whether, by the state known to this host, no target of the pool will accept requests before
@@ -208,18 +209,20 @@
 }
 
 // earliestRetry returns the earliest time at which the circuit breaker of one of the pool's targets, and its wish
-// for rest, allow requests, or math.MaxInt64 if all targets are leaving. Leaving targets are not considered.
+// for rest, allow requests, or math.MaxInt64 if all targets are leaving or in evacuated domains, which are not
+// considered.
 func (r *Reducer) earliestRetry(p *pool) time.Duration {
 	soonest := time.Duration(math.MaxInt64)
 	for _, t := range p.targets {
-		if !t.leaving && !t.load.Leaving {
+		if !t.isLeavingOrEvacuated() {
 			soonest = min(soonest, max(t.nextAllowed(), r.now))
 		}
 	}
 	return soonest
 }
 
-// noTargetRetryAfter returns the time until a target of the pool allows requests, or 0 if all are leaving.
+// noTargetRetryAfter returns the time until a target of the pool allows requests, or 0 if all are leaving or in
+// evacuated domains.
 func (r *Reducer) noTargetRetryAfter(p *pool) time.Duration {
 	if at := r.earliestRetry(p); at < math.MaxInt64 {
 		return max(at-r.now, minRetryAfter)
@@ -270,6 +273,7 @@
 	r.expireProbes()
 	r.expireLeavers()
 	r.expireRests()
+	r.checkEmptied()
 	r.evacuate()
 	r.dispatchAllHeld()
 }
--- a/dispatch/target_state.go
+++ b/dispatch/target_state.go
@@ -15,6 +15,7 @@
 	targetState struct {
 		spec                  table.Target
 		leaving               bool
+		evacuated             bool            // the failure domain is to be evacuated
 		running               int             // requests of this host in flight at the target
 		pendingPrefill        int             // prompt tokens of this host's requests that the target is not known to have computed
 		localDemand           forecast.Demand // memory demand of this host's streams on the target
@@ -32,6 +33,8 @@
 		failureRate           failureRate
 		leavingNoticeAt       time.Duration // time when this host learned that the target is leaving; its end is expected minLeavingNotice later
 		queriedAt             time.Duration // time of the latest EffectQueryLeaving for the target; 0 means never
+		movesPausedUntil      time.Duration // see recordNoDestination
+		failedChoices         int           // streams in a row that should move and have no destination
 		outgoingMoves         int           // moves of this host's streams off the target that are in progress and copy the stream's memory
 		linkGroup             int           // index among the pool's leaving targets or, if not leaving, among the others of its domain
 		lastDispatch          uint64        // number of this host's latest dispatch to the target, counted over all targets; 0 means none
@@ -53,6 +56,7 @@
 func (r *Reducer) newTarget(spec table.Target) *targetState {
 	return &targetState{
 		spec:          spec,
+		evacuated:     r.isEvacuated(spec.Domain),
 		restUntil:     r.rests[processOf(spec.Name, spec.StartTime)],
 		tokenInterval: forecast.NewIntervalModel(r.options.stepBase, r.options.stepPerSequence),
 		prefixes:      map[uint64]time.Duration{},
@@ -150,11 +154,11 @@
 	return d
 }
 
-// acceptsWork reports whether the target accepts new work: it is not leaving, its circuit breaker
-// is not open, it has not asked for rest and, for an engine, its last load report is not older than maxLoadAge. A maxLoadAge
+// acceptsWork reports whether the target accepts new work: it is not leaving, its failure domain is not to be
+// evacuated, its circuit breaker is not open, it has not asked for rest and, for an engine, its last load report is not older than maxLoadAge. A maxLoadAge
 // of 0 means no limit.
 func (t *targetState) acceptsWork(now, maxLoadAge time.Duration) bool {
-	if t.leaving || t.load.Leaving || !t.allows(now) {
+	if t.isLeavingOrEvacuated() || !t.allows(now) {
 		return false
 	}
 	if maxLoadAge == 0 || t.spec.Kind == table.TargetService {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -66,6 +66,12 @@
 	PathFound      Number = 308
 	TargetsBrittle Number = 309
 
+	EvacuationsApplied Number = 311
+	DomainEvacuated    Number = 312
+	DomainEmptied      Number = 313
+	DomainReadmitted   Number = 314
+	SendWithheld       Number = 315
+
 	TableApplied   Number = 401
 	TableRefused   Number = 402
 	TableStale     Number = 403
@@ -140,6 +146,11 @@
 	{PathLost, "path lost", hclog.Warn, "This host cannot connect to a target to which another host can; it connects through that host, or another one."},
 	{PathFound, "path found", hclog.Info, "This host can connect to a target again to which it could connect only through other hosts."},
 	{TargetsBrittle, "targets brittle", hclog.Info, "What the targets of a pool say in their responses about how many refusals a second they survive has changed or ended."},
+	{EvacuationsApplied, "evacuations applied", hclog.Info, "The set of failure domains that are to be evacuated has changed on this host; from now on it sends nothing new to their targets."},
+	{DomainEvacuated, "domain evacuated", hclog.Warn, "An operator has requested the evacuation of a failure domain; its targets get nothing new, and long streams move off."},
+	{DomainEmptied, "domain emptied", hclog.Info, "No request is known to run in an evacuated failure domain any more."},
+	{DomainReadmitted, "domain readmitted", hclog.Info, "The evacuation of a failure domain was withdrawn; its targets get work again."},
+	{SendWithheld, "send withheld", hclog.Info, "What was decided earlier was not sent to a target, because its failure domain is to be evacuated by now."},
 	{TableApplied, "table applied", hclog.Info, "A table is in force on this host."},
 	{TableRefused, "table refused", hclog.Error, "A published table is invalid and was rejected as a whole; the last valid table stays in force."},
 	{TableStale, "table stale", hclog.Warn, "A published table is older than the one in force and was ignored."},
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -85,6 +85,10 @@
 	ctx = traceRelay(ctx, a.setVia)
 	stop := a.limitDuration()
 	sent := time.Now()
+	if err := a.withhold(decision.To); err != nil {
+		stop()
+		return relay.Result{Ending: relay.EndFailed, Certainty: target.CertaintyNotRun, Unsent: true, Cause: err}
+	}
 	resp, err := a.gateway.transport.RoundTrip(a.newRequest(ctx, decision, nil))
 	stop()
 	if err != nil {
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -167,6 +167,10 @@
 			break
 		}
 	}
+	if err := a.withhold(m.to); err != nil {
+		a.abandonMove(m, CopyResult{}, err) // a stopped generation could go on nowhere if its own domain is evacuated, too
+		return
+	}
 	last, err := a.copyCache(ctx, m, true)
 	if err != nil {
 		a.logMove(event.MoveFailed, m, "final copy: "+err.Error())
@@ -313,6 +317,9 @@
 	}
 	point := ResumePoint{Engine: m.from.Address, Handle: handle}
 	resp, err := a.openResumed(ctx, m, to, point, a.streamTimeout())
+	if err != nil && !heldAtSource && !a.gateway.host.MaySend(m.from) {
+		resp, err = a.resumeAgain(ctx, m, point, err)
+	}
 	if !heldAtSource && (target.Unsent(err) || errors.Is(err, errResumeRejected)) {
 		// The destination has not resumed the generation, and the source engine still holds the
 		// KV cache.
@@ -336,6 +343,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	timer := time.AfterFunc(timeout, func() { cancel(errResumeFailed) })
 	point.After = int(a.lastEvent.Load())
+	if err := a.withhold(engine); err != nil {
+		return nil, eris.Wrap(errResumeRejected, err.Error())
+	}
 	decision := dispatch.Effect{Target: engine.Name, To: engine, Priority: m.effect.Priority, Backup: m.effect.Backup}
 	sent := time.Now()
 	via := ""
--- a/host/effects.go
+++ b/host/effects.go
@@ -86,6 +86,8 @@
 		h.shareFragilities()
 	case dispatch.EffectRelease:
 		go h.releasePlace(f)
+	case dispatch.EffectEvacuated, dispatch.EffectEmptied, dispatch.EffectReadmitted:
+		h.logEvacuation(f)
 	case dispatch.EffectLeaver:
 		h.logLeaver(f)
 	case dispatch.EffectShareLeavers:
--- a/host/engines.go
+++ b/host/engines.go
@@ -89,7 +89,7 @@
 // stops draining, or has rebooted.
 func (p *loadPoller) poll(ctx context.Context) {
 	e, ok := p.host.Engine(p.name)
-	if !ok {
+	if !ok || !p.host.MaySend(p.host.Table().Targets[p.name]) {
 		return
 	}
 	began := time.Now()
--- a/host/host.go
+++ b/host/host.go
@@ -65,6 +65,7 @@
 		network         network.Network // on which targets are probed
 		detours         *detour.Network // opens connections to targets for peers; nil if this host does not
 		listed          listedAddresses
+		evacuations     evacuations
 		suspectSharing  sharing
 		limitSharing    sharing
 		leaverSharing   sharing
--- a/host/mesh.go
+++ b/host/mesh.go
@@ -79,6 +79,7 @@
 	if h.sharesUpdates() {
 		c := h.syncer.Confirmation()
 		hb.Era, hb.Revision, hb.Content, hb.Exact, hb.Confirmed = c.Era, c.Revision, c.ContentRevision, c.Exact, uint32(c.Age.Milliseconds())
+		hb.Evacuations, hb.Evacuated = true, h.evacuations.list()
 	}
 }
 
--- a/host/quarantine.go
+++ b/host/quarantine.go
@@ -48,6 +48,10 @@
 // probe finds out whether the process of a target has ended, and passes the result to the reducer. Nobody
 // listens at the address of a process that has ended; one that is silent or resets connections still lives.
 func (h *Host) probe(t table.Target) {
+	if !h.MaySend(t) {
+		h.Post(dispatch.Probed{Target: t.Name})
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	err := h.connect(ctx, t)
--- a/host/registry.go
+++ b/host/registry.go
@@ -78,6 +78,7 @@
 // HandleHeartbeat passes the registry.Confirmation in a peer's heartbeat to the Syncer. If the peer
 // has content that this host lacks, the host fetches the full published state from it.
 func (h peerHandler) HandleHeartbeat(p peer.Peer, hb *wire.Heartbeat) {
+	h.evacuations.recordHeartbeat(hb, time.Now())
 	if !h.sharesUpdates() || hb.Revision == 0 {
 		return
 	}
@@ -85,7 +86,7 @@
 		Era:             hb.Era,
 		Revision:        hb.Revision,
 		ContentRevision: hb.Content,
-		Exact:           hb.Exact,
+		Exact:           hb.Exact && hb.Evacuations, // an earlier build confirms revisions at which domains were evacuated
 		Age:             time.Duration(hb.Confirmed) * time.Millisecond,
 	})
 	if !upToDate {
@@ -136,6 +137,9 @@
 		Age:      uint32(age.Milliseconds()),
 		Removed:  r.Removed,
 		Content:  r.ContentRevision,
+
+		Evacuations: !r.OmitsEvacuations,
+		Evacuated:   r.Evacuated,
 	}
 	if r.Config != nil {
 		n.Published, n.Sheet = r.Config.Revision, compress(r.Config.Data)
@@ -149,7 +153,10 @@
 // updateFromWire returns the update in a message and its age. Parts that cannot be parsed are left out
 // and noted in ParseErrors.
 func updateFromWire(n *wire.News) (registry.Update, time.Duration) {
-	r := registry.Update{Era: n.Era, Base: n.Base, Full: n.Whole, Revision: n.Revision, Removed: n.Removed, ContentRevision: n.Content}
+	r := registry.Update{
+		Era: n.Era, Base: n.Base, Full: n.Whole, Revision: n.Revision, Removed: n.Removed, ContentRevision: n.Content,
+		Evacuated: n.Evacuated, OmitsEvacuations: !n.Evacuations,
+	}
 	if n.Published > 0 {
 		if data, err := decompress(n.Sheet); err == nil {
 			r.Config = &registry.Config{Revision: n.Published, Data: data}
--- a/host/relay.go
+++ b/host/relay.go
@@ -13,12 +13,19 @@
 	"github.com/wigeonlink/wigeonlink/table"
 )
 
-// listedAddresses holds the addresses of targets with the time at which they were last listed. The zero value is
-// ready for use.
-type listedAddresses struct {
-	mu   sync.Mutex
-	seen map[netip.AddrPort]time.Time
-}
+type (
+	// listedAddresses holds the addresses of targets, as they were last listed. The zero value is ready for use.
+	listedAddresses struct {
+		mu   sync.Mutex
+		seen map[netip.AddrPort]listing
+	}
+
+	// listing is the latest entry of a target in the list, and the time at which it was listed.
+	listing struct {
+		at     time.Time
+		target table.Target
+	}
+)
 
 // unlistedTime is the time for which connections to a target are relayed that is no longer listed: streams may
 // still run there.
@@ -26,6 +33,7 @@
 
 var (
 	errNotTarget   = eris.New("the address is not that of a target")
+	errEvacuated   = eris.New("the failure domain of the target is to be evacuated")
 	errNotRelaying = eris.New("the host does not relay connections")
 )
 
@@ -34,24 +42,30 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.seen == nil {
-		l.seen = map[netip.AddrPort]time.Time{}
+		l.seen = map[netip.AddrPort]listing{}
 	}
-	for address, at := range l.seen {
-		if now.Sub(at) > unlistedTime {
+	for address, s := range l.seen {
+		if now.Sub(s.at) > unlistedTime {
 			delete(l.seen, address)
 		}
 	}
 	for _, t := range targets {
-		l.seen[t.Address] = now
+		l.seen[t.Address] = listing{now, t}
 	}
 }
 
 // contains reports whether a target with the address is listed, or was until recently.
 func (l *listedAddresses) contains(address netip.AddrPort) bool {
+	_, ok := l.at(address)
+	return ok
+}
+
+// at returns the target with the address, if it is listed or was until recently.
+func (l *listedAddresses) at(address netip.AddrPort) (t table.Target, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	_, ok := l.seen[address]
-	return ok
+	s, ok := l.seen[address]
+	return s.target, ok
 }
 
 // Connect opens a connection to a target for a peer that cannot. A stopping host waits for the end of such
@@ -67,11 +81,25 @@
 }
 
 func (h *Host) connectForPeer(ctx context.Context, to netip.AddrPort, further bool) (net.Conn, error) {
+	t, listed := h.listed.at(to)
 	switch {
 	case h.detours == nil || !h.mayRelay(time.Now(), detour.Needed(ctx)):
 		return nil, errNotRelaying
-	case !h.listed.contains(to):
+	case !listed:
 		return nil, errNotTarget
+	case !h.MaySend(t) && !h.copiesOnly(ctx, t):
+		return nil, errEvacuated
 	}
 	return h.detours.DialForPeer(ctx, to, further)
 }
+
+// copiesOnly reports whether a connection to a target is one for copies of running streams, not for requests: the use of a
+// connection to an engine for a request has a usual time, see gateway.
+func (h *Host) copiesOnly(ctx context.Context, t table.Target) bool {
+	tab := h.Table()
+	if tab == nil {
+		return false
+	}
+	_, engine := tab.Models[t.Service]
+	return engine && detour.Needed(ctx) == 0
+}
--- a/host/status.go
+++ b/host/status.go
@@ -24,6 +24,9 @@
 
 // queryLeaving asks a target whether it is about to stop and passes a positive reply to the reducer.
 func (h *Host) queryLeaving(t table.Target) {
+	if !h.MaySend(t) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
 	defer cancel()
 	leaving, left, err := h.statusQuerier.Leaving(ctx, t.Address)
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -173,7 +173,10 @@
 		}
 		return nil
 	}, promised, got, held, inflight, peak, open, version, retried, resumed, reads, age, stopInFlight, stopDispatched)
-	return eris.Wrap(err, "gauges")
+	if err != nil {
+		return eris.Wrap(err, "gauges")
+	}
+	return observeDomains(scope, h)
 }
 
 func boolValue(b bool) float64 {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -31,6 +31,7 @@
 		Lengths  length.Calibration   `json:"lengths"`
 		Shares   []dispatch.ShareRow  `json:"shares"`
 		Targets  []dispatch.TargetRow `json:"targets"`
+		Domains  []dispatch.DomainRow `json:"domains"`
 		Problems []string             `json:"problems,omitempty"` // violated invariants of the reducer
 	}
 
@@ -78,6 +79,7 @@
 // status returns the current status of the host, including violated invariants.
 func (c *handler) status() Status {
 	s := Status{Host: c.host.Name(), Time: time.Now().UTC(), Ready: c.host.Ready(), Active: c.host.InFlightCount()}
+	s.Domains = c.host.Domains()
 	c.host.Inspect(func(r *dispatch.Reducer) {
 		s.Counts, s.Lengths = r.Counts(), r.LengthCalibration()
 		s.Shares, s.Targets = r.Shares(), r.Targets()
--- a/operator/page.go
+++ b/operator/page.go
@@ -35,6 +35,11 @@
 {{range .Targets}}<tr><td>{{.Target}}</td><td>{{.Pool}}</td><td>{{.Domain}}</td><td><div class="bar"><i style="width:{{printf "%.1f" (part .CurrentMemory .Memory)}}%"></i><b style="left:{{printf "%.1f" (part .Peak .Memory)}}%"></b></div></td>
 <td class="n">{{printf "%.0f" .Streams}}</td><td class="n">{{.Interval}}</td><td>{{if .AcceptsWork}}yes{{else}}<span class="bad">no</span>{{end}}</td></tr>
 {{end}}</table>
+<h2>Failure domains</h2>
+<table><tr><th>domain</th><th>evacuation</th><th class="n">in force at hosts</th><th class="n">targets</th><th class="n">running</th><th>empty</th></tr>
+{{range .Domains}}<tr><td>{{.Domain}}</td><td>{{if .Evacuated}}<span class="bad">requested</span> for {{.For}}{{else}}none{{end}}</td>
+<td class="n">{{if .Evacuated}}{{.InForce}} of {{.Hosts}}{{end}}</td><td class="n">{{.Targets}}</td><td class="n">{{printf "%.0f" .Streams}}</td><td>{{if .Empty}}for {{.EmptyFor}}{{end}}</td></tr>
+{{end}}</table>
 </body></html>
 `
 
--- a/registry/agreement_test.go
+++ b/registry/agreement_test.go
@@ -22,6 +22,8 @@
 		history   []modelChange
 		compacted uint64                             // changes up to this revision are not available
 		states    map[[2]uint64]map[string]time.Time // start times of the targets by name, for each era and revision
+		evacuated map[string]bool
+		sets      map[[2]uint64][]string // evacuated domains, for each era and revision
 		views     []*View
 		available bool
 	}
@@ -31,13 +33,14 @@
 		revision uint64
 		target   table.Target
 		removed  bool
+		domain   string // of an evacuation that is requested or, if removed, withdrawn; empty for a target
 	}
 )
 
 func newDeploymentModel(hosts int) *deploymentModel {
 	m := &deploymentModel{
 		now: start, revision: 10, items: map[string]table.Target{}, available: true,
-		states: map[[2]uint64]map[string]time.Time{},
+		states: map[[2]uint64]map[string]time.Time{}, evacuated: map[string]bool{}, sets: map[[2]uint64][]string{},
 	}
 	for range hosts {
 		m.views = append(m.views, &View{})
@@ -53,6 +56,19 @@
 		content[name] = t.StartTime
 	}
 	m.states[[2]uint64{m.era, m.revision}] = content
+	m.sets[[2]uint64{m.era, m.revision}] = slices.Sorted(maps.Keys(m.evacuated))
+}
+
+// evacuate requests the evacuation of a domain, or withdraws it.
+func (m *deploymentModel) evacuate(domain string, withdrawn bool) {
+	m.revision++
+	if withdrawn {
+		delete(m.evacuated, domain)
+	} else {
+		m.evacuated[domain] = true
+	}
+	m.history = append(m.history, modelChange{revision: m.revision, removed: withdrawn, domain: domain})
+	m.recordState()
 }
 
 // write puts a target, or removes it.
@@ -64,7 +80,25 @@
 	} else {
 		m.items[name] = at
 	}
-	m.history = append(m.history, modelChange{m.revision, at, removed})
+	m.history = append(m.history, modelChange{revision: m.revision, target: at, removed: removed})
+	m.recordState()
+}
+
+// wait advances the time and lets retained targets expire.
+func (m *deploymentModel) wait(d time.Duration) {
+	m.now = m.now.Add(d)
+	for _, v := range m.views {
+		v.Expire(m.now)
+	}
+}
+
+// restore begins a new era, in which some revisions, a target and an evacuation are lost.
+func (m *deploymentModel) restore(lost uint64, name, domain string) {
+	m.era++
+	m.revision -= min(lost, m.revision-10)
+	m.compacted, m.history = m.revision, nil
+	delete(m.items, name)
+	delete(m.evacuated, domain)
 	m.recordState()
 }
 
@@ -75,12 +109,19 @@
 		for _, name := range slices.Sorted(maps.Keys(m.items)) {
 			r.Put(m.items[name])
 		}
+		for domain := range m.evacuated {
+			r.Evacuate(domain)
+		}
 		return r
 	}
 	r := Update{Era: m.era, Base: v.Revision(), Revision: m.revision}
 	for _, e := range m.history {
 		switch {
 		case e.revision <= v.Revision():
+		case e.domain != "" && e.removed:
+			r.Withdraw(e.domain)
+		case e.domain != "":
+			r.Evacuate(e.domain)
 		case e.removed:
 			r.Remove(e.target.Name)
 		default:
@@ -99,6 +140,7 @@
 	}
 	r := m.fetch(v)
 	c := v.ApplySourceUpdate(m.now, m.now, r)
+	r = v.ForPeers(r)
 	for _, i := range reached {
 		if i == host {
 			continue
@@ -133,6 +175,9 @@
 		if !maps.Equal(want, listed) {
 			t.Fatalf("host %d at revision %d of era %d lists %v, the source had %v", i, v.Revision(), v.Era(), listed, want)
 		}
+		if set := m.sets[[2]uint64{v.Era(), v.Revision()}]; !slices.Equal(v.Evacuated(), set) {
+			t.Fatalf("host %d at revision %d of era %d evacuates %v, the source had %v", i, v.Revision(), v.Era(), v.Evacuated(), set)
+		}
 		inUse := v.Targets()
 		for name := range want {
 			if _, ok := inUse[name]; !ok {
@@ -163,6 +208,8 @@
 					m.write(name, process, false)
 				}
 			},
+			"evacuate":  func(t *rapid.T) { m.evacuate(names.Draw(t, "domain"), false) },
+			"withdraw":  func(t *rapid.T) { m.evacuate(names.Draw(t, "domain"), true) },
 			"other key": func(*rapid.T) { m.revision++; m.recordState() },
 			"read": func(t *rapid.T) {
 				m.read(anyHost.Draw(t, "reader"), rapid.SliceOfDistinct(anyHost, rapid.ID[int]).Draw(t, "reached"))
@@ -172,17 +219,10 @@
 			"compact":   func(*rapid.T) { m.compacted, m.history = m.revision, nil },
 			"outage":    func(t *rapid.T) { m.available = rapid.Bool().Draw(t, "available") },
 			"wait": func(t *rapid.T) {
-				m.now = m.now.Add(time.Duration(rapid.IntRange(100, 2500).Draw(t, "ms")) * time.Millisecond)
-				for _, v := range m.views {
-					v.Expire(m.now)
-				}
+				m.wait(time.Duration(rapid.IntRange(100, 2500).Draw(t, "ms")) * time.Millisecond)
 			},
 			"restore": func(t *rapid.T) {
-				m.era++
-				m.revision -= min(uint64(rapid.IntRange(0, 4).Draw(t, "lost")), m.revision-10)
-				m.compacted, m.history = m.revision, nil
-				delete(m.items, names.Draw(t, "name"))
-				m.recordState()
+				m.restore(uint64(rapid.IntRange(0, 4).Draw(t, "lost")), names.Draw(t, "name"), names.Draw(t, "domain"))
 			},
 			"": m.check,
 		})
--- a/registry/source.go
+++ b/registry/source.go
@@ -48,6 +48,14 @@
 		// ContentRevision is the revision since which the content of a full snapshot from a peer has been the
 		// same; 0 if the peer does not state it. See Confirmation.
 		ContentRevision uint64
+
+		// Evacuated holds the failure domains that are to be evacuated: all of them in a full snapshot and in an
+		// update from a peer, those requested since Base in a delta from the source.
+		Evacuated []string
+		Withdrawn []string // delta from the source: domains whose evacuation was withdrawn since Base
+
+		// OmitsEvacuations is set in an update from a peer of an earlier build, which does not read Evacuated.
+		OmitsEvacuations bool
 	}
 
 	// A Config is the configuration in the encoding in which the source publishes it.
@@ -87,6 +95,23 @@
 	return r.Targets[i], true
 }
 
+// Evacuate adds a failure domain to Evacuated. It replaces an earlier Withdraw of the same domain.
+func (r *Update) Evacuate(domain string) {
+	r.Withdrawn = without(r.Withdrawn, domain)
+	r.Evacuated = append(without(r.Evacuated, domain), domain)
+}
+
+// Withdraw adds a failure domain to Withdrawn. It replaces an earlier Evacuate of the same domain.
+func (r *Update) Withdraw(domain string) {
+	r.Evacuated = without(r.Evacuated, domain)
+	r.Withdrawn = append(without(r.Withdrawn, domain), domain)
+}
+
+// without returns the names except one.
+func without(names []string, name string) []string {
+	return slices.DeleteFunc(names, func(n string) bool { return n == name })
+}
+
 // drop undoes an earlier Put or Remove of a name, and records that the content was another in between.
 func (r *Update) drop(name string) {
 	before := len(r.Targets) + len(r.Removed)
--- a/registry/syncer.go
+++ b/registry/syncer.go
@@ -35,6 +35,10 @@
 		// ApplyTable puts a configuration into effect.
 		ApplyTable(t *table.Table)
 
+		// ApplyEvacuations puts the set of failure domains into effect that are to be evacuated. It is called
+		// before ApplyTargets for an update that changes both. from names the origin of the update.
+		ApplyEvacuations(domains []string, from string)
+
 		// ApplyTargets puts a list of targets into effect.
 		ApplyTargets(revision uint64, targets map[string]table.Target)
 
@@ -229,7 +233,7 @@
 	// state from this host. They get it also if it changes nothing here: their content may
 	// be that of a revision in between.
 	if c.Content {
-		s.handler.Broadcast(r, now.Sub(began))
+		s.handler.Broadcast(s.view.ForPeers(r), now.Sub(began))
 	} else {
 		s.handler.BroadcastConfirmation()
 	}
@@ -275,6 +279,9 @@
 	if len(c.Retained) > 0 {
 		s.log.Emit(event.FleetKept, event.Fields{Values: []any{"targets", len(c.Retained), "revision", s.view.Revision(), "from", from}})
 	}
+	if c.Evacuations {
+		s.handler.ApplyEvacuations(s.view.Evacuated(), from)
+	}
 	if c.Config {
 		s.applyConfig(from, age)
 	}
--- a/registry/view.go
+++ b/registry/view.go
@@ -33,6 +33,7 @@
 		behind           bool                    // a peer that cannot be relied on has content that this host may lack
 		unproven         bool                    // the state is from such a peer
 		departed         map[string]departure    // targets of the current era that were leaving or removed, by name
+		evacuated        map[string]bool         // failure domains that are to be evacuated at the revision
 	}
 
 	// A retention keeps a target in use that the source no longer lists.
@@ -50,11 +51,13 @@
 	// A Change describes what an update, or the expiry of retained targets, changed in a
 	// View.
 	Change struct {
-		Config   bool     // the configuration changed
-		Content  bool     // the published content changed, if only for a time; peers must get the update
-		Targets  bool     // targets in use were added, changed or deleted
-		Retained []string // names of targets that the source no longer lists and that remain in use for a grace period
-		Stale    bool     // the update was ignored: it is older than the view, or came from a peer shortly after a pause
+		Config  bool // the configuration changed
+		Content bool // the published content changed, if only for a time; peers must get the update
+		Targets bool // targets in use were added, changed or deleted
+
+		Evacuations bool     // the set of failure domains that are to be evacuated changed
+		Retained    []string // names of targets that the source no longer lists and that remain in use for a grace period
+		Stale       bool     // the update was ignored: it is older than the view, or came from a peer shortly after a pause
 	}
 
 	// A Confirmation states that a source had a revision at a time, and that its content has been
@@ -253,10 +256,16 @@
 	if !r.Full && r.Era == v.era && r.Base > v.revision {
 		return Change{}, r.Revision <= v.revision
 	}
-	if r.Full && r.ContentRevision == 0 {
+	if r.OmitsEvacuations && !r.Full {
+		// At its revision, domains may be evacuated that the view would never read about.
+		v.behind = v.behind || r.Revision > v.revision
+		return Change{Stale: true}, true
+	}
+	if r.Full && (r.ContentRevision == 0 || r.OmitsEvacuations) {
 		return v.applyUnproven(now, r), true
 	}
 	if !r.Full {
+		v.withdrawUnlisted(&r)
 		// Peers send a delta if the content has changed, if only between its revisions.
 		r.ContentRevision = r.Revision
 	}
@@ -301,7 +310,7 @@
 
 // Snapshot returns the full state as an update for a peer, without retained targets.
 func (v *View) Snapshot() Update {
-	r := Update{Full: true, Era: v.era, Revision: v.revision}
+	r := Update{Full: true, Era: v.era, Revision: v.revision, Evacuated: v.Evacuated()}
 	if !v.unproven {
 		r.ContentRevision = v.contentRevision
 	}
@@ -343,7 +352,9 @@
 	removed := r.Removed
 	if r.Full {
 		removed = v.unlisted(r.Targets)
+		v.withdrawUnlisted(&r)
 	}
+	c.Evacuations = v.applyEvacuations(&r)
 	for _, t := range r.Targets {
 		c.Targets = v.upsert(now, t) || c.Targets
 	}
@@ -351,7 +362,8 @@
 		c.Targets = v.remove(now, name, &c) || c.Targets
 	}
 	v.expireDepartures(now)
-	c.Content = c.Config || c.Targets || len(c.Retained) > 0 || r.Skips || r.Full && r.Revision > v.revision
+	// Evacuations that were requested and withdrawn between the revisions of a delta are content, too.
+	c.Content = c.Config || c.Targets || c.Evacuations || !r.Full && len(r.Evacuated)+len(r.Withdrawn) > 0 || len(c.Retained) > 0 || r.Skips || r.Full && r.Revision > v.revision
 	if c.Content {
 		v.contentRevision = max(v.contentRevision, cmp.Or(r.ContentRevision, r.Revision))
 	}
