--- a/host/effects.go
+++ b/host/effects.go
@@ -91,6 +91,8 @@
 			"pool", f.Name, "uneven", f.Spread.Uneven, "known", f.Spread.Known,
 			"fastest_us", f.Spread.Fastest.Microseconds(), "median_us", f.Spread.Median.Microseconds(), "slowest_us", f.Spread.Slowest.Microseconds(),
 		}})
+	case dispatch.EffectEvacuated, dispatch.EffectEmptied, dispatch.EffectReadmitted:
+		h.logEvacuation(f)
 	case dispatch.EffectLeaver:
 		h.logLeaver(f)
 	case dispatch.EffectShareLeavers:
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -177,7 +177,10 @@
 		s.observeSpeeds(o, idle, uneven)
 		return nil
 	}, promised, got, held, inflight, peak, open, idle, uneven, version, retried, resumed, reads, age, stopInFlight, stopDispatched)
-	return eris.Wrap(err, "gauges")
+	if err != nil {
+		return eris.Wrap(err, "gauges")
+	}
+	return observeDomains(scope, h)
 }
 
 // observeSpeeds records the idle interval of each target and which pools are uneven.
