Move streams to engines that compute another prompt, too

The limit on waiting prompt tokens also applied to moved streams, which bring the memory of their prompt with them. Under load, most engines compute a prompt, so that streams found no destination and broke off with their target.

--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -222,7 +222,7 @@
 // limit on the time between tokens. risk is the tolerable probability that the memory is exceeded.
 func (r *Reducer) hasCapacity(q *request, t *targetState, total, demand *forecast.Demand, c *Candidate, risk, shareExcess float64) bool {
 	memory := float64(t.spec.Memory) * (1 - shareExcess*r.options.overShareReserve)
-	if r.exceedsPrefillBurst(t, demand, c.TailWeight) {
+	if q.target == nil && r.exceedsPrefillBurst(t, demand, c.TailWeight) { // a moved stream brings no prompt to be computed
 		return false
 	}
 	if t.spec.Slots > 0 && total.Streams+1 > float64(t.spec.Slots) {
--- a/dispatch/evacuate_test.go
+++ b/dispatch/evacuate_test.go
@@ -335,3 +335,17 @@
 	f.Assert(before.leaving, qt.IsFalse)
 	f.Assert(before.running, qt.Equals, 1)
 }
+
+// A moved stream brings the memory of its prompt with it. If it is kept from an engine that still computes the prompt of another
+// request, it finds no destination under load, where most engines do, and is lost with its target.
+func TestMoveWaitsForPromptAtDestination(t *testing.T) {
+	f := newFleetTest(t, 3, WithPrefillBurst(512))
+	running := f.startStream(1, 8)
+	f.fleet["engine-1"] = table.Target{Name: "engine-1", Kind: table.TargetService, Service: "model", Domain: "south", Slots: 24, Leaving: true}
+	f.announceFleet(0)
+	f.reduce(time.Millisecond, Submit{ID: 2, Organisation: "one", Pool: "model", NonIdempotent: true, Route: "reports", PromptTokens: 3000, MaxOutputTokens: 2200, MaxAttempts: 1})
+	other := f.requireEffect(EffectDispatch).Target
+	f.Assert(other, qt.Not(qt.Equals), running)
+	f.announceLeaving(running)
+	f.Assert(f.requireEffect(EffectMove).To.Name, qt.Equals, other)
+}
