--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -29,6 +29,7 @@
 		backupFraction   float64
 		retryRatio       float64
 		retrySlack       float64
+		urgentPriority   bool
 	}
 
 	withDomain           string
@@ -47,6 +48,7 @@
 	withOrigin           string
 	withBackupFraction   float64
 	withRetryBudget      struct{ ratio, slack float64 }
+	withUrgentPriority   bool
 	withStepTime         struct{ stepBase, stepPerSequence, prefillPerToken time.Duration }
 )
 
@@ -127,6 +129,11 @@
 // stalls are applied. Without it, all organisations weigh both equally.
 func WithLatencyWeights(on bool) Option { return withLatencyWeights(on) }
 
+// WithUrgentPriority sets whether engines schedule the urgent requests of mixed pools before others. It is off by default:
+// while memory is overcommitted, engines then preempt long streams for short ones and compute their prompts again.
+func WithUrgentPriority(on bool) Option          { return withUrgentPriority(on) }
+func (o withUrgentPriority) apply(opts *options) { opts.urgentPriority = bool(o) }
+
 // WithStepTime sets the prior for the time of one engine step: the base, the time that each running
 // sequence adds and the time that each prompt token adds.
 func WithStepTime(base, per, prefill time.Duration) Option { return withStepTime{base, per, prefill} }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -228,8 +228,12 @@
 }
 
 // priority returns the engine priority of a request; lower values run first and are preempted last.
-// The value is the lower, the more the request's organisation weighs stalls against tail latency.
+// The value is the lower, the more the request's organisation weighs stalls against tail latency, and lowest for an
+// urgent request with WithUrgentPriority.
 func (r *Reducer) priority(q *request) int {
+	if r.options.urgentPriority && r.isUrgent(q) {
+		return urgentPriority
+	}
 	org := q.organisation
 	if !r.options.latencyWeights || org.spec.TailWeight+org.spec.StallWeight == 0 {
 		return priorityScale / 2
@@ -237,8 +241,10 @@
 	return int(priorityScale * org.spec.TailWeight / (org.spec.TailWeight + org.spec.StallWeight))
 }
 
-// priorityScale is the largest number that priority returns, which is the least urgent priority.
-const priorityScale = 10
+const (
+	priorityScale  = 10 // largest number that priority returns, which is the least urgent priority
+	urgentPriority = 1  // of urgent requests in mixed pools, with WithUrgentPriority
+)
 
 // reduce puts the table in force, unless one of the same or a newer version is in force: it updates
 // organisations, pools and targets, refuses held requests that the new table does not allow and
