Promise refused callers a time, and put them before new requests on return

In a mixed pool the Retry-After of a refusal is the forecast time until memory is free, after what is held and promised, at most a quarter of the time that the caller has left. A caller that returns (same organisation, route and subject, at any host of the domain) ranks as if it had arrived when it was refused. A request that can neither be on time nor end before its deadline is refused on arrival. No request is started that is preempted with a probability above 0.9. Log event 231, metric wigeonlink_readmission.

--- a/dispatch/coordinator.go
+++ b/dispatch/coordinator.go
@@ -86,10 +86,18 @@
 	s := Submit{
 		Name: e.Name, Organisation: e.Organisation, Pool: e.Pool, NonIdempotent: true, Route: e.Route, PromptTokens: e.PromptTokens,
 		PrefixHash: e.PrefixHash, PrefixTokens: e.PrefixTokens, MaxOutputTokens: e.MaxOutputTokens, KnownOutputTokens: e.KnownOutputTokens,
-		FirstTokenObjective: e.FirstTokenObjective, DispatchDeadline: r.epoch.Add(r.now + e.Remaining),
+		FirstTokenObjective: e.FirstTokenObjective, DispatchDeadline: r.epoch.Add(r.now + e.Remaining), Subject: e.Subject,
+	}
+	if p := r.pools[e.Pool]; e.Deadline > 0 && p != nil && p.isMixed() {
+		s.CallerDeadline = r.epoch.Add(r.now + e.Deadline)
 	}
 	if kind := r.remoteAdmissionFailure(s); kind != answer.KindNone {
-		r.emit(Effect{Kind: EffectPlaced, Remote: key.origin, ID: key.id, Name: e.Name, Answer: kind, RetryAfter: kind.Properties().RetryDelay})
+		retry, basis := kind.Properties().RetryDelay, Basis{}
+		if kind == answer.KindQueueFull && r.pools[e.Pool].isMixed() {
+			s.ID = r.nextRemoteID()
+			retry, basis.Readmission = r.retryAfterFull(s)
+		}
+		r.emit(Effect{Kind: EffectPlaced, Remote: key.origin, ID: key.id, Name: e.Name, Answer: kind, RetryAfter: retry, Basis: basis})
 		return
 	}
 	s.ID = r.nextRemoteID()
@@ -103,8 +111,9 @@
 	q.arrived -= e.Waited
 	q.attempts = e.Attempt - 1
 	r.hostOf(e.Origin).requests[e.ID] = q
-	r.enqueue(q)
-	r.dispatchHeld(q.pool)
+	p := q.pool
+	r.admit(q)
+	r.dispatchHeld(p)
 }
 
 // remoteAdmissionFailure returns the reason why another host's request cannot be placed, or
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -49,6 +49,7 @@
 		Attempt             int           // number of the dispatch of the request, or of the move off its current target; from 1
 		OtherDomain         bool          // whether the chosen target is in another failure domain
 		WaitCause           WaitCause     // why the request was not dispatched when it was last considered
+		Readmission         Readmission   // of a request in a mixed pool
 		Excluded            int           // targets that must not be chosen for the request
 	}
 
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -34,6 +34,7 @@
 		Parts               []quarantine.Part // what may crash a target: the parts of the prompt that other requests may have, too, and the request itself
 		PrefixHash          uint64            // hash of the prompt prefix that requests may share in an engine's cache; 0 means no prefix
 		PrefixTokens        int               // length of that prefix, in tokens
+		Subject             uint64            // hash of the last part of the prompt; 0 means not known
 		MaxOutputTokens     int               // largest output, in tokens; 0 means no limit
 		KnownOutputTokens   int               // output length, in tokens, if known in advance; 0 means unknown
 		MaxAttempts         int               // maximum number of attempts that may reach a target; 0 means defaultMaxTargets
--- a/dispatch/mixed.go
+++ b/dispatch/mixed.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/wigeonlink/wigeonlink/precedence"
+	"github.com/wigeonlink/wigeonlink/readmission"
 	"github.com/wigeonlink/wigeonlink/route"
 )
 
@@ -14,7 +15,9 @@
 	demand     precedence.Demand // of urgent requests
 	places     int               // urgent requests for which engines of this domain have memory; valid within dispatchClass
 	reserved   int               // number of these that other requests must leave; valid within dispatchClass
-	sinceLate  int               // dispatches of the class precedence.OnTime since the latest one of precedence.Late
+	residence  precedence.Demand // of the requests that are not urgent; only its Residence is used
+	promises   readmission.Promises
+	sinceLate  int // dispatches of the class precedence.OnTime since the latest one of precedence.Late
 }
 
 // blockingAge is the fraction of the time in which a request can be on time after which it is not bypassed any more.
@@ -182,6 +185,7 @@
 
 // releaseUrgent subtracts what holdUrgent has added.
 func (r *Reducer) releaseUrgent(q *request) {
+	q.pool.mixed.recordResidence(q, r.now)
 	if q.urgentHeld > 0 {
 		q.pool.mixed.demand.Leave(r.now - q.dispatchedAt)
 	}
--- a/dispatch/mixed_test.go
+++ b/dispatch/mixed_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/wigeonlink/wigeonlink/answer"
 	"github.com/wigeonlink/wigeonlink/route"
 )
 
@@ -95,3 +96,68 @@
 		r.Check(ok, qt.IsTrue)
 	}
 }
+
+// fullPool returns a reducer whose pool is full of long requests, the rate at which memory becomes free is known, and
+// further ones are held. The next request has the returned ID.
+func fullPool(t *testing.T, held int) (*reducerTest, ID) {
+	r := newMixedTest(t, 1, 2)
+	r.reduce(0, longRequest(1, "organisation-0"))
+	r.reduce(time.Second, Progress{Samples: []Sample{{ID: 1, Tokens: 748, LastToken: r.now}}})
+	r.reduce(7*time.Second, Ended{ID: 1})
+	id := ID(2)
+	for n := 0; n < held; id++ {
+		s := longRequest(id, "organisation-0")
+		s.DispatchDeadline, s.CallerDeadline = r.now.Add(8*time.Second), r.now.Add(24*time.Second)
+		r.reduce(0, s)
+		if _, ok := r.firstEffect(EffectDispatch); !ok {
+			n++
+		}
+		r.requireNoEffect(EffectRefuse)
+	}
+	return r, id
+}
+
+// A request that can neither be on time nor end before its deadline is refused on arrival, as not run: it would be refused
+// seconds later, when its caller has no time left to come back.
+func TestHopelessRequestIsRefusedOnArrival(t *testing.T) {
+	r, id := fullPool(t, 14)
+	s := longRequest(id, "organisation-0")
+	s.Subject, s.DispatchDeadline, s.CallerDeadline = 9, r.now.Add(4*time.Second), r.now.Add(9*time.Second)
+	r.reduce(0, s)
+	f := r.requireEffect(EffectRefuse)
+	r.Check(f.Answer, qt.Equals, answer.KindDeadline)
+	r.Check(f.Answer.Properties().Outcome, qt.Equals, answer.OutcomeNotRun)
+	r.Check(f.RetryAfter > 0 && f.RetryAfter <= 3*time.Second, qt.IsTrue, qt.Commentf("%v", f.RetryAfter))
+	r.Check(f.Basis.Readmission.Promised && f.Basis.Readmission.Hopeless, qt.IsTrue)
+
+	urgent := urgentRequest(id+1, "organisation-0")
+	urgent.DispatchDeadline = r.now.Add(2 * time.Second)
+	r.reduce(0, urgent)
+	r.requireNoEffect(EffectRefuse)
+}
+
+// A caller that comes back at any host of the domain goes before requests that arrived after its refusal, once.
+func TestReturningCallerGoesBeforeNewRequests(t *testing.T) {
+	r, _ := fullPool(t, 1)
+	r.reduce(0, LiveHosts{Hosts: 4, Coordinates: true})
+	place := func(origin string, subject uint64, remaining time.Duration) {
+		a := ask(origin, 1)
+		a.Route, a.PromptTokens, a.KnownOutputTokens, a.FirstTokenObjective = "long", 3000, 748, longObjective
+		a.Subject, a.Remaining, a.Deadline = subject, remaining, 24*time.Second
+		r.reduce(0, PlacementAsked{a.PlacementRequest})
+	}
+	place("a/1", 7, 100*time.Millisecond)
+	r.reduce(150*time.Millisecond, Tick{})
+	refused := r.placed("a/1", 1)
+	r.Check(refused.Basis.Readmission.Promised, qt.IsTrue)
+	r.Check(refused.RetryAfter > 0 && refused.RetryAfter <= 8*time.Second, qt.IsTrue)
+	r.now = r.now.Add(10 * time.Millisecond)
+	place("b/1", 8, 8*time.Second)
+	r.now = r.now.Add(100 * time.Millisecond)
+	place("c/1", 7, 8*time.Second)
+	place("d/1", 7, 8*time.Second)
+	rank := func(origin string) time.Duration { return r.reducer.remoteRequest(remoteID{origin, 1}).rank }
+	r.Check(rank("c/1") < rank("b/1"), qt.IsTrue)
+	r.Check(rank("d/1") > rank("b/1"), qt.IsTrue)
+	r.Check(r.reducer.Counts().Returned, qt.Equals, 1)
+}
--- a/dispatch/organisation.go
+++ b/dispatch/organisation.go
@@ -220,7 +220,7 @@
 		switch q := queue.held[i]; {
 		case q.holdDeadline <= r.now:
 			r.dequeue(q)
-			r.refuse(q, answer.KindDeadline, r.queueDrainTime(q.organisation))
+			r.refuse(q, answer.KindDeadline, r.retryAfter(q))
 		case r.unavailableUntil(q.holdDeadline, q.pool):
 			r.dequeue(q)
 			r.refuse(q, answer.KindNoTarget, r.noTargetRetryAfter(q.pool))
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -53,6 +53,8 @@
 		Remaining           time.Duration // time in which the request must be dispatched
 		Waited              time.Duration // time since the request arrived
 		Attempt             int           // number of the dispatch, from 1
+		Subject             uint64        // see Submit.Subject
+		Deadline            time.Duration // time until the caller's deadline; 0 means not stated
 	}
 
 	// StreamState describes a running stream of a host to its coordinators.
@@ -120,6 +122,13 @@
 		PromptTokens: q.prompt, PrefixHash: q.prefix, PrefixTokens: q.prefixTokens, MaxOutputTokens: q.maxOutput, KnownOutputTokens: q.knownOutput,
 		FirstTokenObjective: q.firstTokenObjective, Remaining: min(q.holdDeadline, r.latestStart(q, nil)) - r.now, Waited: r.now - q.arrived, Attempt: q.attempts + 1,
 	}
+	a.Subject = q.subject
+	if q.hasDeadline {
+		a.Deadline = max(q.callerDeadline-r.now, 0)
+	}
+	if q.pool.isMixed() {
+		a.Remaining = max(a.Remaining-promiseLead, 0)
+	}
 	for _, t := range q.triedTargets {
 		a.Excluded = append(a.Excluded, t.spec.Name)
 	}
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -77,8 +77,11 @@
 //   - Cancelled: EffectCancel effects
 //   - Moved: moves that succeeded
 //   - NotMoved: moves that failed
+//   - Promised: refusals in mixed pools with a promise of when capacity is available
+//   - Returned: requests of callers that were promised capacity
+//   - Hopeless: requests in mixed pools that were refused on arrival
 type Counts struct {
-	Submitted, Dispatched, Retried, Refused, Ended, Lost, Resumed, Cancelled, Moved, NotMoved int
+	Submitted, Dispatched, Retried, Refused, Ended, Lost, Resumed, Cancelled, Moved, NotMoved, Promised, Returned, Hopeless int
 }
 
 // NewReducer returns a reducer without a table. It refuses requests until the first
@@ -159,8 +162,9 @@
 	}
 	q := r.newRequest(e)
 	q.pool.retryBudget.earn(r.options.retryRatio)
-	r.enqueue(q)
-	r.dispatchHeld(q.pool)
+	p := q.pool
+	r.admit(q)
+	r.dispatchHeld(p)
 }
 
 // admissionFailure returns the reason why a request cannot be held, or KindNone if it can.
@@ -230,11 +234,11 @@
 // refuseNew refuses a request that was never held.
 func (r *Reducer) refuseNew(e Submit, kind answer.Kind) {
 	r.counts.Refused++
-	retry := kind.Properties().RetryDelay
+	retry, readmission := kind.Properties().RetryDelay, Readmission{}
 	if org := r.organisations[e.Organisation]; org != nil {
 		org.refused++
 		if kind == answer.KindQueueFull {
-			retry = r.queueDrainTime(org)
+			retry, readmission = r.retryAfterFull(e)
 		}
 		if kind == answer.KindNoTarget {
 			retry = cmp.Or(r.noTargetRetryAfter(r.pools[e.Pool]), retry)
@@ -249,7 +253,7 @@
 			retry = r.rateRetryAfter(org, r.pools[e.Pool])
 		}
 	}
-	basis := Basis{FleetRevision: r.fleet.Revision}
+	basis := Basis{FleetRevision: r.fleet.Revision, Readmission: readmission}
 	if r.table != nil {
 		basis.TableVersion = r.table.Version
 	}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -41,6 +41,8 @@
 		lease                                        uint64            // number of the lease of the place that the request uses at a brittle target; 0 if there is none
 		awaitedPlace                                 *targetState      // target for a place at which the request waits, until notBefore; nil if none
 		waitCause                                    WaitCause         // see Basis
+		subject                                      uint64            // see Submit.Subject
+		readmission                                  Readmission
 
 		target          *targetState    // target to which the request was dispatched; nil while it is held
 		triedTargets    []*targetState  // targets of failed attempts and destinations of failed moves, which are not chosen again
@@ -107,6 +109,7 @@
 	if e.MaxAttempts > 0 {
 		q.maxTargets, q.multipleTargets = e.MaxAttempts, e.MaxAttempts > 1
 	}
+	q.subject = e.Subject
 	q.arrived = r.now
 	q.firstTokenObjective = cmp.Or(e.FirstTokenObjective, defaultFirstTokenObjective)
 	q.holdDeadline = r.now + r.options.maxHold
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -10,6 +10,9 @@
 // than risk that the streams need more than the given memory, in tokens, or the pool's reserve for urgent requests would
 // be used.
 func (r *Reducer) exceedsMemory(q *request, t *targetState, total, demand *forecast.Demand, memory, risk float64) bool {
+	if q.pool.isMixed() && q.target == nil {
+		risk = min(risk, maxStartRisk)
+	}
 	if total.Streams > 0 && r.overflowChance(q, total, demand, memory) > risk {
 		return true
 	}
--- a/dispatch/target_state.go
+++ b/dispatch/target_state.go
@@ -190,6 +190,7 @@
 		HeldFor:       r.now - q.arrived,
 		Attempt:       q.attempts,
 		WaitCause:     q.waitCause,
+		Readmission:   q.readmission,
 		Excluded:      len(q.triedTargets),
 	}
 }
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -55,6 +55,7 @@
 	RequestHeld       Number = 223
 	RequestCut        Number = 224
 	ConnectionEnded   Number = 225
+	ReturnPromised    Number = 231
 
 	TargetLost     Number = 301
 	TargetReturned Number = 302
@@ -131,6 +132,7 @@
 	{RequestHeld, "request held", hclog.Info, "A request waits at a stopping host: it was held when the stop began, or was accepted since and not dispatched at once."},
 	{RequestCut, "request cut", hclog.Warn, "The stopping host closes the connection of a request whose response is not complete."},
 	{ConnectionEnded, "connection ended", hclog.Info, "A caller's connection ended before the response on it was complete; the fields say which side ended it, and why."},
+	{ReturnPromised, "return promised", hclog.Info, "A request in a pool of mixed objectives is refused; the fields say when memory is forecast to be free and when its caller is to come back."},
 	{TargetLost, "target lost", hclog.Warn, "A target no longer responds to load queries."},
 	{TargetReturned, "target returned", hclog.Info, "A target responds to load queries again, or is no longer leaving."},
 	{TargetRebooted, "target rebooted", hclog.Warn, "A target's boot identifier has changed; its generations are lost."},
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -150,6 +150,9 @@
 		DispatchDeadline:    c.dispatchDeadline(),
 		CallerDeadline:      c.deadline,
 	}
+	if n := len(c.info.PromptParts); n > 0 {
+		s.Subject = c.info.PromptParts[n-1].ID
+	}
 	if n := len(c.info.PromptParts); n > 1 {
 		h := fnv.New64a()
 		for _, p := range c.info.PromptParts[:n-1] {
--- a/host/effects.go
+++ b/host/effects.go
@@ -37,6 +37,7 @@
 		go h.place(f.Placement)
 	case dispatch.EffectRefuse:
 		delete(h.requests, f.ID)
+		h.logReadmission(f, r.Name)
 		h.log.Emit(event.RequestRefused, event.Fields{
 			Request: r.Name, Organisation: r.Submit.Organisation, Detail: f.Answer.String(),
 			Values: append(append(h.basisValues(f.Basis), "retry_ms", f.RetryAfter.Milliseconds()), h.requestStopValues(r)...),
@@ -109,6 +110,9 @@
 	if b.Excluded > 0 {
 		out = append(out, "excluded", b.Excluded)
 	}
+	if b.Readmission.Returning {
+		out = append(out, "returning", true)
+	}
 	if b.OtherDomain {
 		out = append(out, "away", true)
 	}
@@ -118,6 +122,15 @@
 	return out
 }
 
+// logReadmission logs a refusal that states when capacity is forecast to be available.
+func (h *Host) logReadmission(f dispatch.Effect, request string) {
+	if b := f.Basis.Readmission; b.Promised {
+		h.log.Emit(event.ReturnPromised, event.Fields{Request: request, Values: []any{
+			"retry_ms", f.RetryAfter.Milliseconds(), "forecast_ms", b.Wait.Milliseconds(), "hopeless", b.Hopeless, "returning", b.Returning, "origin", f.Remote,
+		}})
+	}
+}
+
 // deliver sends a decision to the goroutine that calls WaitDecision. It does not block: the buffer has
 // space for all decisions about one request.
 func (r *Request) deliver(f dispatch.Effect) {
--- a/host/placement.go
+++ b/host/placement.go
@@ -77,6 +77,9 @@
 		}
 		q.Waited = uint32((r.Waited + time.Since(asked)).Milliseconds())
 		q.Within = uint32(max(r.Remaining-time.Since(asked), 0).Milliseconds())
+		if r.Deadline > 0 {
+			q.Deadline = uint32(max(r.Deadline-time.Since(asked), time.Millisecond).Milliseconds())
+		}
 	}
 	h.Post(dispatch.PlacementFailed{ID: r.ID})
 }
@@ -207,6 +210,7 @@
 	if f.Answer != answer.KindNone {
 		values = append(values, "refusal", f.Answer.String())
 	}
+	h.logReadmission(f, f.Name)
 	h.log.Emit(event.PlacementDecided, event.Fields{Request: f.Name, Target: f.Target, Values: append(values, h.StopValues(time.Now())...)})
 }
 
@@ -285,7 +289,7 @@
 		Prompt: uint32(r.PromptTokens), Limit: uint32(r.MaxOutputTokens), Output: uint32(r.KnownOutputTokens),
 		Prefix: r.PrefixHash, Shared: uint32(r.PrefixTokens), Except: r.Excluded,
 		Within: uint32(max(r.Remaining, 0).Milliseconds()), Waited: uint32(r.Waited.Milliseconds()), Attempt: uint32(r.Attempt),
-		Objective: uint32(r.FirstTokenObjective.Milliseconds()),
+		Objective: uint32(r.FirstTokenObjective.Milliseconds()), Subject: r.Subject, Deadline: uint32(r.Deadline.Milliseconds()),
 	}
 }
 
@@ -295,6 +299,6 @@
 		PromptTokens: int(q.Prompt), MaxOutputTokens: int(q.Limit), KnownOutputTokens: int(q.Output),
 		PrefixHash: q.Prefix, PrefixTokens: int(q.Shared), Excluded: q.Except,
 		Remaining: time.Duration(q.Within) * time.Millisecond, Waited: time.Duration(q.Waited) * time.Millisecond, Attempt: int(q.Attempt),
-		FirstTokenObjective: time.Duration(q.Objective) * time.Millisecond,
+		FirstTokenObjective: time.Duration(q.Objective) * time.Millisecond, Subject: q.Subject, Deadline: time.Duration(q.Deadline) * time.Millisecond,
 	}
 }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -137,6 +137,7 @@
 	version := gauge("wigeonlink.table.version", "Version of the table in force")
 	retried := gauge("wigeonlink.retried", "Attempts beyond the first")
 	resumed := gauge("wigeonlink.resumed", "Fresh connections asked for because of a stall")
+	readmission := gauge("wigeonlink.readmission", "Refusals of pools of mixed objectives and returns of their callers, by kind")
 	reads := gauge("wigeonlink.registry.reads", "Readings of the service that publishes, by kind")
 	age := gauge("wigeonlink.registry.age", "Seconds since the published state was last confirmed")
 	stopInFlight := gauge("wigeonlink.stop.inflight", "Requests in flight when the host began to stop")
@@ -149,6 +150,9 @@
 		o.ObserveFloat64(version, float64(s.version))
 		o.ObserveFloat64(retried, float64(s.counts.Retried))
 		o.ObserveFloat64(resumed, float64(s.counts.Resumed))
+		for kind, n := range map[string]int{"promised": s.counts.Promised, "returned": s.counts.Returned, "hopeless": s.counts.Hopeless} {
+			o.ObserveFloat64(readmission, float64(n), metric.WithAttributes(attribute.String("kind", kind)))
+		}
 		stop := h.StopCounts()
 		o.ObserveFloat64(stopInFlight, float64(stop.InFlight))
 		o.ObserveFloat64(stopDispatched, float64(stop.Dispatched))
@@ -172,7 +176,7 @@
 			o.ObserveFloat64(open, boolValue(row.AcceptsWork), by)
 		}
 		return nil
-	}, promised, got, held, inflight, peak, open, version, retried, resumed, reads, age, stopInFlight, stopDispatched)
+	}, promised, got, held, inflight, peak, open, version, retried, resumed, readmission, reads, age, stopInFlight, stopDispatched)
 	return eris.Wrap(err, "gauges")
 }
 
--- a/precedence/reserve.go
+++ b/precedence/reserve.go
@@ -49,6 +49,9 @@
 	return d.arrivals * math.Exp(-float64(max(now-d.at, 0))/float64(arrivalWindow))
 }
 
+// Residence returns the mean time for which a request holds its memory, or 0 if none has ended.
+func (d *Demand) Residence() time.Duration { return time.Duration(d.residence * float64(time.Second)) }
+
 // Size returns the mean memory of a request, in tokens, or 0 if none has arrived.
 func (d *Demand) Size() float64 { return d.size }
 
--- a/trial/engine.go
+++ b/trial/engine.go
@@ -42,7 +42,10 @@
 		started         bool              // its first token was sampled
 		deliveredTokens int               // tokens delivered to the caller by all attempts
 		deadline        time.Duration     // time at which the caller leaves; 0 means never
+		subject         uint64            // see dispatch.Submit
 		retries         int               // submissions of the same request before this one
+		resubmittedAt   time.Duration     // time of the latest submission
+		retriedOnTime   bool              // the first token came within the objective, counted from that time, after a refusal
 		onTime          bool              // the first token came within the objective
 	}
 )
