--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -53,6 +53,7 @@
 		ExpectedLate        float64       // streams that the choice is expected to make late; see Candidate
 		OtherDomain         bool          // whether the chosen target is in another failure domain
 		WaitCause           WaitCause     // why the request was not dispatched when it was last considered
+		Readmission         Readmission   // of a request in a mixed pool
 		Excluded            int           // targets that must not be chosen for the request
 	}
 
