Check the memory of urgent streams as an invariant; promise without a stated deadline

A host of an earlier build does not state the caller's deadline. Its callers got the default delay of 5 s, since the time left was taken as 0; they now get the forecast. The organisations' shares are computed once for each pass over the queues.

--- a/dispatch/invariant.go
+++ b/dispatch/invariant.go
@@ -93,9 +93,17 @@
 
 // checkPools compares the counters of each pool with those of its queues.
 func (r *Reducer) checkPools() error {
+	urgent := map[*organisationQueue]int{}
+	for _, q := range r.requests {
+		urgent[q.pool.byOrganisation[q.organisation]] += q.urgentHeld
+	}
 	for _, p := range r.poolList {
 		held, inflight := 0, 0
 		for _, queue := range p.queues {
+			if queue.urgentHeld != urgent[queue] {
+				return eris.Errorf("pool %s: counts %d tokens of urgent requests of %s; the requests hold %d",
+					p.name, queue.urgentHeld, queue.organisation.spec.Name, urgent[queue])
+			}
 			held += len(queue.held)
 			inflight += queue.inflight
 			for _, q := range queue.held {
--- a/dispatch/mixed.go
+++ b/dispatch/mixed.go
@@ -50,11 +50,10 @@
 	}
 }
 
-// class returns the class of a held request. share is the fraction of the pool's memory, in tokens, to which its
-// organisation is entitled.
-func (r *Reducer) class(q *request, queue *organisationQueue, memory, share float64) precedence.Class {
+// class returns the class of a held request. memory is that of the pool, in tokens.
+func (r *Reducer) class(q *request, queue *organisationQueue, memory float64) precedence.Class {
 	urgent := r.isUrgent(q)
-	return precedence.Classify(r.isLate(q), urgent, urgent && precedence.WithinPart(queue.urgentHeld, memory, share))
+	return precedence.Classify(r.isLate(q), urgent, urgent && precedence.WithinPart(queue.urgentHeld, memory, queue.share))
 }
 
 // dispatchMixed dispatches the held requests of a mixed pool while targets have capacity: class by class, and within a
@@ -81,7 +80,7 @@
 	r.sortQueues(p)
 	memory := p.localMemory(r)
 	for _, queue := range p.queueOrder {
-		queue.tooLarge = math.Inf(1)
+		queue.tooLarge, queue.share = math.Inf(1), r.shareOf(queue, p)
 	}
 	dispatched, bypassed := 0, 0
 	for len(p.queueOrder) > 0 && dispatched < most {
@@ -145,7 +144,7 @@
 		case q.placement == placementAsked || q.placement == placementNone && q.remote == nil && r.delegates(q.pool):
 		case q.notBefore > r.now:
 			r.wakeBy(q.notBefore)
-		case q.size() < queue.tooLarge && r.class(q, queue, memory, r.shareOf(queue, q.pool)) == class:
+		case q.size() < queue.tooLarge && r.class(q, queue, memory) == class:
 			return q
 		}
 	}
--- a/dispatch/mixed_test.go
+++ b/dispatch/mixed_test.go
@@ -160,4 +160,12 @@
 	r.Check(rank("c/1") < rank("b/1"), qt.IsTrue)
 	r.Check(rank("d/1") > rank("b/1"), qt.IsTrue)
 	r.Check(r.reducer.Counts().Returned, qt.Equals, 1)
+
+	// A host of an earlier build does not state the deadline: the delay is that of the forecast.
+	a := ask("e/1", 1)
+	a.Route, a.PromptTokens, a.KnownOutputTokens, a.FirstTokenObjective = "long", 3000, 748, longObjective
+	a.Remaining = 10 * time.Millisecond
+	r.reduce(0, a)
+	r.reduce(50*time.Millisecond, Tick{})
+	r.Check(r.placed("e/1", 1).RetryAfter >= 50*time.Millisecond, qt.IsTrue)
 }
--- a/dispatch/organisation.go
+++ b/dispatch/organisation.go
@@ -36,6 +36,7 @@
 		inflight       int           // requests of the organisation in flight at the pool's targets
 		normalisedRate float64       // normalisedRate of the organisation in the pool, when last computed
 		urgentHeld     int           // memory that the prompts of the organisation's urgent streams hold at the pool's targets, in tokens
+		share          float64       // fraction of the weights of the active organisations of the pool that is that of this one; valid within dispatchClass
 		tooLarge       float64       // size of the smallest urgent request that was bypassed for lack of capacity; valid within dispatchClass
 	}
 )
--- a/dispatch/readmission.go
+++ b/dispatch/readmission.go
@@ -127,10 +127,14 @@
 	if !ok {
 		wait = r.queueDrainTime(q.organisation)
 	}
+	left := time.Duration(math.MaxInt64) // not known of a request of a host of an earlier build
+	if q.hasDeadline {
+		left = q.callerDeadline - r.now
+	}
 	r.counts.Promised++
 	q.readmission.Promised, q.readmission.Wait = true, wait
 	return q.pool.mixed.promises.Promise(readmission.Refusal{
-		Key: q.promiseKey(), Size: q.size(), Wait: wait, Left: q.callerDeadline - r.now, Urgent: urgent,
+		Key: q.promiseKey(), Size: q.size(), Wait: wait, Left: left, Urgent: urgent,
 	}, r.now)
 }
 
