Let prompts queue at fast engines of uneven pools

A waiting prompt excluded an engine from further prompts also where reading them delays no stream, so that streams with long outputs went to slow engines.

--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -200,7 +200,7 @@
 	}
 	c.IdleInterval = t.tokenInterval.At(1)
 	c.Interval = t.tokenInterval.At(total.Streams + 1)
-	if r.options.hold && !r.hasCapacity(t, total, demand, c, r.tolerableRisk(q, tail, stall), shareExcess) {
+	if r.options.hold && !r.hasCapacity(q, t, total, demand, c, r.tolerableRisk(q, tail, stall), shareExcess) {
 		return 0, false
 	}
 	uncached := q.prompt
@@ -220,9 +220,9 @@
 // hasCapacity reports whether t can take a request with the given demand in addition to total, the
 // demand on t, without exceeding its memory, its slots, the limit on waiting prompt tokens and the
 // limit on the time between tokens. risk is the tolerable probability that the memory is exceeded.
-func (r *Reducer) hasCapacity(t *targetState, total, demand *forecast.Demand, c *Candidate, risk, shareExcess float64) bool {
+func (r *Reducer) hasCapacity(q *request, t *targetState, total, demand *forecast.Demand, c *Candidate, risk, shareExcess float64) bool {
 	memory := float64(t.spec.Memory) * (1 - shareExcess*r.options.overShareReserve)
-	if r.exceedsPrefillBurst(t, demand, c.TailWeight) {
+	if r.exceedsPrefillBurst(t, demand, c.TailWeight) && !r.readsUnnoticed(q, t) {
 		return false
 	}
 	if t.spec.Slots > 0 && total.Streams+1 > float64(t.spec.Slots) {
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -34,6 +34,12 @@
 	// paceRefresh is the time between two evaluations of whether a pool is uneven.
 	paceRefresh = 250 * time.Millisecond
 
+	// maxUnnoticedHazard is the hazard up to which prompts may queue at an engine beside its streams.
+	maxUnnoticedHazard = 0.05
+
+	// maxReadingFraction is the part of the objective for the first token that the reading of queued prompts may take.
+	maxReadingFraction = 1.0 / 3
+
 	lateStreamCost = 6.0 // cost of a stream that becomes late because of a pause, in seconds
 )
 
@@ -166,3 +172,20 @@
 	}
 	return q.pool.pace.Late(r.now, &f)
 }
+
+// readsUnnoticed reports whether t can read the prompt of q after those that wait there, in an uneven pool, without making
+// running streams late. Without it, the fast engines would often be excluded because they read a prompt,
+// and streams with long outputs sent to slow ones.
+func (r *Reducer) readsUnnoticed(q *request, t *targetState) bool {
+	p := &q.pool.pace
+	if !p.Uneven() || t.pace.idle == 0 {
+		return false
+	}
+	for _, l := range t.pace.running {
+		if p.Hazard(t.pace.idle, l.Objective) > maxUnnoticedHazard {
+			return false
+		}
+	}
+	reading := time.Duration(t.pendingPrefill+q.prompt) * r.options.prefillPerToken
+	return reading.Seconds() <= maxReadingFraction*q.firstTokenObjective.Seconds()
+}
--- a/dispatch/pace_test.go
+++ b/dispatch/pace_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/wigeonlink/wigeonlink/pace"
 )
 
 // askPaced is ask for a stream that is late if it pauses for more than 45 ms.
@@ -85,3 +87,19 @@
 	}
 	r.Check(p.Hazard(10*time.Millisecond, 45*time.Millisecond) > 2*before, qt.IsTrue)
 }
+
+// Guards against streams that are sent to slow engines because the only fast one reads a prompt, which delays no stream there.
+func TestPromptsQueueAtFastEngine(t *testing.T) {
+	r := newCoordinator(t, 4)
+	r.runStreams(map[string]time.Duration{
+		"engine-0000": 4 * time.Millisecond, "engine-0001": 9 * time.Millisecond, "engine-0002": 9 * time.Millisecond, "engine-0003": 9 * time.Millisecond,
+	})
+	p := &r.reducer.pools["model-0"].pace
+	p.Finished(pace.Outcome{Idle: 4 * time.Millisecond, Objective: 45 * time.Millisecond, Prompts: 50})
+	for i := range 2 {
+		a := askPaced(fmt.Sprint("host-", i), 1, 700)
+		a.PromptTokens = 3000
+		r.reduce(time.Millisecond, a)
+		r.Check(r.placed(fmt.Sprint("host-", i), 1).Target, qt.Equals, "engine-0000")
+	}
+}
--- a/pace/replay_test.go
+++ b/pace/replay_test.go
@@ -204,3 +204,20 @@
 }
 
 func fraction(n, of int) float64 { return float64(n) / float64(max(of, 1)) }
+
+// Guards against moves to engines that must read prompts before they continue the stream, and against prompts at engines
+// to which a stream is moving.
+func TestMovesAndPromptsAreKeptApart(t *testing.T) {
+	c := qt.New(t)
+	r := newReplay(1, replayFast, true)
+	r.run(20 * time.Second)
+	late := func(arriving int, unread time.Duration, reads bool) float64 {
+		return r.pool.Late(r.now, &Candidate{
+			Idle: replayFast, Arriving: arriving, Unread: unread, Reads: reads, Objective: replayObjective, Pause: 4 * replayObjective, Residence: time.Second,
+		})
+	}
+	c.Check(late(0, 0, false) < 0.1, qt.IsTrue)
+	c.Check(late(0, 4*replayObjective, false), qt.Equals, 1.0)
+	c.Check(late(1, 0, true) > 0.7, qt.IsTrue)
+	c.Check(late(1, 0, false) < 0.1, qt.IsTrue)
+}
