Send a second attempt for the slowest answers of idempotent requests

The reducer asks package hedge when the delay of an attempt has passed, and keeps the accounts of both attempts. In the gateway the first good response claims the call, and the other attempt is cancelled.

--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -35,6 +35,8 @@
 		Refused    bool              // Release: whether the target had no room
 		Within     time.Duration     // Reserve: longest time until the place; Trial: time until the trial has ended
 		Crashes    int               // Trial: crashes under the part that are known
+		ExtraAfter time.Duration     // Dispatch: time without a complete response after which AttemptSlow is due; 0 if it is not
+		Extra      ExtraOutcome      // Extra, ExtraRefused, ExtraEnded
 	}
 
 	// A Basis is the state on which a decision to dispatch, refuse or move a request was based.
@@ -82,9 +84,12 @@
 	EffectShareFragilities                   // send the records of brittle pools to the peers
 	EffectRelease                            // report a free place to the host that gives out the target's places
 	EffectShareLeavers                       // send the targets that have said that they leave to the peers
+	EffectExtra                              // send a second attempt of the request, whose first one is in flight, to the target
+	EffectExtraRefused                       // no second attempt is sent; to be logged
+	EffectExtraEnded                         // the second attempt, or the first one, was of no use; to be logged
 )
 
-var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay", "ask", "place", "placed", "probe", "share_suspects", "suspected", "quarantined", "cleared", "reserve", "limited", "trial", "share_limits", "leaver", "brittle", "share_fragilities", "release", "share_leavers"}
+var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay", "ask", "place", "placed", "probe", "share_suspects", "suspected", "quarantined", "cleared", "reserve", "limited", "trial", "share_limits", "leaver", "brittle", "share_fragilities", "release", "share_leavers", "extra", "extra_refused", "extra_ended"}
 
 // String returns the name of the kind.
 func (k EffectKind) String() string { return effectNames[k] }
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -68,6 +68,7 @@
 	Ended struct {
 		ID    ID
 		Usage target.Usage
+		Took  time.Duration // time from the sending of the attempt to its complete response; 0 if unknown
 	}
 
 	// AttemptFailed reports that the latest dispatch of a request ended without a complete
@@ -81,6 +82,7 @@
 		Rebooted  bool             // whether the engine is known to have restarted
 		Unsent    bool             // whether no byte of the request has left this host
 		Answered  bool             // whether the target answered with an error of its own
+		Attempt   int              // number of the attempt, see Basis; used if two are in flight
 
 		RetryAfter time.Duration // time for which a target that refused the request asks to be left alone; 0 if it does not
 	}
--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -102,7 +102,8 @@
 	if q == nil || q.phase != phaseDispatched {
 		return
 	}
-	t, p := q.target, q.pool
+	q.selectAttempt(e.Attempt)
+	t, p, dispatchedAt := q.target, q.pool, q.dispatchedAt
 	if !e.Answered {
 		t.breaker.recordFailure(r.now)
 	}
@@ -123,6 +124,13 @@
 	if e.Certainty != target.CertaintyNotRun {
 		q.failedAttempt = failedKind(q, e)
 	}
+	if !e.Answered && !e.Unsent {
+		r.observeUnfinished(q, dispatchedAt)
+	}
+	if r.promoteSecond(q, r.now-dispatchedAt) {
+		r.dispatchHeld(p)
+		return
+	}
 	retry := r.mayRetry(q, e)
 	q.rebooted = q.rebooted || e.Rebooted
 	if retry {
@@ -250,6 +258,7 @@
 // discard removes a dispatched request without emitting an effect for it, and dispatches held ones.
 func (r *Reducer) discard(q *request) {
 	p := q.pool
+	r.dropSecond(q, false)
 	r.detach(q)
 	r.releaseRequest(q)
 	r.dispatchHeld(p)
--- a/dispatch/invariant.go
+++ b/dispatch/invariant.go
@@ -8,7 +8,7 @@
 )
 
 // Check verifies the invariants of the reducer's state: every request is either held or
-// dispatched, and the counters of organisations, targets and pools and the reservations on
+// dispatched, only a dispatched one has a second attempt, and the counters of organisations, targets and pools and the reservations on
 // targets equal the sums over the requests. It returns an error that describes the first
 // violation.
 func (r *Reducer) Check() error {
@@ -29,6 +29,9 @@
 			return eris.Errorf("request %d has ended but was not removed", id)
 		}
 	}
+	if err := r.checkSecondAttempts(running, inflight); err != nil {
+		return err
+	}
 	if err := r.checkOrganisations(inflight, held); err != nil {
 		return err
 	}
@@ -41,6 +44,22 @@
 	return r.checkPools()
 }
 
+// checkSecondAttempts verifies that only dispatched requests which may have two attempts do, at different targets, and adds the second
+// attempts to the numbers of requests in flight.
+func (r *Reducer) checkSecondAttempts(running map[*targetState]int, inflight map[*organisation]int) error {
+	for id, q := range r.requests {
+		switch {
+		case q.extra == nil:
+			continue
+		case q.phase != phaseDispatched, !q.mayRepeat(), q.extra.target == q.target:
+			return eris.Errorf("request %d must not have a second attempt at target %s", id, q.extra.target.spec.Name)
+		}
+		running[q.extra.target]++
+		inflight[q.organisation]++
+	}
+	return nil
+}
+
 // checkReservations verifies for each target that its reserved memory equals the sum of the
 // requests' reservations there, and that outgoingMoves equals the number of moves with a copy in
 // progress.
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -29,6 +29,7 @@
 		backupFraction   float64
 		retryRatio       float64
 		retrySlack       float64
+		extraAttempts    float64
 	}
 
 	withDomain           string
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -233,6 +233,7 @@
 	}
 	r.chooseBackup(q, &q.backup, t)
 	e := Effect{Kind: EffectDispatch, ID: q.id, Target: t.spec.Name, To: t.spec, Priority: r.priority(q), Limit: r.limitOfTarget(t), Brittle: t.brittle, Run: run, Basis: basis}
+	e.ExtraAfter = r.extraDelay(q)
 	if q.backup.target != nil {
 		e.Backup = q.backup.target.spec
 	}
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/hedge"
 	"github.com/wigeonlink/wigeonlink/length"
 	"github.com/wigeonlink/wigeonlink/quarantine"
 	"github.com/wigeonlink/wigeonlink/share"
@@ -50,6 +51,7 @@
 	hostIndex        int                       // index of this host among the live hosts of this failure domain
 	ledger           *share.Ledger
 	lengths          *length.Predictor
+	hedges           hedge.Policy
 	stopping         bool          // whether a Stop event has arrived
 	closed           bool          // whether all new requests are refused
 	stopDeadline     time.Duration // time by which requests accepted while stopping must end; 0 means none are accepted
@@ -106,6 +108,7 @@
 	}
 	r.salt = mixBits(uint64(table.HashName(r.options.origin)))
 	r.ledger = share.NewLedger(r.options.usageWindow)
+	r.hedges = hedge.NewPolicy(r.options.extraAttempts)
 	r.lengths = length.NewPredictor(length.WithMedian(r.options.medianOutput))
 	return r
 }
@@ -159,6 +162,7 @@
 	}
 	q := r.newRequest(e)
 	q.pool.retryBudget.earn(r.options.retryRatio)
+	r.hedges.Earn(q.pool.name, e.Organisation)
 	r.enqueue(q)
 	r.dispatchHeld(q.pool)
 }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -25,7 +25,10 @@
 		plain         bool
 		attached      bool // whether the generation was started through another host and is resumed here
 		placement     placement
-		remote        *remoteState // nil for a request of this host
+		remote        *remoteState   // nil for a request of this host
+		route         string         // see Submit.Route
+		extra         *secondAttempt // nil unless two attempts are in flight; see extra.go
+		secondOnly    bool           // the only attempt in flight is an extra one, the first one has failed
 
 		parts                                        []quarantine.Part // see Submit.Parts
 		prompt, prefixTokens, maxOutput, knownOutput int               // in tokens; a maxOutput of 0 means no limit, a knownOutput of 0 unknown
@@ -100,7 +103,7 @@
 	q.id, q.name, q.nonIdempotent, q.plain = e.ID, e.Name, e.NonIdempotent, e.Plain
 	q.organisation, q.pool = r.organisations[e.Organisation], r.pools[e.Pool]
 	q.prompt, q.prefixTokens, q.prefix = e.PromptTokens, e.PrefixTokens, e.PrefixHash
-	q.parts = e.Parts
+	q.parts, q.route = e.Parts, e.Route
 	q.maxOutput, q.knownOutput = e.MaxOutputTokens, e.KnownOutputTokens
 	q.maxTargets = defaultMaxTargets
 	if e.MaxAttempts > 0 {
@@ -298,6 +301,10 @@
 		return
 	}
 	r.counts.Ended++
+	r.dropSecond(q, true)
+	if q.mayRepeat() {
+		r.hedges.Observe(q.hedgeKey(), e.Took)
+	}
 	r.chargeTokens(q, max(e.Usage.Output, q.tokens))
 	if e.Usage.Cached > 0 {
 		r.charge(q, -promptTokenCost*float64(min(e.Usage.Cached, q.prompt)))
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -55,6 +55,9 @@
 	RequestHeld       Number = 223
 	RequestCut        Number = 224
 	ConnectionEnded   Number = 225
+	ExtraSent         Number = 241
+	ExtraRefused      Number = 242
+	ExtraEnded        Number = 243
 
 	TargetLost     Number = 301
 	TargetReturned Number = 302
@@ -131,6 +134,9 @@
 	{RequestHeld, "request held", hclog.Info, "A request waits at a stopping host: it was held when the stop began, or was accepted since and not dispatched at once."},
 	{RequestCut, "request cut", hclog.Warn, "The stopping host closes the connection of a request whose response is not complete."},
 	{ConnectionEnded, "connection ended", hclog.Info, "A caller's connection ended before the response on it was complete; the fields say which side ended it, and why."},
+	{ExtraSent, "extra attempt sent", hclog.Info, "An attempt of an idempotent request has taken unusually long; a second one was sent to another target while the first is in flight."},
+	{ExtraRefused, "extra attempt refused", hclog.Debug, "An attempt of an idempotent request has taken unusually long, and no second one is sent; the fields say why."},
+	{ExtraEnded, "extra attempt ended", hclog.Info, "An extra attempt has ended; the fields say whether its response was used, and for how long the attempt has run that was of no use."},
 	{TargetLost, "target lost", hclog.Warn, "A target no longer responds to load queries."},
 	{TargetReturned, "target returned", hclog.Info, "A target responds to load queries again, or is no longer leaving."},
 	{TargetRebooted, "target rebooted", hclog.Warn, "A target's boot identifier has changed; its generations are lost."},
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -31,6 +31,10 @@
 	attempt struct {
 		*call
 		cancel        context.CancelCauseFunc // aborts the attempt
+		overtake      context.CancelCauseFunc // aborts the attempt in favour of another one; see claim
+		number        int                     // among the attempts of the call, from 1
+		took          time.Duration           // from the sending of the request to the complete response; 0 if that was not read before it was forwarded
+		failed        *bufferedResponse       // 5xx response, which is not forwarded if another target succeeds
 		target        string                  // name of the target, after a move that of the engine which serves the stream
 		via           string                  // host through which the target was connected; empty if directly
 		framing       framing                 // of the latest response
@@ -72,7 +76,7 @@
 	defer c.state.mu.Unlock()
 	c.state.phase, c.state.dispatched = phaseRunning, time.Now()
 	c.attemptCount++
-	c.latest = &attempt{call: c, target: name}
+	c.latest = &attempt{call: c, target: name, number: c.attemptCount}
 	return c.latest
 }
 
@@ -110,9 +114,12 @@
 		return failedResult(ctx, errContentEncoding)
 	}
 	if isEventStream(resp) && resp.StatusCode < 300 {
+		if !a.claim() {
+			return overtakenResult()
+		}
 		return a.stream(ctx, decision, resp)
 	}
-	return a.forwardBuffered(ctx, resp)
+	return a.forwardBuffered(ctx, resp, sent)
 }
 
 // traceRelay returns a context for one request that calls setVia with the host through which its connection goes, if not
@@ -159,7 +166,7 @@
 // attempt at another target. The last attempt that the route allows has no such limit.
 // The returned function stops the timer.
 func (a *attempt) limitDuration() func() {
-	if a.route.Kind != route.Idempotent || a.attemptCount >= a.route.MaxAttempts {
+	if a.route.Kind != route.Idempotent || a.number >= a.route.MaxAttempts {
 		return func() {}
 	}
 	limit := max(2*a.route.FirstByteObjective, time.Until(a.deadline)/attemptTimeoutDivisor)
@@ -281,8 +288,8 @@
 
 // forwardBuffered reads a response to its end before it forwards it, so that a truncated
 // response fails the attempt instead of reaching the caller. A response longer than
-// maxBufferedResponse is forwarded as it arrives.
-func (a *attempt) forwardBuffered(ctx context.Context, resp *http.Response) relay.Result {
+// maxBufferedResponse is forwarded as it arrives. The request was sent at the given time.
+func (a *attempt) forwardBuffered(ctx context.Context, resp *http.Response, sent time.Time) relay.Result {
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
 	if err != nil {
 		return failedResult(ctx, eris.Wrap(err, "answer"))
@@ -292,9 +299,13 @@
 		return a.forwardLong(ctx, resp, f)
 	}
 	if resp.StatusCode >= 500 && a.route.Kind == route.Idempotent {
-		a.failedResponse = f
+		a.failed = f
 		return relay.Result{Ending: relay.EndFailed, TargetFailed: true, Cause: eris.Errorf("the target failed with status %d", resp.StatusCode)}
 	}
+	a.took = time.Since(sent)
+	if !a.claim() {
+		return overtakenResult()
+	}
 	f.writeTo(a.call)
 	return a.completeResult()
 }
@@ -326,6 +337,9 @@
 // forwardLong forwards a response that is longer than maxBufferedResponse: first the bytes in f,
 // then the rest of the body as it arrives.
 func (a *attempt) forwardLong(ctx context.Context, resp *http.Response, f *bufferedResponse) relay.Result {
+	if !a.claim() {
+		return overtakenResult()
+	}
 	a.copyHeader(f.header)
 	if resp.ContentLength >= 0 {
 		a.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -50,6 +50,7 @@
 	written      bool          // the response headers have been sent
 	failedWrite  error         // of the first failed write to the caller
 	state        callPhase
+	rivals       rivals
 }
 
 // serve admits the request, reads its body and forwards it to a target. It returns an error if
@@ -198,13 +199,8 @@
 		if err != nil {
 			return c.finalError(err)
 		}
-		res := c.newAttempt(decision.Target).run(ctx, decision)
-		if c.r.Context().Err() != nil {
-			c.hostRequest.Abandon()
-			return answer.New(answer.KindCallerGone, "")
-		}
-		if !c.hostRequest.ReportResult(res) {
-			return nil
+		if ended, err := c.makeAttempts(ctx, decision); ended {
+			return err
 		}
 		c.enter(phaseHeld)
 	}
--- a/host/effects.go
+++ b/host/effects.go
@@ -21,7 +21,7 @@
 		return
 	}
 	r := h.requests[f.ID]
-	if r == nil {
+	if r == nil || h.performExtra(r, f) {
 		return
 	}
 	switch f.Kind {
--- a/host/request.go
+++ b/host/request.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"strconv"
 	"time"
@@ -74,7 +75,8 @@
 	r.host.inFlight.done()
 }
 
-// WaitDecision waits for the reducer's next decision. It returns an EffectDispatch, or an answer.Error if
+// WaitDecision waits for the reducer's next decision. It returns an EffectDispatch, an EffectExtra if the first attempt
+// failed after AttemptSlow was called, or an answer.Error if
 // the request is refused, ctx is done or the host has stopped. It must not be called while an
 // attempt is in progress.
 func (r *Request) WaitDecision(ctx context.Context) (dispatch.Effect, error) {
@@ -119,9 +121,13 @@
 
 // ReportResult reports the result of an attempt to the reducer. It returns true if the attempt
 // failed: Wait must then be called for the next decision.
-func (r *Request) ReportResult(result relay.Result) bool {
+func (r *Request) ReportResult(result relay.Result) bool { return r.ReportAttempt(Attempt{}, result) }
+
+// ReportAttempt is like ReportResult for a request that may have two attempts in flight. While another one is, the failed one needs no
+// further decision.
+func (r *Request) ReportAttempt(a Attempt, result relay.Result) bool {
 	r.host.observer.AttemptEnded(r, result)
-	fields := event.Fields{Request: r.Name, Organisation: r.Submit.Organisation, Target: r.target}
+	fields := event.Fields{Request: r.Name, Organisation: r.Submit.Organisation, Target: cmp.Or(a.Target, r.target)}
 	switch result.Ending {
 	case relay.EndFailed:
 		if result.Cause != nil {
@@ -130,7 +136,7 @@
 		r.host.log.Emit(event.RequestFailed, fields)
 		r.host.Post(dispatch.AttemptFailed{
 			ID: r.ID, Certainty: result.Certainty, Delivered: result.DeliveredTokens > 0, Tokens: result.DeliveredTokens, Rebooted: result.Rebooted, Ended: result.TargetEnded,
-			Unsent: result.Unsent, Answered: result.TargetFailed, RetryAfter: result.RetryAfter,
+			Unsent: result.Unsent, Answered: result.TargetFailed, RetryAfter: result.RetryAfter, Attempt: a.Number,
 		})
 		r.reportStreams()
 		return true
@@ -139,7 +145,7 @@
 		r.finish(dispatch.Superseded{ID: r.ID})
 	default:
 		r.host.log.Emit(event.RequestEnded, fields)
-		r.finish(dispatch.Ended{ID: r.ID, Usage: result.Usage})
+		r.finish(dispatch.Ended{ID: r.ID, Usage: result.Usage, Took: a.Took})
 	}
 	return false
 }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -37,6 +37,7 @@
 		moves            metric.Int64Counter
 		ended            metric.Int64Counter
 		cut              metric.Int64Counter
+		extra            extraInstruments
 	}
 
 	// snapshot holds the state of the reducer that the gauges show, read in one call so that
@@ -89,6 +90,9 @@
 	if err = m.addRequestInstruments(scope); err != nil {
 		return nil, err
 	}
+	if err = m.extra.add(scope); err != nil {
+		return nil, err
+	}
 	m.stallPerResponse, err = scope.Float64Histogram("wigeonlink.stall.per_answer", metric.WithUnit("s"), metric.WithDescription("Stall time of an answer"))
 	return m, eris.Wrap(err, "create the histogram of the stall time")
 }
@@ -98,6 +102,7 @@
 func (m *Meter) Effect(f dispatch.Effect) {
 	ctx := context.Background()
 	m.effects.Add(ctx, 1, metric.WithAttributes(attribute.String("kind", f.Kind.String())))
+	m.extra.effect(ctx, f)
 	if f.Kind == dispatch.EffectRefuse {
 		m.refused.Add(ctx, 1, metric.WithAttributes(attribute.String("code", f.Answer.String()), attribute.String("outcome", f.Answer.Properties().Outcome.String())))
 	}
