--- a/cmd/wigeonlink/main.go
+++ b/cmd/wigeonlink/main.go
@@ -11,6 +11,7 @@
 	"syscall"
 
 	"github.com/wigeonlink/wigeonlink/console"
+	"github.com/wigeonlink/wigeonlink/platform"
 )
 
 func main() {
@@ -21,5 +22,9 @@
 		return
 	}
 	fmt.Fprintln(os.Stderr, "wigeonlink:", err)
+	var exit *platform.ExitError
+	if errors.As(err, &exit) {
+		os.Exit(exit.Status)
+	}
 	os.Exit(1)
 }
--- a/console/root.go
+++ b/console/root.go
@@ -20,7 +20,7 @@
 		SilenceErrors: true,
 		Version:       wigeonlink.Version,
 	}
-	root.AddCommand(newServe(), platform.NewCommand(), newDemo(), newStandin(), newTable(), newLoad(), newTimeline(), newTrial(), newVersion())
+	root.AddCommand(newServe(), platform.NewCommand(), platform.NewConfigCommand(), newDemo(), newStandin(), newTable(), newLoad(), newTimeline(), newTrial(), newVersion())
 	root.PersistentPreRunE = func(cmd *cobra.Command, _ []string) error {
 		known := environmentVariables(root)
 		return settings.FromEnvironment(cmd.Flags(), func(name string) bool { return known[name] })
--- a/table/plan.go
+++ b/table/plan.go
@@ -22,6 +22,13 @@
 		Old, New string
 	}
 
+	// A PlanRow is a row of a version that PlanRows compares.
+	PlanRow struct {
+		Name    string   // identifies the row within its version
+		Columns []Column // in the order in which differences are returned
+		Cells   map[Column]string
+	}
+
 	// A ChangeMark is the way in which a row changes: added, removed or changed.
 	ChangeMark byte
 )
@@ -52,36 +59,42 @@
 
 // Plan compares two sheets and returns the rows that change: added and changed rows
 // in the order of after, then removed rows in the order of before.
-func Plan(before, after Sheet) []Change {
-	unmatched := rowsByName(before)
+func Plan(before, after Sheet) []Change { return PlanRows(planRows(before), planRows(after)) }
+
+// PlanRows is like Plan for rows of any kind. Rows with equal names are compared; a name must not occur twice.
+func PlanRows(before, after []PlanRow) []Change {
+	unmatched := make(map[string]PlanRow, len(before))
+	for _, row := range before {
+		unmatched[row.Name] = row
+	}
 	var changes []Change
-	for _, row := range after.Rows {
-		name := rowName(row)
-		old, ok := unmatched[name]
-		delete(unmatched, name)
+	for _, row := range after {
+		old, ok := unmatched[row.Name]
+		delete(unmatched, row.Name)
 		mark := Changed
 		if !ok {
 			mark = Added
 		}
 		if cells := compareCells(old, row); len(cells) > 0 {
-			changes = append(changes, Change{mark, name, cells})
+			changes = append(changes, Change{mark, row.Name, cells})
 		}
 	}
-	for _, row := range before.Rows {
-		if _, ok := unmatched[rowName(row)]; ok {
-			changes = append(changes, Change{Removed, rowName(row), compareCells(row, Row{})})
+	for _, row := range before {
+		if _, ok := unmatched[row.Name]; ok {
+			changes = append(changes, Change{Removed, row.Name, compareCells(row, PlanRow{})})
 		}
 	}
 	return changes
 }
 
-// rowsByName indexes the rows of a sheet by rowName.
-func rowsByName(s Sheet) map[string]Row {
-	m := make(map[string]Row, len(s.Rows))
+// planRows returns the rows of a sheet. The kind and the name are part of a row's name and left out of its cells.
+func planRows(s Sheet) []PlanRow {
+	columns := slices.DeleteFunc(Columns(), func(c Column) bool { return c == ColumnKind || c == ColumnName })
+	rows := make([]PlanRow, 0, len(s.Rows))
 	for _, row := range s.Rows {
-		m[rowName(row)] = row
+		rows = append(rows, PlanRow{rowName(row), columns, row.Cells})
 	}
-	return m
+	return rows
 }
 
 // rowName returns the name by which rows of two sheets are matched: the kind and the
@@ -99,18 +112,19 @@
 	return strings.Join(parts, " ")
 }
 
-// compareCells returns the cells that differ between two rows with the same rowName. The
-// kind and the name are part of rowName and therefore skipped. For an added or a removed row,
-// the other row is empty.
-func compareCells(before, after Row) []CellChange {
+// compareCells returns the cells that differ between two rows with the same name, in the order of the later row's columns and then of those
+// that only the earlier one has. For an added or a removed row, the other row is empty.
+func compareCells(before, after PlanRow) []CellChange {
 	var cells []CellChange
-	for _, c := range columns {
-		if c == ColumnKind || c == ColumnName {
-			continue
-		}
+	for _, c := range after.Columns {
 		if o, n := before.Cells[c], after.Cells[c]; o != n {
 			cells = append(cells, CellChange{c, o, n})
 		}
 	}
+	for _, c := range before.Columns {
+		if o := before.Cells[c]; o != "" && !slices.Contains(after.Columns, c) {
+			cells = append(cells, CellChange{c, o, ""})
+		}
+	}
 	return slices.Clip(cells)
 }
