--- a/hedge/replay_test.go
+++ b/hedge/replay_test.go
@@ -1,7 +1,7 @@
 package hedge
 
 import (
-	"container/heap"
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -12,16 +12,16 @@
 )
 
 type (
-	// replay is a plain service in virtual time: four targets of eight slots with a work time of 30 to 60 ms, an objective of
-	// 150 ms, a timeout of 3 s of which the given function delays a part. As in package dispatch, the target with the fewest attempts in flight is chosen, and one that has lost
-	// against a second attempt less often for some seconds.
+	// replay is a plain service in virtual time: four targets of eight slots, a work time of 30 to 60 ms that a function prolongs, an
+	// objective of 150 ms and a timeout of 3 s. As in package dispatch, the target with the fewest attempts in flight is chosen, and one
+	// that has lost against a second attempt less often for some seconds.
 	replay struct {
 		policy   Policy
 		random   *rand.Rand
 		requests int
 		interval time.Duration                                               // mean time between two requests
 		delayOf  func(r *replay, at time.Duration, target int) time.Duration // beyond the usual work time
-		events   eventQueue
+		events   []replayEvent
 
 		running   [replayTargets]int
 		overtaken [replayTargets]float64       // decayed rate of attempts that lost against a second one
@@ -38,8 +38,6 @@
 		do func()
 	}
 
-	eventQueue []replayEvent
-
 	replayRequest struct {
 		organisation string
 		extra        bool // an extra attempt, not a submission
@@ -55,18 +53,11 @@
 
 var replayKey = Key{"plain", "lookup"}
 
-func (q eventQueue) Len() int           { return len(q) }
-func (q eventQueue) Less(i, j int) bool { return q[i].at < q[j].at }
-func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)        { *q = append(*q, x.(replayEvent)) }
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
+func (r *replay) schedule(at time.Duration, do func()) {
+	i, _ := slices.BinarySearchFunc(r.events, at, func(e replayEvent, at time.Duration) int { return cmp.Compare(e.at, at) })
+	r.events = slices.Insert(r.events, i, replayEvent{at, do})
 }
 
-func (r *replay) schedule(at time.Duration, do func()) { heap.Push(&r.events, replayEvent{at, do}) }
-
 // serviceTime returns the time that a target takes for a request from the given time on.
 func (r *replay) serviceTime(at time.Duration, target int) time.Duration {
 	return 30*time.Millisecond + time.Duration(r.random.Int64N(int64(30*time.Millisecond))) + r.delayOf(r, at, target)
@@ -75,21 +66,25 @@
 // run replays the requests and returns the 99th percentile of the time to their responses.
 func (r *replay) run() time.Duration {
 	r.random = rand.New(rand.NewPCG(7, 9))
-	next := time.Duration(0)
-	for n := range r.requests {
-		next += time.Duration(r.random.ExpFloat64() * float64(r.interval))
-		at := next
-		organisation := []string{"large", "large", "large", "small"}[n%4]
-		r.schedule(at, func() { r.submit(at, organisation) })
-	}
+	r.arrive(0, 0)
 	for len(r.events) > 0 {
-		e := heap.Pop(&r.events).(replayEvent)
+		e := r.events[0]
+		r.events = r.events[1:]
 		e.do()
 	}
 	slices.Sort(r.took)
 	return r.took[len(r.took)*99/100]
 }
 
+// arrive submits the nth request, and schedules the next one.
+func (r *replay) arrive(n int, at time.Duration) {
+	if n < r.requests {
+		r.submit(at, []string{"large", "large", "large", "small"}[n%4])
+		next := at + time.Duration(r.random.ExpFloat64()*float64(r.interval))
+		r.schedule(next, func() { r.arrive(n+1, next) })
+	}
+}
+
 // submit sends a request to the target with the fewest attempts in flight, and to another one after the policy's delay.
 func (r *replay) submit(at time.Duration, organisation string) {
 	r.policy.Earn(replayKey.Pool, organisation)
