--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -38,6 +38,8 @@
 		Spread     pace.Spread       // Uneven: speeds of the pool's engines
 		Crashes    int               // Trial: crashes under the part that are known
 		Domain     string            // Evacuated, Emptied, Readmitted: failure domain
+		ExtraAfter time.Duration     // Dispatch: time without a complete response after which AttemptSlow is due; 0 if it is not
+		Extra      ExtraOutcome      // Extra, ExtraRefused, ExtraEnded
 	}
 
 	// A Basis is the state on which a decision to dispatch, refuse or move a request was based.
@@ -91,9 +93,12 @@
 	EffectReadmitted                         // the evacuation of the domain was withdrawn; to be logged
 	EffectShareLeavers                       // send the targets that have said that they leave to the peers
 	EffectUneven                             // whether the engines of a pool are unevenly fast has changed; to be logged
+	EffectExtra                              // send a second attempt of the request, whose first one is in flight, to the target
+	EffectExtraRefused                       // no second attempt is sent; to be logged
+	EffectExtraEnded                         // the second attempt, or the first one, was of no use; to be logged
 )
 
-var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay", "ask", "place", "placed", "probe", "share_suspects", "suspected", "quarantined", "cleared", "reserve", "limited", "trial", "share_limits", "leaver", "brittle", "share_fragilities", "release", "evacuated", "emptied", "readmitted", "share_leavers", "uneven"}
+var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay", "ask", "place", "placed", "probe", "share_suspects", "suspected", "quarantined", "cleared", "reserve", "limited", "trial", "share_limits", "leaver", "brittle", "share_fragilities", "release", "evacuated", "emptied", "readmitted", "share_leavers", "uneven", "extra", "extra_refused", "extra_ended"}
 
 // String returns the name of the kind.
 func (k EffectKind) String() string { return effectNames[k] }
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -30,6 +30,7 @@
 		retryRatio       float64
 		retrySlack       float64
 		urgentPriority   bool
+		extraAttempts    float64
 	}
 
 	withDomain           string
