--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -167,8 +167,8 @@
 		return
 	}
 	q := r.newRequest(e)
-	q.pool.retryBudget.earn(r.options.retryRatio)
 	p := q.pool
+	p.retryBudget.earn(r.options.retryRatio)
 	r.hedges.Earn(p.name, e.Organisation)
 	r.admit(q)
 	r.dispatchHeld(p)
