--- a/trial/mixed_test.go
+++ b/trial/mixed_test.go
@@ -51,19 +51,21 @@
 
 // runMixed runs a load with and without the rules for mixed pools, and returns the counts by kind.
 func runMixed(t *testing.T, c Config) (before, after map[string]*KindResult) {
-	var results [2]map[string]*KindResult
-	for i, unrouted := range []bool{true, false} {
-		c.Unrouted = unrouted
-		tr, err := New(c)
-		qt.Assert(t, err, qt.IsNil)
-		result, err := tr.Run()
-		qt.Assert(t, err, qt.IsNil)
-		for name, k := range result.Kinds {
-			t.Logf("seed %d unrouted=%v %s: %+v, %d preemptions", c.Seed, unrouted, name, *k, result.Preemptions)
-		}
-		results[i] = result.Kinds
+	after = runKinds(t, c)
+	c.Unrouted = true
+	return runKinds(t, c), after
+}
+
+// runKinds runs a load and returns the counts by kind.
+func runKinds(t *testing.T, c Config) map[string]*KindResult {
+	tr, err := New(c)
+	qt.Assert(t, err, qt.IsNil)
+	result, err := tr.Run()
+	qt.Assert(t, err, qt.IsNil)
+	for name, k := range result.Kinds {
+		t.Logf("seed %d unrouted=%v %s: %+v, %d preemptions", c.Seed, c.Unrouted, name, *k, result.Preemptions)
 	}
-	return results[0], results[1]
+	return result.Kinds
 }
 
 // domainLoad is a quarter of mixedLoad in one failure domain of 8 engines, with a coordinator.
@@ -142,7 +144,7 @@
 				c.Organisations = append(c.Organisations, Organisation{Name: org, Weight: 1, Kind: &k, End: 150 * time.Second})
 			}
 		}
-		_, after := runMixed(t, c)
+		after := runKinds(t, c)
 		for name, k := range after {
 			qt.Check(t, k.OnTime+k.Late > 0 && k.OnTime+k.Late >= k.Submitted/20, qt.IsTrue, qt.Commentf("%s: %+v", name, *k))
 		}
