Bound what clients make a host hold by one memory budget

Package budget counts connections, heads by their cost once parsed, bodies, answers that wait for their readers, and requests at targets, against five sixteenths of MemoryMb and two thirds of the descriptors. At the bound the connections with the most byte-seconds in the client's hands are ended; a request whose head is not complete is refused with 503 as not run. The listener counts the lines, bytes and leading empty lines of a head before net/http parses them, and applies HeaderTimeoutMs and MaxHeaderBytes of the configuration, which were read and applied nowhere. A single head of 3,750 lines is still served. Bodies grow as they arrive and have time limits; a response that makes no progress for a minute is given up. The collector's limit is five eighths of MemoryMb. A stream's caller that reads slowly no longer counts as a pause of the target, and does not run into the time limit for silent targets.

Only 200 to 599 is a status of a response (network.IsFinalStatus). Tests that failed first: a resumed stream, replies of plain services, "not run" of an engine's start, freeing of a copy, 600 and 999 of forwarded responses. A stored reply of another host is checked as well.

http.Server.Shutdown closes an idle connection before it calls ConnState. RetiringListener now waits for the state that follows a complete response.

--- a/api/ticket.go
+++ b/api/ticket.go
@@ -8,6 +8,7 @@
 
 	"github.com/wigeonlink/wigeonlink/answer"
 	"github.com/wigeonlink/wigeonlink/host"
+	"github.com/wigeonlink/wigeonlink/network"
 	"github.com/wigeonlink/wigeonlink/table"
 	"github.com/wigeonlink/wigeonlink/target"
 	"github.com/wigeonlink/wigeonlink/ticket"
@@ -69,7 +70,11 @@
 	}
 	v := ticketResponse{Host: t.Host, Expires: t.Expiry, State: s.String()}
 	if s == ticket.StateRan {
-		v.Status = int(reply.Status)
+		stored, err := storedReply(reply)
+		if err != nil {
+			return err
+		}
+		v.Status = stored.Status
 	}
 	return writeJSON(w, v)
 }
@@ -107,11 +112,24 @@
 	if s := ticket.State(reply.State); s != ticket.StateRan {
 		return ticketError(s)
 	}
+	stored, err := storedReply(reply)
+	if err != nil {
+		return err
+	}
 	w.Header().Set(HeaderTicket, t.Id)
-	writeReply(w, target.Reply{Status: int(reply.Status), Header: host.HTTPHeader(reply.Header), Body: reply.Body})
+	writeReply(w, stored)
 	return nil
 }
 
+// storedReply returns the service's reply that the host of a ticket has stored. It returns an error if its status is not that of a final response,
+// as an earlier build may have stored.
+func storedReply(r *wire.TicketReply) (target.Reply, error) {
+	if !network.IsFinalStatus(int(r.Status)) {
+		return target.Reply{}, answer.New(answer.KindUnknownOutcome, "")
+	}
+	return target.Reply{Status: int(r.Status), Header: host.HTTPHeader(r.Header), Body: r.Body}, nil
+}
+
 // ticketError returns the error for a call whose ticket is in the state s, which is not
 // StateRan, so that there is no reply.
 func ticketError(s ticket.State) error {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -90,7 +90,10 @@
 	TicketMoved    Number = 604
 	TicketRefused  Number = 605
 
-	CallerRefused Number = 701
+	CallerRefused    Number = 701
+	ClientsRefused   Number = 711
+	ClientsEnded     Number = 712
+	ClientsExceeding Number = 713
 
 	OrderGiven   Number = 801
 	OrderRefused Number = 802
@@ -162,6 +165,9 @@
 	{TicketMoved, "ticket moved", hclog.Info, "A stopping host transferred its ticket records to a peer."},
 	{TicketRefused, "ticket refused", hclog.Info, "A ticket was not valid on this host."},
 	{CallerRefused, "caller refused", hclog.Debug, "A call was rejected before it became a request."},
+	{ClientsRefused, "clients refused", hclog.Warn, "Connections of clients were refused, as the host has no more for clients; the fields count them since the last such line."},
+	{ClientsEnded, "clients ended", hclog.Warn, "Connections of clients that held the most memory for the longest time were closed, or their requests refused; the fields count them since the last such line."},
+	{ClientsExceeding, "clients exceeding", hclog.Warn, "Clients have exceeded a limit on the head of a request or on progress; the fields name the limit, and count them since the last such line."},
 	{OrderGiven, "order given", hclog.Info, "A placement order was sent to a target."},
 	{OrderRefused, "order refused", hclog.Warn, "A target refused a placement order."},
 	{OrderDone, "order done", hclog.Info, "A target has reached the ordered state."},
--- a/forward.go
+++ b/forward.go
@@ -103,15 +103,21 @@
 func runRegistry(a *assembly, l fx.Lifecycle, h *host.Host) { runInBackground(a, l, h.Syncer().Run) }
 
 func serveGateway(a *assembly, l fx.Lifecycle, h *host.Host, m *meter.Meter, d *detour.Network, c gateway.CacheCopier) {
+	bodyMemory := a.settings.BodyMemory
+	if a.settings.Memory > 0 {
+		bodyMemory = 0 // bodies are a part of the budget
+	}
 	opts := append([]gateway.Option{
 		gateway.WithTransport(target.NewShortDialTransport(d)),
-		gateway.WithBodyMemory(a.settings.BodyMemory),
+		gateway.WithBodyMemory(bodyMemory),
 		gateway.WithCacheCopier(c),
 		gateway.WithObserver(m),
 	}, a.forward.options...)
 	g := gateway.NewGateway(h, a.forward.dialect, opts...)
 	s, callers := newServer(a, closeWhenDraining(h, g)), network.NewRetiringListener(a.callerListener)
 	callers.IdleTimeout, callers.HeaderTimeout = g.IdleTimeout, gatewayHeaderTimeout
+	callers.Guard = newGuard(a, h, m)
+	callers.Guard.HeadLimits = g.HeadLimits
 	s.ReadHeaderTimeout, s.IdleTimeout, s.ConnState = gatewayHeaderTimeout, 0, callers.ConnState
 	s.ConnContext = g.ConnContext
 	ready := newServer(a, http.HandlerFunc(g.Ready))
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -16,10 +16,12 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/wigeonlink/wigeonlink/budget"
 	"github.com/wigeonlink/wigeonlink/detour"
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/event"
 	"github.com/wigeonlink/wigeonlink/limit"
+	"github.com/wigeonlink/wigeonlink/network"
 	"github.com/wigeonlink/wigeonlink/relay"
 	"github.com/wigeonlink/wigeonlink/route"
 	"github.com/wigeonlink/wigeonlink/target"
@@ -39,6 +41,7 @@
 		lastEvent     atomic.Int64            // identifier of the last event forwarded to the caller
 		lastArrival   time.Time               // arrival of the last event
 		longestGap    time.Duration           // longest time between two consecutive events
+		callerWait    time.Duration           // time in writes to the caller
 		moveCount     int                     // completed moves of the stream to another engine
 		undeliverable bool                    // an event is missing, or a write to the caller failed
 		placement     placement
@@ -92,7 +95,7 @@
 	}
 	defer resp.Body.Close()
 	a.framing = framingOf(resp)
-	if resp.StatusCode < http.StatusOK {
+	if !network.IsFinalStatus(resp.StatusCode) {
 		return failedResult(ctx, eris.Wrap(errStatus, resp.Status))
 	}
 	reply := a.parseResponse(resp, decision, sent, a.via)
@@ -281,14 +284,14 @@
 
 // forwardBuffered reads a response to its end before it forwards it, so that a truncated
 // response fails the attempt instead of reaching the caller. A response longer than
-// maxBufferedResponse is forwarded as it arrives.
+// maxBufferedResponse, or than the host's memory budget allows, is forwarded as its caller takes it.
 func (a *attempt) forwardBuffered(ctx context.Context, resp *http.Response) relay.Result {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
+	data, whole, err := a.readBuffered(resp)
 	if err != nil {
-		return failedResult(ctx, eris.Wrap(err, "answer"))
+		return failedResult(ctx, err)
 	}
 	f := &bufferedResponse{resp.StatusCode, resp.Header, data}
-	if len(data) > maxBufferedResponse {
+	if !whole {
 		return a.forwardLong(ctx, resp, f)
 	}
 	if resp.StatusCode >= 500 && a.route.Kind == route.Idempotent {
@@ -306,6 +309,7 @@
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(f.data)))
 	}
 	c.writeHeader(f.status)
+	c.account.Unsettle(budget.Answer, int64(cap(f.data)), time.Now())
 	_, _ = delivered{c}.Write(f.data) // which records an error
 }
 
@@ -331,8 +335,7 @@
 		a.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
 	a.writeHeader(f.status)
-	_, err := io.Copy(delivered{a.call}, io.MultiReader(bytes.NewReader(f.data), resp.Body))
-	if err != nil {
+	if err := a.copyRest(f, resp.Body); err != nil {
 		r := failedResult(ctx, eris.Wrap(err, "answer"))
 		r.DeliveredTokens = 1 // the caller has received part of the response
 		return r
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/budget"
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/host"
 	"github.com/wigeonlink/wigeonlink/quarantine"
@@ -27,6 +28,7 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	started time.Time
+	account *budget.Account // of the caller's connection
 
 	info           RequestInfo
 	uri            string // path and query of the request, as the caller sent them
@@ -62,11 +64,16 @@
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	var err error
-	c.body, err = readBody(c.r, &c.gateway.bodyMemory, c.gateway.maxBody())
+	c.body, err = c.readBody()
 	defer c.body.release()
 	if err != nil {
 		return err
 	}
+	c.account.Settle()
+	if !c.account.Begin(time.Now()) {
+		return answer.New(answer.KindBusy, "")
+	}
+	defer c.account.End()
 	c.digest = requestDigest(c.r.Method, c.uri, c.body.data)
 	c.hostRequest = c.gateway.host.SubmitAs(c.info.ID, c.submission())
 	defer c.hostRequest.Release()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -58,6 +59,16 @@
 	noObserver struct{}
 )
 
+// Limits of the head of a caller's request.
+const (
+	// MaxHeaderLines is more than fit in a head of 16 KiB, as the shortest line has 4 bytes. How many lines a host accepts from all clients
+	// together depends on its memory.
+	MaxHeaderLines = 4096
+
+	// MaxEmptyBytes is for the empty lines that some clients send after a body.
+	MaxEmptyBytes = 64
+)
+
 const (
 	defaultMaxBody          = 1 << 20 // largest request body in bytes
 	defaultIdleTimeout      = 2 * time.Minute
@@ -73,6 +84,7 @@
 	patienceGapFactor       = 8                     // callers wait for at least the route's gap objective times this
 	callerEndDelay          = time.Second           // time within which the end of a caller's connection reaches the host
 	maxBufferedResponse     = 1 << 20               // bytes; a longer response is forwarded before it has been read to its end
+	minCallerWait           = 20 * time.Millisecond // of all writes of a stream; less is that of a caller that reads at once
 	readBufferSize          = 16 << 10              // bytes
 	defaultBodyMemory       = 32 << 20              // bytes of all request bodies held at once
 )
@@ -116,6 +128,15 @@
 	return defaultIdleTimeout
 }
 
+// HeadLimits returns the limits of the heads of callers' requests, by the current configuration.
+func (g *Gateway) HeadLimits() network.HeadLimits {
+	l := network.HeadLimits{Lines: MaxHeaderLines, Empty: MaxEmptyBytes}
+	if t := g.host.Table(); t != nil {
+		l.Timeout, l.Bytes = t.CallerLimits.HeaderTimeout, t.CallerLimits.MaxHeaderBytes
+	}
+	return l
+}
+
 // Ready serves the readiness probe: 200 if the host accepts requests, 503 otherwise.
 func (g *Gateway) Ready(w http.ResponseWriter, _ *http.Request) {
 	if !g.host.Ready() {
@@ -129,6 +150,9 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{gateway: g, w: w, r: r, started: time.Now(), latest: &attempt{}}
 	c.latest.call = c
+	if conn, ok := r.Context().Value(connKey{}).(net.Conn); ok {
+		c.account = network.Account(conn)
+	}
 	g.inHand.add(c)
 	defer g.inHand.remove(c)
 	err := c.serve()
@@ -208,6 +232,9 @@
 	if c.latest.events.eventCount > 0 {
 		fields.Values = append(fields.Values, "events", c.latest.events.eventCount, "longest_gap_ms", c.latest.longestGap.Milliseconds())
 	}
+	if c.latest.callerWait >= minCallerWait {
+		fields.Values = append(fields.Values, "caller_wait_ms", c.latest.callerWait.Milliseconds())
+	}
 	if len(c.info.PromptParts) > 0 {
 		fields.Values = append(fields.Values, "parts", formatParts(c.info.PromptParts))
 	}
--- a/gateway/in_hand.go
+++ b/gateway/in_hand.go
@@ -13,6 +13,7 @@
 
 	"github.com/wigeonlink/wigeonlink/answer"
 	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/network"
 )
 
 type (
@@ -61,6 +62,7 @@
 	endIdleClose                     // the host closed the connection as idle
 	endTimeLimit                     // a time limit of the host, on the request or on a write, has passed
 	endWriteError                    // a write to the caller failed
+	endLimit                         // the host closed the connection for its part of the memory budget
 	endFailedAttempt                 // the host broke the response off, since no target completes it
 	endCauseCount
 )
@@ -70,7 +72,7 @@
 
 var (
 	phaseNames    = [...]string{"head", "body", "held", "running", "moving"}
-	endCauseNames = [...]string{"complete", "refused", "caller", "stop", "idle_close", "time_limit", "write_error", "failed_attempt"}
+	endCauseNames = [...]string{"complete", "refused", "caller", "stop", "idle_close", "time_limit", "write_error", "limit", "failed_attempt"}
 )
 
 // String returns the name of the phase in logs and metrics.
@@ -238,7 +240,7 @@
 		return c.connEndOf(c.closedByHost(), endCaller)
 	case e == nil:
 		return endComplete
-	case errors.Is(e, net.ErrClosed), errors.Is(e, io.ErrUnexpectedEOF) && c.hostRequest == nil:
+	case errors.Is(e, net.ErrClosed), errors.Is(e, network.ErrEnded), errors.Is(e, io.ErrUnexpectedEOF) && c.hostRequest == nil:
 		return c.connEndOf(e, endCaller)
 	case c.written && !time.Now().Before(c.deadline):
 		return endTimeLimit
@@ -254,6 +256,8 @@
 	switch {
 	case c.gateway.inHand.closing.Load():
 		return endStop
+	case errors.Is(err, network.ErrEnded):
+		return endLimit
 	case errors.Is(err, net.ErrClosed):
 		return endIdleClose
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -12,6 +12,7 @@
 
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/network"
 	"github.com/wigeonlink/wigeonlink/table"
 	"github.com/wigeonlink/wigeonlink/target"
 )
@@ -349,6 +350,11 @@
 		cancel(err)
 		return nil, err
 	}
+	if !network.IsFinalStatus(resp.StatusCode) {
+		resp.Body.Close()
+		cancel(errResumeFailed)
+		return nil, eris.Wrap(errResumeFailed, resp.Status)
+	}
 	reply := a.parseResponse(resp, decision, sent, via)
 	if reply.NotExecuted || !reply.HasProof || reply.ID != "" && reply.ID != a.info.ID || !isEventStream(resp) || resp.StatusCode >= 300 {
 		resp.Body.Close()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -91,11 +91,12 @@
 	buffer := make([]byte, readBufferSize)
 	for {
 		n, err := resp.Body.Read(buffer)
-		watchdog.Reset(timeout)
+		watchdog.Stop() // the target is not waited for while the caller is
 		if n > 0 && !a.writeEvents(resp, control, buffer[:n]) {
 			a.undeliverable = true
 			return streamBroken, errNotForwarded
 		}
+		watchdog.Reset(timeout)
 		if a.events.tooLong {
 			return streamBroken, errLongEvent
 		}
@@ -139,6 +140,7 @@
 		a.writeHeader(resp.StatusCode)
 	}
 	limitWrite(control)
+	defer a.recordCallerWait(time.Now())
 	if _, err := (delivered{a.call}).Write(complete); err != nil {
 		return false
 	}
@@ -149,6 +151,16 @@
 	return true
 }
 
+// recordCallerWait attributes the time of a write, which has begun at the given time, to the caller: it is no part of the pause until the target's next
+// event, of which nothing is read meanwhile.
+func (a *attempt) recordCallerWait(begun time.Time) {
+	wait := time.Since(begun)
+	a.callerWait += wait
+	if !a.lastArrival.IsZero() {
+		a.lastArrival = a.lastArrival.Add(wait)
+	}
+}
+
 // limitWrite sets the time limit of the next write to the caller.
 func limitWrite(control *http.ResponseController) {
 	// Response writers that support no write deadline, such as those of tests, return an error,
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/wigeonlink/wigeonlink/host"
+	"github.com/wigeonlink/wigeonlink/route"
 )
 
 // pipeListener is a listener that accepts the connections sent to it.
@@ -53,3 +55,43 @@
 		c.Check(string(body), qt.Equals, "id: 1\ndata: x\n\n")
 	})
 }
+
+// slowWriter is a response writer whose caller takes each part after a time.
+type slowWriter struct {
+	header http.Header
+	pause  time.Duration
+}
+
+func (w *slowWriter) Header() http.Header { return w.header }
+func (w *slowWriter) WriteHeader(int)     {}
+func (w *slowWriter) Flush()              {}
+
+func (w *slowWriter) Write(b []byte) (int, error) {
+	time.Sleep(w.pause)
+	return len(b), nil
+}
+
+// A caller that reads slowly made its target look slow, and the attempt failed as one of a silent target.
+func TestSlowCallerIsNoPauseOfTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const pause, step = 5 * time.Second, 30 * time.Millisecond
+		r, w := io.Pipe()
+		go func() {
+			for n := range 4 {
+				time.Sleep(step)
+				_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", n+1)
+			}
+			w.Close()
+		}()
+		a := &attempt{call: &call{w: &slowWriter{http.Header{}, pause}, hostRequest: &host.Request{}, route: &route.Route{Kind: route.Stream}}}
+		watchdog := time.AfterFunc(time.Hour, func() { c.Error("the target counts as silent") })
+		end, err := a.forwardEvents(&http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: r, ContentLength: -1, TransferEncoding: []string{"chunked"}}, watchdog, time.Second)
+		watchdog.Stop()
+		c.Assert(err, qt.IsNil)
+		c.Assert(end, qt.Equals, streamComplete)
+		c.Assert(a.events.eventCount, qt.Equals, 4)
+		c.Assert(a.longestGap <= step, qt.IsTrue, qt.Commentf("%s", a.longestGap))
+		c.Assert(a.callerWait, qt.Equals, 4*pause)
+	})
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -37,6 +37,7 @@
 		moves            metric.Int64Counter
 		ended            metric.Int64Counter
 		cut              metric.Int64Counter
+		limited          metric.Int64Counter
 	}
 
 	// snapshot holds the state of the reducer that the gauges show, read in one call so that
--- a/meter/request.go
+++ b/meter/request.go
@@ -8,7 +8,9 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"github.com/wigeonlink/wigeonlink/budget"
 	"github.com/wigeonlink/wigeonlink/gateway"
+	"github.com/wigeonlink/wigeonlink/network"
 )
 
 // addRequestInstruments creates the instruments for the requests that the gateway forwards.
@@ -35,6 +37,7 @@
 	}{
 		{&m.moves, "wigeonlink.stream.moves", "Changes of engine of running streams"},
 		{&m.ended, "wigeonlink.request.ended", "Forwarded requests that ended, by what ended them"},
+		{&m.limited, "wigeonlink.client.limited", "Requests refused and connections closed for a limit on clients, by limit"},
 		{&m.cut, "wigeonlink.stop.cut", "Requests that the end of a stop cut off, by phase"},
 	}
 	for _, c := range counters {
@@ -50,6 +53,31 @@
 	m.cut.Add(context.Background(), int64(count), metric.WithAttributes(attribute.String("phase", phase)))
 }
 
+// ClientLimited counts a request that was refused, or a connection that was closed, for a limit on clients.
+func (m *Meter) ClientLimited(l network.Limit) {
+	m.limited.Add(context.Background(), 1, metric.WithAttributes(attribute.String("limit", l.String())))
+}
+
+// ObserveBudget registers the gauges of what clients make the host hold.
+func (m *Meter) ObserveBudget(b *budget.Budget) error {
+	scope := m.provider.Meter("wigeonlink")
+	memory, err := scope.Int64ObservableGauge("wigeonlink.client.memory", metric.WithUnit("By"), metric.WithDescription("Memory that clients make the host hold, by its estimate"))
+	if err != nil {
+		return eris.Wrap(err, "create the gauge of clients' memory")
+	}
+	connections, err := scope.Int64ObservableGauge("wigeonlink.client.connections", metric.WithDescription("Open connections of clients"))
+	if err != nil {
+		return eris.Wrap(err, "create the gauge of clients' connections")
+	}
+	_, err = scope.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		u := b.Usage()
+		o.ObserveInt64(memory, u.Memory)
+		o.ObserveInt64(connections, int64(u.Connections))
+		return nil
+	}, memory, connections)
+	return eris.Wrap(err, "gauges of clients")
+}
+
 // RequestFinished records the durations, the number of moves and the end of a request that the gateway has
 // forwarded. It implements gateway.Observer.
 func (m *Meter) RequestFinished(r gateway.RequestStats) {
--- a/network/network.go
+++ b/network/network.go
@@ -60,6 +60,13 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
+// IsFinalStatus reports whether a status is that of a final response. A target in trouble may answer with another, such as 000, which
+// net/http accepts in responses that it reads and panics on in those that it writes.
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
+// maxStatus is the largest status that is defined by HTTP.
+const maxStatus = 599
+
 // CloseWithReset closes a connection so that its peer reads an error in place of the end, as after
 // the failure of a process.
 func CloseWithReset(c net.Conn) {
--- a/network/retire.go
+++ b/network/retire.go
@@ -10,6 +10,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/wigeonlink/wigeonlink/budget"
 )
 
 type (
@@ -34,6 +36,9 @@
 		// server sets its own limit, which http.Server does only after several bytes. 0 means no limit.
 		HeaderTimeout time.Duration
 
+		// Guard limits what clients make the host hold. It must be set before Accept is called.
+		Guard Guard
+
 		mu        sync.Mutex
 		conns     map[*retiringConn]bool
 		closed    bool                            // no further connection is accepted
@@ -61,6 +66,16 @@
 		closed       bool        // the server has closed the connection
 		readDeadline time.Time   // set by the server
 		idleTimer    *time.Timer // nil unless the connection is new or idle
+
+		account          *budget.Account // nil without a budget
+		head             headCounter     // of the request that is being read
+		headSince        time.Time       // time of the head's first byte; zero before
+		evicted          bool            // ended by the budget
+		responded        bool            // the response to the request is complete
+		idleAfterClose   bool            // the server has made the connection idle after Close
+		decided          chan struct{}   // closed when the server has changed the state after Close; nil unless Close waits for that
+		ownWriteDeadline bool            // the server has set a deadline of writes
+		writeUntil       time.Time       // deadline of writes that the connection has set itself
 	}
 )
 
@@ -79,15 +94,18 @@
 
 // Accept waits for the next connection.
 func (l *RetiringListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	var r *retiringConn
+	for admitted := false; !admitted; admitted = l.admit(r) {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		r = &retiringConn{Conn: c, listener: l, head: headCounter{blank: true}}
 	}
-	r := &retiringConn{Conn: c, listener: l}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
-		_ = c.Close() // nothing has been read or written
+		_ = r.closeConn() // nothing has been read or written
 		return nil, net.ErrClosed
 	}
 	l.conns[r] = true
@@ -115,11 +133,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.state = s
+	r.changeAccount(s)
+	r.decideClose()
 	r.stopIdleTimer()
 	if r.waiting() {
-		r.limitWait()
+		if !r.closed {
+			r.limitWait()
+		}
 	} else {
 		r.cancelEnd()
+		r.endHead()
 	}
 }
 
@@ -279,51 +302,6 @@
 	}
 }
 
-// effectiveDeadline returns the deadline of reads: that of the server, or HeaderTimeout from now on if a request
-// has begun and the server has set none. The caller holds c.mu.
-func (c *retiringConn) effectiveDeadline() time.Time {
-	if c.waiting() && c.begun && c.readDeadline.IsZero() && c.listener.HeaderTimeout > 0 {
-		return time.Now().Add(c.listener.HeaderTimeout)
-	}
-	return c.readDeadline
-}
-
-// retire writes the last response and closes the connection in the background. The caller holds c.mu.
-func (c *retiringConn) retire(last []byte) {
-	c.retired = true
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(retireWriteTimeout))
-	_, _ = c.Conn.Write(last) // a caller that has left needs no response
-	c.closeWrite()
-	c.listener.linger(c)
-}
-
-// closeWrite ends the direction to the caller, if the connection can be closed in halves. It reports whether
-// it can.
-func (c *retiringConn) closeWrite() bool {
-	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if ok {
-		_ = half.CloseWrite() // fails only if the connection is closed
-	}
-	return ok
-}
-
-// linger waits in the background until the caller closes the connection, for lingerTime at most, and closes it.
-func (l *RetiringListener) linger(c *retiringConn) {
-	closed := make(chan struct{})
-	l.mu.Lock()
-	l.lingering[c] = closed
-	l.mu.Unlock()
-	go func() {
-		defer close(closed)
-		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
-		_, _ = io.Copy(io.Discard, c.Conn) // what arrives is not read as a request
-		_ = c.Conn.Close()                 // nothing is left to be sent
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		delete(l.lingering, c)
-	}()
-}
-
 // Read reads from the connection. From one that is retired or closed as idle it reads nothing more.
 func (c *retiringConn) Read(b []byte) (int, error) {
 	c.mu.Lock()
@@ -344,11 +322,18 @@
 	case c.retired:
 		return 0, io.EOF
 	case n > 0:
+		if exceeded := c.inspect(b[:n]); exceeded != LimitNone {
+			c.refuse(exceeded)
+			return 0, io.EOF
+		}
 		c.begin()
 	case c.ending:
 		c.ended = true
 		return 0, io.EOF
 	}
+	if err != nil && c.evicted {
+		return n, ErrEnded
+	}
 	c.left = c.left || (err != nil && !errors.Is(err, os.ErrDeadlineExceeded))
 	return n, err
 }
@@ -373,7 +358,7 @@
 	if retired {
 		return 0, net.ErrClosed
 	}
-	return c.Conn.Write(b)
+	return c.write(b)
 }
 
 // SetLinger makes Close reset the connection if sec is 0, like SetLinger of net.TCPConn.
@@ -415,11 +400,14 @@
 	switch {
 	case c.retired:
 		return nil
+	case c.responded && c.state == http.StateActive && last != nil && !c.resetOnClose:
+		c.closeAfterState(last)
+		return nil
 	case !c.waiting() && !c.reading && !c.left && !c.resetOnClose && c.closeWrite():
 		c.listener.linger(c)
 		return nil
 	}
-	return c.Conn.Close()
+	return c.closeConn()
 }
 
 func (l *RetiringListener) remove(c *retiringConn) {
--- a/network/retire_test.go
+++ b/network/retire_test.go
@@ -101,6 +101,38 @@
 	c.Assert(refusals > 0, qt.IsTrue)
 }
 
+// http.Server.Shutdown closes a connection as idle before it calls ConnState. A caller that had got a response there, and sent another request, read the
+// end of the connection without the last response.
+func TestCloseBeforeIdleStateSendsLastResponse(t *testing.T) {
+	for name, after := range map[string]http.ConnState{"kept connection": http.StateIdle, "Connection: close": http.StateClosed} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			tcp, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			defer tcp.Close()
+			l := NewRetiringListener(tcp)
+			client, err := net.Dial("tcp", tcp.Addr().String())
+			c.Assert(err, qt.IsNil)
+			defer client.Close()
+			conn, err := l.Accept()
+			c.Assert(err, qt.IsNil)
+			l.ConnState(conn, http.StateActive)
+			_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			c.Assert(err, qt.IsNil)
+			c.Assert(conn.SetWriteDeadline(time.Time{}), qt.IsNil)
+			l.RetireIdle([]byte(lastResponse))
+			_, err = fmt.Fprint(client, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			c.Assert(err, qt.IsNil)
+			c.Assert(conn.Close(), qt.IsNil)
+			l.ConnState(conn, after)
+			l.Wait()
+			got, err := io.ReadAll(client)
+			c.Assert(err, qt.IsNil)
+			c.Assert(strings.Contains(string(got), lastResponse), qt.Equals, after == http.StateIdle, qt.Commentf("%q", got))
+		})
+	}
+}
+
 // A stock client that is idle when its connection is retired opens another for its next request.
 func TestStockClientIgnoresLastResponse(t *testing.T) {
 	c := qt.New(t)
--- a/target/responses.go
+++ b/target/responses.go
@@ -212,6 +212,8 @@
 		Cause: eris.Errorf("engine responded with status %d: %s", resp.StatusCode, bytes.TrimSpace(text)),
 	}
 	switch {
+	case !network.IsFinalStatus(resp.StatusCode):
+		// The response is not an answer, so the certainty stays unknown.
 	case resp.StatusCode == http.StatusNotFound && method == http.MethodGet:
 		failed.Certainty = CertaintyLost
 	case method == http.MethodPost:
--- a/target/service.go
+++ b/target/service.go
@@ -102,6 +102,9 @@
 		return Reply{}, failed
 	}
 	defer resp.Body.Close()
+	if !network.IsFinalStatus(resp.StatusCode) {
+		return Reply{}, &RequestError{Cause: eris.Errorf("the service responded with status %03d, which is not that of a final response", resp.StatusCode)}
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxReplyBytes+1))
 	if err != nil {
 		return Reply{}, &RequestError{Cause: eris.Wrap(err, "answer")}
--- a/wigeonlink.go
+++ b/wigeonlink.go
@@ -39,7 +39,9 @@
 		MaxBodyBytes    int64             // maximum request body in bytes, except on a forwarding host; 0 means the default of package api
 		ReadyAddress    netip.AddrPort    // listen address of the readiness probe of a forwarding host
 		ShutdownDelay   time.Duration     // how long a stopping forwarding host still accepts requests, while its readiness probe fails
-		BodyMemory      int64             // maximum total size in bytes of the request bodies that a forwarding host buffers; 0 means no limit
+		BodyMemory      int64             // maximum total size in bytes of the request bodies that a forwarding host without a limit of Memory buffers; 0 means no limit
+		Memory          int64             // memory of the host's machine in bytes, which bounds what clients make a forwarding host hold; 0 means no limit
+		Descriptors     int               // descriptors that a forwarding host may open; 0 means no limit
 		LogRate         float64           // maximum log lines per second; 0 means no limit
 	}
 
