--- a/meter/meter.go
+++ b/meter/meter.go
@@ -38,6 +38,7 @@
 		ended            metric.Int64Counter
 		cut              metric.Int64Counter
 		extra            extraInstruments
+		limited          metric.Int64Counter
 	}
 
 	// snapshot holds the state of the reducer that the gauges show, read in one call so that
