--- a/gateway/status_test.go
+++ b/gateway/status_test.go
@@ -13,6 +13,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/wigeonlink/wigeonlink/dispatch"
+	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/host"
 	"github.com/wigeonlink/wigeonlink/relay"
 	"github.com/wigeonlink/wigeonlink/route"
 	"github.com/wigeonlink/wigeonlink/table"
@@ -45,7 +47,7 @@
 func newStatusAttempt(c *qt.C, status int, notExecuted bool) *attempt {
 	r, err := http.NewRequest(http.MethodPost, "/", http.NoBody)
 	c.Assert(err, qt.IsNil)
-	g := &Gateway{dialect: provenReply{notExecuted: notExecuted}, transport: fixedStatus(status)}
+	g := &Gateway{host: host.NewHost(event.NewLog("host")), dialect: provenReply{notExecuted: notExecuted}, transport: fixedStatus(status)}
 	return &attempt{call: &call{gateway: g, r: r, uri: "/", route: &route.Route{Kind: route.Stream}, body: &body{}, deadline: time.Now().Add(time.Minute)}}
 }
 
