Share the rate of cold targets between hosts by the places of limits

A target is cold by its entry in the list or after its domain's evacuation was withdrawn. Each attempt and each move then needs a place, which the arbiter of the target's domain gives out at the lowest rate that is known. Questions state the cold rate as a named limit, so that an arbiter of the previous build keeps to it.

--- a/audit/audit.go
+++ b/audit/audit.go
@@ -28,6 +28,7 @@
 		pools            map[string]*poolHistory    // by name of the pool
 		harmful          map[string]*harmfulPart    // by name of the part
 		limited          map[string]*limitedTarget  // targets that name a limit, by name
+		cold             map[string]*coldTarget     // targets that are or were cold, by name
 		brittle          map[string]*brittleTime    // pools whose targets are brittle, by name
 		toldLeaving      map[hostTarget]time.Time   // times of the first responses to hosts in which targets say that they leave
 		rests            map[hostTarget][]*restPeriod
@@ -52,6 +53,8 @@
 		RecoveryTime time.Duration // time from HostsRestarted until requests must succeed again
 		HarmfulDelay time.Duration // time after the last allowed crash by a part of prompts until requests with it must not be sent
 		LimitDelay   time.Duration // time after a target began to name a limit until its hosts must keep to it
+		ColdOverage  float64       // ratio to the rate of a cold target that the requests in a second may reach
+		ColdSlack    float64       // requests in a second in addition
 
 		DetachedDelay time.Duration // time after a host has lost its connections to all targets until it must serve requests again
 	}
@@ -161,7 +164,7 @@
 	return &Audit{
 		bounds: b, requests: map[string]*request{}, hosts: map[string]bool{}, faults: map[string][]faultInterval{},
 		leavingSince: map[string]time.Time{}, evacuatedSince: map[string]time.Time{}, stopped: map[string]time.Time{}, pools: map[string]*poolHistory{}, harmful: map[string]*harmfulPart{}, limited: map[string]*limitedTarget{},
-		brittle: map[string]*brittleTime{}, toldLeaving: map[hostTarget]time.Time{}, rests: map[hostTarget][]*restPeriod{},
+		cold: map[string]*coldTarget{}, brittle: map[string]*brittleTime{}, toldLeaving: map[hostTarget]time.Time{}, rests: map[hostTarget][]*restPeriod{},
 	}
 }
 
--- a/audit/guarantee.go
+++ b/audit/guarantee.go
@@ -26,7 +26,7 @@
 	GuaranteeOnce                       // a request that is not idempotent runs once, and on one target at a time
 	GuaranteeHonest                     // a request reported as not run has not run and will not run
 	GuaranteeAdmitted                   // a request that all configurations allow is not rejected with a client error
-	GuaranteeBounded                    // the number of targets of a request, the deadline passed to them, the retries to a pool, the requests that crash targets and those to a target that names a limit are within bounds
+	GuaranteeBounded                    // the number of targets of a request, the deadline passed to them, the retries to a pool, the requests that crash targets and those to a target that names a limit or is cold are within bounds
 	GuaranteeReleased                   // targets stop working on a request after its caller disconnected
 	GuaranteeAnswered                   // each request ends in time with a response, unless a failure interrupted it
 	GuaranteeDrained                    // a leaving target, or one of an evacuated failure domain, receives no new requests
--- a/audit/request.go
+++ b/audit/request.go
@@ -74,6 +74,7 @@
 	a.checkLimit(o.Target, q.sent.Host, o.ID, at)
 	a.checkTold(q, &o, at)
 	a.checkEvacuated(q, &o, at)
+	a.checkCold(&o, at)
 	if len(q.arrivals) > 0 {
 		p := a.pool(o.Pool)
 		p.retries = append(p.retries, at)
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -84,11 +84,12 @@
 	EffectRelease                            // report a free place to the host that gives out the target's places
 	EffectEvacuated                          // the failure domain is to be evacuated: nothing new is sent to its targets; to be logged
 	EffectEmptied                            // no request is known to run in the evacuated domain any more; to be logged
+	EffectCold                               // the target has become cold, or is cold no longer; to be logged
 	EffectReadmitted                         // the evacuation of the domain was withdrawn; to be logged
 	EffectShareLeavers                       // send the targets that have said that they leave to the peers
 )
 
-var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay", "ask", "place", "placed", "probe", "share_suspects", "suspected", "quarantined", "cleared", "reserve", "limited", "trial", "share_limits", "leaver", "brittle", "share_fragilities", "release", "evacuated", "emptied", "readmitted", "share_leavers"}
+var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay", "ask", "place", "placed", "probe", "share_suspects", "suspected", "quarantined", "cleared", "reserve", "limited", "trial", "share_limits", "leaver", "brittle", "share_fragilities", "release", "evacuated", "emptied", "cold", "readmitted", "share_leavers"}
 
 // String returns the name of the kind.
 func (k EffectKind) String() string { return effectNames[k] }
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -79,7 +79,7 @@
 // else the target with capacity at the lowest cost, up to moveCostTolerance. A move to the backup
 // needs no copy; maxConcurrentMoves does not limit it.
 func (r *Reducer) startMove(q *request) {
-	if t := q.backup.target; r.canRunAt(t) {
+	if t := r.usableBackup(q); t != nil {
 		r.emitMove(q, t, true)
 		return
 	}
@@ -91,9 +91,13 @@
 	}
 	if t := r.chooseWithin(q, 0, moveCostTolerance); t != nil {
 		q.target.failedChoices = 0
+		if t.isLimited() {
+			t.usePlace()
+		}
 		r.emitMove(q, t, false)
 		return
 	}
+	r.askMovePlace(q)
 	q.target.recordNoDestination(r.now)
 }
 
@@ -246,7 +250,7 @@
 	case q == nil || q.phase != phaseDispatched:
 	case q.moveReservation.target != nil:
 		// The move in progress decides whether the stream continues.
-	case r.canRunAt(q.backup.target) && !q.mayCrashTargets():
+	case r.usableBackup(q) != nil && !q.mayCrashTargets():
 		q.target.failureRate.record(1, r.now)
 		r.emitMove(q, q.backup.target, true)
 	default:
--- a/dispatch/evacuation.go
+++ b/dispatch/evacuation.go
@@ -68,6 +68,7 @@
 	for _, domain := range slices.Sorted(maps.Keys(before)) {
 		if r.evacuations[domain] == nil {
 			r.emit(Effect{Kind: EffectReadmitted, Domain: domain})
+			r.assumeCold(domain)
 		}
 	}
 	for _, targets := range []map[string]*targetState{r.targets, r.retired} {
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -27,6 +27,8 @@
 		Target    string
 		StartTime time.Time // of the target's process
 		Record    limit.Record
+
+		Cold time.Duration // only of a question: time for which the target is cold; Record then has the rate of that. 0 if it is not
 	}
 
 	// PeerLimits are the records that another host has sent.
@@ -79,8 +81,8 @@
 	limitShareTime = 10 * time.Second
 )
 
-// isLimited reports whether each attempt at the target needs a place: it names a limit or is brittle.
-func (t *targetState) isLimited() bool { return t.limit.Named || t.brittle }
+// isLimited reports whether each attempt at the target needs a place: it names a limit, is cold or is brittle.
+func (t *targetState) isLimited() bool { return t.limit.Named || t.brittle || t.coldRate > 0 }
 
 // hasPlace reports whether a request may be sent to the target now.
 func (t *targetState) hasPlace(now time.Duration) bool {
@@ -88,9 +90,9 @@
 }
 
 // lacksPlace reports whether q cannot be sent to t because t is limited and this host has no place there
-// and can get none in time. Moved streams get no places. It requests a Tick for the next place.
+// and can get none in time. Moved streams get places at cold targets only, and those that this host has. It requests a Tick for the next place.
 func (r *Reducer) lacksPlace(q *request, t *targetState) bool {
-	if !t.isLimited() || q.target == nil && r.mayHavePlace(q, t) {
+	if !t.isLimited() || q.target == nil && r.mayHavePlace(q, t) || q.target != nil && t.takesMoves() && t.hasPlace(r.now) {
 		return false
 	}
 	if next := t.nextPlace(r.now); next > r.now {
@@ -105,16 +107,20 @@
 	if t.hasPlace(r.now) {
 		return true
 	}
-	return !t.places.asked && t.places.blocked <= r.now && len(t.places.due) < q.pool.held && t.places.askAfter <= r.now+r.placePatience(q)
+	return !t.places.asked && t.places.blocked <= r.now && len(t.places.due) < q.pool.held && t.places.askAfter <= r.now+r.placePatience(q, t)
 }
 
-// placePatience returns the time for which q can wait for a place: until its placeDeadline or, if
-// another target accepts it, not at all.
-func (r *Reducer) placePatience(q *request) time.Duration {
+// placePatience returns the time for which q can wait for a place at t: until its placeDeadline or, if
+// another target accepts it, not at all. A place at a cold target is not given out long before its time.
+func (r *Reducer) placePatience(q *request, t *targetState) time.Duration {
 	if r.hasUnlimitedTarget(q) {
 		return 0
 	}
-	return max(q.placeDeadline()-r.now, 0)
+	patience := max(q.placeDeadline()-r.now, 0)
+	if t.coldRate > 0 {
+		return min(patience, coldPatience)
+	}
+	return patience
 }
 
 // placeDeadline returns the time until which a place is of use to q: later, its answer would be late. If
@@ -183,7 +189,7 @@
 }
 
 func (r *Reducer) limitOfTarget(t *targetState) TargetLimit {
-	return TargetLimit{t.spec.Name, t.spec.StartTime, t.limit}
+	return TargetLimit{Target: t.spec.Name, StartTime: t.spec.StartTime, Record: t.limit}
 }
 
 // askPlace asks for a place at t, and keeps q waiting for the reply.
@@ -192,7 +198,7 @@
 	q.notBefore = r.now + placeReplyTimeout
 	q.awaitedPlace = t
 	r.wakeBy(q.notBefore)
-	r.emit(Effect{Kind: EffectReserve, ID: q.id, Name: q.name, Target: t.spec.Name, To: t.spec, Limit: r.limitOfTarget(t), Brittle: t.brittle, Within: r.placePatience(q)})
+	r.emit(Effect{Kind: EffectReserve, ID: q.id, Name: q.name, Target: t.spec.Name, To: t.spec, Limit: r.questionLimit(t), Brittle: t.brittle, Within: r.placePatience(q, t)})
 }
 
 // hasUnlimitedTarget reports whether a target without a limit accepts q.
@@ -219,6 +225,9 @@
 		r.mergeLimit(e.Limit)
 	}
 	q := r.requests[e.ID]
+	if q != nil && q.phase == phaseDispatched {
+		r.evacuate() // the place was asked for a stream that is to move
+	}
 	if q == nil || q.phase != phaseHeld || q.awaitedPlace == nil || q.awaitedPlace.spec.Name != e.Limit.Target {
 		if t != nil {
 			r.dispatchHeld(r.pools[poolName(t.spec)])
@@ -234,7 +243,7 @@
 // the limit, between 0 and 1, if other hosts may do so, too.
 func (r *Reducer) Reserve(asked TargetLimit, brittle bool, patience time.Duration, part float64, now time.Time) PlaceReply {
 	t := r.targets[asked.Target]
-	if t == nil || !t.spec.StartTime.Equal(asked.StartTime) || part <= 0 {
+	if t == nil || !t.spec.StartTime.Equal(asked.StartTime) || part <= 0 || t.evacuated {
 		return PlaceReply{Wait: placeLife, Later: true, Limit: TargetLimit{Target: asked.Target, StartTime: asked.StartTime}}
 	}
 	lease := uint64(0)
@@ -243,11 +252,10 @@
 			return PlaceReply{Wait: leaseRetry, Later: true, Limit: TargetLimit{Target: asked.Target, StartTime: asked.StartTime}}
 		}
 	}
-	known := t.limit
-	known.Merge(asked.Record)
-	reply := PlaceReply{Granted: true, Lease: lease, Limit: TargetLimit{asked.Target, asked.StartTime, known}}
-	if known.Named {
-		reply.Wait, reply.Granted = t.pacer.Reserve(now, part*known.Rate, patience)
+	known, rate, paced := t.rateFor(asked)
+	reply := PlaceReply{Granted: true, Lease: lease, Limit: TargetLimit{Target: asked.Target, StartTime: asked.StartTime, Record: known}}
+	if paced {
+		reply.Wait, reply.Granted = t.pacer.Reserve(now, part*rate, patience)
 		if !reply.Granted {
 			t.leases.free(lease)
 		}
@@ -271,8 +279,8 @@
 			return
 		}
 		excess -= len(t.places.due)
-		if t.limit.Named {
-			rate += t.limit.Rate
+		if paced, ok := t.pacedRate(); ok {
+			rate += paced
 		} else {
 			rate += float64(max(t.spec.Slots, 1)) / brittleRunFor.Seconds()
 		}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -185,8 +185,8 @@
 	if !q.target.leaving && !q.target.evacuated {
 		q.target.setLeaving(true, r.now)
 	}
-	if r.canRunAt(q.backup.target) {
-		t = q.backup.target
+	if backup := r.usableBackup(q); backup != nil {
+		t = backup
 	}
 	r.emitMove(q, t, t == q.backup.target)
 }
@@ -194,7 +194,7 @@
 // movesElsewhere reports whether a coordinator decides about the moves of q. The coordinator has no
 // record of the backups of other hosts' streams; a stream with one needs no order.
 func (r *Reducer) movesElsewhere(q *request) bool {
-	return r.delegated && q.placement == placementRemote && !r.canRunAt(q.backup.target)
+	return r.delegated && q.placement == placementRemote && r.usableBackup(q) == nil
 }
 
 // HostStreams returns the report of this host's streams to the coordinators of its failure
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -343,6 +343,7 @@
 		t.setBrittle(p.fragility.Named)
 		t.setLeaving(r.isLeaving(spec), r.now)
 		t.evacuated = r.isEvacuated(spec.Domain)
+		r.refreshCold(t)
 		p.targets = append(p.targets, t)
 		p.domains[spec.Domain]++
 	}
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -274,6 +274,7 @@
 	r.expireLeavers()
 	r.expireRests()
 	r.checkEmptied()
+	r.refreshColdTargets()
 	r.evacuate()
 	r.dispatchAllHeld()
 }
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -29,6 +29,7 @@
 		Pool           string        `json:"pool"`
 		Domain         string        `json:"domain"`
 		AcceptsWork    bool          `json:"open"`     // whether the target accepts new work
+		ColdRate       float64       `json:"cold"`     // requests a second that the target gets because it is cold; 0 if it is not
 		LocalRequests  int           `json:"own"`      // requests of this host in flight at the target
 		Streams        float64       `json:"streams"`  // streams of all hosts on the target, known or inferred
 		CurrentMemory  float64       `json:"now"`      // memory demand of the streams at their current length, in tokens
@@ -76,6 +77,7 @@
 				Pool:           p.name,
 				Domain:         t.spec.Domain,
 				AcceptsWork:    t.acceptsWork(r.now, r.options.maxLoadAge),
+				ColdRate:       t.coldRate,
 				LocalRequests:  t.running,
 				Streams:        d.Streams,
 				CurrentMemory:  d.MeanMemory[0],
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -71,6 +71,7 @@
 	DomainEmptied      Number = 313
 	DomainReadmitted   Number = 314
 	SendWithheld       Number = 315
+	TargetCold         Number = 316
 
 	TableApplied   Number = 401
 	TableRefused   Number = 402
@@ -151,6 +152,7 @@
 	{DomainEmptied, "domain emptied", hclog.Info, "No request is known to run in an evacuated failure domain any more."},
 	{DomainReadmitted, "domain readmitted", hclog.Info, "The evacuation of a failure domain was withdrawn; its targets get work again."},
 	{SendWithheld, "send withheld", hclog.Info, "What was decided earlier was not sent to a target, because its failure domain is to be evacuated by now."},
+	{TargetCold, "target cold", hclog.Info, "A target has become cold, and all hosts together send it the rate of requests that the configuration names, or it is cold no longer."},
 	{TableApplied, "table applied", hclog.Info, "A table is in force on this host."},
 	{TableRefused, "table refused", hclog.Error, "A published table is invalid and was rejected as a whole; the last valid table stays in force."},
 	{TableStale, "table stale", hclog.Warn, "A published table is older than the one in force and was ignored."},
--- a/host/effects.go
+++ b/host/effects.go
@@ -76,6 +76,8 @@
 		go h.reserve(f)
 	case dispatch.EffectTrial:
 		go h.try(f)
+	case dispatch.EffectCold:
+		h.logCold(f)
 	case dispatch.EffectLimited:
 		h.logLimit(f)
 	case dispatch.EffectShareLimits:
--- a/host/limit.go
+++ b/host/limit.go
@@ -39,7 +39,7 @@
 // that host's name, which is empty for this one.
 func (h *Host) askForPlace(f dispatch.Effect) (reply dispatch.PlaceReply, from string, err error) {
 	a, from, local, err := h.askArbiter(f.To.Domain, &wire.Question{Reserve: &wire.Reserve{
-		Limit: limitToWire(f.Limit, time.Now()), Domain: f.To.Domain, Within: uint32(f.Within.Milliseconds()), Name: f.Name, Origin: h.name, Brittle: f.Brittle,
+		Limit: limitToWire(f.Limit, time.Now()), Domain: f.To.Domain, Within: uint32(f.Within.Milliseconds()), Name: f.Name, Origin: h.name, Brittle: f.Brittle, Cold: uint32(f.Limit.Cold.Milliseconds()),
 	}})
 	switch {
 	case err != nil:
@@ -49,7 +49,12 @@
 	case a.Reserved == nil || a.Reserved.Declined:
 		return reply, from, errDeclined
 	}
-	return placeReplyFromWire(a.Reserved, time.Now()), from, nil
+	reply = placeReplyFromWire(a.Reserved, time.Now())
+	if f.Limit.Cold > 0 {
+		// An earlier build replies with the rate of the question as one that the target names.
+		reply.Limit.Record = limit.Record{}
+	}
+	return reply, from, nil
 }
 
 // givePlace gives out a place at a target of a failure domain as the reducer decides.
@@ -73,7 +78,9 @@
 	switch {
 	case local:
 		now := time.Now()
-		return placeReplyToWire(h.givePlace(limitFromWire(q.Limit, now), q.Brittle, time.Duration(q.Within)*time.Millisecond, q.Domain), now)
+		asked := limitFromWire(q.Limit, now)
+		asked.Cold = time.Duration(q.Cold) * time.Millisecond
+		return placeReplyToWire(h.givePlace(asked, q.Brittle, time.Duration(q.Within)*time.Millisecond, q.Domain), now)
 	case a == nil || a.Reserved == nil:
 		return &wire.Reserved{Declined: true}
 	}
@@ -118,6 +125,15 @@
 	}})
 }
 
+// logCold logs that a target has become cold, or is cold no longer.
+func (h *Host) logCold(f dispatch.Effect) {
+	rate := 0.0
+	if f.Limit.Cold > 0 {
+		rate = f.Limit.Record.Rate
+	}
+	h.log.Emit(event.TargetCold, event.Fields{Target: f.Target, Values: []any{"cold", f.Limit.Cold > 0, "left_ms", f.Limit.Cold.Milliseconds(), "rate", rate}})
+}
+
 // limitToWire returns a record in the form of messages between hosts. Times become ages, as the clocks of
 // hosts differ.
 func limitToWire(l dispatch.TargetLimit, now time.Time) *wire.Limit {
--- a/host/mesh.go
+++ b/host/mesh.go
@@ -323,6 +323,7 @@
 		return &wire.Answer{Tried: h.answerTrial(ctx, q.Trial)}
 	case q.News && h.syncer != nil:
 		r, age := h.syncer.Snapshot()
+		h.addAssumedCold(r.Targets)
 		return &wire.Answer{News: updateToWire(r, age)}
 	case q.Table != nil:
 		return &wire.Answer{Table: h.tableCache.newer(q.Table.Number)}
--- a/host/registry.go
+++ b/host/registry.go
@@ -174,6 +174,18 @@
 	return r, time.Duration(n.Age) * time.Millisecond
 }
 
+// addAssumedCold adds the times for which targets count as cold at this host to a full state: the peer has not received the
+// withdrawal of the evacuation of their domain.
+func (h *Host) addAssumedCold(targets []table.Target) {
+	var cold map[string]time.Time
+	h.Inspect(func(r *dispatch.Reducer) { cold = r.AssumedCold() })
+	for i := range targets {
+		if until := cold[targets[i].Name]; until.After(targets[i].ColdUntil) {
+			targets[i].ColdUntil = until
+		}
+	}
+}
+
 // targetToWire returns a target in the form of messages between hosts.
 func targetToWire(t table.Target) *wire.Target {
 	out := &wire.Target{
@@ -187,6 +199,9 @@
 	if !t.StartTime.IsZero() {
 		out.Boot = t.StartTime.UnixMilli()
 	}
+	if left := time.Until(t.ColdUntil); left > 0 {
+		out.Cold = uint32(left.Milliseconds())
+	}
 	return out
 }
 
@@ -202,6 +217,9 @@
 		Slots:   int(t.Slots),
 		Leaving: t.Leaving,
 	}
+	if t.Cold != 0 {
+		in.ColdUntil = time.Now().Add(time.Duration(t.Cold) * time.Millisecond)
+	}
 	if t.Boot != 0 {
 		in.StartTime = time.UnixMilli(t.Boot)
 	}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -134,6 +134,7 @@
 	inflight := gauge("wigeonlink.inflight", "Requests at targets through this host, by organisation")
 	peak := gauge("wigeonlink.target.peak", "Forecast part of a target's memory")
 	open := gauge("wigeonlink.target.open", "1 if a target takes new work")
+	cold := gauge("wigeonlink.target.cold", "Requests a second that a cold target gets; 0 if it is not cold")
 	version := gauge("wigeonlink.table.version", "Version of the table in force")
 	retried := gauge("wigeonlink.retried", "Attempts beyond the first")
 	resumed := gauge("wigeonlink.resumed", "Fresh connections asked for because of a stall")
@@ -170,9 +171,10 @@
 			by := metric.WithAttributes(attribute.String("target", row.Target))
 			o.ObserveFloat64(peak, row.Peak/float64(max(row.Memory, 1)), by)
 			o.ObserveFloat64(open, boolValue(row.AcceptsWork), by)
+			o.ObserveFloat64(cold, row.ColdRate, by)
 		}
 		return nil
-	}, promised, got, held, inflight, peak, open, version, retried, resumed, reads, age, stopInFlight, stopDispatched)
+	}, promised, got, held, inflight, peak, open, cold, version, retried, resumed, reads, age, stopInFlight, stopDispatched)
 	if err != nil {
 		return eris.Wrap(err, "gauges")
 	}
--- a/table/table.go
+++ b/table/table.go
@@ -48,6 +48,13 @@
 		Name    string
 		Version string
 		Engine  EngineSpec
+		Cold    ColdSpec
+	}
+
+	// A ColdSpec says how the targets of a pool are used that are cold, as they have just started.
+	ColdSpec struct {
+		Rate float64       // requests a second from all hosts together that a cold target takes; 0 means no limit
+		Time time.Duration // for which a target is cold after its start
 	}
 
 	// An EngineSpec holds the properties that all engines of a model share. A zero field
@@ -86,6 +93,7 @@
 		Slots         int       // largest number of concurrent requests; 0 means not known
 		StartTime     time.Time `json:"Boot"` // start time of the process; zero means not known
 		Leaving       bool      // draining: accepts no new requests and shuts down soon
+		ColdUntil     time.Time // end of the time for which the target is cold; zero means that it is not
 		Unlisted      bool      `json:"Missing"` // absent from the latest list of targets, which may be incomplete
 	}
 
@@ -97,6 +105,7 @@
 	Service struct {
 		Name   string
 		Routes []Route
+		Cold   ColdSpec
 	}
 
 	// A Route selects calls of a service by method and path prefix, and declares
