--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -198,8 +198,8 @@
 	if !q.target.leaving && !q.target.evacuated {
 		q.target.setLeaving(true, r.now)
 	}
-	if r.canRunAt(q.backup.target) {
-		t = q.backup.target
+	if backup := r.usableBackup(q); backup != nil {
+		t = backup
 	}
 	r.emitMove(q, t, t == q.backup.target)
 }
@@ -212,7 +212,7 @@
 	if q.remote != nil {
 		return !r.coordinates
 	}
-	return r.delegated && q.placement == placementRemote && !r.canRunAt(q.backup.target)
+	return r.delegated && q.placement == placementRemote && r.usableBackup(q) == nil
 }
 
 // HostStreams returns the report of this host's streams to the coordinators of its failure
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -75,6 +75,7 @@
 	DomainEmptied      Number = 313
 	DomainReadmitted   Number = 314
 	SendWithheld       Number = 315
+	TargetCold         Number = 316
 	EnginesUneven      Number = 321
 
 	TableApplied   Number = 401
@@ -163,6 +164,7 @@
 	{DomainEmptied, "domain emptied", hclog.Info, "No request is known to run in an evacuated failure domain any more."},
 	{DomainReadmitted, "domain readmitted", hclog.Info, "The evacuation of a failure domain was withdrawn; its targets get work again."},
 	{SendWithheld, "send withheld", hclog.Info, "What was decided earlier was not sent to a target, because its failure domain is to be evacuated by now."},
+	{TargetCold, "target cold", hclog.Info, "A target has become cold, and all hosts together send it the rate of requests that the configuration names, or it is cold no longer."},
 	{EnginesUneven, "engines uneven", hclog.Info, "Whether the engines of a pool differ in speed so much that the choice of an engine counts late streams has changed; the fields hold the times between two tokens."},
 	{TableApplied, "table applied", hclog.Info, "A table is in force on this host."},
 	{TableRefused, "table refused", hclog.Error, "A published table is invalid and was rejected as a whole; the last valid table stays in force."},
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -141,6 +141,7 @@
 	inflight := gauge("wigeonlink.inflight", "Requests at targets through this host, by organisation")
 	peak := gauge("wigeonlink.target.peak", "Forecast part of a target's memory")
 	open := gauge("wigeonlink.target.open", "1 if a target takes new work")
+	cold := gauge("wigeonlink.target.cold", "Requests a second that a cold target gets; 0 if it is not cold")
 	idle := gauge("wigeonlink.target.idle_interval", "Seconds between two tokens while an engine reads no prompt; 0 if unknown")
 	uneven := gauge("wigeonlink.pool.uneven", "1 if the engines of a pool are unevenly fast, so that the choice counts late streams")
 	version := gauge("wigeonlink.table.version", "Version of the table in force")
@@ -183,10 +184,11 @@
 			by := metric.WithAttributes(attribute.String("target", row.Target))
 			o.ObserveFloat64(peak, row.Peak/float64(max(row.Memory, 1)), by)
 			o.ObserveFloat64(open, boolValue(row.AcceptsWork), by)
+			o.ObserveFloat64(cold, row.ColdRate, by)
 		}
 		s.observeSpeeds(o, idle, uneven)
 		return nil
-	}, promised, got, held, inflight, peak, open, idle, uneven, version, retried, resumed, readmission, reads, age, stopInFlight, stopDispatched)
+	}, promised, got, held, inflight, peak, open, cold, idle, uneven, version, retried, resumed, readmission, reads, age, stopInFlight, stopDispatched)
 	if err != nil {
 		return eris.Wrap(err, "gauges")
 	}
