Require a lasting difference in speed before a pool counts as uneven

The idle interval is the smallest mean of the latest slots, and the pool changes after four equal results. With a quartile and one result, noise in trials with equal engines changed some choices.

--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -95,8 +95,9 @@
 	if q.paceObjective == 0 || longest == 0 || q.paceTarget != q.target {
 		return
 	}
+	idle, _ := q.target.pace.speed.Idle()
 	q.pool.pace.Finished(pace.Outcome{
-		Idle: q.target.pace.speed.Idle(), Objective: q.paceObjective,
+		Idle: idle, Objective: q.paceObjective,
 		Prompts: q.target.pace.prompts - q.promptsBefore, Missed: longest > q.pauseObjective,
 	})
 }
@@ -121,11 +122,12 @@
 		if !t.acceptsWork(r.now, r.options.maxLoadAge) {
 			continue
 		}
-		t.pace.idle = t.pace.speed.Idle()
+		idle, settled := t.pace.speed.Idle()
+		t.pace.idle = idle
 		if r.inOtherDomain(t) {
 			continue
 		}
-		e := pace.Engine{Idle: t.pace.idle, Memory: float64(t.spec.Memory)}
+		e := pace.Engine{Idle: idle, Settled: settled, Memory: float64(t.spec.Memory)}
 		for _, l := range t.pace.running {
 			e.Streams += l.Streams
 		}
--- a/dispatch/pace_test.go
+++ b/dispatch/pace_test.go
@@ -17,7 +17,7 @@
 	return a
 }
 
-// runStreams lets a stream run on each engine for two seconds, with the given intervals between tokens.
+// runStreams lets a stream run on each engine for four seconds, with the given intervals between tokens.
 func (r *reducerTest) runStreams(intervals map[string]time.Duration) {
 	e := HostStreams{Origin: "runner/1"}
 	id := ID(1)
@@ -28,13 +28,14 @@
 		})
 		id++
 	}
-	for range 20 {
+	for range 40 {
 		e.Sequence++
 		for i := range e.Streams {
 			e.Streams[i].Tokens += int(100 * time.Millisecond / intervals[e.Streams[i].Target])
 		}
 		e.Streams = append([]StreamState(nil), e.Streams...)
 		r.reduce(100*time.Millisecond, e)
+		r.reducer.refreshPace(r.reducer.pools["model-0"]) // as a choice of a target does
 	}
 }
 
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -71,6 +71,7 @@
 	for _, p := range r.poolList {
 		for _, t := range p.targets {
 			d := t.totalDemand(r.now)
+			idle, _ := t.pace.speed.Idle()
 			var none forecast.Demand
 			rows = append(rows, TargetRow{
 				Target:         t.spec.Name,
@@ -84,7 +85,7 @@
 				Memory:         t.spec.Memory,
 				ReportedMemory: t.load.UsedTokens,
 				Interval:       t.tokenInterval.At(d.Streams),
-				Idle:           t.pace.speed.Idle(),
+				Idle:           idle,
 			})
 		}
 	}
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -26,6 +26,7 @@
 		engines   int           // of the latest Refresh
 		known     []time.Duration
 		spread    Spread
+		changes   int // consecutive calls of Refresh whose engines differ from what spread says of them
 		scarcity  float64
 	}
 
@@ -43,6 +44,7 @@
 	// An Engine describes an engine that accepts work.
 	Engine struct {
 		Idle    time.Duration // 0 if unknown
+		Settled bool          // see Speed.Idle
 		Memory  float64       // in tokens
 		Streams int           // running streams with a pause objective
 	}
@@ -50,8 +52,8 @@
 	// A Spread describes how the engines of a pool differ in speed.
 	Spread struct {
 		Uneven                   bool
-		Known                    int           // engines with a known idle interval
-		Fastest, Median, Slowest time.Duration // idle intervals of the known engines
+		Known                    int           // engines with a settled idle interval
+		Fastest, Median, Slowest time.Duration // idle intervals of these engines
 	}
 
 	// A Load is a number of running streams that have the same pause objective.
@@ -83,7 +85,11 @@
 	evidencePrompt = 400.0 // prompts after which the weight of a count has fallen by a factor of e
 
 	unevenFactor = 1.5 // ratio of idle intervals from which a pool is uneven
-	minKnown     = 3   // engines with a known interval below which no pool is uneven
+	// confirmations is the number of consecutive calls of Refresh after which a pool becomes uneven, or even again. An
+	// engine that reads many prompts may seem slow for a moment.
+	confirmations = 4
+
+	minKnown = 3 // engines with a settled interval below which no pool is uneven
 
 	promptWindow = 10 * time.Second // time constant of the rate of prompts
 	memoryWeight = 0.05             // weight of the latest stream in the mean memory
@@ -146,19 +152,25 @@
 func (p *Pool) Refresh(engines []Engine) {
 	p.engines, p.known = len(engines), p.known[:0]
 	for _, e := range engines {
-		if e.Idle > 0 {
+		if e.Settled {
 			p.known = append(p.known, e.Idle)
 		}
 	}
-	p.spread = Spread{Known: len(p.known)}
+	was := p.spread.Uneven
+	p.spread = Spread{Uneven: was, Known: len(p.known)}
 	if len(p.known) == 0 {
 		return
 	}
 	slices.Sort(p.known)
 	s := &p.spread
 	s.Fastest, s.Median, s.Slowest = p.known[0], p.known[len(p.known)/2], p.known[len(p.known)-1]
-	s.Uneven = len(p.known) >= minKnown && p.objective > 0 &&
+	differs := len(p.known) >= minKnown && p.objective > 0 &&
 		(float64(s.Slowest) >= unevenFactor*float64(s.Median) || float64(s.Median) >= unevenFactor*float64(s.Fastest))
+	if differs == was {
+		p.changes = 0
+	} else if p.changes++; p.changes >= confirmations {
+		s.Uneven, p.changes = differs, 0
+	}
 	if s.Uneven {
 		p.scarcity = p.scarcityOf(engines)
 	}
@@ -190,7 +202,7 @@
 
 // Hazard returns the probability that a prompt that is read beside a stream with the given objective makes it late,
 // on an engine with the given idle interval. For an unknown interval, 0, it is the mean over the engines of
-// the pool whose interval is known.
+// the pool whose interval is settled.
 func (p *Pool) Hazard(idle, objective time.Duration) float64 {
 	if objective <= 0 {
 		return 0
--- a/pace/replay_test.go
+++ b/pace/replay_test.go
@@ -89,13 +89,17 @@
 		if r.rng.Float64() < 0.1 {
 			elapsed *= 2 // a prompt is read
 		}
+		if e.isSlowed(r.now) {
+			elapsed = elapsed * 5 / 2
+		}
 		e.Observe(r.now, 4, elapsed*4*e.interval/tick, 1)
 		if s.end > r.now {
 			running = append(running, s)
 			continue
 		}
 		if s.long {
-			r.pool.Finished(Outcome{Idle: e.Idle(), Objective: replayObjective, Prompts: e.prompts - s.prompts, Missed: s.late})
+			idle, _ := e.Idle()
+			r.pool.Finished(Outcome{Idle: idle, Objective: replayObjective, Prompts: e.prompts - s.prompts, Missed: s.late})
 			r.result.long++
 			if s.late {
 				r.result.late++
@@ -108,6 +112,11 @@
 	e.streams = running
 }
 
+// isSlowed reports whether the engine is slowed down for the 600 ms that contain the given time: one such period in seven is.
+func (e *replayEngine) isSlowed(now time.Duration) bool {
+	return (int(now/(600*time.Millisecond))*2654435761+int(e.ends.Seconds())*40503)%7 == 0
+}
+
 func (e *replayEngine) longStreams() (n int) {
 	for _, s := range e.streams {
 		if s.long {
@@ -120,7 +129,8 @@
 func (r *replay) refresh() {
 	engines := make([]Engine, len(r.engines))
 	for i, e := range r.engines {
-		engines[i] = Engine{Idle: e.Idle(), Memory: 26_851, Streams: e.longStreams()}
+		idle, settled := e.Idle()
+		engines[i] = Engine{Idle: idle, Settled: settled, Memory: 26_851, Streams: e.longStreams()}
 	}
 	r.pool.Refresh(engines)
 }
@@ -143,8 +153,9 @@
 		}
 		cost := 0.1 * float64(len(e.streams))
 		if r.paced && r.pool.Uneven() {
+			idle, _ := e.Idle()
 			cost += 6 * r.pool.Late(r.now, &Candidate{
-				Idle: e.Idle(), Running: []Load{{replayObjective, e.longStreams()}}, Reads: true,
+				Idle: idle, Running: []Load{{replayObjective, e.longStreams()}}, Reads: true,
 				Objective: objective, Memory: memory, Residence: 200*time.Millisecond + time.Duration(tokens)*8*time.Millisecond,
 			})
 		}
--- a/pace/speed.go
+++ b/pace/speed.go
@@ -1,12 +1,9 @@
 package pace
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // A Speed estimates an engine's idle interval: its time between two tokens while it reads no prompt. Intervals are
-// averaged over the streams of the engine in slots of time, and a low quantile of the latest slots is
+// averaged over the streams of the engine in slots of time, and the smallest average of the latest slots is
 // taken. A slot in which a prompt was read, or in which the engine was slowed down for a short time, does
 // not raise the estimate, while an engine that has become slow is known to be after a few slots. The zero
 // value is an unknown interval.
@@ -24,8 +21,8 @@
 const (
 	slotTime      = 500 * time.Millisecond
 	slotCount     = 6
-	minSlotTokens = 16   // tokens below which a slot is not used
-	lowQuantile   = 0.25 // of the slots
+	minSlotTokens = 32 // tokens below which a slot is not used
+	settledSlots  = 4
 )
 
 // Observe adds tokens that a stream delivered over the elapsed time until now. A factor removes the
@@ -41,19 +38,18 @@
 	s.slots[s.current].tokens += tokens
 }
 
-// Idle returns the idle interval, or 0 if it is unknown.
-func (s *Speed) Idle() time.Duration {
-	var intervals [slotCount]time.Duration
+// Idle returns the idle interval, or 0 if it is unknown, and whether so many slots are known that a single slow period of the
+// engine does not decide it.
+func (s *Speed) Idle() (interval time.Duration, settled bool) {
 	n := 0
 	for _, l := range s.slots {
-		if l.tokens >= minSlotTokens {
-			intervals[n] = l.elapsed / time.Duration(l.tokens)
-			n++
+		if l.tokens < minSlotTokens {
+			continue
+		}
+		n++
+		if d := l.elapsed / time.Duration(l.tokens); interval == 0 || d < interval {
+			interval = d
 		}
 	}
-	if n == 0 {
-		return 0
-	}
-	slices.Sort(intervals[:n])
-	return intervals[int(lowQuantile*float64(n))%n]
+	return interval, n >= settledSlots
 }
