--- a/meter/meter.go
+++ b/meter/meter.go
@@ -127,23 +127,11 @@
 // collected.
 func (m *Meter) ObserveHost(h *host.Host) error {
 	scope := m.provider.Meter("wigeonlink")
-	var failed error
-	gauge := func(name, text string) metric.Float64ObservableGauge {
-		g, err := scope.Float64ObservableGauge(name, metric.WithDescription(text))
-		if err != nil && failed == nil {
-			failed = eris.Wrap(err, name)
-		}
-		return g
-	}
+	gauge, failed := gaugesOf(scope)
 	promised := gauge("wigeonlink.share.promised", "Promised part of all service, by organisation")
 	got := gauge("wigeonlink.share.got", "Part of all service used lately, by organisation")
 	held := gauge("wigeonlink.held", "Requests held on this host, by organisation")
 	inflight := gauge("wigeonlink.inflight", "Requests at targets through this host, by organisation")
-	peak := gauge("wigeonlink.target.peak", "Forecast part of a target's memory")
-	open := gauge("wigeonlink.target.open", "1 if a target takes new work")
-	cold := gauge("wigeonlink.target.cold", "Requests a second that a cold target gets; 0 if it is not cold")
-	idle := gauge("wigeonlink.target.idle_interval", "Seconds between two tokens while an engine reads no prompt; 0 if unknown")
-	uneven := gauge("wigeonlink.pool.uneven", "1 if the engines of a pool are unevenly fast, so that the choice counts late streams")
 	version := gauge("wigeonlink.table.version", "Version of the table in force")
 	retried := gauge("wigeonlink.retried", "Attempts beyond the first")
 	resumed := gauge("wigeonlink.resumed", "Fresh connections asked for because of a stall")
@@ -152,8 +140,8 @@
 	age := gauge("wigeonlink.registry.age", "Seconds since the published state was last confirmed")
 	stopInFlight := gauge("wigeonlink.stop.inflight", "Requests in flight when the host began to stop")
 	stopDispatched := gauge("wigeonlink.stop.dispatched", "Requests dispatched since the host began to stop")
-	if failed != nil {
-		return failed
+	if err := failed(); err != nil {
+		return err
 	}
 	_, err := scope.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		s := readSnapshot(h)
@@ -180,29 +168,15 @@
 			o.ObserveFloat64(held, float64(row.Held), by)
 			o.ObserveFloat64(inflight, float64(row.Inflight), by)
 		}
-		for _, row := range s.targets {
-			by := metric.WithAttributes(attribute.String("target", row.Target))
-			o.ObserveFloat64(peak, row.Peak/float64(max(row.Memory, 1)), by)
-			o.ObserveFloat64(open, boolValue(row.AcceptsWork), by)
-			o.ObserveFloat64(cold, row.ColdRate, by)
-		}
-		s.observeSpeeds(o, idle, uneven)
 		return nil
-	}, promised, got, held, inflight, peak, open, cold, idle, uneven, version, retried, resumed, readmission, reads, age, stopInFlight, stopDispatched)
+	}, promised, got, held, inflight, version, retried, resumed, readmission, reads, age, stopInFlight, stopDispatched)
 	if err != nil {
 		return eris.Wrap(err, "gauges")
 	}
-	return observeDomains(scope, h)
-}
-
-// observeSpeeds records the idle interval of each target and which pools are uneven.
-func (s *snapshot) observeSpeeds(o metric.Observer, idle, uneven metric.Float64Observable) {
-	for _, row := range s.targets {
-		o.ObserveFloat64(idle, row.Idle.Seconds(), metric.WithAttributes(attribute.String("target", row.Target)))
-	}
-	for pool, is := range s.uneven {
-		o.ObserveFloat64(uneven, boolValue(is), metric.WithAttributes(attribute.String("pool", pool)))
+	if err := observeTargets(scope, h); err != nil {
+		return err
 	}
+	return observeDomains(scope, h)
 }
 
 func boolValue(b bool) float64 {
