--- a/host/placement_test.go
+++ b/host/placement_test.go
@@ -21,3 +21,13 @@
 	earlier := placementFromWire(&wire.Place{Id: 3})
 	qt.Check(t, earlier.Subject == 0 && earlier.Deadline == 0, qt.IsTrue)
 }
+
+// Guards against a pause objective that is lost between a host and its coordinator, which would then place the stream as
+// if no pause made it late.
+func TestPauseObjectiveIsSentToCoordinator(t *testing.T) {
+	c := qt.New(t)
+	asked := dispatch.PlacementRequest{PauseObjective: 180 * time.Millisecond}
+	c.Check(placementFromWire(placementToWire(&asked)), qt.DeepEquals, asked)
+	running := dispatch.StreamState{PauseObjective: 180 * time.Millisecond}
+	c.Check(streamFromWire(streamToWire(&running)), qt.DeepEquals, running)
+}
