--- a/budget/budget.go
+++ b/budget/budget.go
@@ -38,6 +38,8 @@
 		used     Usage
 		ending   int64 // bytes that connections hold which have been ended and not yet closed
 		accounts map[*Account]struct{}
+
+		searchAfter time.Time // time before which costliest is not called again, as it has found none
 	}
 
 	// An Account is what one connection holds. A nil Account holds nothing and has no limits.
@@ -83,6 +85,10 @@
 	// 1 MiB, in less.
 	minHold = 250 * time.Millisecond
 
+	// searchPause is the time between two searches for a connection to end after one without a result. Each visits all connections
+	// under the lock that every read of a head needs.
+	searchPause = 10 * time.Millisecond
+
 	// reserveFraction is the part of the memory that is only for holds of at most smallHold. What ended connections hold is free only when their
 	// handlers have returned; until then ordinary requests are admitted from the reserve.
 	reserveFraction = 8
@@ -300,9 +306,10 @@
 		return true
 	}
 	goal := b.limits.Memory - b.limits.Memory/reserveFraction
-	for b.used.Memory-b.ending+n > goal {
+	for b.used.Memory-b.ending+n > goal && !now.Before(b.searchAfter) {
 		victim := b.costliest(now)
 		if victim == nil || victim == a {
+			b.searchAfter = now.Add(searchPause)
 			break
 		}
 		b.endAccount(victim)
--- a/detour/needed.go
+++ b/detour/needed.go
@@ -15,6 +15,7 @@
 }
 
 // Needed returns the time for which the connection that is being opened may be in use, or 0 if it is unknown.
+// A connection to an engine for a request always has a time; one without is for copies of running streams.
 func Needed(ctx context.Context) time.Duration {
 	d, _ := ctx.Value(neededKey{}).(time.Duration)
 	return max(d, 0)
--- a/dispatch/cold.go
+++ b/dispatch/cold.go
@@ -41,8 +41,10 @@
 	if rate == t.coldRate {
 		return
 	}
+	// Places that were given out at a higher rate would exceed the new one together.
+	slower := rate > 0 && (t.coldRate == 0 || rate < t.coldRate)
 	t.coldRate = rate
-	if !t.isLimited() {
+	if slower || !t.isLimited() {
 		t.places = places{asked: t.places.asked}
 	}
 	r.emit(Effect{Kind: EffectCold, Target: t.spec.Name, Limit: r.questionLimit(t)})
--- a/dispatch/cold_test.go
+++ b/dispatch/cold_test.go
@@ -210,3 +210,14 @@
 	f.reduce(0, f.call(2))
 	f.requireEffect(EffectDispatch)
 }
+
+// Places that a target's limit gave out before the target became cold would exceed its cold rate together.
+func TestPlacesOfFasterRateAreVoidWhenTargetIsCold(t *testing.T) {
+	f := newPlainTest(t, "only")
+	f.nameLimit("only", 100)
+	f.reduce(0, f.call(1))
+	f.reply(f.requireEffect(EffectReserve), true, 400*time.Millisecond)
+	f.Check(f.reducer.targets["only"].places.due, qt.HasLen, 1)
+	f.setCold("only", time.Minute, 4)
+	f.Check(f.reducer.targets["only"].places.due, qt.HasLen, 0)
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -32,25 +32,25 @@
 	// attempt begins with a new one; what the caller has already been sent belongs to the call.
 	attempt struct {
 		*call
-		cancel        context.CancelCauseFunc // aborts the attempt
-		overtake      context.CancelCauseFunc // aborts the attempt in favour of another one; see claim
-		number        int                     // among the attempts of the call, from 1
-		took          time.Duration           // from the sending of the request to the complete response; 0 if that was not read before it was forwarded
-		failed        *bufferedResponse       // 5xx response, which is not forwarded if another target succeeds
-		target        string                  // name of the target, after a move that of the engine which serves the stream
-		via           string                  // host through which the target was connected; empty if directly
-		framing       framing                 // of the latest response
-		limit         *limit.Reading          // of the latest response; nil if that says nothing
-		events        eventSplitter           // of the stream
-		lastEvent     atomic.Int64            // identifier of the last event forwarded to the caller
-		lastArrival   time.Time               // arrival of the last event
-		longestGap    time.Duration           // longest time between two consecutive events
-		longestMove   time.Duration           // longest time between two consecutive events across a move
-		gapMoves      int                     // value of moveCount at the latest event
-		callerWait    time.Duration           // time in writes to the caller
-		moveCount     int                     // completed moves of the stream to another engine
-		undeliverable bool                    // an event is missing, or a write to the caller failed
-		placement     placement
+		cancel          context.CancelCauseFunc // aborts the attempt
+		cancelRedundant context.CancelCauseFunc // aborts the attempt in favour of another one; see claim
+		number          int                     // among the attempts of the call, from 1
+		took            time.Duration           // from the sending of the request to the complete response; 0 if that was not read before it was forwarded
+		failed          *bufferedResponse       // 5xx response, which is not forwarded if another target succeeds
+		target          string                  // name of the target, after a move that of the engine which serves the stream
+		via             string                  // host through which the target was connected; empty if directly
+		framing         framing                 // of the latest response
+		limit           *limit.Reading          // of the latest response; nil if that says nothing
+		events          eventSplitter           // of the stream
+		lastEvent       atomic.Int64            // identifier of the last event forwarded to the caller
+		lastArrival     time.Time               // arrival of the last event
+		longestGap      time.Duration           // longest time between two consecutive events
+		longestMove     time.Duration           // longest time between two consecutive events across a move
+		gapMoves        int                     // value of moveCount at the latest event
+		callerWait      time.Duration           // time in writes to the caller
+		moveCount       int                     // completed moves of the stream to another engine
+		undeliverable   bool                    // an event is missing, or a write to the caller failed
+		placement       placement
 	}
 
 	// bufferedResponse is a target's response held in memory: the whole response, or its first
@@ -124,7 +124,7 @@
 	}
 	if isEventStream(resp) && resp.StatusCode < 300 {
 		if !a.claim() {
-			return overtakenResult()
+			return redundantResult()
 		}
 		return a.stream(ctx, decision, resp)
 	}
@@ -250,7 +250,8 @@
 }
 
 // needed returns the time for which the connection of an attempt may be in use, or 0 if nothing is known of it: for a
-// stream until its usual end, or until the deadline if its output has no limit.
+// stream until its usual end, or until the deadline if its output has no limit. For a stream it is never 0, which stands for a
+// connection to an engine that carries no request.
 func (c *call) needed(decision dispatch.Effect) time.Duration {
 	left := max(time.Until(c.deadline), time.Millisecond)
 	switch {
@@ -258,6 +259,8 @@
 		return min(left, decision.Run)
 	case !c.plainService && c.info.MaxOutputTokens == 0:
 		return left
+	case !c.plainService:
+		return time.Millisecond // a resumed stream, whose usual run is not known
 	}
 	return 0
 }
@@ -314,7 +317,7 @@
 	}
 	a.took = time.Since(sent)
 	if !a.claim() {
-		return overtakenResult()
+		return redundantResult()
 	}
 	f.writeTo(a.call)
 	return a.completeResult()
@@ -349,7 +352,7 @@
 // then the rest of the body as it arrives.
 func (a *attempt) forwardLong(ctx context.Context, resp *http.Response, f *bufferedResponse) relay.Result {
 	if !a.claim() {
-		return overtakenResult()
+		return redundantResult()
 	}
 	a.copyHeader(f.header)
 	if resp.ContentLength >= 0 {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -52,7 +52,7 @@
 	written      bool          // the response headers have been sent
 	failedWrite  error         // of the first failed write to the caller
 	state        callPhase
-	rivals       rivals
+	concurrent   concurrentAttempts
 }
 
 // serve admits the request, reads its body and forwards it to a target. It returns an error if
--- a/gateway/call_test.go
+++ b/gateway/call_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/route"
 )
 
@@ -27,3 +28,10 @@
 		}
 	}
 }
+
+// A connection to an engine without a time counts as one for copies, which a relaying host also opens to evacuated domains. The
+// connection of a resumed stream with an output limit had none.
+func TestConnectionOfResumedStreamHasTime(t *testing.T) {
+	q := &call{deadline: time.Now().Add(time.Minute), info: RequestInfo{MaxOutputTokens: 100}}
+	qt.Check(t, q.needed(dispatch.Effect{}) > 0, qt.IsTrue)
+}
--- a/gateway/extra.go
+++ b/gateway/extra.go
@@ -14,8 +14,8 @@
 )
 
 type (
-	// rivals are the attempts of a call that are in flight at the same time. They are guarded by callPhase.mu.
-	rivals struct {
+	// concurrentAttempts are the attempts of a call that are in flight at the same time. They are guarded by callPhase.mu.
+	concurrentAttempts struct {
 		attempts []*attempt
 		winner   *attempt // attempt that has responded, and alone writes to the caller; nil before
 	}
@@ -28,11 +28,11 @@
 	}
 )
 
-// maxRivals is the largest number of attempts of a call in flight.
-const maxRivals = 2
+// maxConcurrentAttempts is the largest number of attempts of a call in flight.
+const maxConcurrentAttempts = 2
 
-// errOvertaken is the cause of the end of an attempt that was cancelled because the other one has responded.
-var errOvertaken = eris.New("another attempt has responded first")
+// errRedundant is the cause of the end of an attempt that was cancelled because the other one has responded.
+var errRedundant = eris.New("another attempt has responded first")
 
 // claim reports whether the attempt may write its response to the caller. The first attempt of a call that calls it may;
 // the others are cancelled at once.
@@ -40,47 +40,47 @@
 	c := a.call
 	c.state.mu.Lock()
 	defer c.state.mu.Unlock()
-	if c.rivals.winner != nil {
-		return c.rivals.winner == a
+	if c.concurrent.winner != nil {
+		return c.concurrent.winner == a
 	}
-	c.rivals.winner, c.latest = a, a
-	for _, other := range c.rivals.attempts {
+	c.concurrent.winner, c.latest = a, a
+	for _, other := range c.concurrent.attempts {
 		if other != a {
-			other.overtake(errOvertaken)
+			other.cancelRedundant(errRedundant)
 		}
 	}
 	return true
 }
 
-// overtakenResult returns the result of an attempt whose claim was refused.
-func overtakenResult() relay.Result {
-	return relay.Result{Ending: relay.EndFailed, Cause: errOvertaken}
+// redundantResult returns the result of an attempt whose claim was refused.
+func redundantResult() relay.Result {
+	return relay.Result{Ending: relay.EndFailed, Cause: errRedundant}
 }
 
 // winner returns the attempt that has responded, or nil.
 func (c *call) winner() *attempt {
 	c.state.mu.Lock()
 	defer c.state.mu.Unlock()
-	return c.rivals.winner
+	return c.concurrent.winner
 }
 
-// resetRivals prepares the call for its next attempts.
-func (c *call) resetRivals() {
+// resetConcurrent prepares the call for its next attempts.
+func (c *call) resetConcurrent() {
 	c.state.mu.Lock()
 	defer c.state.mu.Unlock()
-	c.rivals = rivals{}
+	c.concurrent = concurrentAttempts{}
 }
 
 // makeAttempts makes the attempt of a decision and, if the reducer asks for it, a second one while the first is in flight. It
 // reports true if the call has ended, with the error for the caller or nil, and false if another decision is to be waited for.
 func (c *call) makeAttempts(ctx context.Context, decision dispatch.Effect) (ended bool, err error) {
-	c.resetRivals()
+	c.resetConcurrent()
 	if decision.ExtraAfter <= 0 {
 		a := c.newAttempt(decision.Target)
 		r := a.run(ctx, decision)
 		return c.finishAttempt(a, host.Attempt{Number: decision.Basis.Attempt, Took: a.took}, r)
 	}
-	results := make(chan attemptResult, maxRivals)
+	results := make(chan attemptResult, maxConcurrentAttempts)
 	c.startAttempt(ctx, decision, results)
 	slow := time.NewTimer(decision.ExtraAfter)
 	defer slow.Stop()
@@ -106,7 +106,7 @@
 			if r.attempt == c.winner() || last.attempt == nil && inFlight == 0 {
 				last = r
 			} else {
-				c.reportRival(r)
+				c.reportOther(r)
 			}
 		}
 	}
@@ -116,20 +116,20 @@
 // startAttempt starts an attempt that may run beside another one.
 func (c *call) startAttempt(ctx context.Context, decision dispatch.Effect, results chan<- attemptResult) {
 	a := c.newAttempt(decision.Target)
-	ctx, a.overtake = context.WithCancelCause(ctx)
+	ctx, a.cancelRedundant = context.WithCancelCause(ctx)
 	c.state.mu.Lock()
-	c.rivals.attempts = append(c.rivals.attempts, a)
-	overtaken := c.rivals.winner != nil
-	if overtaken {
-		c.latest = c.rivals.winner
+	c.concurrent.attempts = append(c.concurrent.attempts, a)
+	redundant := c.concurrent.winner != nil
+	if redundant {
+		c.latest = c.concurrent.winner
 	}
 	c.state.mu.Unlock()
-	if overtaken {
-		a.overtake(errOvertaken)
+	if redundant {
+		a.cancelRedundant(errRedundant)
 	}
 	go func() {
 		r := a.run(ctx, decision)
-		a.overtake(nil)
+		a.cancelRedundant(nil)
 		results <- attemptResult{a, decision.Basis.Attempt, r}
 	}()
 }
@@ -139,12 +139,12 @@
 	return host.Attempt{Number: r.number, Target: r.attempt.target, Took: r.attempt.took}
 }
 
-// reportRival reports the end of an attempt that has not won while another one is in flight or has won.
-func (c *call) reportRival(r attemptResult) {
+// reportOther reports the end of an attempt that has not won while another one is in flight or has won.
+func (c *call) reportOther(r attemptResult) {
 	switch {
 	case c.r.Context().Err() != nil:
 		// Abandon ends both attempts.
-	case errors.Is(r.Cause, errOvertaken):
+	case errors.Is(r.Cause, errRedundant):
 		c.hostRequest.AttemptCancelled(r.identity())
 	default:
 		c.keepFailedResponse(r.attempt)
--- a/meter/domain.go
+++ b/meter/domain.go
@@ -12,19 +12,14 @@
 
 // observeDomains registers the gauges of the evacuation of each failure domain.
 func observeDomains(scope metric.Meter, h *host.Host) error {
-	evacuated, err := scope.Float64ObservableGauge("wigeonlink.domain.evacuated", metric.WithDescription("1 if the evacuation of a failure domain is requested"))
-	if err != nil {
-		return eris.Wrap(err, "create the gauge of evacuations")
+	gauge, failed := gaugesOf(scope)
+	evacuated := gauge("wigeonlink.domain.evacuated", "1 if the evacuation of a failure domain is requested")
+	inForce := gauge("wigeonlink.domain.in_force", "Hosts at which the evacuation of a failure domain is in force, as far as this host receives heartbeats")
+	running := gauge("wigeonlink.domain.running", "Requests known to run at the targets of a failure domain")
+	if err := failed(); err != nil {
+		return err
 	}
-	inForce, err := scope.Float64ObservableGauge("wigeonlink.domain.in_force", metric.WithDescription("Hosts at which the evacuation of a failure domain is in force, as far as this host receives heartbeats"))
-	if err != nil {
-		return eris.Wrap(err, "create the gauge of hosts with an evacuation in force")
-	}
-	running, err := scope.Float64ObservableGauge("wigeonlink.domain.running", metric.WithDescription("Requests known to run at the targets of a failure domain"))
-	if err != nil {
-		return eris.Wrap(err, "create the gauge of requests in failure domains")
-	}
-	_, err = scope.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+	_, err := scope.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		for _, row := range h.Domains() {
 			by := metric.WithAttributes(attribute.String("domain", row.Domain))
 			o.ObserveFloat64(evacuated, boolValue(row.Evacuated), by)
--- a/network/head.go
+++ b/network/head.go
@@ -46,6 +46,9 @@
 // headSlop is added to the limit of a head's bytes, as net/http does: clients count them differently.
 const headSlop = 4 << 10
 
+// headTimeSlack is added to the time limit of a head: a client that sends its end in time is not refused for the delay of the network.
+const headTimeSlack = 250 * time.Millisecond
+
 // connBufferSize is the size of net/http's read buffer of a connection, beyond which it reads into the buffer of the body's reader.
 const connBufferSize = 4 << 10
 
--- a/network/linger.go
+++ b/network/linger.go
@@ -21,7 +21,7 @@
 	if c.headSince.IsZero() {
 		c.headSince = time.Now()
 	}
-	until := c.headSince.Add(limit)
+	until := c.headSince.Add(limit + headTimeSlack)
 	if c.readDeadline.IsZero() || until.Before(c.readDeadline) {
 		return until
 	}
