--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/pace"
 	"github.com/wigeonlink/wigeonlink/quarantine"
 	"github.com/wigeonlink/wigeonlink/table"
 )
@@ -34,7 +35,11 @@
 		Lease      uint64            // Release: number of the lease
 		Refused    bool              // Release: whether the target had no room
 		Within     time.Duration     // Reserve: longest time until the place; Trial: time until the trial has ended
+		Spread     pace.Spread       // Uneven: speeds of the pool's engines
 		Crashes    int               // Trial: crashes under the part that are known
+		Domain     string            // Evacuated, Emptied, Readmitted: failure domain
+		ExtraAfter time.Duration     // Dispatch: time without a complete response after which AttemptSlow is due; 0 if it is not
+		Extra      ExtraOutcome      // Extra, ExtraRefused, ExtraEnded
 	}
 
 	// A Basis is the state on which a decision to dispatch, refuse or move a request was based.
@@ -47,8 +52,10 @@
 		Streams             float64       // streams on the chosen target before the decision, known or inferred
 		HeldFor             time.Duration // time since the request arrived at this host
 		Attempt             int           // number of the dispatch of the request, or of the move off its current target; from 1
+		ExpectedLate        float64       // streams that the choice is expected to make late; see Candidate
 		OtherDomain         bool          // whether the chosen target is in another failure domain
 		WaitCause           WaitCause     // why the request was not dispatched when it was last considered
+		Readmission         Readmission   // of a request in a mixed pool
 		Excluded            int           // targets that must not be chosen for the request
 	}
 
@@ -81,10 +88,22 @@
 	EffectBrittle                            // what the targets of a pool say about refusals has changed; to be logged
 	EffectShareFragilities                   // send the records of brittle pools to the peers
 	EffectRelease                            // report a free place to the host that gives out the target's places
+	EffectEvacuated                          // the failure domain is to be evacuated: nothing new is sent to its targets; to be logged
+	EffectEmptied                            // no request is known to run in the evacuated domain any more; to be logged
+	EffectCold                               // the target has become cold, or is cold no longer; to be logged
+	EffectReadmitted                         // the evacuation of the domain was withdrawn; to be logged
 	EffectShareLeavers                       // send the targets that have said that they leave to the peers
+	EffectUneven                             // whether the engines of a pool are unevenly fast has changed; to be logged
+	EffectExtra                              // send a second attempt of the request, whose first one is in flight, to the target
+	EffectExtraRefused                       // no second attempt is sent; to be logged
+	EffectExtraEnded                         // the second attempt, or the first one, was of no use; to be logged
 )
 
-var effectNames = [...]string{"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay", "ask", "place", "placed", "probe", "share_suspects", "suspected", "quarantined", "cleared", "reserve", "limited", "trial", "share_limits", "leaver", "brittle", "share_fragilities", "release", "share_leavers"}
+var effectNames = [...]string{
+	"dispatch", "resume", "cancel", "refuse", "timer", "move", "stay", "ask", "place", "placed", "probe", "share_suspects", "suspected",
+	"quarantined", "cleared", "reserve", "limited", "trial", "share_limits", "leaver", "brittle", "share_fragilities", "release",
+	"evacuated", "emptied", "cold", "readmitted", "share_leavers", "uneven", "extra", "extra_refused", "extra_ended",
+}
 
 // String returns the name of the kind.
 func (k EffectKind) String() string { return effectNames[k] }
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -59,8 +59,8 @@
 	moveRetryInterval = 20 * time.Millisecond
 )
 
-// evacuate starts to move running streams off the targets that are leaving. It serves deployments
-// where some engines are preempted every few seconds and announce it only one or two seconds before
+// evacuate starts to move running streams off the targets that are leaving or in evacuated domains. It serves
+// deployments where some engines are preempted every few seconds and announce it only one or two seconds before
 // they end, while a stream runs several times as long.
 func (r *Reducer) evacuate() {
 	if !r.options.moves {
@@ -79,16 +79,26 @@
 // else the target with capacity at the lowest cost, up to moveCostTolerance. A move to the backup
 // needs no copy; maxConcurrentMoves does not limit it.
 func (r *Reducer) startMove(q *request) {
-	if t := q.backup.target; r.canRunAt(t) {
+	if t := r.usableBackup(q); t != nil {
 		r.emitMove(q, t, true)
 		return
 	}
 	if q.target.outgoingMoves >= maxConcurrentMoves || !r.engineOf(q).CanMove {
 		return
 	}
+	if q.target.evacuated && !q.target.leaving && r.now < q.target.movesPausedUntil {
+		return
+	}
 	if t := r.chooseWithin(q, 0, moveCostTolerance); t != nil {
+		q.target.failedChoices = 0
+		if t.isLimited() {
+			t.usePlace()
+		}
 		r.emitMove(q, t, false)
+		return
 	}
+	r.askMovePlace(q)
+	q.target.recordNoDestination(r.now)
 }
 
 // engineOf returns the specification of the engines that serve q's model.
@@ -111,12 +121,17 @@
 	return out
 }
 
-// shouldMove reports whether q is a stream with at least one token that runs at a leaving target,
-// is not expected to end there in time, and may start another move.
+// shouldMove reports whether q is a stream with at least one token that runs at a leaving target or in an evacuated
+// domain, is not expected to end there in time, and may start another move.
 func (r *Reducer) shouldMove(q *request) bool {
-	return q.phase == phaseDispatched && !q.plain && q.target.leaving && !r.movesElsewhere(q) && q.tokens > 0 &&
-		q.moveReservation.target == nil && q.moveAttempts < maxMoveAttempts && !q.moveFailedFinally && q.disconnectedAt == 0 &&
-		r.remainingTime(q) >= time.Duration(finishInPlaceFraction*float64(q.target.leavingNoticeAt+minLeavingNotice-r.now))
+	if q.phase != phaseDispatched || q.plain || !q.target.leaving && !q.target.evacuated || r.movesElsewhere(q) || q.tokens == 0 ||
+		q.moveReservation.target != nil || q.moveAttempts >= maxMoveAttempts || q.moveFailedFinally || q.disconnectedAt != 0 {
+		return false
+	}
+	if !q.target.leaving {
+		return r.shouldEvacuate(q)
+	}
+	return r.remainingTime(q) >= time.Duration(finishInPlaceFraction*float64(q.target.leavingNoticeAt+minLeavingNotice-r.now))
 }
 
 // remainingTime returns the expected time until the end of a running stream.
@@ -141,6 +156,7 @@
 func (r *Reducer) emitMove(q *request, t *targetState, toBackup bool) {
 	q.moveAttempts++
 	q.moveReservation.reserve(t, q.forecastDemand())
+	t.addMoving(q, 1)
 	q.moveToBackup = toBackup
 	r.chooseBackup(q, &q.nextBackup, t)
 	if !toBackup {
@@ -149,10 +165,13 @@
 	basis := r.newBasis(q)
 	basis.Attempt = q.moveAttempts
 	basis.Streams, basis.OtherDomain = t.totalDemand(r.now).Streams, r.inOtherDomain(t)
+	if !toBackup {
+		basis.ExpectedLate = r.basis.ExpectedLate
+	}
 	e := Effect{
 		Kind: EffectMove, ID: q.id, Target: q.target.spec.Name, To: t.spec, ToBackup: toBackup,
 		Priority: r.priority(q), Basis: basis,
-		At: r.epoch.Add(q.target.leavingNoticeAt + minLeavingNotice - switchoverTime),
+		At: r.epoch.Add(r.switchDeadline(q)),
 	}
 	if q.nextBackup.target != nil {
 		e.Backup = q.nextBackup.target.spec
@@ -173,6 +192,7 @@
 	if q.target != nil && !q.moveToBackup {
 		q.target.outgoingMoves--
 	}
+	q.moveReservation.target.addMoving(q, -1)
 	q.moveReservation.release()
 	q.nextBackup.release()
 }
@@ -197,6 +217,7 @@
 func (r *Reducer) changeTarget(q *request, to *targetState) {
 	from := q.target
 	from.localDemand.Sub(&q.demand)
+	from.addPaced(q, -1)
 	from.running--
 	if from.running == 0 {
 		from.localDemand = forecast.Demand{}
@@ -205,6 +226,7 @@
 	from.invalidateTotalDemand()
 	q.pendingPrefill = 0
 	q.target, q.demand = to, forecast.Demand{}
+	to.addPaced(q, 1)
 	to.running++
 	r.updateDemand(q)
 	q.lastToken, q.moveAttempts = r.now, 0
@@ -235,7 +257,7 @@
 	case q == nil || q.phase != phaseDispatched:
 	case q.moveReservation.target != nil:
 		// The move in progress decides whether the stream continues.
-	case r.canRunAt(q.backup.target) && !q.mayCrashTargets():
+	case r.usableBackup(q) != nil && !q.mayCrashTargets():
 		q.target.failureRate.record(1, r.now)
 		r.emitMove(q, q.backup.target, true)
 	default:
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -34,10 +34,12 @@
 		Parts               []quarantine.Part // what may crash a target: the parts of the prompt that other requests may have, too, and the request itself
 		PrefixHash          uint64            // hash of the prompt prefix that requests may share in an engine's cache; 0 means no prefix
 		PrefixTokens        int               // length of that prefix, in tokens
+		Subject             uint64            // hash of the last part of the prompt; 0 means not known
 		MaxOutputTokens     int               // largest output, in tokens; 0 means no limit
 		KnownOutputTokens   int               // output length, in tokens, if known in advance; 0 means unknown
 		MaxAttempts         int               // maximum number of attempts that may reach a target; 0 means defaultMaxTargets
 		FirstTokenObjective time.Duration     // time to the first token within which the request is on time; 0 means a default
+		PauseObjective      time.Duration     // longest pause between two events with which a stream is on time; 0 means none
 		DispatchDeadline    time.Time         // time by which the request must be dispatched; zero means only the reducer's longest hold limits it
 		CallerDeadline      time.Time         // time until which the caller waits and the request may be retried; zero means the time by which it must be dispatched
 	}
@@ -66,8 +68,10 @@
 
 	// Ended reports that the caller of a request has received the complete answer.
 	Ended struct {
-		ID    ID
-		Usage target.Usage
+		ID           ID
+		Usage        target.Usage
+		LongestPause time.Duration // longest time between two events of a stream; 0 if it is not known
+		Took         time.Duration // time from the sending of the attempt to its complete response; 0 if unknown
 	}
 
 	// AttemptFailed reports that the latest dispatch of a request ended without a complete
@@ -81,6 +85,7 @@
 		Rebooted  bool             // whether the engine is known to have restarted
 		Unsent    bool             // whether no byte of the request has left this host
 		Answered  bool             // whether the target answered with an error of its own
+		Attempt   int              // number of the attempt, see Basis; used if two are in flight
 
 		RetryAfter time.Duration // time for which a target that refused the request asks to be left alone; 0 if it does not
 	}
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/hedge"
 	"github.com/wigeonlink/wigeonlink/length"
+	"github.com/wigeonlink/wigeonlink/pace"
 	"github.com/wigeonlink/wigeonlink/quarantine"
 	"github.com/wigeonlink/wigeonlink/share"
 	"github.com/wigeonlink/wigeonlink/table"
@@ -31,6 +33,7 @@
 	peerList         []*peer                   // in order of their first report
 	disconnected     []ID                      // dispatched requests whose caller disconnected, in that order
 	leavingTargets   map[string]bool           // latest LeavingTargets event
+	evacuations      map[string]*evacuation    // of the failure domains that are to be evacuated, by name
 	rests            map[process]time.Duration // see targetState.restUntil
 	leavers          map[process]time.Duration // processes that have said that they leave, and when that was last recorded
 	remoteHosts      map[string]*remoteHost    // hosts whose streams this host records, by origin
@@ -50,11 +53,13 @@
 	hostIndex        int                       // index of this host among the live hosts of this failure domain
 	ledger           *share.Ledger
 	lengths          *length.Predictor
+	hedges           hedge.Policy
 	stopping         bool          // whether a Stop event has arrived
 	closed           bool          // whether all new requests are refused
 	stopDeadline     time.Duration // time by which requests accepted while stopping must end; 0 means none are accepted
 	nextWake         time.Duration // earliest Tick that the current event has requested; math.MaxInt64 if none
 	candidate        Candidate     // reused by score
+	paceEngines      []pace.Engine // reused by refreshPace
 	effects          []Effect      // effects of the current event
 	counts           Counts
 }
@@ -77,8 +82,11 @@
 //   - Cancelled: EffectCancel effects
 //   - Moved: moves that succeeded
 //   - NotMoved: moves that failed
+//   - Promised: refusals in mixed pools with a promise of when capacity is available
+//   - Returned: requests of callers that were promised capacity
+//   - Hopeless: requests in mixed pools that were refused on arrival
 type Counts struct {
-	Submitted, Dispatched, Retried, Refused, Ended, Lost, Resumed, Cancelled, Moved, NotMoved int
+	Submitted, Dispatched, Retried, Refused, Ended, Lost, Resumed, Cancelled, Moved, NotMoved, Promised, Returned, Hopeless int
 }
 
 // NewReducer returns a reducer without a table. It refuses requests until the first
@@ -106,6 +114,7 @@
 	}
 	r.salt = mixBits(uint64(table.HashName(r.options.origin)))
 	r.ledger = share.NewLedger(r.options.usageWindow)
+	r.hedges = hedge.NewPolicy(r.options.extraAttempts)
 	r.lengths = length.NewPredictor(length.WithMedian(r.options.medianOutput))
 	return r
 }
@@ -158,9 +167,11 @@
 		return
 	}
 	q := r.newRequest(e)
-	q.pool.retryBudget.earn(r.options.retryRatio)
-	r.enqueue(q)
-	r.dispatchHeld(q.pool)
+	p := q.pool
+	p.retryBudget.earn(r.options.retryRatio)
+	r.hedges.Earn(p.name, e.Organisation)
+	r.admit(q)
+	r.dispatchHeld(p)
 }
 
 // admissionFailure returns the reason why a request cannot be held, or KindNone if it can.
@@ -198,7 +209,7 @@
 // in a failure domain that is partitioned from all targets of a service, callers would
 // otherwise wait until their deadline for nothing.
 func (r *Reducer) unavailableUntilDeadline(e Submit, p *pool) bool {
-	return !e.DispatchDeadline.IsZero() && r.unavailableUntil(r.sinceEpoch(e.DispatchDeadline), p)
+	return p.allEvacuated() || !e.DispatchDeadline.IsZero() && r.unavailableUntil(r.sinceEpoch(e.DispatchDeadline), p)
 }
 
 // unavailableUntil reports whether, by the state known to this host, no target of the pool will accept requests before
@@ -208,18 +219,20 @@
 }
 
 // earliestRetry returns the earliest time at which the circuit breaker of one of the pool's targets, and its wish
-// for rest, allow requests, or math.MaxInt64 if all targets are leaving. Leaving targets are not considered.
+// for rest, allow requests, or math.MaxInt64 if all targets are leaving or in evacuated domains, which are not
+// considered.
 func (r *Reducer) earliestRetry(p *pool) time.Duration {
 	soonest := time.Duration(math.MaxInt64)
 	for _, t := range p.targets {
-		if !t.leaving && !t.load.Leaving {
+		if !t.isLeavingOrEvacuated() {
 			soonest = min(soonest, max(t.nextAllowed(), r.now))
 		}
 	}
 	return soonest
 }
 
-// noTargetRetryAfter returns the time until a target of the pool allows requests, or 0 if all are leaving.
+// noTargetRetryAfter returns the time until a target of the pool allows requests, or 0 if all are leaving or in
+// evacuated domains.
 func (r *Reducer) noTargetRetryAfter(p *pool) time.Duration {
 	if at := r.earliestRetry(p); at < math.MaxInt64 {
 		return max(at-r.now, minRetryAfter)
@@ -230,11 +243,11 @@
 // refuseNew refuses a request that was never held.
 func (r *Reducer) refuseNew(e Submit, kind answer.Kind) {
 	r.counts.Refused++
-	retry := kind.Properties().RetryDelay
+	retry, readmission := kind.Properties().RetryDelay, Readmission{}
 	if org := r.organisations[e.Organisation]; org != nil {
 		org.refused++
 		if kind == answer.KindQueueFull {
-			retry = r.queueDrainTime(org)
+			retry, readmission = r.retryAfterFull(e)
 		}
 		if kind == answer.KindNoTarget {
 			retry = cmp.Or(r.noTargetRetryAfter(r.pools[e.Pool]), retry)
@@ -249,7 +262,7 @@
 			retry = r.rateRetryAfter(org, r.pools[e.Pool])
 		}
 	}
-	basis := Basis{FleetRevision: r.fleet.Revision}
+	basis := Basis{FleetRevision: r.fleet.Revision, Readmission: readmission}
 	if r.table != nil {
 		basis.TableVersion = r.table.Version
 	}
@@ -270,6 +283,8 @@
 	r.expireProbes()
 	r.expireLeavers()
 	r.expireRests()
+	r.checkEmptied()
+	r.refreshColdTargets()
 	r.evacuate()
 	r.dispatchAllHeld()
 }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -25,12 +25,16 @@
 		plain         bool
 		attached      bool // whether the generation was started through another host and is resumed here
 		placement     placement
-		remote        *remoteState // nil for a request of this host
+		remote        *remoteState   // nil for a request of this host
+		route         string         // see Submit.Route
+		extra         *secondAttempt // nil unless two attempts are in flight; see extra.go
+		secondOnly    bool           // the only attempt in flight is an extra one, the first one has failed
 
 		parts                                        []quarantine.Part // see Submit.Parts
 		prompt, prefixTokens, maxOutput, knownOutput int               // in tokens; a maxOutput of 0 means no limit, a knownOutput of 0 unknown
 		prefix                                       uint64            // hash of the shareable prefix; 0 means none
 		firstTokenObjective                          time.Duration     // time to the first token within which the request is on time
+		pauseObjective                               time.Duration     // longest pause between two events with which a stream is on time; 0 means none
 		arrived, holdDeadline                        time.Duration     // time of arrival, and time by which the request must be dispatched
 		expectedOutput                               float64           // output length expected when the request arrived, in tokens
 		rank                                         time.Duration     // sort key in the organisation's queue, lowest first: see newRequest
@@ -41,6 +45,8 @@
 		lease                                        uint64            // number of the lease of the place that the request uses at a brittle target; 0 if there is none
 		awaitedPlace                                 *targetState      // target for a place at which the request waits, until notBefore; nil if none
 		waitCause                                    WaitCause         // see Basis
+		subject                                      uint64            // see Submit.Subject
+		readmission                                  Readmission
 
 		target          *targetState    // target to which the request was dispatched; nil while it is held
 		triedTargets    []*targetState  // targets of failed attempts and destinations of failed moves, which are not chosen again
@@ -62,6 +68,10 @@
 		pendingPrefill  int             // prompt tokens that the target is not known to have computed
 		demand          forecast.Demand // the stream's part of the target's localDemand
 		demandTokens    int             // value of tokens when demand was computed
+		urgentHeld      int             // the request's part of its queue's urgentHeld
+		paceObjective   time.Duration   // pauseObjective per token, as counted in the target's running streams
+		paceTarget      *targetState    // target that read the prompt in the latest dispatch
+		promptsBefore   int             // prompts dispatched to paceTarget up to this one
 		serviceUnitRate float64         // the request's part of its organisation's current rate in the ledger, in service units a second
 
 		backup            reservation   // on the target to which the stream's memory is copied while it runs
@@ -100,14 +110,16 @@
 	q.id, q.name, q.nonIdempotent, q.plain = e.ID, e.Name, e.NonIdempotent, e.Plain
 	q.organisation, q.pool = r.organisations[e.Organisation], r.pools[e.Pool]
 	q.prompt, q.prefixTokens, q.prefix = e.PromptTokens, e.PrefixTokens, e.PrefixHash
-	q.parts = e.Parts
+	q.parts, q.route = e.Parts, e.Route
 	q.maxOutput, q.knownOutput = e.MaxOutputTokens, e.KnownOutputTokens
 	q.maxTargets = defaultMaxTargets
 	if e.MaxAttempts > 0 {
 		q.maxTargets, q.multipleTargets = e.MaxAttempts, e.MaxAttempts > 1
 	}
+	q.subject = e.Subject
 	q.arrived = r.now
 	q.firstTokenObjective = cmp.Or(e.FirstTokenObjective, defaultFirstTokenObjective)
+	q.pauseObjective = e.PauseObjective
 	q.holdDeadline = r.now + r.options.maxHold
 	if !e.DispatchDeadline.IsZero() {
 		q.holdDeadline = min(q.holdDeadline, r.sinceEpoch(e.DispatchDeadline))
@@ -193,6 +205,7 @@
 	q.organisation.inflight++
 	q.pool.inflight++
 	q.pool.queueOf(q.organisation).inflight++
+	r.holdUrgent(q)
 	r.updateDemand(q)
 	if !q.plain {
 		q.pendingPrefill = q.prompt
@@ -202,6 +215,7 @@
 		t.pendingPrefill += q.pendingPrefill
 		t.recordPrefix(q.prefix, r.now)
 	}
+	r.startPace(q)
 	r.charge(q, promptTokenCost*float64(q.prompt))
 }
 
@@ -247,6 +261,7 @@
 	t := q.target
 	t.localDemand.Sub(&q.demand)
 	t.pendingPrefill -= q.pendingPrefill
+	t.addPaced(q, -1)
 	t.running--
 	if t.running == 0 {
 		t.localDemand = forecast.Demand{}
@@ -255,6 +270,7 @@
 	q.organisation.inflight--
 	q.pool.inflight--
 	q.pool.queueOf(q.organisation).inflight--
+	r.releaseUrgent(q)
 	r.setServiceRate(q, 0)
 	q.demand, q.pendingPrefill, q.target = forecast.Demand{}, 0, nil
 }
@@ -298,6 +314,10 @@
 		return
 	}
 	r.counts.Ended++
+	r.dropSecond(q, true)
+	if q.mayRepeat() {
+		r.hedges.Observe(q.hedgeKey(), e.Took)
+	}
 	r.chargeTokens(q, max(e.Usage.Output, q.tokens))
 	if e.Usage.Cached > 0 {
 		r.charge(q, -promptTokenCost*float64(min(e.Usage.Cached, q.prompt)))
@@ -305,7 +325,8 @@
 	if !q.plain {
 		r.recordUsage(q, e.Usage)
 	}
-	r.recordFinished(q)
+	r.finishPace(q, e.LongestPause)
+	r.recordFinished(q, e.LongestPause)
 	r.recordAnswered(q)
 	q.target.breaker.recordSuccess()
 	q.target.failureRate.record(0, r.now)
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -29,6 +29,7 @@
 		Pool           string        `json:"pool"`
 		Domain         string        `json:"domain"`
 		AcceptsWork    bool          `json:"open"`     // whether the target accepts new work
+		ColdRate       float64       `json:"cold"`     // requests a second that the target gets because it is cold; 0 if it is not
 		LocalRequests  int           `json:"own"`      // requests of this host in flight at the target
 		Streams        float64       `json:"streams"`  // streams of all hosts on the target, known or inferred
 		CurrentMemory  float64       `json:"now"`      // memory demand of the streams at their current length, in tokens
@@ -36,6 +37,7 @@
 		Memory         int           `json:"memory"`   // memory of the target, in tokens
 		ReportedMemory int           `json:"reported"` // memory in use according to the last load report, in tokens
 		Interval       time.Duration `json:"interval"` // expected time between tokens of a stream on the target
+		Idle           time.Duration `json:"idle"`     // time between tokens of a stream while the target reads no prompt; 0 if unknown
 	}
 )
 
@@ -70,12 +72,14 @@
 	for _, p := range r.poolList {
 		for _, t := range p.targets {
 			d := t.totalDemand(r.now)
+			idle, _ := t.pace.speed.Idle()
 			var none forecast.Demand
 			rows = append(rows, TargetRow{
 				Target:         t.spec.Name,
 				Pool:           p.name,
 				Domain:         t.spec.Domain,
 				AcceptsWork:    t.acceptsWork(r.now, r.options.maxLoadAge),
+				ColdRate:       t.coldRate,
 				LocalRequests:  t.running,
 				Streams:        d.Streams,
 				CurrentMemory:  d.MeanMemory[0],
@@ -83,6 +87,7 @@
 				Memory:         t.spec.Memory,
 				ReportedMemory: t.load.UsedTokens,
 				Interval:       t.tokenInterval.At(d.Streams),
+				Idle:           idle,
 			})
 		}
 	}
@@ -107,7 +112,8 @@
 
 // fairRate returns the normalised rate of an organisation that uses exactly its share of a pool:
 // the sum of the projected rates of the organisations active in the pool divided by the sum of
-// their weights, or +Inf if none is active. It also updates highestNormalisedRate.
+// their weights, or +Inf if none is active. It also updates highestNormalisedRate
+// and activeWeights.
 func (r *Reducer) fairRate(p *pool) float64 {
 	if p.fairRateAt != 0 && r.now-p.fairRateAt < fairRateInterval {
 		return p.fairRate
@@ -122,7 +128,7 @@
 			weights += r.weight(org, p)
 		}
 	}
-	p.fairRateAt, p.fairRate = max(r.now, 1), math.Inf(1)
+	p.fairRateAt, p.fairRate, p.activeWeights = max(r.now, 1), math.Inf(1), weights
 	if weights > 0 {
 		p.fairRate = sum / weights
 	}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -55,6 +55,10 @@
 	RequestHeld       Number = 223
 	RequestCut        Number = 224
 	ConnectionEnded   Number = 225
+	ReturnPromised    Number = 231
+	ExtraSent         Number = 241
+	ExtraRefused      Number = 242
+	ExtraEnded        Number = 243
 
 	TargetLost     Number = 301
 	TargetReturned Number = 302
@@ -66,6 +70,14 @@
 	PathFound      Number = 308
 	TargetsBrittle Number = 309
 
+	EvacuationsApplied Number = 311
+	DomainEvacuated    Number = 312
+	DomainEmptied      Number = 313
+	DomainReadmitted   Number = 314
+	SendWithheld       Number = 315
+	TargetCold         Number = 316
+	EnginesUneven      Number = 321
+
 	TableApplied   Number = 401
 	TableRefused   Number = 402
 	TableStale     Number = 403
@@ -90,7 +102,10 @@
 	TicketMoved    Number = 604
 	TicketRefused  Number = 605
 
-	CallerRefused Number = 701
+	CallerRefused    Number = 701
+	ClientsRefused   Number = 711
+	ClientsEnded     Number = 712
+	ClientsExceeding Number = 713
 
 	OrderGiven   Number = 801
 	OrderRefused Number = 802
@@ -131,6 +146,10 @@
 	{RequestHeld, "request held", hclog.Info, "A request waits at a stopping host: it was held when the stop began, or was accepted since and not dispatched at once."},
 	{RequestCut, "request cut", hclog.Warn, "The stopping host closes the connection of a request whose response is not complete."},
 	{ConnectionEnded, "connection ended", hclog.Info, "A caller's connection ended before the response on it was complete; the fields say which side ended it, and why."},
+	{ReturnPromised, "return promised", hclog.Info, "A request in a pool of mixed objectives is refused; the fields say when memory is forecast to be free and when its caller is to come back."},
+	{ExtraSent, "extra attempt sent", hclog.Info, "An attempt of an idempotent request has taken unusually long; a second one was sent to another target while the first is in flight."},
+	{ExtraRefused, "extra attempt refused", hclog.Debug, "An attempt of an idempotent request has taken unusually long, and no second one is sent; the fields say why."},
+	{ExtraEnded, "extra attempt ended", hclog.Info, "An extra attempt has ended; the fields say whether its response was used, and for how long the attempt has run that was of no use."},
 	{TargetLost, "target lost", hclog.Warn, "A target no longer responds to load queries."},
 	{TargetReturned, "target returned", hclog.Info, "A target responds to load queries again, or is no longer leaving."},
 	{TargetRebooted, "target rebooted", hclog.Warn, "A target's boot identifier has changed; its generations are lost."},
@@ -140,6 +159,13 @@
 	{PathLost, "path lost", hclog.Warn, "This host cannot connect to a target to which another host can; it connects through that host, or another one."},
 	{PathFound, "path found", hclog.Info, "This host can connect to a target again to which it could connect only through other hosts."},
 	{TargetsBrittle, "targets brittle", hclog.Info, "What the targets of a pool say in their responses about how many refusals a second they survive has changed or ended."},
+	{EvacuationsApplied, "evacuations applied", hclog.Info, "The set of failure domains that are to be evacuated has changed on this host; from now on it sends nothing new to their targets."},
+	{DomainEvacuated, "domain evacuated", hclog.Warn, "An operator has requested the evacuation of a failure domain; its targets get nothing new, and long streams move off."},
+	{DomainEmptied, "domain emptied", hclog.Info, "No request is known to run in an evacuated failure domain any more."},
+	{DomainReadmitted, "domain readmitted", hclog.Info, "The evacuation of a failure domain was withdrawn; its targets get work again."},
+	{SendWithheld, "send withheld", hclog.Info, "What was decided earlier was not sent to a target, because its failure domain is to be evacuated by now."},
+	{TargetCold, "target cold", hclog.Info, "A target has become cold, and all hosts together send it the rate of requests that the configuration names, or it is cold no longer."},
+	{EnginesUneven, "engines uneven", hclog.Info, "Whether the engines of a pool differ in speed so much that the choice of an engine counts late streams has changed; the fields hold the times between two tokens."},
 	{TableApplied, "table applied", hclog.Info, "A table is in force on this host."},
 	{TableRefused, "table refused", hclog.Error, "A published table is invalid and was rejected as a whole; the last valid table stays in force."},
 	{TableStale, "table stale", hclog.Warn, "A published table is older than the one in force and was ignored."},
@@ -162,6 +188,9 @@
 	{TicketMoved, "ticket moved", hclog.Info, "A stopping host transferred its ticket records to a peer."},
 	{TicketRefused, "ticket refused", hclog.Info, "A ticket was not valid on this host."},
 	{CallerRefused, "caller refused", hclog.Debug, "A call was rejected before it became a request."},
+	{ClientsRefused, "clients refused", hclog.Warn, "Connections of clients were refused, as the host has no more for clients; the fields count them since the last such line."},
+	{ClientsEnded, "clients ended", hclog.Warn, "Connections of clients that held the most memory for the longest time were closed, or their requests refused; the fields count them since the last such line."},
+	{ClientsExceeding, "clients exceeding", hclog.Warn, "Clients have exceeded a limit on the head of a request or on progress; the fields name the limit, and count them since the last such line."},
 	{OrderGiven, "order given", hclog.Info, "A placement order was sent to a target."},
 	{OrderRefused, "order refused", hclog.Warn, "A target refused a placement order."},
 	{OrderDone, "order done", hclog.Info, "A target has reached the ordered state."},
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -16,10 +16,12 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/wigeonlink/wigeonlink/budget"
 	"github.com/wigeonlink/wigeonlink/detour"
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/event"
 	"github.com/wigeonlink/wigeonlink/limit"
+	"github.com/wigeonlink/wigeonlink/network"
 	"github.com/wigeonlink/wigeonlink/relay"
 	"github.com/wigeonlink/wigeonlink/route"
 	"github.com/wigeonlink/wigeonlink/target"
@@ -30,18 +32,25 @@
 	// attempt begins with a new one; what the caller has already been sent belongs to the call.
 	attempt struct {
 		*call
-		cancel        context.CancelCauseFunc // aborts the attempt
-		target        string                  // name of the target, after a move that of the engine which serves the stream
-		via           string                  // host through which the target was connected; empty if directly
-		framing       framing                 // of the latest response
-		limit         *limit.Reading          // of the latest response; nil if that says nothing
-		events        eventSplitter           // of the stream
-		lastEvent     atomic.Int64            // identifier of the last event forwarded to the caller
-		lastArrival   time.Time               // arrival of the last event
-		longestGap    time.Duration           // longest time between two consecutive events
-		moveCount     int                     // completed moves of the stream to another engine
-		undeliverable bool                    // an event is missing, or a write to the caller failed
-		placement     placement
+		cancel          context.CancelCauseFunc // aborts the attempt
+		cancelRedundant context.CancelCauseFunc // aborts the attempt in favour of another one; see claim
+		number          int                     // among the attempts of the call, from 1
+		took            time.Duration           // from the sending of the request to the complete response; 0 if that was not read before it was forwarded
+		failed          *bufferedResponse       // 5xx response, which is not forwarded if another target succeeds
+		target          string                  // name of the target, after a move that of the engine which serves the stream
+		via             string                  // host through which the target was connected; empty if directly
+		framing         framing                 // of the latest response
+		limit           *limit.Reading          // of the latest response; nil if that says nothing
+		events          eventSplitter           // of the stream
+		lastEvent       atomic.Int64            // identifier of the last event forwarded to the caller
+		lastArrival     time.Time               // arrival of the last event
+		longestGap      time.Duration           // longest time between two consecutive events
+		longestMove     time.Duration           // longest time between two consecutive events across a move
+		gapMoves        int                     // value of moveCount at the latest event
+		callerWait      time.Duration           // time in writes to the caller
+		moveCount       int                     // completed moves of the stream to another engine
+		undeliverable   bool                    // an event is missing, or a write to the caller failed
+		placement       placement
 	}
 
 	// bufferedResponse is a target's response held in memory: the whole response, or its first
@@ -72,7 +81,7 @@
 	defer c.state.mu.Unlock()
 	c.state.phase, c.state.dispatched = phaseRunning, time.Now()
 	c.attemptCount++
-	c.latest = &attempt{call: c, target: name}
+	c.latest = &attempt{call: c, target: name, number: c.attemptCount}
 	return c.latest
 }
 
@@ -85,6 +94,10 @@
 	ctx = traceRelay(ctx, a.setVia)
 	stop := a.limitDuration()
 	sent := time.Now()
+	if err := a.withhold(decision.To); err != nil {
+		stop()
+		return relay.Result{Ending: relay.EndFailed, Certainty: target.CertaintyNotRun, Unsent: true, Cause: err}
+	}
 	resp, err := a.gateway.transport.RoundTrip(a.newRequest(ctx, decision, nil))
 	stop()
 	if err != nil {
@@ -92,7 +105,7 @@
 	}
 	defer resp.Body.Close()
 	a.framing = framingOf(resp)
-	if resp.StatusCode < http.StatusOK {
+	if !network.IsFinalStatus(resp.StatusCode) {
 		return failedResult(ctx, eris.Wrap(errStatus, resp.Status))
 	}
 	reply := a.parseResponse(resp, decision, sent, a.via)
@@ -110,9 +123,12 @@
 		return failedResult(ctx, errContentEncoding)
 	}
 	if isEventStream(resp) && resp.StatusCode < 300 {
+		if !a.claim() {
+			return redundantResult()
+		}
 		return a.stream(ctx, decision, resp)
 	}
-	return a.forwardBuffered(ctx, resp)
+	return a.forwardBuffered(ctx, resp, sent)
 }
 
 // traceRelay returns a context for one request that calls setVia with the host through which its connection goes, if not
@@ -159,7 +175,7 @@
 // attempt at another target. The last attempt that the route allows has no such limit.
 // The returned function stops the timer.
 func (a *attempt) limitDuration() func() {
-	if a.route.Kind != route.Idempotent || a.attemptCount >= a.route.MaxAttempts {
+	if a.route.Kind != route.Idempotent || a.number >= a.route.MaxAttempts {
 		return func() {}
 	}
 	limit := max(2*a.route.FirstByteObjective, time.Until(a.deadline)/attemptTimeoutDivisor)
@@ -234,7 +250,8 @@
 }
 
 // needed returns the time for which the connection of an attempt may be in use, or 0 if nothing is known of it: for a
-// stream until its usual end, or until the deadline if its output has no limit.
+// stream until its usual end, or until the deadline if its output has no limit. For a stream it is never 0, which stands for a
+// connection to an engine that carries no request.
 func (c *call) needed(decision dispatch.Effect) time.Duration {
 	left := max(time.Until(c.deadline), time.Millisecond)
 	switch {
@@ -242,6 +259,8 @@
 		return min(left, decision.Run)
 	case !c.plainService && c.info.MaxOutputTokens == 0:
 		return left
+	case !c.plainService:
+		return time.Millisecond // a resumed stream, whose usual run is not known
 	}
 	return 0
 }
@@ -281,20 +300,25 @@
 
 // forwardBuffered reads a response to its end before it forwards it, so that a truncated
 // response fails the attempt instead of reaching the caller. A response longer than
-// maxBufferedResponse is forwarded as it arrives.
-func (a *attempt) forwardBuffered(ctx context.Context, resp *http.Response) relay.Result {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
+// maxBufferedResponse, or than the host's memory budget allows, is forwarded as its caller takes it. The request was sent at the given
+// time.
+func (a *attempt) forwardBuffered(ctx context.Context, resp *http.Response, sent time.Time) relay.Result {
+	data, whole, err := a.readBuffered(resp)
 	if err != nil {
-		return failedResult(ctx, eris.Wrap(err, "answer"))
+		return failedResult(ctx, err)
 	}
 	f := &bufferedResponse{resp.StatusCode, resp.Header, data}
-	if len(data) > maxBufferedResponse {
+	if !whole {
 		return a.forwardLong(ctx, resp, f)
 	}
 	if resp.StatusCode >= 500 && a.route.Kind == route.Idempotent {
-		a.failedResponse = f
+		a.failed = f
 		return relay.Result{Ending: relay.EndFailed, TargetFailed: true, Cause: eris.Errorf("the target failed with status %d", resp.StatusCode)}
 	}
+	a.took = time.Since(sent)
+	if !a.claim() {
+		return redundantResult()
+	}
 	f.writeTo(a.call)
 	return a.completeResult()
 }
@@ -306,6 +330,7 @@
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(f.data)))
 	}
 	c.writeHeader(f.status)
+	c.account.Unsettle(budget.Answer, int64(cap(f.data)), time.Now())
 	_, _ = delivered{c}.Write(f.data) // which records an error
 }
 
@@ -326,13 +351,15 @@
 // forwardLong forwards a response that is longer than maxBufferedResponse: first the bytes in f,
 // then the rest of the body as it arrives.
 func (a *attempt) forwardLong(ctx context.Context, resp *http.Response, f *bufferedResponse) relay.Result {
+	if !a.claim() {
+		return redundantResult()
+	}
 	a.copyHeader(f.header)
 	if resp.ContentLength >= 0 {
 		a.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
 	a.writeHeader(f.status)
-	_, err := io.Copy(delivered{a.call}, io.MultiReader(bytes.NewReader(f.data), resp.Body))
-	if err != nil {
+	if err := a.copyRest(f, resp.Body); err != nil {
 		r := failedResult(ctx, eris.Wrap(err, "answer"))
 		r.DeliveredTokens = 1 // the caller has received part of the response
 		return r
@@ -368,5 +395,6 @@
 func (a *attempt) completeResult() relay.Result {
 	r := relay.Result{Ending: relay.EndComplete, DeliveredTokens: a.events.eventCount * a.tokensPerEvent}
 	r.Usage.Prompt, r.Usage.Output = a.info.PromptTokens, a.events.eventCount*a.tokensPerEvent
+	r.LongestPause = a.longestGap
 	return r
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/budget"
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/host"
 	"github.com/wigeonlink/wigeonlink/quarantine"
@@ -27,6 +28,7 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	started time.Time
+	account *budget.Account // of the caller's connection
 
 	info           RequestInfo
 	uri            string // path and query of the request, as the caller sent them
@@ -50,6 +52,7 @@
 	written      bool          // the response headers have been sent
 	failedWrite  error         // of the first failed write to the caller
 	state        callPhase
+	concurrent   concurrentAttempts
 }
 
 // serve admits the request, reads its body and forwards it to a target. It returns an error if
@@ -62,11 +65,16 @@
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	var err error
-	c.body, err = readBody(c.r, &c.gateway.bodyMemory, c.gateway.maxBody())
+	c.body, err = c.readBody()
 	defer c.body.release()
 	if err != nil {
 		return err
 	}
+	c.account.Settle()
+	if !c.account.Begin(time.Now()) {
+		return answer.New(answer.KindBusy, "")
+	}
+	defer c.account.End()
 	c.digest = requestDigest(c.r.Method, c.uri, c.body.data)
 	c.hostRequest = c.gateway.host.SubmitAs(c.info.ID, c.submission())
 	defer c.hostRequest.Release()
@@ -147,9 +155,13 @@
 		MaxOutputTokens:     c.info.MaxOutputTokens,
 		MaxAttempts:         max(c.route.MaxAttempts, 1),
 		FirstTokenObjective: c.route.FirstByteObjective,
+		PauseObjective:      c.route.GapObjective,
 		DispatchDeadline:    c.dispatchDeadline(),
 		CallerDeadline:      c.deadline,
 	}
+	if n := len(c.info.PromptParts); n > 0 {
+		s.Subject = c.info.PromptParts[n-1].ID
+	}
 	if n := len(c.info.PromptParts); n > 1 {
 		h := fnv.New64a()
 		for _, p := range c.info.PromptParts[:n-1] {
@@ -198,13 +210,8 @@
 		if err != nil {
 			return c.finalError(err)
 		}
-		res := c.newAttempt(decision.Target).run(ctx, decision)
-		if c.r.Context().Err() != nil {
-			c.hostRequest.Abandon()
-			return answer.New(answer.KindCallerGone, "")
-		}
-		if !c.hostRequest.ReportResult(res) {
-			return nil
+		if ended, err := c.makeAttempts(ctx, decision); ended {
+			return err
 		}
 		c.enter(phaseHeld)
 	}
--- a/host/effects.go
+++ b/host/effects.go
@@ -21,7 +21,7 @@
 		return
 	}
 	r := h.requests[f.ID]
-	if r == nil {
+	if r == nil || h.performExtra(r, f) {
 		return
 	}
 	switch f.Kind {
@@ -37,6 +37,7 @@
 		go h.place(f.Placement)
 	case dispatch.EffectRefuse:
 		delete(h.requests, f.ID)
+		h.logReadmission(f, r.Name)
 		h.log.Emit(event.RequestRefused, event.Fields{
 			Request: r.Name, Organisation: r.Submit.Organisation, Detail: f.Answer.String(),
 			Values: append(append(h.basisValues(f.Basis), "retry_ms", f.RetryAfter.Milliseconds()), h.requestStopValues(r)...),
@@ -76,6 +77,8 @@
 		go h.reserve(f)
 	case dispatch.EffectTrial:
 		go h.try(f)
+	case dispatch.EffectCold:
+		h.logCold(f)
 	case dispatch.EffectLimited:
 		h.logLimit(f)
 	case dispatch.EffectShareLimits:
@@ -86,6 +89,13 @@
 		h.shareFragilities()
 	case dispatch.EffectRelease:
 		go h.releasePlace(f)
+	case dispatch.EffectUneven:
+		h.log.Emit(event.EnginesUneven, event.Fields{Values: []any{
+			"pool", f.Name, "uneven", f.Spread.Uneven, "known", f.Spread.Known,
+			"fastest_us", f.Spread.Fastest.Microseconds(), "median_us", f.Spread.Median.Microseconds(), "slowest_us", f.Spread.Slowest.Microseconds(),
+		}})
+	case dispatch.EffectEvacuated, dispatch.EffectEmptied, dispatch.EffectReadmitted:
+		h.logEvacuation(f)
 	case dispatch.EffectLeaver:
 		h.logLeaver(f)
 	case dispatch.EffectShareLeavers:
@@ -109,6 +119,12 @@
 	if b.Excluded > 0 {
 		out = append(out, "excluded", b.Excluded)
 	}
+	if b.ExpectedLate > 0 {
+		out = append(out, "expected_late", b.ExpectedLate)
+	}
+	if b.Readmission.Returning {
+		out = append(out, "returning", true)
+	}
 	if b.OtherDomain {
 		out = append(out, "away", true)
 	}
@@ -118,6 +134,15 @@
 	return out
 }
 
+// logReadmission logs a refusal that states when capacity is forecast to be available.
+func (h *Host) logReadmission(f dispatch.Effect, request string) {
+	if b := f.Basis.Readmission; b.Promised {
+		h.log.Emit(event.ReturnPromised, event.Fields{Request: request, Values: []any{
+			"retry_ms", f.RetryAfter.Milliseconds(), "forecast_ms", b.Wait.Milliseconds(), "hopeless", b.Hopeless, "returning", b.Returning, "origin", f.Remote,
+		}})
+	}
+}
+
 // deliver sends a decision to the goroutine that calls WaitDecision. It does not block: the buffer has
 // space for all decisions about one request.
 func (r *Request) deliver(f dispatch.Effect) {
--- a/host/registry.go
+++ b/host/registry.go
@@ -78,6 +78,7 @@
 // HandleHeartbeat passes the registry.Confirmation in a peer's heartbeat to the Syncer. If the peer
 // has content that this host lacks, the host fetches the full published state from it.
 func (h peerHandler) HandleHeartbeat(p peer.Peer, hb *wire.Heartbeat) {
+	h.evacuations.recordHeartbeat(hb, time.Now())
 	if !h.sharesUpdates() || hb.Revision == 0 {
 		return
 	}
@@ -85,7 +86,7 @@
 		Era:             hb.Era,
 		Revision:        hb.Revision,
 		ContentRevision: hb.Content,
-		Exact:           hb.Exact,
+		Exact:           hb.Exact && hb.Evacuations, // an earlier build confirms revisions at which domains were evacuated
 		Age:             time.Duration(hb.Confirmed) * time.Millisecond,
 	})
 	if !upToDate {
@@ -136,6 +137,9 @@
 		Age:      uint32(age.Milliseconds()),
 		Removed:  r.Removed,
 		Content:  r.ContentRevision,
+
+		Evacuations: !r.OmitsEvacuations,
+		Evacuated:   r.Evacuated,
 	}
 	if r.Config != nil {
 		n.Published, n.Sheet = r.Config.Revision, compress(r.Config.Data)
@@ -149,7 +153,10 @@
 // updateFromWire returns the update in a message and its age. Parts that cannot be parsed are left out
 // and noted in ParseErrors.
 func updateFromWire(n *wire.News) (registry.Update, time.Duration) {
-	r := registry.Update{Era: n.Era, Base: n.Base, Full: n.Whole, Revision: n.Revision, Removed: n.Removed, ContentRevision: n.Content}
+	r := registry.Update{
+		Era: n.Era, Base: n.Base, Full: n.Whole, Revision: n.Revision, Removed: n.Removed, ContentRevision: n.Content,
+		Evacuated: n.Evacuated, OmitsEvacuations: !n.Evacuations,
+	}
 	if n.Published > 0 {
 		if data, err := decompress(n.Sheet); err == nil {
 			r.Config = &registry.Config{Revision: n.Published, Data: data}
@@ -167,6 +174,18 @@
 	return r, time.Duration(n.Age) * time.Millisecond
 }
 
+// addAssumedCold adds the times for which targets count as cold at this host to a full state: the peer has not received the
+// withdrawal of the evacuation of their domain.
+func (h *Host) addAssumedCold(targets []table.Target) {
+	var cold map[string]time.Time
+	h.Inspect(func(r *dispatch.Reducer) { cold = r.AssumedCold() })
+	for i := range targets {
+		if until := cold[targets[i].Name]; until.After(targets[i].ColdUntil) {
+			targets[i].ColdUntil = until
+		}
+	}
+}
+
 // targetToWire returns a target in the form of messages between hosts.
 func targetToWire(t table.Target) *wire.Target {
 	out := &wire.Target{
@@ -180,6 +199,9 @@
 	if !t.StartTime.IsZero() {
 		out.Boot = t.StartTime.UnixMilli()
 	}
+	if left := time.Until(t.ColdUntil); left > 0 {
+		out.Cold = uint32(left.Milliseconds())
+	}
 	return out
 }
 
@@ -195,6 +217,9 @@
 		Slots:   int(t.Slots),
 		Leaving: t.Leaving,
 	}
+	if t.Cold != 0 {
+		in.ColdUntil = time.Now().Add(time.Duration(t.Cold) * time.Millisecond)
+	}
 	if t.Boot != 0 {
 		in.StartTime = time.UnixMilli(t.Boot)
 	}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -37,6 +37,8 @@
 		moves            metric.Int64Counter
 		ended            metric.Int64Counter
 		cut              metric.Int64Counter
+		extra            extraInstruments
+		limited          metric.Int64Counter
 	}
 
 	// snapshot holds the state of the reducer that the gauges show, read in one call so that
@@ -45,7 +47,8 @@
 		counts  dispatch.Counts
 		shares  []dispatch.ShareRow
 		targets []dispatch.TargetRow
-		version uint64 // of the table; 0 if there is none
+		uneven  map[string]bool // by pool
+		version uint64          // of the table; 0 if there is none
 	}
 )
 
@@ -89,6 +92,9 @@
 	if err = m.addRequestInstruments(scope); err != nil {
 		return nil, err
 	}
+	if err = m.extra.add(scope); err != nil {
+		return nil, err
+	}
 	m.stallPerResponse, err = scope.Float64Histogram("wigeonlink.stall.per_answer", metric.WithUnit("s"), metric.WithDescription("Stall time of an answer"))
 	return m, eris.Wrap(err, "create the histogram of the stall time")
 }
@@ -98,6 +104,7 @@
 func (m *Meter) Effect(f dispatch.Effect) {
 	ctx := context.Background()
 	m.effects.Add(ctx, 1, metric.WithAttributes(attribute.String("kind", f.Kind.String())))
+	m.extra.effect(ctx, f)
 	if f.Kind == dispatch.EffectRefuse {
 		m.refused.Add(ctx, 1, metric.WithAttributes(attribute.String("code", f.Answer.String()), attribute.String("outcome", f.Answer.Properties().Outcome.String())))
 	}
@@ -120,35 +127,30 @@
 // collected.
 func (m *Meter) ObserveHost(h *host.Host) error {
 	scope := m.provider.Meter("wigeonlink")
-	var failed error
-	gauge := func(name, text string) metric.Float64ObservableGauge {
-		g, err := scope.Float64ObservableGauge(name, metric.WithDescription(text))
-		if err != nil && failed == nil {
-			failed = eris.Wrap(err, name)
-		}
-		return g
-	}
+	gauge, failed := gaugesOf(scope)
 	promised := gauge("wigeonlink.share.promised", "Promised part of all service, by organisation")
 	got := gauge("wigeonlink.share.got", "Part of all service used lately, by organisation")
 	held := gauge("wigeonlink.held", "Requests held on this host, by organisation")
 	inflight := gauge("wigeonlink.inflight", "Requests at targets through this host, by organisation")
-	peak := gauge("wigeonlink.target.peak", "Forecast part of a target's memory")
-	open := gauge("wigeonlink.target.open", "1 if a target takes new work")
 	version := gauge("wigeonlink.table.version", "Version of the table in force")
 	retried := gauge("wigeonlink.retried", "Attempts beyond the first")
 	resumed := gauge("wigeonlink.resumed", "Fresh connections asked for because of a stall")
+	readmission := gauge("wigeonlink.readmission", "Refusals of pools of mixed objectives and returns of their callers, by kind")
 	reads := gauge("wigeonlink.registry.reads", "Readings of the service that publishes, by kind")
 	age := gauge("wigeonlink.registry.age", "Seconds since the published state was last confirmed")
 	stopInFlight := gauge("wigeonlink.stop.inflight", "Requests in flight when the host began to stop")
 	stopDispatched := gauge("wigeonlink.stop.dispatched", "Requests dispatched since the host began to stop")
-	if failed != nil {
-		return failed
+	if err := failed(); err != nil {
+		return err
 	}
 	_, err := scope.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		s := readSnapshot(h)
 		o.ObserveFloat64(version, float64(s.version))
 		o.ObserveFloat64(retried, float64(s.counts.Retried))
 		o.ObserveFloat64(resumed, float64(s.counts.Resumed))
+		for kind, n := range map[string]int{"promised": s.counts.Promised, "returned": s.counts.Returned, "hopeless": s.counts.Hopeless} {
+			o.ObserveFloat64(readmission, float64(n), metric.WithAttributes(attribute.String("kind", kind)))
+		}
 		stop := h.StopCounts()
 		o.ObserveFloat64(stopInFlight, float64(stop.InFlight))
 		o.ObserveFloat64(stopDispatched, float64(stop.Dispatched))
@@ -166,14 +168,15 @@
 			o.ObserveFloat64(held, float64(row.Held), by)
 			o.ObserveFloat64(inflight, float64(row.Inflight), by)
 		}
-		for _, row := range s.targets {
-			by := metric.WithAttributes(attribute.String("target", row.Target))
-			o.ObserveFloat64(peak, row.Peak/float64(max(row.Memory, 1)), by)
-			o.ObserveFloat64(open, boolValue(row.AcceptsWork), by)
-		}
 		return nil
-	}, promised, got, held, inflight, peak, open, version, retried, resumed, reads, age, stopInFlight, stopDispatched)
-	return eris.Wrap(err, "gauges")
+	}, promised, got, held, inflight, version, retried, resumed, readmission, reads, age, stopInFlight, stopDispatched)
+	if err != nil {
+		return eris.Wrap(err, "gauges")
+	}
+	if err := observeTargets(scope, h); err != nil {
+		return err
+	}
+	return observeDomains(scope, h)
 }
 
 func boolValue(b bool) float64 {
@@ -187,7 +190,7 @@
 func readSnapshot(h *host.Host) snapshot {
 	var s snapshot
 	h.Inspect(func(r *dispatch.Reducer) {
-		s.counts, s.shares, s.targets = r.Counts(), r.Shares(), r.Targets()
+		s.counts, s.shares, s.targets, s.uneven = r.Counts(), r.Shares(), r.Targets(), r.UnevenPools()
 		if t := r.Table(); t != nil {
 			s.version = t.Version
 		}
