--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -147,7 +147,7 @@
 		if choices < n && r.hashFraction(q, index)*q.pool.targetsInDomain(t) >= float64(choices) {
 			continue
 		}
-		if q.runsAt(t) || slices.Contains(q.triedTargets, t) || r.lacksPlace(q, t) {
+		if q.runsAt(t) || slices.Contains(q.triedTargets, t) || r.isClaimed(q, t) || r.lacksPlace(q, t) {
 			continue
 		}
 		score, ok := r.score(q, t, &demand, shareExcess)
--- a/dispatch/mixed.go
+++ b/dispatch/mixed.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 
 	"github.com/wigeonlink/wigeonlink/precedence"
 	"github.com/wigeonlink/wigeonlink/readmission"
@@ -17,13 +18,20 @@
 	reserved   int               // number of these that other requests must leave; valid within dispatchClass
 	residence  precedence.Demand // of the requests that are not urgent; only its Residence is used
 	promises   readmission.Promises
-	sinceLate  int // dispatches of the class precedence.OnTime since the latest one of precedence.Late
+	urgentHeld int          // memory that the prompts of all urgent streams hold at the pool's targets, in tokens
+	claimant   ID           // request for which claimed is kept; 0 if there is none
+	claimed    *targetState // target that no other request may use, unless it is urgent, until the claimant is dispatched or late
+	sinceLate  int          // dispatches of the class precedence.OnTime since the latest one of precedence.Late
 }
 
 // blockingAge is the fraction of the time in which a request can be on time after which it is not bypassed any more.
 // Small requests would otherwise take each piece of memory that becomes free, and large ones would always be late.
 const blockingAge = 0.5
 
+// claimTakeover is the ratio of sizes from which a request takes over the claim of another one. The largest requests find enough free memory
+// by chance least often.
+const claimTakeover = 1.5
+
 // isMixed reports whether the pool serves requests with objectives that differ so much that some are urgent.
 func (p *pool) isMixed() bool { return !p.plain && p.mixed.objectives.Mixed() }
 
@@ -32,6 +40,12 @@
 	return q.pool.isMixed() && q.pool.mixed.objectives.IsUrgent(q.firstTokenObjective)
 }
 
+// isShort reports whether q is expected to generate its output within its objective for the first token. A long request for which
+// a short objective is stated is not.
+func (r *Reducer) isShort(q *request) bool {
+	return time.Duration(q.expectedOutput*float64(r.options.stepBase)) <= q.firstTokenObjective
+}
+
 // applyObjectives takes over the objectives of the stream routes to each pool.
 func (r *Reducer) applyObjectives() {
 	objectives := map[string]precedence.Objectives{}
@@ -53,7 +67,9 @@
 // class returns the class of a held request. memory is that of the pool, in tokens.
 func (r *Reducer) class(q *request, queue *organisationQueue, memory float64) precedence.Class {
 	urgent := r.isUrgent(q)
-	return precedence.Classify(r.isLate(q), urgent, urgent && precedence.WithinPart(queue.urgentHeld, memory, queue.share))
+	within := urgent && (precedence.WithinPart(queue.urgentHeld, memory, queue.share) ||
+		r.isShort(q) && precedence.WithinPoolPart(q.pool.mixed.urgentHeld, memory))
+	return precedence.Classify(r.isLate(q), urgent, within)
 }
 
 // dispatchMixed dispatches the held requests of a mixed pool while targets have capacity: class by class, and within a
@@ -65,16 +81,15 @@
 		p.mixed.sinceLate = 0
 	}
 	p.mixed.sinceLate += r.dispatchClass(p, precedence.OnTime, math.MaxInt)
-	if len(p.queueOrder) > 0 {
-		return // a request of that class must not be bypassed
+	if r.hasClaim(&p.mixed) {
+		return // what becomes free is for requests that can be on time
 	}
 	if r.dispatchClass(p, precedence.Late, math.MaxInt) > 0 {
 		p.mixed.sinceLate = 0
 	}
 }
 
-// dispatchClass dispatches up to most requests of one class, and returns their number. It leaves queueOrder empty unless
-// it ends before all queues were visited. Urgent requests for which there is no capacity are bypassed without limit, also
+// dispatchClass dispatches up to most requests of one class, and returns their number. Urgent requests for which there is no capacity are bypassed without limit, also
 // by smaller ones of the same organisation.
 func (r *Reducer) dispatchClass(p *pool, class precedence.Class, most int) int {
 	r.sortQueues(p)
@@ -98,12 +113,15 @@
 		r.updateReserve(p, memory)
 		t := r.choose(q, r.shareExcess(queue.normalisedRate, r.now-queue.lastEmpty, p))
 		switch {
-		case t == nil && r.isUrgent(q):
+		case t == nil && class == precedence.Urgent:
 			q.waitCause = WaitCapacity
 			queue.tooLarge = q.size()
 		case t == nil:
 			q.waitCause = WaitCapacity
-			if bypassed++; r.mustNotBypass(q, class) || bypassed >= maxBypassedOrganisations {
+			if r.mustNotBypass(q, class) {
+				r.claimTarget(q)
+			}
+			if bypassed++; bypassed >= maxBypassedOrganisations {
 				return dispatched
 			}
 			p.queueOrder = slices.Delete(p.queueOrder, 0, 1)
@@ -130,7 +148,7 @@
 	return false
 }
 
-// mustNotBypass reports whether a request without capacity ends the loop over requests that are not urgent.
+// mustNotBypass reports whether memory must become free for a request without capacity before others that are not urgent use it.
 func (r *Reducer) mustNotBypass(q *request, class precedence.Class) bool {
 	return class == precedence.OnTime && float64(r.now-q.arrived) > blockingAge*float64(r.waitLimit(q))
 }
@@ -179,6 +197,7 @@
 	if r.isUrgent(q) {
 		q.urgentHeld = q.prompt
 		q.pool.queueOf(q.organisation).urgentHeld += q.urgentHeld
+		q.pool.mixed.urgentHeld += q.urgentHeld
 	}
 }
 
@@ -189,5 +208,38 @@
 		q.pool.mixed.demand.Leave(r.now - q.dispatchedAt)
 	}
 	q.pool.queueOf(q.organisation).urgentHeld -= q.urgentHeld
+	q.pool.mixed.urgentHeld -= q.urgentHeld
 	q.urgentHeld = 0
 }
+
+// claimTarget keeps the target of this domain with the most free memory for q, unless another request has a claim in the pool that is
+// not much smaller. Ending
+// the loop for such a request would leave the memory of all targets unused that is too small for it.
+func (r *Reducer) claimTarget(q *request) {
+	m := &q.pool.mixed
+	if r.hasClaim(m) && q.size() < claimTakeover*r.requests[m.claimant].size() {
+		return
+	}
+	m.claimant, m.claimed = 0, nil
+	most := 0.0
+	for _, t := range q.pool.targets {
+		if free := float64(t.spec.Memory) - t.totalDemand(r.now).MeanMemory[0]; free > most && !r.inOtherDomain(t) && r.mayChoose(q, t) {
+			m.claimant, m.claimed, most = q.id, t, free
+		}
+	}
+}
+
+// hasClaim reports whether the pool's claim holds: its request is held and can be on time, and its target accepts work.
+func (r *Reducer) hasClaim(m *mixedPool) bool {
+	if m.claimed == nil {
+		return false
+	}
+	q := r.requests[m.claimant]
+	return q != nil && q.phase == phaseHeld && !r.isLate(q) && r.mayChoose(q, m.claimed)
+}
+
+// isClaimed reports whether t is kept for another request than q.
+func (r *Reducer) isClaimed(q *request, t *targetState) bool {
+	m := &q.pool.mixed
+	return m.claimed == t && m.claimant != q.id && q.target == nil && !(r.isUrgent(q) && r.isShort(q)) && r.hasClaim(m)
+}
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -6,6 +6,10 @@
 	"github.com/wigeonlink/wigeonlink/forecast"
 )
 
+// urgentRisk is the probability of a preemption that is taken to start a short urgent request. The engine preempts its newest
+// stream, which is mostly the urgent request itself, and its short run is soon repeated.
+const urgentRisk = 0.2
+
 // exceedsMemory reports whether t has no memory for a request with the given demand in addition to total: it is likelier
 // than risk that the streams need more than the given memory, in tokens, or the pool's reserve for urgent requests would
 // be used.
@@ -13,10 +17,13 @@
 	if q.pool.isMixed() && q.target == nil {
 		risk = min(risk, maxStartRisk)
 	}
+	if q.target == nil && r.isUrgent(q) && r.isShort(q) {
+		risk = max(risk, urgentRisk)
+	}
 	if total.Streams > 0 && r.overflowChance(q, total, demand, memory) > risk {
 		return true
 	}
-	return q.pool.isMixed() && q.target == nil && !r.isUrgent(q) && !r.leavesReserve(t, total, demand, q.pool)
+	return q.pool.isMixed() && q.target == nil && !(r.isUrgent(q) && r.isShort(q)) && !r.leavesReserve(t, total, demand, q.pool)
 }
 
 // overflowChance returns the probability that the streams of total and q need more than the given memory. For an urgent
--- a/precedence/precedence.go
+++ b/precedence/precedence.go
@@ -32,6 +32,11 @@
 	// the bursts of an organisation that sends 40% of all urgent requests.
 	UrgentPart = 0.5
 
+	// PoolPart is the fraction of a pool's memory up to which the short urgent requests of all organisations together go before
+	// others, whatever their organisations' shares are. Urgent requests usually hold a twentieth of the memory, and twice as much
+	// in a burst; the share of one of many organisations would hold two of them.
+	PoolPart = 0.125
+
 	// LateTurn is the number of dispatches of the class OnTime after which a request of the class Late is next.
 	LateTurn = 15
 )
@@ -61,8 +66,12 @@
 	return held == 0 || float64(held) < UrgentPart*share*memory
 }
 
+// WithinPoolPart reports whether another urgent request may go before other requests if all urgent streams hold the given memory of
+// a pool, in tokens.
+func WithinPoolPart(held int, memory float64) bool { return float64(held) < PoolPart*memory }
+
 // Classify returns the class of a request. late reports whether it cannot be on time any more, urgent whether it is
-// urgent, and within whether its organisation is within its part.
+// urgent, and within whether its organisation, or all of them together, are within their part.
 func Classify(late, urgent, within bool) Class {
 	switch {
 	case late:
--- a/precedence/precedence_test.go
+++ b/precedence/precedence_test.go
@@ -43,3 +43,10 @@
 	qt.Check(t, Classify(false, true, false), qt.Equals, OnTime)
 	qt.Check(t, Classify(true, true, true), qt.Equals, Late)
 }
+
+// If only shares counted, the few urgent requests of an organisation that sends most of them would wait although all urgent requests
+// together hold little memory.
+func TestPartOfPool(t *testing.T) {
+	qt.Check(t, WithinPoolPart(12_499, 100_000), qt.IsTrue)
+	qt.Check(t, WithinPoolPart(12_500, 100_000), qt.IsFalse)
+}
