--- a/dispatch/extra.go
+++ b/dispatch/extra.go
@@ -289,7 +289,7 @@
 }
 
 // dropSecond removes the second attempt of q, which is about to end, if it has one, and reports the end of an extra attempt. answered
-// tells whether the attempt that the other fields of q describe has responded.
+// reports whether the attempt that the other fields of q describe has responded.
 func (r *Reducer) dropSecond(q *request, answered bool) {
 	switch {
 	case q.extra != nil:
--- a/dispatch/readmission.go
+++ b/dispatch/readmission.go
@@ -10,7 +10,7 @@
 
 // Readmission is the state of a request in a mixed pool that concerns the refusal of its caller.
 type Readmission struct {
-	Returning bool          // the caller was refused before, and was told when to come back
+	Returning bool          // the caller was refused before, with a time to come back
 	Hopeless  bool          // the request was refused on arrival
 	Promised  bool          // the refusal states when memory is forecast to be free
 	Wait      time.Duration // that forecast
--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -50,7 +50,7 @@
 }
 
 // What was decided before the evacuation of a domain, and is to be sent after it, must not reach the domain's targets: a first
-// attempt, a stream that is resumed at its destination, and one that its destination refuses and that goes on at its source
+// attempt, a stream that is resumed at its destination, and one that its destination refuses and that continues at its source
 // otherwise.
 func TestNothingIsSentToEvacuatedDomain(t *testing.T) {
 	north := table.Target{Name: "north-1", Domain: "north", Address: netip.MustParseAddrPort("10.2.0.1:1")}
--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -25,7 +25,7 @@
 	// A Key identifies the requests that have the same distribution of response times.
 	Key struct{ Pool, Route string }
 
-	// A Situation is what the caller of Decide knows about a request whose first attempt has not ended.
+	// A Situation is the state, at the caller of Decide, of a request whose first attempt has not ended.
 	Situation struct {
 		Organisation string
 		Elapsed      time.Duration // since the first attempt was sent
--- a/precedence/precedence.go
+++ b/precedence/precedence.go
@@ -33,7 +33,7 @@
 	UrgentPart = 0.5
 
 	// PoolPart is the fraction of a pool's memory up to which the short urgent requests of all organisations together go before
-	// others, whatever their organisations' shares are. Urgent requests usually hold a twentieth of the memory, and twice as much
+	// others, independently of their organisations' shares. Urgent requests usually hold a twentieth of the memory, and twice as much
 	// in a burst; the share of one of many organisations would hold two of them.
 	PoolPart = 0.125
 
