--- a/dispatch/mixed_test.go
+++ b/dispatch/mixed_test.go
@@ -169,3 +169,31 @@
 	r.reduce(50*time.Millisecond, Tick{})
 	r.Check(r.placed("e/1", 1).RetryAfter >= 50*time.Millisecond, qt.IsTrue)
 }
+
+// A large request that has waited for half of its time keeps the target with the most free memory. Smaller requests that arrive
+// later would otherwise take each piece of memory that becomes free, and it would be refused in the end.
+func TestLargeRequestWaitsBehindSmallerOnes(t *testing.T) {
+	r := newMixedTest(t, 2, 1)
+	id := ID(1)
+	for ; ; id++ {
+		r.reduce(0, longRequest(id, "organisation-0"))
+		if _, ok := r.firstEffect(EffectDispatch); !ok {
+			break
+		}
+	}
+	large := longRequest(id+1, "organisation-1")
+	large.PromptTokens = 9000
+	r.reduce(0, large)
+	r.reduce(0, AbandonedByCaller{ID: id})
+	r.reduce(longObjective*6/10, Tick{})
+	for ended := ID(1); ended < id; ended++ {
+		r.reduce(10*time.Millisecond, longRequest(id+1+ended, "organisation-0"))
+		r.requireNoEffect(EffectDispatch)
+		r.reduce(10*time.Millisecond, Ended{ID: ended})
+		if f, ok := r.firstEffect(EffectDispatch); ok {
+			r.Assert(f.ID, qt.Equals, large.ID)
+			return
+		}
+	}
+	r.Fatal("the large request was not dispatched")
+}
