--- a/dispatch/mixed.go
+++ b/dispatch/mixed.go
@@ -90,8 +90,7 @@
 }
 
 // dispatchClass dispatches up to most requests of one class, and returns their number. Urgent requests for which there is no
-// capacity are bypassed without limit, also
-// by smaller ones of the same organisation.
+// capacity are bypassed without limit, also by smaller ones of the same organisation.
 func (r *Reducer) dispatchClass(p *pool, class precedence.Class, most int) int {
 	r.sortQueues(p)
 	memory := p.localMemory(r)
