Compute the reserve once between dispatches; read targets once for metrics; check the urgent total

- The reserve for urgent requests was computed over all targets for each request that was considered; it changes with a dispatch only.
- The metrics read the rows of all targets twice for each collection.
- The memory of all urgent streams of a pool was not compared with its parts by the invariants.
- A method that only a test uses is in the test; two loops use the standard library.

--- a/dispatch/extra.go
+++ b/dispatch/extra.go
@@ -171,7 +171,7 @@
 }
 
 // sharesPath reports whether the path to t may be the cause of the delay of q: t is in another failure domain, to which q was
-// sent already, or from which this one may be partitioned since no host of another domain is heard.
+// sent already, or from which this one may be partitioned, as it has no live peer in another domain.
 func (r *Reducer) sharesPath(q *request, t *targetState) bool {
 	return r.inOtherDomain(t) && (t.spec.Domain == q.target.spec.Domain || r.allHosts <= r.hosts)
 }
--- a/dispatch/invariant.go
+++ b/dispatch/invariant.go
@@ -117,12 +117,11 @@
 		urgent[q.pool.byOrganisation[q.organisation]] += q.urgentHeld
 	}
 	for _, p := range r.poolList {
+		if err := p.checkUrgent(urgent); err != nil {
+			return err
+		}
 		held, inflight := 0, 0
 		for _, queue := range p.queues {
-			if queue.urgentHeld != urgent[queue] {
-				return eris.Errorf("pool %s: counts %d tokens of urgent requests of %s; the requests hold %d",
-					p.name, queue.urgentHeld, queue.organisation.spec.Name, urgent[queue])
-			}
 			held += len(queue.held)
 			inflight += queue.inflight
 			for _, q := range queue.held {
@@ -138,3 +137,19 @@
 	}
 	return nil
 }
+
+// checkUrgent verifies that the memory counted for urgent streams, by organisation and in total, is that of the requests.
+func (p *pool) checkUrgent(urgent map[*organisationQueue]int) error {
+	total := 0
+	for _, queue := range p.queues {
+		total += queue.urgentHeld
+		if queue.urgentHeld != urgent[queue] {
+			return eris.Errorf("pool %s: counts %d tokens of urgent requests of %s; the requests hold %d",
+				p.name, queue.urgentHeld, queue.organisation.spec.Name, urgent[queue])
+		}
+	}
+	if total != p.mixed.urgentHeld {
+		return eris.Errorf("pool %s: counts %d tokens of urgent requests; its queues have %d", p.name, p.mixed.urgentHeld, total)
+	}
+	return nil
+}
--- a/dispatch/mixed.go
+++ b/dispatch/mixed.go
@@ -12,19 +12,20 @@
 
 // mixedPool is the state of a pool whose routes have objectives that differ widely; see package precedence.
 type mixedPool struct {
-	objectives precedence.Objectives
-	demand     precedence.Demand // of urgent requests
-	places     int               // urgent requests for which engines of this domain have memory; valid within dispatchClass
-	reserved   int               // number of these that other requests must leave; valid within dispatchClass
-	residence  precedence.Demand // of the requests that are not urgent; only its Residence is used
-	promises   readmission.Promises
-	urgentHeld int          // memory that the prompts of all urgent streams hold at the pool's targets, in tokens
-	claimant   ID           // request for which claimed is kept; 0 if there is none
-	claimed    *targetState // target that no other request may use, unless it is urgent, until the claimant is dispatched or late
-	sinceLate  int          // dispatches of the class precedence.OnTime since the latest one of precedence.Late
-}
-
-// blockingAge is the fraction of the time in which a request can be on time after which it is not bypassed any more.
+	objectives   precedence.Objectives
+	demand       precedence.Demand // of urgent requests
+	places       int               // urgent requests for which engines of this domain have memory; valid within dispatchClass
+	reserved     int               // number of these that other requests must leave; valid within dispatchClass
+	reserveStale bool              // places and reserved are to be computed again
+	residence    precedence.Demand // of the requests that are not urgent; only its Residence is used
+	promises     readmission.Promises
+	urgentHeld   int          // memory that the prompts of all urgent streams hold at the pool's targets, in tokens
+	claimant     ID           // request for which claimed is kept; 0 if there is none
+	claimed      *targetState // target that no other request may use, unless it is urgent, until the claimant is dispatched or late
+	sinceLate    int          // dispatches of the class precedence.OnTime since the latest one of precedence.Late
+}
+
+// blockingAge is the fraction of the time in which a request can be on time after which it claims a target; see claimTarget.
 // Small requests would otherwise take each piece of memory that becomes free, and large ones would always be late.
 const blockingAge = 0.5
 
@@ -98,6 +99,7 @@
 		queue.tooLarge, queue.share = math.Inf(1), r.shareOf(queue, p)
 	}
 	dispatched, bypassed := 0, 0
+	p.mixed.reserveStale = true
 	for len(p.queueOrder) > 0 && dispatched < most {
 		queue := p.queueOrder[0]
 		q := r.nextOfClass(queue, class, memory)
@@ -128,6 +130,7 @@
 		case r.mayStart(q, t):
 			r.dispatch(q, t)
 			dispatched++
+			p.mixed.reserveStale = true
 			queue.normalisedRate = r.normalisedRate(queue.organisation, p)
 			r.restoreOrder(p)
 		}
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -44,8 +44,12 @@
 }
 
 // updateReserve computes the number of urgent requests for which engines of this domain have memory, and the number for
-// which the pool keeps it.
+// which the pool keeps it, unless both are up to date.
 func (r *Reducer) updateReserve(p *pool, memory float64) {
+	if !p.mixed.reserveStale {
+		return
+	}
+	p.mixed.reserveStale = false
 	scale := 1.0
 	if !r.coordinates {
 		scale, memory = float64(r.hosts), memory*float64(r.hosts)
--- a/host/evacuation.go
+++ b/host/evacuation.go
@@ -1,6 +1,8 @@
 package host
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -56,11 +58,7 @@
 func (v *evacuations) list() []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var out []string
-	for domain := range v.domains {
-		out = append(out, domain)
-	}
-	return out
+	return slices.Collect(maps.Keys(v.domains))
 }
 
 // recordHeartbeat records what a peer states. Peers of earlier builds state nothing and have no evacuation in force.
@@ -100,10 +98,8 @@
 				continue
 			}
 			d.Hosts++
-			for _, domain := range p.domains {
-				if domain == d.Domain {
-					d.InForce++
-				}
+			if slices.Contains(p.domains, d.Domain) {
+				d.InForce++
 			}
 		}
 	}
--- a/host/relay.go
+++ b/host/relay.go
@@ -54,12 +54,6 @@
 	}
 }
 
-// contains reports whether a target with the address is listed, or was until recently.
-func (l *listedAddresses) contains(address netip.AddrPort) bool {
-	_, ok := l.at(address)
-	return ok
-}
-
 // at returns the target with the address, if it is listed or was until recently.
 func (l *listedAddresses) at(address netip.AddrPort) (t table.Target, ok bool) {
 	l.mu.Lock()
--- a/host/relay_test.go
+++ b/host/relay_test.go
@@ -57,6 +57,12 @@
 	c.Check(asked, qt.HasLen, 1)
 }
 
+// contains reports whether a target with the address is listed, or was until recently.
+func (l *listedAddresses) contains(address netip.AddrPort) bool {
+	_, ok := l.at(address)
+	return ok
+}
+
 // Connections are relayed to targets only, for a while after they have left the list, too.
 func TestListedAddresses(t *testing.T) {
 	c := qt.New(t)
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -46,9 +46,7 @@
 	snapshot struct {
 		counts  dispatch.Counts
 		shares  []dispatch.ShareRow
-		targets []dispatch.TargetRow
-		uneven  map[string]bool // by pool
-		version uint64          // of the table; 0 if there is none
+		version uint64 // of the table; 0 if there is none
 	}
 )
 
@@ -190,7 +188,7 @@
 func readSnapshot(h *host.Host) snapshot {
 	var s snapshot
 	h.Inspect(func(r *dispatch.Reducer) {
-		s.counts, s.shares, s.targets, s.uneven = r.Counts(), r.Shares(), r.Targets(), r.UnevenPools()
+		s.counts, s.shares = r.Counts(), r.Shares()
 		if t := r.Table(); t != nil {
 			s.version = t.Version
 		}
--- a/meter/target.go
+++ b/meter/target.go
@@ -7,6 +7,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/host"
 )
 
@@ -35,15 +36,17 @@
 		return err
 	}
 	_, err := scope.RegisterCallback(func(_ context.Context, o metric.Observer) error {
-		s := readSnapshot(h)
-		for _, row := range s.targets {
+		var targets []dispatch.TargetRow
+		var unevenPools map[string]bool
+		h.Inspect(func(r *dispatch.Reducer) { targets, unevenPools = r.Targets(), r.UnevenPools() })
+		for _, row := range targets {
 			by := metric.WithAttributes(attribute.String("target", row.Target))
 			o.ObserveFloat64(peak, row.Peak/float64(max(row.Memory, 1)), by)
 			o.ObserveFloat64(open, boolValue(row.AcceptsWork), by)
 			o.ObserveFloat64(cold, row.ColdRate, by)
 			o.ObserveFloat64(idle, row.Idle.Seconds(), by)
 		}
-		for pool, is := range s.uneven {
+		for pool, is := range unevenPools {
 			o.ObserveFloat64(uneven, boolValue(is), metric.WithAttributes(attribute.String("pool", pool)))
 		}
 		return nil
