--- a/review/_harness-2/main.go
+++ b/review/_harness-2/main.go
@@ -8,6 +8,7 @@
 // cases are the cases by name. Each returns the number of times that its rule was broken; trouble is whether the
 // disruption takes place.
 var cases = map[string]func(trouble bool) int{
+	"crash":    crash,
 	"crowd":    crowd,
 	"unmarked": unmarked,
 }
