--- a/review/_harness-2/main.go
+++ b/review/_harness-2/main.go
@@ -10,6 +10,7 @@
 var cases = map[string]func(trouble bool) int{
 	"crash":    crash,
 	"crowd":    crowd,
+	"stop":     stop,
 	"unmarked": unmarked,
 }
 
