--- a/review/_harness-2/main.go
+++ b/review/_harness-2/main.go
@@ -10,6 +10,7 @@
 var cases = map[string]func(trouble bool) int{
 	"crash":    crash,
 	"crowd":    crowd,
+	"path":     path,
 	"stop":     stop,
 	"unmarked": unmarked,
 }
--- a/review/_harness-2/world.go
+++ b/review/_harness-2/world.go
@@ -51,6 +51,7 @@
 		slots                      int
 		listener                   net.Listener
 		handle                     func(net.Conn, *bufio.Reader, *http.Request, []byte)
+		onPath                     func(net.Conn) bool // reports whether a connection reaches the server; nil if all do
 
 		mu       sync.Mutex
 		sequence int
@@ -158,6 +159,9 @@
 		}
 		go func() {
 			defer c.Close()
+			if s.onPath != nil && !s.onPath(c) {
+				return
+			}
 			in := bufio.NewReader(c)
 			r, err := http.ReadRequest(in)
 			if err != nil {
