--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -124,7 +125,8 @@
 // chooseFromSubset is chooseWithin restricted to a subset of about choices targets of each
 // failure domain. The subset depends on the request and the host: many hosts have the same,
 // slightly stale view of the targets, and would all pick the same target if they scored all.
-// It also sets r.basis.
+// It also sets r.basis. While the host stops, a target at which a held request would not end in time is chosen only if there
+// is no other one.
 func (r *Reducer) chooseFromSubset(q *request, shareExcess, tolerance float64, choices int) *targetState {
 	ts := q.pool.targets
 	n := len(ts)
@@ -134,7 +136,7 @@
 		count, step = sampleSize, coprimeStride(q.id, n)
 	}
 	r.basis = r.newBasis(q)
-	var best *targetState
+	var best, outlasting *targetState
 	lowest := math.Inf(1)
 	start := int(mixBits(uint64(q.id)+r.salt<<32) % uint64(n))
 	for i := range count {
@@ -154,11 +156,15 @@
 		if ok {
 			r.basis.TargetsWithCapacity++
 		}
+		if ok && q.phase == phaseHeld && r.latestStart(q, t) < r.now {
+			outlasting = t
+			continue
+		}
 		if ok && (best == nil || score < lowest-max(tolerance, tieTolerance*math.Abs(lowest))) {
 			best, lowest, r.basis.ExpectedLate = t, score, r.candidate.ExpectedLate
 		}
 	}
-	return best
+	return cmp.Or(best, outlasting)
 }
 
 // runsAt reports whether a request is in flight at t, or at an earlier process under the name of t.
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -119,7 +119,7 @@
 }
 
 // placementRequest returns the question about a held request. Targets that this host cannot reach
-// are excluded, even if the coordinator can reach them.
+// are excluded, even if the coordinator can reach them, and those at which the request would not end before this host stops.
 func (r *Reducer) placementRequest(q *request) *PlacementRequest {
 	a := &PlacementRequest{
 		Origin: r.options.origin, ID: q.id, Name: q.name, Organisation: q.organisation.spec.Name, Pool: q.pool.name, Route: q.lengthKey.Route,
@@ -137,7 +137,7 @@
 		a.Excluded = append(a.Excluded, t.spec.Name)
 	}
 	for _, t := range q.pool.targets {
-		if !t.allows(r.now) && !slices.Contains(a.Excluded, t.spec.Name) {
+		if (!t.allows(r.now) || r.latestStart(q, t) < r.now) && !slices.Contains(a.Excluded, t.spec.Name) {
 			a.Excluded = append(a.Excluded, t.spec.Name)
 		}
 	}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -32,6 +32,7 @@
 	nextRetry             time.Duration // latest time at which the caller of a request that was refused for limits may come back
 	mixed                 mixedPool
 	pace                  poolPace
+	stopWaits             stopWaits
 }
 
 const (
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -54,6 +54,9 @@
 		q.target.tokenInterval.Observe(q.target.reportedStreams(), interval)
 		r.observePace(q, s.Tokens-q.tokens, last-q.lastToken)
 	}
+	if q.lastToken == 0 {
+		r.recordStart(q, last)
+	}
 	if q.pendingPrefill > 0 {
 		q.target.pendingPrefill -= q.pendingPrefill
 		q.pendingPrefill = 0
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -325,6 +325,9 @@
 	if !q.plain {
 		r.recordUsage(q, e.Usage)
 	}
+	if q.lastToken == 0 {
+		r.recordStart(q, r.now) // it has ended between two Progress events
+	}
 	r.finishPace(q, e.LongestPause)
 	r.recordFinished(q, e.LongestPause)
 	r.recordAnswered(q)
--- /dev/null
+++ b/dispatch/start_wait.go
@@ -0,0 +1,115 @@
+package dispatch
+
+import "time"
+
+type (
+	// startWaits records how long streams have recently waited for their first token beside the time in which their own
+	// prompts were computed: in the queue of an engine, and behind the prompts that other hosts have sent there. The zero
+	// value is ready for use.
+	startWaits struct {
+		current, previous waitSpan
+		latest            time.Duration // time of the latest record
+	}
+
+	// waitSpan is the longest wait that was recorded within startWaitSpan.
+	waitSpan struct {
+		since   time.Duration // time of the first record; 0 means that there is none
+		longest time.Duration
+	}
+
+	// stopWaits holds the waits of a pool's streams that a stopping host counts on.
+	stopWaits struct {
+		at       time.Duration // time of the latest refreshStopWaits; 0 means never
+		shortest time.Duration // at the target with the shortest wait, of those that accept work
+		longest  time.Duration // at any target
+	}
+)
+
+const (
+	// startWaitSpan is the time over which the longest of the latest waits is taken.
+	startWaitSpan = 2500 * time.Millisecond
+
+	// startWaitExpiry is the time after which a wait is no longer taken into account if no other one follows.
+	startWaitExpiry = 30 * time.Second
+
+	// stopWaitsRefresh is the time between two evaluations of the waits of a pool while the host stops.
+	stopWaitsRefresh = 50 * time.Millisecond
+)
+
+// record adds the wait of a stream whose first token has arrived.
+func (s *startWaits) record(wait, now time.Duration) {
+	if now-s.latest > 2*startWaitSpan {
+		*s = startWaits{}
+	}
+	if s.current.since == 0 || now-s.current.since > startWaitSpan {
+		s.previous, s.current = s.current, waitSpan{since: max(now, 1)}
+	}
+	s.current.longest, s.latest = max(s.current.longest, wait), now
+}
+
+// longest returns the longest of the latest waits, and false if none is known.
+func (s *startWaits) longest(now time.Duration) (time.Duration, bool) {
+	if s.current.since == 0 || now-s.latest > startWaitExpiry {
+		return 0, false
+	}
+	return max(s.current.longest, s.previous.longest), true
+}
+
+// startWait returns the part of the given time since the dispatch of q, which has no token yet, in which its own prompt was
+// not computed.
+func (r *Reducer) startWait(q *request, since time.Duration) time.Duration {
+	return max(since-time.Duration(q.pendingPrefill)*r.options.prefillPerToken, 0)
+}
+
+// recordStart records the wait of q, whose first token has arrived at the given time, at its target. A stream that runs on from
+// a copy is not counted: engines admit it first.
+func (r *Reducer) recordStart(q *request, at time.Duration) {
+	if !q.plain && !q.attached && q.paceTarget == q.target {
+		q.target.startWaits.record(r.startWait(q, at-q.dispatchedAt), r.now)
+	}
+}
+
+// refreshStopWaits evaluates, at most once in stopWaitsRefresh, how long streams of a pool wait at each target for
+// their first token. Streams that still wait count with the time that they have waited so far, which is only a lower bound:
+// a target at which no stream has begun is assumed to have the longest wait of the pool.
+func (r *Reducer) refreshStopWaits(p *pool) {
+	if p.stopWaits.at != 0 && r.now-p.stopWaits.at < stopWaitsRefresh {
+		return
+	}
+	for _, t := range p.targets {
+		t.stopWait, t.stopWaitKnown = t.startWaits.longest(r.now)
+	}
+	for _, q := range r.requests {
+		if q.target != nil && q.pool == p && !q.plain && q.remote == nil && q.lastToken == 0 {
+			q.target.stopWait = max(q.target.stopWait, r.startWait(q, r.now-q.dispatchedAt))
+		}
+	}
+	w := stopWaits{at: max(r.now, 1), shortest: -1}
+	for _, t := range p.targets {
+		w.longest = max(w.longest, t.stopWait)
+	}
+	for _, t := range p.targets {
+		if !t.stopWaitKnown {
+			t.stopWait = w.longest
+		}
+		if t.acceptsWork(r.now, 0) && (w.shortest < 0 || t.stopWait < w.shortest) {
+			w.shortest = t.stopWait
+		}
+	}
+	w.shortest = max(w.shortest, 0)
+	p.stopWaits = w
+}
+
+// queueWait returns the time for which a stream is assumed to wait for the computation of its prompt at t or, if t is nil,
+// at the pool's target with the shortest wait. It is 0 if the host does not stop: only then are the waits of streams
+// that have no token yet evaluated.
+func (r *Reducer) queueWait(p *pool, t *targetState) time.Duration {
+	if !r.stopping || p == nil {
+		return 0
+	}
+	r.refreshStopWaits(p)
+	if t != nil {
+		return t.stopWait
+	}
+	return p.stopWaits.shortest
+}
--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -56,7 +56,7 @@
 	if e.Plain || tokens <= 0 {
 		return 0
 	}
-	return r.longestRun(tokens, e.PromptTokens, nil)
+	return r.longestRun(r.pools[e.Pool], tokens, e.PromptTokens, nil)
 }
 
 // latestStart returns the latest time at which a request can be dispatched to t, or to any target if t is nil, and end
@@ -79,18 +79,19 @@
 	case tokens == 0:
 		return -1
 	}
-	return r.stopDeadline - r.longestRun(tokens, q.prompt, t)
+	return r.stopDeadline - r.longestRun(q.pool, tokens, q.prompt, t)
 }
 
-// longestRun returns an upper bound of the time from the dispatch of a stream to its end, at t or, if t is nil, at a
-// target of which nothing is known.
-func (r *Reducer) longestRun(tokens, prompt int, t *targetState) time.Duration {
+// longestRun returns an upper bound of the time from the dispatch of a stream to its end, at t or, if t is nil, at the
+// target of the pool p with the shortest queue. A stream that waits in an engine's queue for longer than
+// stopSilence would be cut off; it is assumed to wait for as long as others recently have.
+func (r *Reducer) longestRun(p *pool, tokens, prompt int, t *targetState) time.Duration {
 	interval := stopSlowdown * r.options.stepBase
 	if t != nil {
 		interval = max(interval, t.tokenInterval.At(t.totalDemand(r.now).Streams+1))
 		prompt += t.pendingPrefill
 	}
-	return runTime(tokens, prompt, interval, stopSlowdown*r.options.prefillPerToken)
+	return runTime(tokens, prompt, interval, stopSlowdown*r.options.prefillPerToken) + r.queueWait(p, t)
 }
 
 // runTime returns the time of a run with the given times for each token of its output and of its prompt.
@@ -99,13 +100,14 @@
 }
 
 // usualRun returns the time from the dispatch of a stream to t to its end at the limit of its output, at the speed that
-// streams have there, or 0 if the output has no limit.
+// streams have there and after the wait that they recently had, or 0 if the output has no limit.
 func (r *Reducer) usualRun(q *request, t *targetState) time.Duration {
 	tokens := max(q.maxOutput, q.knownOutput)
 	if q.plain || tokens == 0 {
 		return 0
 	}
-	return runTime(tokens, q.prompt, t.tokenInterval.At(t.totalDemand(r.now).Streams+1), r.options.prefillPerToken)
+	wait, _ := t.startWaits.longest(r.now)
+	return runTime(tokens, q.prompt, t.tokenInterval.At(t.totalDemand(r.now).Streams+1), r.options.prefillPerToken) + wait
 }
 
 // refuseOutlasting refuses the held requests of a pool that would not end before the host stops, so that their callers
--- a/dispatch/target_state.go
+++ b/dispatch/target_state.go
@@ -46,6 +46,9 @@
 		leases                leases        // of the places that this host gives out
 		pacer                 limit.Pacer   // gives out the target's places, if this host does so
 		pace                  paceState
+		startWaits            startWaits
+		stopWait              time.Duration // see refreshStopWaits
+		stopWaitKnown         bool          // whether streams have recently begun at this target
 	}
 )
 
--- a/forward.go
+++ b/forward.go
@@ -41,6 +41,10 @@
 	// refusalTime is the least time that a stopping host has for a request on a connection that it accepted last.
 	refusalTime = 500 * time.Millisecond
 
+	// unansweredTime is the time before its end that a stopping host has for errors in place of responses that have not
+	// begun.
+	unansweredTime = 200 * time.Millisecond
+
 	// gatewayHeaderTimeout is the time limit for receiving the headers of a request. The
 	// configuration of the gateway may set a shorter limit.
 	gatewayHeaderTimeout = 10 * time.Second
@@ -138,10 +142,12 @@
 // stopGateway makes the readiness probe fail and still accepts requests for
 // Settings.ShutdownDelay, in which the load balancer stops sending them, and then until it has none in flight.
 // It then closes the connections on which no request has begun, and waits until all others are closed, within
-// Settings.DrainTimeout, of which connectionCloseTimeout and refusalTime are left for requests that arrive last.
+// Settings.DrainTimeout, of which connectionCloseTimeout and refusalTime are left for requests that arrive last, and
+// unansweredTime for those that the targets have not begun to answer.
 func stopGateway(ctx context.Context, a *assembly, h *host.Host, s *http.Server, g *gateway.Gateway, callers *network.RetiringListener) error {
 	startedAt := time.Now()
-	h.Drain(startedAt.Add(a.settings.DrainTimeout))
+	answersEnd := startedAt.Add(a.settings.DrainTimeout - min(unansweredTime, a.settings.DrainTimeout/4))
+	h.Drain(answersEnd)
 	ctx, cancel := context.WithTimeout(ctx, a.settings.DrainTimeout)
 	defer cancel()
 	pause.For(ctx, a.settings.ShutdownDelay)
@@ -151,7 +157,12 @@
 	// http.Server.Shutdown would drop the requests whose heads it reads from now on.
 	listenErr := callers.Close()
 	callers.CloseIdle(connectionCloseTimeout)
-	waitUntilZero(ctx, func() int { return h.InFlightCount() + callers.OpenCount() })
+	open := func() int { return h.InFlightCount() + callers.OpenCount() }
+	answering, endAnswering := context.WithDeadline(ctx, answersEnd)
+	defer endAnswering()
+	waitUntilZero(answering, open)
+	g.EndUnanswered()
+	waitUntilZero(ctx, open)
 	begun := callers.BegunCount()
 	remaining := max(h.InFlightCount(), begun)
 	h.Log().Emit(event.HostStopped, event.Fields{Values: append([]any{"open", remaining, "after_ms", time.Since(startedAt).Milliseconds()}, g.CutRequests(begun)...)})
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -44,13 +44,14 @@
 	hostRequest    *host.Request
 	failedResponse *bufferedResponse // last 5xx response, forwarded if no other target succeeds
 
-	attemptCount int           // attempts started
-	latest       *attempt      // latest attempt; one without a target before the first
-	status       int           // HTTP status sent to the caller
-	firstByte    time.Duration // from started to the first response byte
-	bodyBytes    atomic.Int64  // body bytes sent to the caller
-	written      bool          // the response headers have been sent
-	failedWrite  error         // of the first failed write to the caller
+	attemptCount int                     // attempts started
+	latest       *attempt                // latest attempt; one without a target before the first
+	status       int                     // HTTP status sent to the caller
+	firstByte    time.Duration           // from started to the first response byte
+	bodyBytes    atomic.Int64            // body bytes sent to the caller
+	written      bool                    // the response headers have been sent
+	failedWrite  error                   // of the first failed write to the caller
+	endAttempts  context.CancelCauseFunc // ends the attempts in flight
 	state        callPhase
 	concurrent   concurrentAttempts
 }
@@ -64,6 +65,8 @@
 	c.enter(phaseBody)
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
+	ctx, c.endAttempts = context.WithCancelCause(ctx)
+	defer c.endAttempts(nil)
 	var err error
 	c.body, err = c.readBody()
 	defer c.body.release()
--- a/gateway/extra.go
+++ b/gateway/extra.go
@@ -11,6 +11,7 @@
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/host"
 	"github.com/wigeonlink/wigeonlink/relay"
+	"github.com/wigeonlink/wigeonlink/target"
 )
 
 type (
@@ -155,9 +156,14 @@
 // finishAttempt reports the result of the only attempt of the call that is left. Its results are those of makeAttempts.
 func (c *call) finishAttempt(a *attempt, identity host.Attempt, r relay.Result) (ended bool, err error) {
 	c.keepFailedResponse(a)
-	if c.r.Context().Err() != nil {
+	switch {
+	case c.r.Context().Err() != nil:
 		c.hostRequest.Abandon()
 		return true, answer.New(answer.KindCallerGone, "")
+	case errors.Is(r.Cause, errHostStopped) && r.Certainty != target.CertaintyNotRun && !c.written:
+		// Not a failure of the target. Another attempt would not end before the host stops.
+		c.hostRequest.EndBeforeStop(r.Cause)
+		return true, c.finalError(answer.Wrap(answer.KindUnknownOutcome, r.Cause, ""))
 	}
 	return !c.hostRequest.ReportAttempt(identity, r), nil
 }
--- a/gateway/in_hand.go
+++ b/gateway/in_hand.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/wigeonlink/wigeonlink/answer"
 	"github.com/wigeonlink/wigeonlink/event"
 	"github.com/wigeonlink/wigeonlink/network"
@@ -39,6 +41,7 @@
 		phase      phase
 		dispatched time.Time // time of the latest dispatch
 		cut        bool      // the call has a line of event.RequestCut
+		begun      bool      // a part of the response has been written
 	}
 
 	// connKey is the key of a caller's connection in the context of its requests.
@@ -67,6 +70,9 @@
 	endCauseCount
 )
 
+// errHostStopped is the cause of the end of an attempt of which the host has sent nothing to the caller before it stops.
+var errHostStopped = eris.New("the host stops before the target has answered")
+
 // maxCutLines limits the lines about requests that the end of a stop cuts off.
 const maxCutLines = 256
 
@@ -153,6 +159,31 @@
 	return values
 }
 
+// EndUnanswered ends the attempts of all requests of whose responses nothing has been sent. Their callers get an error, which
+// says that the outcome is unknown, in place of a connection that closes without a response.
+func (g *Gateway) EndUnanswered() {
+	g.inHand.mu.Lock()
+	defer g.inHand.mu.Unlock()
+	for c := range g.inHand.calls {
+		c.endUnanswered()
+	}
+}
+
+func (c *call) endUnanswered() {
+	c.state.mu.Lock()
+	defer c.state.mu.Unlock()
+	if c.state.phase == phaseRunning && !c.state.begun {
+		c.endAttempts(errHostStopped)
+	}
+}
+
+// markBegun records that a part of the response is about to be written.
+func (c *call) markBegun() {
+	c.state.mu.Lock()
+	defer c.state.mu.Unlock()
+	c.state.begun = true
+}
+
 func (c *call) markCut() {
 	c.state.mu.Lock()
 	defer c.state.mu.Unlock()
--- a/host/request.go
+++ b/host/request.go
@@ -157,6 +157,12 @@
 	r.finish(dispatch.AbandonedByCaller{ID: r.ID})
 }
 
+// EndBeforeStop reports to the reducer that this host has ended the attempt for the given cause, as it is about to stop.
+func (r *Request) EndBeforeStop(cause error) {
+	r.host.log.Emit(event.RequestFailed, event.Fields{Request: r.Name, Organisation: r.Submit.Organisation, Target: r.target, Detail: cause.Error()})
+	r.finish(dispatch.AbandonedByCaller{ID: r.ID})
+}
+
 // finish posts the final event of a request and removes the request from the event loop.
 func (r *Request) finish(e dispatch.Event) {
 	r.host.Post(e)
