Stopping host: do not refuse streams for a silence beside a queue

A stopping host now leaves the larger of both. A stream that still waits is assumed to wait for another 1.2 s, as how long is not known. Requests are accepted by the whole drain timeout again, and only what has no answer 0.1 s before it gets a 502.

--- a/dispatch/start_wait.go
+++ b/dispatch/start_wait.go
@@ -70,18 +70,24 @@
 }
 
 // refreshStopWaits evaluates, at most once in stopWaitsRefresh, how long streams of a pool wait at each target for
-// their first token. Streams that still wait count with the time that they have waited so far, which is only a lower bound:
-// a target at which no stream has begun is assumed to have the longest wait of the pool.
+// their first token. A stream that still waits, longer than those that have begun there, is assumed to wait for another
+// stopSilence. A target at which no stream has begun is assumed to have the longest wait of the pool.
 func (r *Reducer) refreshStopWaits(p *pool) {
 	if p.stopWaits.at != 0 && r.now-p.stopWaits.at < stopWaitsRefresh {
 		return
 	}
 	for _, t := range p.targets {
 		t.stopWait, t.stopWaitKnown = t.startWaits.longest(r.now)
+		t.pendingWait = 0
 	}
 	for _, q := range r.requests {
 		if q.target != nil && q.pool == p && !q.plain && q.remote == nil && q.lastToken == 0 {
-			q.target.stopWait = max(q.target.stopWait, r.startWait(q, r.now-q.dispatchedAt))
+			q.target.pendingWait = max(q.target.pendingWait, r.startWait(q, r.now-q.dispatchedAt))
+		}
+	}
+	for _, t := range p.targets {
+		if t.pendingWait > t.stopWait {
+			t.stopWait = t.pendingWait + stopSilence
 		}
 	}
 	w := stopWaits{at: max(r.now, 1), shortest: -1}
--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -16,7 +16,8 @@
 	// a stopping host decides whether a request ends in time.
 	stopSlowdown = 3
 
-	// stopSilence is the time that is left beside that, because a sound target may fall silent for about a second.
+	// stopSilence is the least time that is left beside that, because a sound target may fall silent for about a second, or
+	// keep a stream in its queue.
 	stopSilence = 1200 * time.Millisecond
 
 	// maxRunTokens limits the tokens of an estimate, which is a duration.
@@ -84,19 +85,19 @@
 
 // longestRun returns an upper bound of the time from the dispatch of a stream to its end, at t or, if t is nil, at the
 // target of the pool p with the shortest queue. A stream that waits in an engine's queue for longer than
-// stopSilence would be cut off; it is assumed to wait for as long as others recently have.
+// stopSilence would be cut off.
 func (r *Reducer) longestRun(p *pool, tokens, prompt int, t *targetState) time.Duration {
 	interval := stopSlowdown * r.options.stepBase
 	if t != nil {
 		interval = max(interval, t.tokenInterval.At(t.totalDemand(r.now).Streams+1))
 		prompt += t.pendingPrefill
 	}
-	return runTime(tokens, prompt, interval, stopSlowdown*r.options.prefillPerToken) + r.queueWait(p, t)
+	return runTime(tokens, prompt, interval, stopSlowdown*r.options.prefillPerToken) + max(stopSilence, r.queueWait(p, t))
 }
 
-// runTime returns the time of a run with the given times for each token of its output and of its prompt.
+// runTime returns the time of a run without interruption, with the given times for each token of its output and of its prompt.
 func runTime(tokens, prompt int, interval, prefill time.Duration) time.Duration {
-	return time.Duration(min(tokens, maxRunTokens))*interval + time.Duration(min(prompt, maxRunTokens))*prefill + stopSilence
+	return time.Duration(min(tokens, maxRunTokens))*interval + time.Duration(min(prompt, maxRunTokens))*prefill
 }
 
 // usualRun returns the time from the dispatch of a stream to t to its end at the limit of its output, at the speed that
@@ -107,7 +108,7 @@
 		return 0
 	}
 	wait, _ := t.startWaits.longest(r.now)
-	return runTime(tokens, q.prompt, t.tokenInterval.At(t.totalDemand(r.now).Streams+1), r.options.prefillPerToken) + wait
+	return runTime(tokens, q.prompt, t.tokenInterval.At(t.totalDemand(r.now).Streams+1), r.options.prefillPerToken) + max(stopSilence, wait)
 }
 
 // refuseOutlasting refuses the held requests of a pool that would not end before the host stops, so that their callers
--- a/forward.go
+++ b/forward.go
@@ -43,7 +43,7 @@
 
 	// unansweredTime is the time before its end that a stopping host has for errors in place of responses that have not
 	// begun.
-	unansweredTime = 200 * time.Millisecond
+	unansweredTime = 100 * time.Millisecond
 
 	// gatewayHeaderTimeout is the time limit for receiving the headers of a request. The
 	// configuration of the gateway may set a shorter limit.
@@ -146,8 +146,7 @@
 // unansweredTime for those that the targets have not begun to answer.
 func stopGateway(ctx context.Context, a *assembly, h *host.Host, s *http.Server, g *gateway.Gateway, callers *network.RetiringListener) error {
 	startedAt := time.Now()
-	answersEnd := startedAt.Add(a.settings.DrainTimeout - min(unansweredTime, a.settings.DrainTimeout/4))
-	h.Drain(answersEnd)
+	h.Drain(startedAt.Add(a.settings.DrainTimeout))
 	ctx, cancel := context.WithTimeout(ctx, a.settings.DrainTimeout)
 	defer cancel()
 	pause.For(ctx, a.settings.ShutdownDelay)
@@ -158,7 +157,7 @@
 	listenErr := callers.Close()
 	callers.CloseIdle(connectionCloseTimeout)
 	open := func() int { return h.InFlightCount() + callers.OpenCount() }
-	answering, endAnswering := context.WithDeadline(ctx, answersEnd)
+	answering, endAnswering := context.WithDeadline(ctx, startedAt.Add(a.settings.DrainTimeout-unansweredTime))
 	defer endAnswering()
 	waitUntilZero(answering, open)
 	g.EndUnanswered()
