--- a/detour/needed.go
+++ b/detour/needed.go
@@ -5,8 +5,22 @@
 	"time"
 )
 
-// neededKey is the key of the time in contexts of WithNeeded.
-type neededKey struct{}
+type (
+	// neededKey is the key of the time in contexts of WithNeeded.
+	neededKey struct{}
+
+	// otherDomainKey is the key of contexts of WithOtherDomain.
+	otherDomainKey struct{}
+)
+
+// WithOtherDomain returns a context for a connection that is to be opened through a host of another failure domain if there
+// is one, since the hosts of a domain may lose their connections together.
+func WithOtherDomain(ctx context.Context) context.Context {
+	return context.WithValue(ctx, otherDomainKey{}, true)
+}
+
+// OtherDomain reports whether ctx is one of WithOtherDomain.
+func OtherDomain(ctx context.Context) bool { return ctx.Value(otherDomainKey{}) != nil }
 
 // WithNeeded returns a context for a request whose connection may be in use for the given time. A host that
 // stops before that does not open it.
--- a/detour/network.go
+++ b/detour/network.go
@@ -35,6 +35,10 @@
 		log   *event.Log
 		relay atomic.Pointer[Relay]
 
+		prober      atomic.Pointer[Prober]
+		observeLoss atomic.Pointer[func(netip.AddrPort)]
+		lastBytes   atomic.Int64 // Unix time in nanoseconds at which bytes last arrived on a connection of this host's own
+
 		mu    sync.Mutex
 		paths paths
 	}
@@ -88,7 +92,7 @@
 }
 
 // Dial opens a connection to a target. The host's own attempt goes first, unless its last ones at this target, or
-// at several others, have failed where other hosts succeeded.
+// at several others, have failed or remained without an answer where other hosts succeeded.
 func (n *Network) Dial(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 	return n.dial(ctx, to, false)
 }
@@ -103,8 +107,13 @@
 	if err != nil {
 		return nil, n.failure(to, err, errNotAsked)
 	}
+	return n.watch(c, to), nil
+}
+
+// watch records a connection of this host's own, and returns it as one that reports whether an answer arrives.
+func (n *Network) watch(c net.Conn, to netip.AddrPort) net.Conn {
 	n.recordConnect(to)
-	return c, nil
+	return &ownConn{Conn: c, network: n, to: to}
 }
 
 // dial is Dial. last says whether the other host may use one in turn.
@@ -116,10 +125,13 @@
 	way := connector{*relay, to, last}
 	n.mu.Lock()
 	avoid, probe := n.paths.avoid(to, time.Now())
+	opens := n.paths.opens(to)
 	n.mu.Unlock()
 	switch {
 	case !avoid:
 		return n.race(ctx, way, detourDelay)
+	case probe && opens:
+		go n.probeAgain(to)
 	case probe:
 		return n.race(ctx, way, 0)
 	}
@@ -127,12 +139,15 @@
 	if a.err == nil {
 		return &Conn{a.conn, a.via}, nil
 	}
+	if opens && !errors.Is(a.err, ErrNoRelay) {
+		// A request that is sent over this path would be lost, and its outcome unknown.
+		return nil, eris.Wrapf(a.err, "connections to %s open without an answer, and no other host has connected", to)
+	}
 	c, err := n.Network.Dial(ctx, to)
 	if err != nil {
 		return nil, n.failure(to, err, a.err)
 	}
-	n.recordConnect(to)
-	return c, nil
+	return n.watch(c, to), nil
 }
 
 // isConclusive reports whether the error of an own attempt shows that nobody listens at the target's address: its
@@ -181,9 +196,8 @@
 			due, relayed = nil, way.start(relayCtx)
 		case a := <-own:
 			if a.err == nil {
-				n.recordConnect(to)
 				go discard(relayed)
-				return a.conn, nil
+				return n.watch(a.conn, to), nil
 			}
 			own, ownErr = nil, a.err
 			if way.last && n.isConclusive(to, ownErr) {
@@ -244,7 +258,7 @@
 			}
 			err = a.err
 		case <-timer.C:
-			n.recordLoss(to, via, context.DeadlineExceeded)
+			n.recordLoss(to, via, false, context.DeadlineExceeded)
 			if a := <-own; a.err == nil {
 				_ = a.conn.Close() // as above
 				n.recordConnect(to)
@@ -252,7 +266,7 @@
 			return
 		}
 	}
-	n.recordLoss(to, via, err)
+	n.recordLoss(to, via, false, err)
 }
 
 // discard closes the connection of an attempt that is no longer needed. The channel is nil if there is none.
@@ -270,18 +284,22 @@
 	n.change(event.PathFound, to, "", "", func(now time.Time) bool { return n.paths.connected(to, now) })
 }
 
-// recordLoss records that another host could connect to a target to which this host could not.
-func (n *Network) recordLoss(to netip.AddrPort, via string, err error) {
-	n.change(event.PathLost, to, via, err.Error(), func(now time.Time) bool { return n.paths.lose(to, now) })
+// recordLoss records that another host reaches a target that this host does not, as it cannot connect or, if mute is set,
+// gets no answer.
+func (n *Network) recordLoss(to netip.AddrPort, via string, mute bool, err error) {
+	n.change(event.PathLost, to, via, err.Error(), func(now time.Time) bool { return n.paths.lose(to, mute, now) })
+	if f := n.observeLoss.Load(); f != nil {
+		(*f)(to)
+	}
 }
 
 // change changes the record of a path and logs it if f reports that its state has changed.
 func (n *Network) change(number event.Number, to netip.AddrPort, via, detail string, f func(now time.Time) bool) {
 	n.mu.Lock()
 	changed := f(time.Now())
-	lost, detached := n.paths.lostCount, n.paths.detached()
+	lost, mute, detached := n.paths.lostCount, n.paths.muteCount, n.paths.detached()
 	n.mu.Unlock()
 	if changed {
-		n.log.Emit(number, event.Fields{Peer: via, Detail: detail, Values: []any{"address", to.String(), "lost", lost, "detached", detached}})
+		n.log.Emit(number, event.Fields{Peer: via, Detail: detail, Values: []any{"address", to.String(), "lost", lost, "mute", mute, "detached", detached}})
 	}
 }
--- a/detour/network_test.go
+++ b/detour/network_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -19,14 +20,18 @@
 // otherHost is a Relay that connects from another machine, or fails with err.
 type otherHost struct {
 	network.Network
+	mu    sync.Mutex
 	err   error
 	asked int
 }
 
 func (o *otherHost) Connect(ctx context.Context, to netip.AddrPort, _ bool) (net.Conn, string, error) {
+	o.mu.Lock()
 	o.asked++
-	if o.err != nil {
-		return nil, "", o.err
+	failure := o.err
+	o.mu.Unlock()
+	if failure != nil {
+		return nil, "", failure
 	}
 	c, err := o.Network.Dial(ctx, to)
 	return c, "other", err
--- a/detour/paths_test.go
+++ b/detour/paths_test.go
@@ -29,14 +29,14 @@
 	check(one, 0, false, false)
 	c.Check(p.connected(one, at(1)), qt.IsFalse)
 
-	c.Check(p.lose(one, at(10)), qt.IsTrue)
-	c.Check(p.lose(one, at(11)), qt.IsFalse)
+	c.Check(p.lose(one, false, at(10)), qt.IsTrue)
+	c.Check(p.lose(one, false, at(11)), qt.IsFalse)
 	check(one, 12, true, false)
 	check(two, 12, false, false)
 	check(one, 600, true, true)
 	check(one, 700, true, false)
 
-	c.Check(p.lose(two, at(800)), qt.IsTrue)
+	c.Check(p.lose(two, false, at(800)), qt.IsTrue)
 	c.Check(p.detached(), qt.IsTrue)
 	check(three, 801, true, true)
 	check(three, 802, true, false)
@@ -53,8 +53,8 @@
 func TestUnusedPathsAreDeleted(t *testing.T) {
 	c := qt.New(t)
 	var p paths
-	p.lose(one, epoch)
-	p.lose(two, epoch)
+	p.lose(one, false, epoch)
+	p.lose(two, false, epoch)
 	p.expire(epoch.Add(pathExpiry))
 	c.Check(p.lostCount, qt.Equals, 0)
 	c.Check(p.targets, qt.HasLen, 0)
--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -149,7 +149,7 @@
 		if choices < n && r.hashFraction(q, index)*q.pool.targetsInDomain(t) >= float64(choices) {
 			continue
 		}
-		if q.runsAt(t) || slices.Contains(q.triedTargets, t) || r.isClaimed(q, t) || r.lacksPlace(q, t) {
+		if r.isExcluded(q, t) {
 			continue
 		}
 		score, ok := r.score(q, t, &demand, shareExcess)
@@ -167,6 +167,11 @@
 	return cmp.Or(best, outlasting)
 }
 
+// isExcluded reports whether q must not be sent to t, whatever the cost.
+func (r *Reducer) isExcluded(q *request, t *targetState) bool {
+	return q.runsAt(t) || slices.Contains(q.triedTargets, t) || r.isClaimed(q, t) || r.lacksPlace(q, t)
+}
+
 // runsAt reports whether a request is in flight at t, or at an earlier process under the name of t.
 func (q *request) runsAt(t *targetState) bool {
 	return q.target != nil && q.target.spec.Name == t.spec.Name
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -87,6 +87,7 @@
 		Answered  bool             // whether the target answered with an error of its own
 		Attempt   int              // number of the attempt, see Basis; used if two are in flight
 
+		PathLost   bool          // whether the request was sent over this host's own path to the target, which is lost
 		RetryAfter time.Duration // time for which a target that refused the request asks to be left alone; 0 if it does not
 	}
 
--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -104,13 +104,10 @@
 	}
 	q.selectAttempt(e.Attempt)
 	t, p, dispatchedAt := q.target, q.pool, q.dispatchedAt
-	if !e.Answered {
-		t.breaker.recordFailure(r.now)
-	}
 	r.rest(t, e.RetryAfter)
-	t.failureRate.record(1, r.now)
-	r.recordFailure(t)
-	r.recordPossibleCrash(q, e)
+	if !e.PathLost {
+		r.recordFailedTarget(t, q, e)
+	}
 	if e.Rebooted {
 		clear(t.prefixes)
 	}
@@ -147,6 +144,16 @@
 	r.dispatchHeld(p)
 }
 
+// recordFailedTarget records a failed attempt as one of its target.
+func (r *Reducer) recordFailedTarget(t *targetState, q *request, e AttemptFailed) {
+	if !e.Answered {
+		t.breaker.recordFailure(r.now)
+	}
+	t.failureRate.record(1, r.now)
+	r.recordFailure(t)
+	r.recordPossibleCrash(q, e)
+}
+
 // mayRetry reports whether a request may be sent again after the failed attempt e. Nothing may
 // have been delivered to the caller. The attempt must provably not have run, or have ended with a
 // restart of its engine, or the request must be an idempotent call of a plain service. A request
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -69,6 +69,7 @@
 	PathLost       Number = 307
 	PathFound      Number = 308
 	TargetsBrittle Number = 309
+	PathChecked    Number = 310
 
 	EvacuationsApplied Number = 311
 	DomainEvacuated    Number = 312
@@ -156,9 +157,10 @@
 	{TargetLeaving, "target leaving", hclog.Info, "A target is about to stop and accepts no new requests."},
 	{TargetProbed, "target probed", hclog.Info, "A target has ended connections early; the host has tried to connect to see whether its process is gone."},
 	{TargetLimited, "target limited", hclog.Info, "The limit of requests a second that a target names in its responses has changed or ended."},
-	{PathLost, "path lost", hclog.Warn, "This host cannot connect to a target to which another host can; it connects through that host, or another one."},
-	{PathFound, "path found", hclog.Info, "This host can connect to a target again to which it could connect only through other hosts."},
+	{PathLost, "path lost", hclog.Warn, "This host cannot connect to a target to which another host can, or gets no answers from it; it connects through that host, or another one."},
+	{PathFound, "path found", hclog.Info, "This host can use its own path to a target again, which it could reach only through other hosts."},
 	{TargetsBrittle, "targets brittle", hclog.Info, "What the targets of a pool say in their responses about how many refusals a second they survive has changed or ended."},
+	{PathChecked, "path checked", hclog.Info, "Requests to a target have remained without an answer; the host has sent it a health check over its own path and through another host."},
 	{EvacuationsApplied, "evacuations applied", hclog.Info, "The set of failure domains that are to be evacuated has changed on this host; from now on it sends nothing new to their targets."},
 	{DomainEvacuated, "domain evacuated", hclog.Warn, "An operator has requested the evacuation of a failure domain; its targets get nothing new, and long streams move off."},
 	{DomainEmptied, "domain emptied", hclog.Info, "No request is known to run in an evacuated failure domain any more."},
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -85,9 +85,16 @@
 	return c.latest
 }
 
-// run sends the request to the target that the reducer chose in decision and forwards the
-// target's response to the caller.
+// run makes the attempt, and reports whether a failed one was made over a path that is lost.
 func (a *attempt) run(ctx context.Context, decision dispatch.Effect) relay.Result {
+	r := a.send(ctx, decision)
+	r.PathLost = r.Ending == relay.EndFailed && !r.Unsent && !r.TargetFailed && a.via == "" && a.gateway.host.PathLost(decision.To)
+	return r
+}
+
+// send sends the request to the target that the reducer chose in decision and forwards the
+// target's response to the caller.
+func (a *attempt) send(ctx context.Context, decision dispatch.Effect) relay.Result {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	a.cancel = cancel
--- a/host/host.go
+++ b/host/host.go
@@ -176,6 +176,8 @@
 func (o withNetwork) apply(h *Host)       { h.network = o.network }
 func (o withDetours) apply(h *Host) {
 	h.detours, h.network = o.detours, o.detours
+	o.detours.SetProber(pathProber{h})
+	o.detours.SetLossObserver(func(to netip.AddrPort) { h.Post(dispatch.PathLost{Address: to}) })
 	h.engines.newAdapter = func(a netip.AddrPort) target.Engine { return target.NewResponsesEngineOn(o.detours, a) }
 	h.services.newAdapter = func(a netip.AddrPort) target.Service { return target.NewServiceOn(o.detours, a) }
 }
--- a/host/relay.go
+++ b/host/relay.go
@@ -87,6 +87,9 @@
 	return h.detours.DialForPeer(ctx, to, further)
 }
 
+// PathLost reports whether this host's own path to a target is lost.
+func (h *Host) PathLost(t table.Target) bool { return h.detours != nil && h.detours.IsLost(t.Address) }
+
 // copiesOnly reports whether a connection to a target is one for copies of running streams, not for requests: the use of a
 // connection to an engine for a request has a usual time, see gateway.
 func (h *Host) copiesOnly(ctx context.Context, t table.Target) bool {
--- a/network/conn.go
+++ b/network/conn.go
@@ -33,6 +33,7 @@
 		readClosed    bool          // reads fail with net.ErrClosed, writes with ECONNRESET
 		reset         bool          // reads and writes fail with ECONNRESET
 		blackholed    bool          // writes succeed; reads get neither bytes nor io.EOF
+		resetOnWrite  bool          // the first write resets the connection
 		readDeadline  time.Time
 		writeDeadline time.Time
 	}
@@ -64,7 +65,13 @@
 
 // Write sends bytes. It blocks while the receive window of the peer is full, at most until the
 // write deadline.
-func (c *conn) Write(b []byte) (int, error) { return c.out.write(b) }
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.out.write(b)
+	if c.out.resetOnWrite && n > 0 {
+		c.reset()
+	}
+	return n, err
+}
 
 // SetLinger makes Close reset the connection if sec is 0, like SetLinger of net.TCPConn.
 func (c *conn) SetLinger(sec int) error {
--- a/network/cut.go
+++ b/network/cut.go
@@ -18,10 +18,12 @@
 
 // The kinds of cut.
 const (
-	CutNone    Cut = iota
-	CutSilent      // connections, current and new ones, hang
-	CutReset       // connections, current and new ones, are reset
-	CutRefused     // current connections live on, new ones are refused
+	CutNone       Cut = iota
+	CutSilent         // connections, current and new ones, hang
+	CutReset          // connections, current and new ones, are reset
+	CutRefused        // current connections live on, new ones are refused
+	CutOpenReset      // new connections open and are reset as the first bytes are sent, current ones are reset
+	CutOpenSilent     // new connections open and hang, as do current ones
 )
 
 // SetCut cuts a machine off from all machines with addresses in a prefix, or ends that with CutNone. All
@@ -35,7 +37,7 @@
 	close(v.partitionsChanged)
 	v.partitionsChanged = make(chan struct{})
 	v.mu.Unlock()
-	if c != CutReset {
+	if c != CutReset && c != CutOpenReset {
 		return
 	}
 	for _, conn := range v.connsOf(address) {
@@ -56,6 +58,26 @@
 	return CutNone
 }
 
+// opensWhileCut reports whether a cut between two machines lets connections open.
+func (v *Virtual) opensWhileCut(a, b netip.Addr) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.cutBetween(a, b) == CutOpenSilent
+}
+
+// openedByCut returns the local end of a connection that opens although a cut keeps it from its listener, or nil if there is no such
+// cut. The caller holds v.mu.
+func (v *Virtual) openedByCut(from, to netip.AddrPort) *conn {
+	c := v.cutBetween(from.Addr(), to.Addr())
+	if c != CutOpenReset && c != CutOpenSilent {
+		return nil
+	}
+	client, _ := v.connect(from, to)
+	client.out.resetOnWrite, client.out.blackholed = c == CutOpenReset, true
+	client.in.blackholed = true
+	return client
+}
+
 // dialError returns the error of a new connection between two machines that a cut ends at once, or nil. The
 // caller holds v.mu.
 func (v *Virtual) dialError(a, b netip.Addr) error {
--- a/network/virtual.go
+++ b/network/virtual.go
@@ -141,7 +141,8 @@
 func (v *Virtual) isPartitioned(from, to netip.Addr) (bool, <-chan struct{}) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.partitioned[link{from, to}] || v.cutBetween(from, to) == CutSilent, v.partitionsChanged
+	c := v.cutBetween(from, to)
+	return v.partitioned[link{from, to}] || c == CutSilent || c == CutOpenSilent, v.partitionsChanged
 }
 
 // allocatePort returns the next ephemeral port. The caller holds v.mu.
@@ -187,7 +188,7 @@
 	for {
 		forward, changed := v.isPartitioned(m.address, to.Addr())
 		reverse, _ := v.isPartitioned(to.Addr(), m.address)
-		if !forward && !reverse {
+		if !forward && !reverse || v.opensWhileCut(m.address, to.Addr()) {
 			break
 		}
 		select {
@@ -201,6 +202,9 @@
 	if err := v.dialError(m.address, to.Addr()); err != nil {
 		return nil, eris.Wrapf(err, "dial %s", to)
 	}
+	if c := v.openedByCut(netip.AddrPortFrom(m.address, v.allocatePort()), to); c != nil {
+		return c, nil
+	}
 	l := v.listeners[to]
 	if l == nil {
 		return nil, eris.Wrapf(syscall.ECONNREFUSED, "dial %s", to)
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -55,7 +55,7 @@
 func (m *Mesh) Connect(ctx context.Context, to netip.AddrPort, last bool) (net.Conn, string, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	candidates := m.relayCandidates()
+	candidates := m.relayCandidates(detour.OtherDomain(ctx))
 	results := make(chan relayResult, len(candidates))
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -93,9 +93,9 @@
 
 // relayCandidates returns up to two peers in the order in which they are asked for a connection: such that have
 // connections to targets themselves first, then such that do not stop, then those of this host's own failure
-// domain. The second one is of another domain if there is one, since the hosts of a domain may lose their
+// domain or, if otherDomain is set, of others. The second one is of another domain if there is one, since the hosts of a domain may lose their
 // connections together. Among equal ones the first differs from call to call.
-func (m *Mesh) relayCandidates() []Peer {
+func (m *Mesh) relayCandidates(otherDomain bool) []Peer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	live := m.view.Live()
@@ -107,7 +107,7 @@
 			found = append(found, p)
 		}
 	}
-	slices.SortStableFunc(found, func(a, b Peer) int { return cmp.Compare(m.relayRank(a), m.relayRank(b)) })
+	slices.SortStableFunc(found, func(a, b Peer) int { return cmp.Compare(m.relayRank(a, otherDomain), m.relayRank(b, otherDomain)) })
 	if len(found) <= 2 {
 		return found
 	}
@@ -116,7 +116,7 @@
 }
 
 // relayRank returns the place of a peer in the order of relayCandidates.
-func (m *Mesh) relayRank(p Peer) int {
+func (m *Mesh) relayRank(p Peer, otherDomain bool) int {
 	rank := 0
 	if p.Detached {
 		rank += 4
@@ -124,7 +124,7 @@
 	if p.Stopping {
 		rank += 2
 	}
-	if p.Domain != m.settings.Domain {
+	if (p.Domain != m.settings.Domain) != otherDomain {
 		rank++
 	}
 	return rank
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -59,6 +59,7 @@
 		TargetFailed    bool             // the target responded with an error status
 		RetryAfter      time.Duration    // time for which a target that refused the request asks to be left alone
 		TargetEnded     bool             // the target ended the connection before the response was complete
+		PathLost        bool             // the request was sent over this host's own path to the target, which is lost
 	}
 
 	// An Ending classifies how an attempt ended.
--- a/table/table.go
+++ b/table/table.go
@@ -49,6 +49,8 @@
 		Version string
 		Engine  EngineSpec
 		Cold    ColdSpec
+
+		HealthPath string // path of the health check of the targets; empty if unknown
 	}
 
 	// A ColdSpec says how the targets of a pool are used that are cold, as they have just started.
@@ -106,6 +108,8 @@
 		Name   string
 		Routes []Route
 		Cold   ColdSpec
+
+		HealthPath string // as that of a Model
 	}
 
 	// A Route selects calls of a service by method and path prefix, and declares
