--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -69,6 +69,7 @@
 	errRequestIDMismatch = eris.New("the response carries the identifier of another request")
 	errRequestURI        = eris.New("the request line has no path that can be forwarded unchanged")
 	errStatus            = eris.New("the response has a status that is not that of a final response")
+	errUnprovenRefusal   = eris.New("the response has a status of requests that were not executed, and no mark that this one was not")
 	errNoProof           = eris.New("the response carries no proof of its target")
 	errContentEncoding   = eris.New("the response has a Content-Encoding that was not requested")
 	errStreamTimeout     = eris.New("the target sent no event within the stream timeout")
@@ -124,6 +125,9 @@
 		}
 	case reply.ID != "" && reply.ID != a.info.ID:
 		return failedResult(ctx, errRequestIDMismatch)
+	case reply.MeansNotRun:
+		// The caller would take it as a promise, and send again what must not be executed twice.
+		return relay.Result{Ending: relay.EndFailed, TargetFailed: true, Cause: eris.Wrap(errUnprovenRefusal, resp.Status)}
 	case resp.StatusCode < 300 && !reply.HasProof:
 		return failedResult(ctx, errNoProof)
 	case resp.Header.Get("Content-Encoding") != "":
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -60,6 +60,7 @@
 	ResponseInfo struct {
 		ID          string // identifier of the request; empty if the response has none
 		NotExecuted bool   // the target did not execute the request and never will
+		MeansNotRun bool   // callers take the status as a promise that the request has not been executed and never will be
 		HasProof    bool   // the response has the header that proves that the target itself produced it
 
 		Leaving     bool           // the target says that it leaves
