A mark "not executed" counts only for the request that its response names

A response with the identifier of another request and the mark of requests that were not executed was taken as proof that this request had not run: it was sent to another target, or its caller told to send it again. The identifier was compared after the mark. The same held for streams that are resumed after a move.

TestOnlyMarkOfThisRequestShowsThatItDidNotRun, random statuses, marks, identifiers and cut places, failed before at its first example.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -157,6 +157,9 @@
 // leaves or asks for rest, and its limit.
 func (a *attempt) parseResponse(resp *http.Response, decision dispatch.Effect, sent time.Time, via string) ResponseInfo {
 	reply := a.gateway.dialect.ParseResponse(resp.StatusCode, resp.Header)
+	if reply.ID != "" && reply.ID != a.info.ID {
+		reply.NotExecuted = false // this is said of another request
+	}
 	a.limit = reply.Limit
 	if reply.StatusError != nil {
 		a.gateway.host.Log().Emit(event.TargetLimited, event.Fields{Request: a.info.ID, Target: decision.Target, Detail: reply.StatusError.Error()})
--- a/gateway/status_test.go
+++ b/gateway/status_test.go
@@ -5,12 +5,16 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/event"
@@ -69,3 +73,68 @@
 		}
 	}
 }
+
+// refusalCase is a response that may say that its request was not executed.
+type refusalCase struct {
+	kind        route.Kind
+	status      int
+	notExecuted bool   // has the mark of requests that were not executed
+	id          string // identifier of the request in the response
+	length      int    // of the body
+	sent        int    // bytes of it that arrive
+}
+
+// RoundTrip returns the response.
+func (r refusalCase) RoundTrip(*http.Request) (*http.Response, error) {
+	body := io.Reader(strings.NewReader(strings.Repeat("x", r.sent)))
+	if r.sent < r.length {
+		body = io.MultiReader(body, iotest.ErrReader(io.ErrUnexpectedEOF))
+	}
+	return &http.Response{StatusCode: r.status, Status: strconv.Itoa(r.status), Header: http.Header{}, ContentLength: int64(r.length), Body: io.NopCloser(body)}, nil
+}
+
+// refusalDialect is a Dialect by which callers take 503 and 429 as promises, and that marks the responses as a case says.
+type refusalDialect struct {
+	noHeaders
+	refusalCase
+}
+
+func (d refusalDialect) ParseResponse(status int, _ http.Header) ResponseInfo {
+	return ResponseInfo{
+		HasProof: true, ID: d.id, NotExecuted: d.notExecuted,
+		MeansNotRun: status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests,
+	}
+}
+
+// A request that may have run was reported to its caller as not run, by a status without a mark (review/7), or by the mark of another
+// request's response. Random responses: what the host writes or reports as not run has the mark of this request.
+func TestOnlyMarkOfThisRequestShowsThatItDidNotRun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := refusalCase{
+			kind:        rapid.SampledFrom([]route.Kind{route.AtMostOnce, route.Idempotent, route.Stream}).Draw(t, "kind"),
+			status:      rapid.SampledFrom([]int{200, 400, 404, 408, 429, 500, 502, 503, 504}).Draw(t, "status"),
+			notExecuted: rapid.Bool().Draw(t, "not executed"),
+			id:          rapid.SampledFrom([]string{"", "this", "another"}).Draw(t, "id"),
+			length:      rapid.SampledFrom([]int{0, 10, maxBufferedResponse + 10}).Draw(t, "length"),
+		}
+		q.sent = rapid.IntRange(0, q.length).Draw(t, "sent")
+		r, err := http.NewRequest(http.MethodPost, "/", http.NoBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w := httptest.NewRecorder()
+		g := &Gateway{host: host.NewHost(event.NewLog("host")), dialect: refusalDialect{refusalCase: q}, transport: q}
+		a := &attempt{call: &call{
+			gateway: g, w: w, r: r, uri: "/", route: &route.Route{Kind: q.kind}, body: &body{}, plainService: true,
+			info: RequestInfo{ID: "this"}, deadline: time.Now().Add(time.Minute),
+		}}
+		res := a.run(context.Background(), dispatch.Effect{To: table.Target{Name: "e", Address: netip.MustParseAddrPort("127.0.0.1:80")}})
+		marked := q.notExecuted && q.id != "another"
+		if res.Ending == relay.EndFailed && res.Certainty == target.CertaintyNotRun && !marked {
+			t.Fatalf("%+v is reported as not run: %v", q, res.Cause)
+		}
+		if a.written && (w.Code == http.StatusServiceUnavailable || w.Code == http.StatusTooManyRequests) {
+			t.Fatalf("%+v is passed on with status %d", q, w.Code)
+		}
+	})
+}
