Own interface: an engine's 408, 500, 502 or 504 does not show that a generation has not run

The start of a generation that was answered with any error status counted as not run, and was started again at another engine, although such a status may come after the start. It is unknown now: the host asks the engine for the generation, and if there is none has the engine cancel it, which proves that it did not run. An engine that goes on failing is asked for 2 s, not for 15 s.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -94,7 +94,7 @@
 	defaultResumeTimeout = 15 * time.Second      // for all attempts of one reconnect together
 	initialBackoff       = 10 * time.Millisecond // between attempts of a reconnect
 	maxBackoff           = 500 * time.Millisecond
-	confirmTimeout       = 2 * time.Second // of the cancel request in unknownGeneration
+	confirmTimeout       = 2 * time.Second // of the cancel request in unknownGeneration, and of the attempts to resume a generation whose start failed with an error status
 )
 
 var (
@@ -165,7 +165,7 @@
 			return r.result(ended.ending)
 		}
 		r.stream.Close()
-		if failed := r.reopen(ctx, err); failed != nil {
+		if failed := r.reopen(ctx, err, r.resumeTimeout); failed != nil {
 			return *failed
 		}
 	}
@@ -199,7 +199,7 @@
 // executed. open returns nil if the stream is connected.
 func (r *Relay) open(ctx context.Context) *Result {
 	if r.boot != "" {
-		return r.reopen(ctx, nil)
+		return r.reopen(ctx, nil, r.resumeTimeout)
 	}
 	stream, err := r.engine.Start(ctx, r.request)
 	if err == nil {
@@ -209,7 +209,11 @@
 	if c := certainty(err); c == target.CertaintyNotRun {
 		return r.failedResult(c, false, err)
 	}
-	return r.reopen(ctx, err)
+	timeout := r.resumeTimeout
+	if answered(err) {
+		timeout = min(timeout, confirmTimeout) // the engine can be reached; it is not waited for
+	}
+	return r.reopen(ctx, err, timeout)
 }
 
 // certainty returns the certainty of a target.RequestError, and CertaintyUnknown for other errors.
@@ -221,6 +225,12 @@
 	return target.CertaintyUnknown
 }
 
+// answered reports whether the engine has responded with an error status.
+func answered(err error) bool {
+	var oe *target.RequestError
+	return errors.As(err, &oe) && oe.Answered
+}
+
 // setStream makes s the current connection to the engine.
 func (r *Relay) setStream(s target.Stream) {
 	if r.boot == "" {
@@ -231,13 +241,13 @@
 }
 
 // reopen connects to the running generation at the next expected token. It retries with
-// exponential backoff until the resume timeout. cause is the error that made the reconnect
+// exponential backoff until the timeout. cause is the error that made the reconnect
 // necessary, or nil at the start of a resume. reopen returns nil if the stream is connected.
-func (r *Relay) reopen(ctx context.Context, cause error) *Result {
+func (r *Relay) reopen(ctx context.Context, cause error, timeout time.Duration) *Result {
 	if cause != nil {
 		r.onReconnect(cause)
 	}
-	deadline := time.Now().Add(r.resumeTimeout)
+	deadline := time.Now().Add(timeout)
 	backoff := initialBackoff
 	for {
 		if ctx.Err() != nil {
--- a/target/engine.go
+++ b/target/engine.go
@@ -94,6 +94,7 @@
 	RequestError struct {
 		Boot      string // boot identifier of the engine; empty for a service or without a response
 		Certainty Certainty
+		Answered  bool // the target has responded, with an error status
 		Cause     error
 	}
 )
--- a/target/responses.go
+++ b/target/responses.go
@@ -208,20 +208,27 @@
 	defer resp.Body.Close()
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
 	failed := &RequestError{
-		Boot:  resp.Header.Get(HeaderBoot),
-		Cause: eris.Errorf("engine responded with status %d: %s", resp.StatusCode, bytes.TrimSpace(text)),
+		Boot:     resp.Header.Get(HeaderBoot),
+		Answered: true,
+		Cause:    eris.Errorf("engine responded with status %d: %s", resp.StatusCode, bytes.TrimSpace(text)),
 	}
 	switch {
 	case !network.IsFinalStatus(resp.StatusCode):
 		// The response is not an answer, so the certainty stays unknown.
 	case resp.StatusCode == http.StatusNotFound && method == http.MethodGet:
 		failed.Certainty = CertaintyLost
-	case method == http.MethodPost:
+	case method == http.MethodPost && refusesStart(resp.StatusCode):
 		failed.Certainty = CertaintyNotRun
 	}
 	return nil, failed
 }
 
+// refusesStart reports whether a status of the response to a start shows that the engine has not started the generation. Other
+// errors may come after the start, or from something between the host and the engine.
+func refusesStart(status int) bool {
+	return status >= 400 && status < 500 && status != http.StatusRequestTimeout || status == http.StatusServiceUnavailable
+}
+
 // Cancel sends the cancel request. The engine stores the identifier of the generation, and
 // rejects a request to start this generation that it receives later.
 func (r *responsesEngine) Cancel(ctx context.Context, generation string) error {
