--- a/abuse/abuse_test.go
+++ b/abuse/abuse_test.go
@@ -16,6 +16,7 @@
 	endlessClients  = 300
 	emptyClients    = 800
 	slowReaders     = 300
+	prefixClients   = 300
 	crowdTime       = 5 * time.Second // for which clients connect anew
 	headHold        = 1500 * time.Millisecond
 	legalHeadBytes  = 15_000 // below the limit of 16,384
@@ -137,3 +138,21 @@
 		})
 	})
 }
+
+// Each entry of a prompt's prefix takes a few bytes in the head, and took up to 60 while its request was held. Requests of legal size
+// with thousands of entries took more memory than a host has (review/6).
+func TestLongPromptPrefixesExhaustMemory(t *testing.T) {
+	c, s := newSubject(t)
+	for _, server := range s.servers {
+		server.SetFault(emulator.ServerFault{WorkTime: headHold})
+	}
+	prefix := "Prompt-Prefix: 1:1" + strings.Repeat(",1:1", legalHeadBytes/4) + "\r\n"
+	s.attack(c, prefixClients, func(number int) {
+		head := requestHead(number) + prefix + "Connection: close\r\n\r\n"
+		s.repeat(func(conn *net.TCPConn) {
+			if _, err := io.WriteString(conn, head); err == nil {
+				_, _ = io.Copy(io.Discard, conn) // the answer, a refusal or nothing
+			}
+		})
+	})
+}
--- a/abuse/process_test.go
+++ b/abuse/process_test.go
@@ -180,6 +180,7 @@
 func (s *subject) answersOrdinaryRequest() bool {
 	for _, server := range s.servers {
 		server.SetResponseSize(0)
+		server.SetFault(emulator.ServerFault{})
 	}
 	q := emulator.CallerRequest{ID: "ordinary", Path: emulator.LookupsPrefix + "1", Deadline: 2 * time.Second}
 	for deadline := time.Now().Add(answerTimeout); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
--- a/dispatch/quarantine.go
+++ b/dispatch/quarantine.go
@@ -25,10 +25,16 @@
 	possibleCrash struct {
 		at    time.Duration
 		spec  table.Target
-		parts []quarantine.Part // of the requests
+		parts partSet // of the requests
 
 		waiting []ID // requests whose next attempt waits for the probe
 	}
+
+	// partSet is a set of parts in the order in which they were added. The zero value is empty.
+	partSet struct {
+		list  []quarantine.Part
+		known map[quarantine.Part]struct{}
+	}
 )
 
 const (
@@ -39,6 +45,10 @@
 	// probeExpiry is the time after which the result of a probe is no longer expected.
 	probeExpiry = 5 * time.Second
 
+	// maxSuspectedEffects is the number of EffectSuspected for one crash. Each is a line of the log, and the crash of an engine with
+	// many streams makes thousands of parts suspected.
+	maxSuspectedEffects = 64
+
 	// probeWait bounds the time for which the next attempt of a request waits for a probe.
 	probeWait = 500 * time.Millisecond
 )
@@ -79,11 +89,24 @@
 	}
 	c, pending := r.possibleCrashes[t.spec.Name]
 	if !pending {
-		c = possibleCrash{at: r.now, spec: t.spec}
+		c = &possibleCrash{at: r.now, spec: t.spec}
+		r.possibleCrashes[t.spec.Name] = c
 		r.emit(Effect{Kind: EffectProbe, Target: t.spec.Name, To: t.spec})
 	}
-	c.parts = append(slices.Clone(c.parts), q.parts...)
-	r.possibleCrashes[t.spec.Name] = c
+	c.parts.add(q.parts)
+}
+
+// add adds the parts that the set does not contain. Its cost grows with the number of parts added, not with the size of the set.
+func (s *partSet) add(parts []quarantine.Part) {
+	if s.known == nil {
+		s.known = make(map[quarantine.Part]struct{}, len(parts))
+	}
+	for _, p := range parts {
+		if _, known := s.known[p]; !known {
+			s.known[p] = struct{}{}
+			s.list = append(s.list, p)
+		}
+	}
 }
 
 // awaitProbe delays the next attempt of a request, after the failed attempt e at t, until the probe of t
@@ -95,8 +118,7 @@
 	}
 	q.notBefore = r.now + probeWait
 	r.wakeBy(q.notBefore)
-	c.waiting = append(slices.Clone(c.waiting), q.id)
-	r.possibleCrashes[t.spec.Name] = c
+	c.waiting = append(c.waiting, q.id)
 }
 
 // reduce records the crash, if the target's process has ended, and lets the requests go on that wait for the
@@ -122,20 +144,29 @@
 
 // recordCrash records the crash of a target under the parts of the requests that it was beginning to
 // answer.
-func (r *Reducer) recordCrash(name string, c possibleCrash) {
-	var parts []quarantine.Part
-	for _, p := range c.parts {
-		if slices.Contains(parts, p) {
-			continue
-		}
-		parts = append(parts, p)
-		r.emit(Effect{Kind: EffectSuspected, Target: name, Part: p})
-	}
+func (r *Reducer) recordCrash(name string, c *possibleCrash) {
+	r.emitSuspected(name, c.parts.list)
 	incarnation := mixBits(uint64(table.HashName(name)) ^ uint64(c.spec.StartTime.UnixMilli()))
-	r.startQuarantine(r.quarantine.Crashed(r.epoch.Add(c.at), incarnation, parts))
+	r.startQuarantine(r.quarantine.Crashed(r.epoch.Add(c.at), incarnation, c.parts.list))
 	r.emit(Effect{Kind: EffectShareSuspects})
 }
 
+// emitSuspected emits EffectSuspected for the first of the parts, whole requests before sections of prompts.
+func (r *Reducer) emitSuspected(name string, parts []quarantine.Part) {
+	left := maxSuspectedEffects
+	for _, requests := range []bool{true, false} {
+		for _, p := range parts {
+			if left == 0 {
+				return
+			}
+			if p.IsRequest() == requests {
+				r.emit(Effect{Kind: EffectSuspected, Target: name, Part: p})
+				left--
+			}
+		}
+	}
+}
+
 // reduce adds the records of another host, and passes on those that changed anything.
 func (e Suspects) reduce(r *Reducer) {
 	changed, quarantined := r.quarantine.Merge(r.clock(), e.Records)
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -44,7 +44,7 @@
 	finished         []FinishedStream          // streams that have ended since the latest HostStreams
 	fleet            Fleet                     // latest Fleet event
 	quarantine       quarantine.List           // requests and parts of prompts under which targets crashed
-	possibleCrashes  map[string]possibleCrash  // by target, until its probe returns
+	possibleCrashes  map[string]*possibleCrash // by target, until its probe returns
 	trials           map[string]trial          // latest trials that this host has allowed, by pool
 	basis            Basis                     // basis of the decision in progress; set by chooseFromSubset
 	salt             uint64                    // hash of the origin; makes pseudo-random choices of different hosts differ
@@ -102,7 +102,7 @@
 		peers:         map[string]*peer{},
 		remoteHosts:   map[string]*remoteHost{},
 
-		possibleCrashes: map[string]possibleCrash{},
+		possibleCrashes: map[string]*possibleCrash{},
 		trials:          map[string]trial{},
 		leavers:         map[process]time.Duration{},
 		rests:           map[process]time.Duration{},
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -167,6 +167,7 @@
 	}
 	if n := len(c.info.PromptParts); n > 1 {
 		h := fnv.New64a()
+		s.Parts = make([]quarantine.Part, 0, n+1)
 		for _, p := range c.info.PromptParts[:n-1] {
 			s.Parts = append(s.Parts, quarantine.Part{Pool: c.pool, ID: p.ID})
 			s.PrefixTokens += p.Tokens
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -36,7 +36,8 @@
 		PromptTokens         int           // prompt length in tokens
 		MaxOutputTokens      int           // maximum output in tokens; 0 means no limit
 		ExpectedOutputTokens int           // output in tokens that the caller expects; 0 if unknown
-		PromptParts          []PromptPart  // parts of the prompt, in order; other requests may share all but the last
+		PromptParts          []PromptPart  // parts of the prompt, in order, see AddPart; other requests may share all but the last
+		OmittedParts         int           // parts of the prompt that PromptParts does not contain
 	}
 
 	// A PromptPart is a section of a prompt.
@@ -71,6 +72,22 @@
 	}
 )
 
+// MaxPromptParts is the number of parts of a prompt that a host records. What a host keeps of a request, logs of it and
+// does when its target crashes grows with them.
+const MaxPromptParts = 256
+
+// AddPart adds the next part of the prompt to PromptParts. Of a prompt with more than MaxPromptParts parts, the first ones and the
+// last are kept: the request is served with less use of what engines have cached, and a part in between cannot be found
+// to crash targets.
+func (i *RequestInfo) AddPart(p PromptPart) {
+	if len(i.PromptParts) < MaxPromptParts {
+		i.PromptParts = append(i.PromptParts, p)
+		return
+	}
+	i.PromptParts[MaxPromptParts-1] = p
+	i.OmittedParts++
+}
+
 // formatParts returns the identifiers of prompt parts in hexadecimal, separated by commas.
 func formatParts(parts []PromptPart) string {
 	var b []byte
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -238,6 +238,9 @@
 	if len(c.info.PromptParts) > 0 {
 		fields.Values = append(fields.Values, "parts", formatParts(c.info.PromptParts))
 	}
+	if c.info.OmittedParts > 0 {
+		fields.Values = append(fields.Values, "omitted_parts", c.info.OmittedParts)
+	}
 	if c.digest != 0 {
 		fields.Values = append(fields.Values, "digest", strconv.FormatUint(c.digest, 16))
 	}
