Withdraw requests from the coordinator when they end while waiting for its place

A host that refused a held request, as it stops, as the request is quarantined or as its caller left, did not say so to its coordinator. That placed the request for up to 1 s and counted its memory for another, while requests of sound hosts waited.

--- a/dispatch/coordinator.go
+++ b/dispatch/coordinator.go
@@ -23,6 +23,8 @@
 		Streams  []StreamState
 		Failures []TargetFailures
 		Finished []FinishedStream
+
+		Withdrawn []ID // requests that have ended while they waited for a place
 	}
 
 	// remoteID identifies a request of another host.
@@ -185,6 +187,9 @@
 			r.endRemote(q)
 		}
 	}
+	for _, id := range e.Withdrawn {
+		r.withdraw(o.requests[id])
+	}
 	for i := range e.Streams {
 		r.applyStream(o, e.Origin, &e.Streams[i])
 	}
@@ -197,6 +202,19 @@
 	r.dispatchAllHeld()
 }
 
+// withdraw removes a request that its host has refused, or whose caller has left, before the host had a place for it. q is nil if
+// there is no record of it.
+func (r *Reducer) withdraw(q *request) {
+	switch {
+	case q == nil:
+	case q.phase == phaseHeld:
+		r.dequeue(q)
+		r.removeRemote(q)
+	case q.remote.reportNumber == 0:
+		r.endRemote(q) // the place has arrived too late
+	}
+}
+
 // applyFailures records another host's failed attempts at a target.
 func (r *Reducer) applyFailures(f TargetFailures) {
 	t := r.targets[f.Target]
--- a/dispatch/held_test.go
+++ b/dispatch/held_test.go
@@ -50,7 +50,8 @@
 	r.Assert(ok && f.ID == id, qt.IsTrue, qt.Commentf("effects %v", r.effects))
 }
 
-// A coordinator places a request that its stopping host has refused, and its room is kept from others for about a second.
+// A coordinator places a request that its stopping host has refused, and its room is kept from others for about a second. The next
+// report of that host ends that.
 func TestCoordinatorPlacesRequestThatStoppingHostRefused(t *testing.T) {
 	stopping := newFleetTest(t, 1)
 	stopping.reduce(0, LiveHosts{Hosts: 2, Delegated: true})
@@ -66,11 +67,14 @@
 	coordinator.reduce(0, PlacementAsked{q})
 	stopping.reduce(0, Stop{Until: stopping.now.Add(7600 * time.Millisecond)})
 	stopping.requireStopping(7)
-	coordinator.reduce(0, Submit{
+	coordinator.reduce(10*time.Millisecond, Submit{
 		ID: 2, Organisation: "one", Pool: "model", NonIdempotent: true, Route: "reports", PromptTokens: 20_000, MaxOutputTokens: 1_000,
 		DispatchDeadline: coordinator.now.Add(10 * time.Second),
 	})
-	coordinator.reduce(300*time.Millisecond, Ended{ID: 1})
-	coordinator.reduce(50*time.Millisecond, HostStreams{Origin: "a/1", Sequence: 1})
+	coordinator.reduce(290*time.Millisecond, Ended{ID: 1})
+	coordinator.Check(coordinator.effectOf(2), qt.IsNil) // the coordinator does not know yet
+	report := stopping.reducer.HostStreams()
+	report.Origin, report.Sequence = "a/1", 1
+	coordinator.reduce(50*time.Millisecond, report)
 	coordinator.Check(coordinator.effectOf(2), qt.IsNotNil, qt.Commentf("request 2 waits for room that request 7 holds"))
 }
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -219,8 +219,8 @@
 // domain: those that are running, and what has ended or failed since the previous call. The caller
 // must set Origin and Sequence.
 func (r *Reducer) HostStreams() HostStreams {
-	e := HostStreams{Failures: r.failures, Finished: r.finished}
-	r.failures, r.finished = nil, nil
+	e := HostStreams{Failures: r.failures, Finished: r.finished, Withdrawn: r.withdrawn}
+	r.failures, r.finished, r.withdrawn = nil, nil, nil
 	for _, q := range r.requests {
 		if q.phase != phaseDispatched || q.plain || q.remote != nil {
 			continue
@@ -235,6 +235,14 @@
 	return e
 }
 
+// recordWithdrawn adds a request that ends while a coordinator is asked for its place to the next report to the coordinators, which
+// would keep room for it until they notice that nobody asks any more.
+func (r *Reducer) recordWithdrawn(q *request) {
+	if r.delegated && q.placement == placementAsked {
+		r.withdrawn = append(r.withdrawn, q.id)
+	}
+}
+
 // recordFinished adds a stream that has ended to the next report to the coordinators.
 func (r *Reducer) recordFinished(q *request, longestPause time.Duration) {
 	if r.delegated && !q.plain {
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -42,6 +42,7 @@
 	coordinates      bool                      // whether this host places the requests of its failure domain
 	failures         []TargetFailures          // failed attempts since the latest HostStreams
 	finished         []FinishedStream          // streams that have ended since the latest HostStreams
+	withdrawn        []ID                      // see recordWithdrawn
 	fleet            Fleet                     // latest Fleet event
 	quarantine       quarantine.List           // requests and parts of prompts under which targets crashed
 	possibleCrashes  map[string]*possibleCrash // by target, until its probe returns
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -290,6 +290,7 @@
 		r.removeRemote(q)
 		return
 	}
+	r.recordWithdrawn(q)
 	if kind != answer.KindNone {
 		if q.failedAttempt != answer.KindNone && kind.Properties().Outcome == answer.OutcomeNotRun {
 			kind, retry = q.failedAttempt, 0
--- a/host/placement.go
+++ b/host/placement.go
@@ -240,6 +240,9 @@
 	for _, f := range e.Failures {
 		out.Failures = append(out.Failures, &wire.Failure{Target: f.Target, Count: uint32(f.Count)})
 	}
+	for _, id := range e.Withdrawn {
+		out.Withdrawn = append(out.Withdrawn, uint64(id))
+	}
 	for _, f := range e.Finished {
 		out.Finished = append(out.Finished, &wire.Finish{Id: uint64(f.ID), Tokens: uint32(f.Tokens), Pause: uint32(f.LongestPause.Milliseconds())})
 	}
@@ -260,6 +263,9 @@
 			ID: dispatch.ID(f.Id), Tokens: int(f.Tokens), LongestPause: time.Duration(f.Pause) * time.Millisecond,
 		})
 	}
+	for _, id := range r.Streams.Withdrawn {
+		e.Withdrawn = append(e.Withdrawn, dispatch.ID(id))
+	}
 	h.Post(e)
 }
 
