--- a/audit/audit.go
+++ b/audit/audit.go
@@ -98,7 +98,8 @@
 	// request that is retried or moved has several.
 	RunStarted struct {
 		ID, Target, Pool string
-		Resumed          bool // the run continues from state copied from a run on another target
+		Resumed          bool   // the run continues from state copied from a run on another target
+		NewestPool       string // pool of the request's route in the newest configuration at that time; empty if unknown
 	}
 
 	// RunEnded is the end of a run: the target no longer executes the request.
