A target that left before a restore of the source is not used again after a second read

After the source came back from a backup, requests reached a target that had left before: its entry is in the backup as ready. A host that had the state of the new era from a peer, with the mark that the target has left, then got the result of its own read, begun before, took the old entry for a new one, and sent it to its peers.

Full reads now say at which revision each entry was written, and a mark stays until the entry is newer than the beginning of the era.

--- a/registry/source.go
+++ b/registry/source.go
@@ -35,15 +35,16 @@
 	// An Update is a full snapshot of the published state or a delta between two revisions.
 	// A host gets it from the source or from a peer.
 	Update struct {
-		Era         uint64         // era of the source to which the revisions belong; 0 if it does not report one
-		Base        uint64         // revision that a delta applies to; ignored if Full is set
-		Full        bool           // a full snapshot, which replaces the previous state
-		Revision    uint64         // revision of the published state after the update
-		Config      *Config        // nil if the configuration has not changed since Base
-		Targets     []table.Target // targets added or changed; Target.Service holds the pool, also for engines
-		Removed     []string       // names of removed targets
-		Skips       bool           // a target changed more than once: the content was another between Base and Revision
-		ParseErrors []string       // for the log, an error for each entry that could not be parsed and is left out
+		Era         uint64            // era of the source to which the revisions belong; 0 if it does not report one
+		Base        uint64            // revision that a delta applies to; ignored if Full is set
+		Full        bool              // a full snapshot, which replaces the previous state
+		Revision    uint64            // revision of the published state after the update
+		Config      *Config           // nil if the configuration has not changed since Base
+		Targets     []table.Target    // targets added or changed; Target.Service holds the pool, also for engines
+		Removed     []string          // names of removed targets
+		Written     map[string]uint64 // revisions at which the source's entries of Targets were written, by name; empty in an update from a peer
+		Skips       bool              // a target changed more than once: the content was another between Base and Revision
+		ParseErrors []string          // for the log, an error for each entry that could not be parsed and is left out
 
 		// ContentRevision is the revision since which the content of a full snapshot from a peer has been the
 		// same; 0 if the peer does not state it. See Confirmation.
@@ -86,6 +87,15 @@
 	r.Removed = append(r.Removed, name)
 }
 
+// PutWritten is Put for a target whose entry in the source was written at a revision.
+func (r *Update) PutWritten(t table.Target, revision uint64) {
+	if r.Written == nil {
+		r.Written = map[string]uint64{}
+	}
+	r.Written[t.Name] = revision
+	r.Put(t)
+}
+
 // put returns the target with a name in Targets, if there is one.
 func (r *Update) put(name string) (table.Target, bool) {
 	i := slices.IndexFunc(r.Targets, func(t table.Target) bool { return t.Name == name })
--- a/registry/targets.go
+++ b/registry/targets.go
@@ -40,6 +40,24 @@
 		d, ok := v.departed[t.Name]
 		t.Leaving = t.Leaving || ok && d.startTime.Equal(t.StartTime)
 	}
+	for name, d := range v.departed {
+		d.eraRevision = r.Revision
+		v.departed[name] = d
+	}
+}
+
+// keepDepartures marks the targets in a further update of the view's era as leaving that have left before the era began, if the update lists
+// their entries as they were then. A host may read the source itself after a peer has sent it the state of the new era.
+func (v *View) keepDepartures(r *Update) {
+	for i := range r.Targets {
+		t := &r.Targets[i]
+		d, ok := v.departed[t.Name]
+		if !ok || d.eraRevision == 0 || !d.startTime.Equal(t.StartTime) {
+			continue
+		}
+		written := r.Written[t.Name]
+		t.Leaving = t.Leaving || r.Revision <= d.eraRevision || written > 0 && written <= d.eraRevision
+	}
 }
 
 // recordDeparture records that a target is leaving or was removed. The record is deleted when a
--- a/registry/view.go
+++ b/registry/view.go
@@ -46,6 +46,10 @@
 	departure struct {
 		startTime time.Time // identifies the target's process
 		at        time.Time
+
+		// eraRevision is the revision with which the view's era began, if the departure is older; 0 otherwise. The source lists such
+		// a target as it was before, until the target has written its entry again.
+		eraRevision uint64
 	}
 
 	// A Change describes what an update, or the expiry of retained targets, changed in a
@@ -343,6 +347,8 @@
 	v.recordConfirmation(now, at)
 	if r.Era > v.era {
 		v.beginEra(now, &r)
+	} else {
+		v.keepDepartures(&r)
 	}
 	var c Change
 	if r.Config != nil && r.Config.Revision > v.config.Revision {
--- a/registry/view_test.go
+++ b/registry/view_test.go
@@ -311,3 +311,30 @@
 		c.Check(v.Confirmation(start).ContentRevision == 14, qt.Equals, q.skips, qt.Commentf(name))
 	}
 }
+
+// A host that had got the state of a restored source from a peer read the source, too, which lists a target that has left since the
+// backup as it was before. The host used the target again, and sent its list to its peers.
+func TestTargetThatHasLeftIsUsedAfterSecondReadOfRestoredSource(t *testing.T) {
+	c := qt.New(t)
+	left := targets("left")[0]
+	leaving := left
+	leaving.Leaving = true
+	v := newTestView("a", "left")
+	v.ApplySourceUpdate(start, start, Update{Base: 10, Revision: 12, Targets: []table.Target{leaving}})
+	now := start.Add(time.Second)
+	_, _ = v.ApplyPeerUpdate(now, 0, Update{Era: 1, Full: true, Revision: 20, ContentRevision: 20, Targets: append(targets("a"), leaving)})
+	for _, read := range []struct {
+		revision, written uint64
+		leaving           bool
+	}{
+		{20, 0, true}, {20, 8, true}, {25, 8, true},
+		{27, 26, false}, // it has written its entry again
+		{28, 26, false},
+	} {
+		now = now.Add(100 * time.Millisecond)
+		v.ApplySourceUpdate(now, now, Update{
+			Era: 1, Full: true, Revision: read.revision, Targets: append(targets("a"), left), Written: map[string]uint64{"left": read.written},
+		})
+		c.Check(v.Targets()["left"].Leaving, qt.Equals, read.leaving, qt.Commentf("%+v", read))
+	}
+}
