Audit: a newer configuration allows a run only if it was published after the request was sent

The configuration must have been published since the request was sent, and the request's key must have been in force then.

TestAuditDetectsBrokenPromises passes with all mutations.

--- a/audit/audit.go
+++ b/audit/audit.go
@@ -98,8 +98,9 @@
 	// request that is retried or moved has several.
 	RunStarted struct {
 		ID, Target, Pool string
-		Resumed          bool   // the run continues from state copied from a run on another target
-		NewestPool       string // pool of the request's route in the newest configuration at that time; empty if unknown
+		Resumed          bool      // the run continues from state copied from a run on another target
+		NewestPool       string    // pool of the request's route in the newest configuration at that time; empty if unknown
+		NewestSince      time.Time // when that configuration was published
 	}
 
 	// RunEnded is the end of a run: the target no longer executes the request.
--- a/audit/request.go
+++ b/audit/request.go
@@ -143,13 +143,14 @@
 
 // checkPlacement requires that a request runs in the pool that the newest configuration gives
 // for its route, and that its key is in a configuration. The pool of an earlier configuration is
-// allowed for requests sent before hosts must have applied the newer one, and that of the newest one as the run starts.
+// allowed for requests sent before hosts must have applied the newer one, and that of a newer one that
+// was published meanwhile if the request's key was in force.
 func (a *Audit) checkPlacement(q *request, o *RunStarted, at time.Time) {
 	until, earlier := q.sent.EarlierPools[o.Pool]
 	switch {
 	case o.Pool == q.sent.Pool:
-	case o.Pool == o.NewestPool:
-		// The configuration has changed since the request was sent.
+	case q.sent.Pool != "" && o.Pool == o.NewestPool && !o.NewestSince.Before(q.sentAt):
+		// The route has been moved since the request was sent.
 	case !earlier:
 		a.addViolation(GuaranteePlaced, o.ID, at, "runs in pool %s, which no configuration allows", o.Pool)
 	case a.configOverdue(q, until):
