Gateway: one flag for a response that has begun

callPhase.begun repeated call.written, with a lock of its own, so that the end of a stop could read it. written is atomic now and serves both. No change of behaviour; the tests of gateway pass with the race detector.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -400,8 +400,8 @@
 // writeHeader sends the status and headers to the caller and records the status and the time to
 // the first byte.
 func (c *call) writeHeader(status int) {
-	c.markBegun()
-	c.written, c.status = true, status
+	c.written.Store(true)
+	c.status = status
 	c.firstByte = time.Since(c.started)
 	c.w.WriteHeader(status)
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -49,7 +49,7 @@
 	status       int                     // HTTP status sent to the caller
 	firstByte    time.Duration           // from started to the first response byte
 	bodyBytes    atomic.Int64            // body bytes sent to the caller
-	written      bool                    // the response headers have been sent
+	written      atomic.Bool             // the response headers are being sent, or have been
 	failedWrite  error                   // of the first failed write to the caller
 	endAttempts  context.CancelCauseFunc // ends the attempts in flight
 	state        callPhase
@@ -227,7 +227,7 @@
 // KindUnknownOutcome if the deadline has passed.
 func (c *call) finalError(err error) error {
 	e := answer.From(err)
-	if c.failedResponse != nil && !c.written && e.Kind != answer.KindCallerGone {
+	if c.failedResponse != nil && !c.written.Load() && e.Kind != answer.KindCallerGone {
 		c.failedResponse.writeTo(c)
 		return nil
 	}
--- a/gateway/extra.go
+++ b/gateway/extra.go
@@ -160,7 +160,7 @@
 	case c.r.Context().Err() != nil:
 		c.hostRequest.Abandon()
 		return true, answer.New(answer.KindCallerGone, "")
-	case errors.Is(r.Cause, errHostStopped) && r.Certainty != target.CertaintyNotRun && !c.written:
+	case errors.Is(r.Cause, errHostStopped) && r.Certainty != target.CertaintyNotRun && !c.written.Load():
 		// Not a failure of the target. Another attempt would not end before the host stops.
 		c.hostRequest.EndBeforeStop(r.Cause)
 		return true, c.finalError(answer.Wrap(answer.KindUnknownOutcome, r.Cause, ""))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -163,7 +163,7 @@
 	e := answer.From(err)
 	c.recordEnd(e)
 	switch {
-	case c.written:
+	case c.written.Load():
 		c.abortResponse()
 	case context.Cause(r.Context()) != nil:
 		// The caller has disconnected.
@@ -196,7 +196,7 @@
 	}
 	if e != nil {
 		r.Code = e.Kind.String()
-		if !c.written {
+		if !c.written.Load() {
 			r.Status = e.Kind.Properties().Status
 		}
 	}
@@ -250,7 +250,7 @@
 	if e != nil {
 		fields.Detail = e.Error()
 		fields.Values = append(fields.Values, "outcome", e.Kind.Properties().Outcome.String())
-		if !c.written {
+		if !c.written.Load() {
 			fields.Values = append(fields.Values, "answered", e.Kind.Properties().Status)
 		}
 	}
--- a/gateway/in_hand.go
+++ b/gateway/in_hand.go
@@ -41,7 +41,6 @@
 		phase      phase
 		dispatched time.Time // time of the latest dispatch
 		cut        bool      // the call has a line of event.RequestCut
-		begun      bool      // a part of the response has been written
 	}
 
 	// connKey is the key of a caller's connection in the context of its requests.
@@ -172,18 +171,11 @@
 func (c *call) endUnanswered() {
 	c.state.mu.Lock()
 	defer c.state.mu.Unlock()
-	if c.state.phase == phaseRunning && !c.state.begun {
+	if c.state.phase == phaseRunning && !c.written.Load() {
 		c.endAttempts(errHostStopped)
 	}
 }
 
-// markBegun records that a part of the response is about to be written.
-func (c *call) markBegun() {
-	c.state.mu.Lock()
-	defer c.state.mu.Unlock()
-	c.state.begun = true
-}
-
 func (c *call) markCut() {
 	c.state.mu.Lock()
 	defer c.state.mu.Unlock()
@@ -273,9 +265,9 @@
 		return endComplete
 	case errors.Is(e, net.ErrClosed), errors.Is(e, network.ErrEnded), errors.Is(e, io.ErrUnexpectedEOF) && c.hostRequest == nil:
 		return c.connEndOf(e, endCaller)
-	case c.written && !time.Now().Before(c.deadline):
+	case c.written.Load() && !time.Now().Before(c.deadline):
 		return endTimeLimit
-	case c.written:
+	case c.written.Load():
 		return endFailedAttempt
 	}
 	return endRefused
--- a/gateway/status_test.go
+++ b/gateway/status_test.go
@@ -133,7 +133,7 @@
 		if res.Ending == relay.EndFailed && res.Certainty == target.CertaintyNotRun && !marked {
 			t.Fatalf("%+v is reported as not run: %v", q, res.Cause)
 		}
-		if a.written && (w.Code == http.StatusServiceUnavailable || w.Code == http.StatusTooManyRequests) {
+		if a.written.Load() && (w.Code == http.StatusServiceUnavailable || w.Code == http.StatusTooManyRequests) {
 			t.Fatalf("%+v is passed on with status %d", q, w.Code)
 		}
 	})
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -135,7 +135,7 @@
 	}
 	a.recordProgress(a.events.eventCount - before)
 	a.lastEvent.Store(int64(a.events.last))
-	if !a.written {
+	if !a.written.Load() {
 		a.copyHeader(resp.Header)
 		a.writeHeader(resp.StatusCode)
 	}
@@ -188,7 +188,7 @@
 
 // endStream completes the caller's response after the target has completed the stream.
 func (a *attempt) endStream(resp *http.Response) relay.Result {
-	if !a.written {
+	if !a.written.Load() {
 		a.copyHeader(resp.Header)
 		a.writeHeader(resp.StatusCode)
 	}
@@ -204,7 +204,7 @@
 func (a *attempt) brokenResult(ctx context.Context, err error) relay.Result {
 	r := failedResult(ctx, err)
 	r.DeliveredTokens = a.events.eventCount * a.tokensPerEvent
-	if a.written && r.DeliveredTokens == 0 {
+	if a.written.Load() && r.DeliveredTokens == 0 {
 		r.DeliveredTokens = 1
 	}
 	r.Certainty = target.CertaintyUnknown
