Registry: one function marks the targets that left before an era began

beginEra and keepDepartures marked them with the same comparison; the first update of an era is a case of the general one, as its revision is that with which the era began. No change of behaviour; TestHostsAgreeWithSource passes with 10,000 checks.

--- a/registry/targets.go
+++ b/registry/targets.go
@@ -27,7 +27,7 @@
 
 // beginEra prepares the view for a full update with which a new era of the source begins. The
 // source has lost its last changes and lists targets as they were before: targets that have left
-// since are marked as leaving in the update, and targets that it does not list yet are retained
+// since are marked by keepDepartures, and targets that it does not list yet are retained
 // for recoveryGrace. A configuration of the update replaces the view's regardless of its revision.
 func (v *View) beginEra(now time.Time, r *Update) {
 	if v.Initialized() {
@@ -35,19 +35,15 @@
 	}
 	v.era, v.revision, v.contentRevision = r.Era, 0, 0
 	v.config.Revision = 0
-	for i := range r.Targets {
-		t := &r.Targets[i]
-		d, ok := v.departed[t.Name]
-		t.Leaving = t.Leaving || ok && d.startTime.Equal(t.StartTime)
-	}
 	for name, d := range v.departed {
 		d.eraRevision = r.Revision
 		v.departed[name] = d
 	}
 }
 
-// keepDepartures marks the targets in a further update of the view's era as leaving that have left before the era began, if the update lists
-// their entries as they were then. A host may read the source itself after a peer has sent it the state of the new era.
+// keepDepartures marks the targets in an update of the view's era as leaving that have left before the era began, if the update lists
+// their entries as they were then. The first update of the era does, and so may further ones: a host may read the source itself after a peer
+// has sent it the state of the new era.
 func (v *View) keepDepartures(r *Update) {
 	for i := range r.Targets {
 		t := &r.Targets[i]
--- a/registry/view.go
+++ b/registry/view.go
@@ -347,9 +347,8 @@
 	v.recordConfirmation(now, at)
 	if r.Era > v.era {
 		v.beginEra(now, &r)
-	} else {
-		v.keepDepartures(&r)
 	}
+	v.keepDepartures(&r)
 	var c Change
 	if r.Config != nil && r.Config.Revision > v.config.Revision {
 		v.config = *r.Config
