--- a/dispatch/start_wait.go
+++ b/dispatch/start_wait.go
@@ -20,8 +20,7 @@
 	// stopWaits holds the waits of a pool's streams that a stopping host counts on.
 	stopWaits struct {
 		at       time.Duration // time of the latest refreshStopWaits; 0 means never
-		shortest time.Duration // at the target with the shortest wait, of those that accept work
-		longest  time.Duration // at any target
+		shortest time.Duration // at the target with the shortest wait, of those that accept work; the longest of all if none does
 	}
 )
 
@@ -90,20 +89,20 @@
 			t.stopWait = t.pendingWait + stopSilence
 		}
 	}
-	w := stopWaits{at: max(r.now, 1), shortest: -1}
+	longest := time.Duration(0)
 	for _, t := range p.targets {
-		w.longest = max(w.longest, t.stopWait)
+		longest = max(longest, t.stopWait)
 	}
+	shortest := longest
 	for _, t := range p.targets {
 		if !t.stopWaitKnown {
-			t.stopWait = w.longest
+			t.stopWait = longest
 		}
-		if t.acceptsWork(r.now, 0) && (w.shortest < 0 || t.stopWait < w.shortest) {
-			w.shortest = t.stopWait
+		if t.acceptsWork(r.now, 0) {
+			shortest = min(shortest, t.stopWait)
 		}
 	}
-	w.shortest = max(w.shortest, 0)
-	p.stopWaits = w
+	p.stopWaits = stopWaits{at: max(r.now, 1), shortest: shortest}
 }
 
 // queueWait returns the time for which a stream is assumed to wait for the computation of its prompt at t or, if t is nil,
