--- a/abuse/abuse_test.go
+++ b/abuse/abuse_test.go
@@ -49,8 +49,11 @@
 
 // requestHead returns the head of an ordinary request without its blank line.
 func requestHead(number int) string {
-	q := emulator.CallerRequest{ID: fmt.Sprintf("crowd-%d", number), Path: emulator.LookupsPrefix + "1", Deadline: 20 * time.Second}
-	return strings.TrimSuffix(q.String(), "\r\n")
+	return strings.TrimSuffix(crowdRequest(number).String(), "\r\n")
+}
+
+func crowdRequest(number int) *emulator.CallerRequest {
+	return &emulator.CallerRequest{ID: fmt.Sprintf("crowd-%d", number), Path: emulator.LookupsPrefix + "1", Deadline: 20 * time.Second}
 }
 
 // pad appends lines to a head until it has size bytes: lines of the same empty field, or of different short ones.
@@ -146,9 +149,8 @@
 	for _, server := range s.servers {
 		server.SetFault(emulator.ServerFault{WorkTime: headHold})
 	}
-	prefix := "Prompt-Prefix: 1:1" + strings.Repeat(",1:1", legalHeadBytes/4) + "\r\n"
 	s.attack(c, prefixClients, func(number int) {
-		head := requestHead(number) + prefix + "Connection: close\r\n\r\n"
+		head := crowdRequest(number).WithPromptParts(1+legalHeadBytes/4) + "Connection: close\r\n\r\n"
 		s.repeat(func(conn *net.TCPConn) {
 			if _, err := io.WriteString(conn, head); err == nil {
 				_, _ = io.Copy(io.Discard, conn) // the answer, a refusal or nothing
--- a/target/start_test.go
+++ b/target/start_test.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"errors"
-	"net/http"
-	"net/http/httptest"
-	"net/netip"
-	"strings"
+	"strconv"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -21,9 +18,7 @@
 	}
 	for status, certainty := range want {
 		c := qt.New(t)
-		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
-		_, err := NewResponsesEngine(netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))).Start(context.Background(), GenerationRequest{Generation: "a"})
-		s.Close()
+		_, err := NewResponsesEngine(statusServer(c, strconv.Itoa(status))).Start(context.Background(), GenerationRequest{Generation: "a"})
 		var failed *RequestError
 		c.Assert(errors.As(err, &failed), qt.IsTrue)
 		c.Check(failed.Certainty, qt.Equals, certainty, qt.Commentf("status %d", status))
