--- a/detour/check.go
+++ b/detour/check.go
@@ -9,13 +9,13 @@
 	"github.com/wigeonlink/wigeonlink/event"
 )
 
-// A Prober asks the target at the other end of a connection for a sign of life, and returns nil once an answer has begun.
+// A Prober sends a health check to the target at the other end of a connection, and returns nil once an answer has begun.
 // It must not make the target execute anything.
 type Prober interface {
 	Probe(ctx context.Context, c net.Conn, to netip.AddrPort) error
 }
 
-// probeResult is the result of asking a target for a sign of life over one path.
+// probeResult is the result of a health check over one path.
 type probeResult struct {
 	via    string // host through which the connection went; empty for this host's own
 	opened bool   // whether the connection could be opened
@@ -31,7 +31,7 @@
 	checkTimeout = 350 * time.Millisecond
 )
 
-// SetProber sets the prober by which this host tells a target that does not answer from a path that does not lead to it. Without one
+// SetProber sets the prober by which this host distinguishes a target that does not answer from a path that does not lead to it. Without one
 // only connections that cannot be opened show that a path is lost.
 func (n *Network) SetProber(p Prober) { n.prober.Store(&p) }
 
@@ -94,8 +94,8 @@
 	}
 }
 
-// check asks a target for a sign of life over this host's own path and through another host. The path is lost if the target
-// answers only the other host. A target that answers neither, or both, is a matter of the target.
+// check sends a target a health check over this host's own path and one through another host. The path is lost if the target
+// answers only the other host. A target that answers neither, or both, does not show that the path is lost.
 func (n *Network) check(p Prober, r Relay, to netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(WithNeeded(context.Background(), checkTimeout), checkTimeout)
 	defer cancel()
@@ -116,7 +116,7 @@
 	}
 }
 
-// probeOwn asks a target for a sign of life over this host's own path. An answer proves the path.
+// probeOwn sends a target a health check over this host's own path. An answer proves the path.
 func (n *Network) probeOwn(ctx context.Context, p Prober, to netip.AddrPort) probeResult {
 	c, err := n.Network.Dial(ctx, to)
 	if err != nil {
@@ -130,7 +130,7 @@
 	return probeResult{opened: true}
 }
 
-// probeThrough asks a target for a sign of life through another host.
+// probeThrough sends a target a health check through another host.
 func probeThrough(ctx context.Context, p Prober, r Relay, to netip.AddrPort) probeResult {
 	c, via, err := r.Connect(WithOtherDomain(ctx), to, true)
 	if err != nil {
@@ -140,7 +140,7 @@
 	return probeResult{via: via, opened: true, err: p.Probe(ctx, c, to)}
 }
 
-// probeAgain asks a target over a mute path for a sign of life, to find out whether the path is found.
+// probeAgain sends a target a health check over a mute path, to find out whether the path is found.
 func (n *Network) probeAgain(to netip.AddrPort) {
 	p := n.prober.Load()
 	if p == nil {
--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -167,7 +167,7 @@
 	return cmp.Or(best, outlasting)
 }
 
-// isExcluded reports whether q must not be sent to t, whatever the cost.
+// isExcluded reports whether t is no candidate for q, so that its cost need not be computed.
 func (r *Reducer) isExcluded(q *request, t *targetState) bool {
 	return q.runsAt(t) || slices.Contains(q.triedTargets, t) || r.isClaimed(q, t) || r.lacksPlace(q, t)
 }
--- a/dispatch/held_test.go
+++ b/dispatch/held_test.go
@@ -72,7 +72,7 @@
 		DispatchDeadline: coordinator.now.Add(10 * time.Second),
 	})
 	coordinator.reduce(290*time.Millisecond, Ended{ID: 1})
-	coordinator.Check(coordinator.effectOf(2), qt.IsNil) // the coordinator does not know yet
+	coordinator.Check(coordinator.effectOf(2), qt.IsNil) // before the report
 	report := stopping.reducer.HostStreams()
 	report.Origin, report.Sequence = "a/1", 1
 	coordinator.reduce(50*time.Millisecond, report)
--- a/host/path_probe.go
+++ b/host/path_probe.go
@@ -14,7 +14,7 @@
 	"github.com/wigeonlink/wigeonlink/table"
 )
 
-// pathProber asks targets for a sign of life by their health checks. Any answer shows that the path leads to the target, also one that
+// pathProber sends health checks to targets. Any answer shows that the path leads to the target, also one that
 // says that it is full.
 type pathProber struct{ *Host }
 
