Virtual network: half-close connections as TCP does

Cause: connections of the virtual network had no CloseWrite, so that hosts of the simulation skipped the wait of real ones for callers that read their last response; the simulated machine ends with its process. The test failed before (no method CloseWrite).

--- a/network/conn.go
+++ b/network/conn.go
@@ -79,6 +79,12 @@
 	return nil
 }
 
+// CloseWrite ends the direction to the peer, like CloseWrite of net.TCPConn.
+func (c *conn) CloseWrite() error {
+	c.out.update(func(s *stream) { s.writeClosed = true })
+	return nil
+}
+
 // Close closes both directions. The peer can still read the bytes written before Close, unless
 // SetLinger was called with 0.
 func (c *conn) Close() error {
--- a/network/virtual_test.go
+++ b/network/virtual_test.go
@@ -121,6 +121,24 @@
 	})
 }
 
+// A server that had closed its connections in the way of real ones lost the end of its last responses.
+func TestHalfClosedConnectionIsRead(t *testing.T) {
+	runVirtual(t, func(c *qt.C, v *network.Virtual) {
+		client, server := connect(c, v)
+		_, err := server.Write([]byte("last"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(server.(interface{ CloseWrite() error }).CloseWrite(), qt.IsNil)
+		got, err := io.ReadAll(client)
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(got), qt.Equals, "last")
+		_, err = client.Write([]byte("more"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(read(c, server, 4), qt.Equals, "more")
+		_, err = server.Write([]byte("late"))
+		c.Assert(err, qt.ErrorIs, net.ErrClosed)
+	})
+}
+
 func TestResetBreaksBothEnds(t *testing.T) {
 	runVirtual(t, func(c *qt.C, v *network.Virtual) {
 		client, server := connect(c, v)
