Stop: wait until callers have read what was sent on connections closed as idle

A stopping host closed a connection as idle right after its last response and ended, so that the end of the response was lost if the machine ended with the process. It half-closes it now and waits for the caller, 250 ms at most, as for responses with Connection: close. TestLastResponseIsReadBeforeProcessEnds failed before (connection reset by peer).

--- a/network/retire.go
+++ b/network/retire.go
@@ -147,7 +147,8 @@
 }
 
 // CloseIdle closes idle connections, now and as soon as they are idle, and new ones on which nothing arrives
-// within newTimeout. It does not wait until they are closed.
+// within newTimeout. It does not wait until they are closed: Wait does, so that the process does not end before the last
+// response has reached its caller.
 func (l *RetiringListener) CloseIdle(newTimeout time.Duration) {
 	l.mu.Lock()
 	l.draining, l.newTimeout = true, newTimeout
@@ -383,7 +384,7 @@
 // request, as that may be on its way, or has read one without a response.
 func (c *retiringConn) Close() error {
 	c.listener.mu.Lock()
-	last := c.listener.last
+	last, draining := c.listener.last, c.listener.draining
 	c.listener.mu.Unlock()
 	// The connection counts as open until its end in the background is counted.
 	defer c.listener.remove(c)
@@ -403,13 +404,22 @@
 	case c.responded && c.state == http.StateActive && last != nil && !c.resetOnClose:
 		c.closeAfterState(last)
 		return nil
-	case !c.waiting() && !c.reading && !c.left && !c.resetOnClose && c.closeWrite():
+	case c.mayBeRead(draining) && c.closeWrite():
 		c.listener.linger(c)
 		return nil
 	}
 	return c.closeConn()
 }
 
+// mayBeRead reports whether the caller may not have read yet what was last written. Only a connection that is closed as idle
+// while the listener drains has just become idle. The caller holds c.mu.
+func (c *retiringConn) mayBeRead(draining bool) bool {
+	if c.reading || c.left || c.resetOnClose {
+		return false
+	}
+	return !c.waiting() || c.ended && draining && c.state == http.StateIdle
+}
+
 func (l *RetiringListener) remove(c *retiringConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
