Relay: a stopping host waits until its peer has read the end of a connection

A response that ends with its connection, relayed by a host that stops, broke off (unexpected EOF) if its last packets had to be sent again: the relaying host counted the connection as ended once it had written the end, and closed its QUIC connections. TestStopLosesEndOfRelayedResponse failed before.

--- a/peer/relay.go
+++ b/peer/relay.go
@@ -43,6 +43,7 @@
 	relayDelay      = 25 * time.Millisecond  // time without a reply after which a second peer is asked for a connection
 	relayTimeout    = 150 * time.Millisecond // of a peer's reply
 	relayDialTime   = 130 * time.Millisecond // of an attempt for a peer, whose reply must arrive within relayTimeout
+	relayEndTime    = time.Second            // in which a peer reads the end of a connection to a target and gives it up
 	maxRelays       = 512                    // connections that this host relays at the same time
 	relayBufferSize = 16 << 10               // bytes
 	maxRelayMessage = 4 << 10                // bytes of the messages before a relayed connection
@@ -236,7 +237,9 @@
 		s.CancelWrite(codeReset)
 		return
 	}
+	givenUp := make(chan struct{})
 	go func() {
+		defer close(givenUp)
 		// The peer closes its side only as it gives the connection up, which is closed then, too.
 		_, _ = io.CopyBuffer(c, struct{ io.Reader }{s}, make([]byte, relayBufferSize))
 		_ = c.Close()
@@ -246,6 +249,12 @@
 		return
 	}
 	_ = s.Close() // fails only if the peer has given the connection up
+	// What was written may have to be sent again, which this host does only until it stops.
+	select {
+	case <-givenUp:
+	case <-ctx.Done():
+	case <-time.After(relayEndTime):
+	}
 }
 
 // refuseRelay sends a peer the reason why a connection was not opened.
