Hosts tell each other in heartbeats which evacuations were withdrawn

What was seen: TestServersAreColdAfterEvacuation, listed as red, sent a cold server 9.86 requests a second (4.4 allowed); with -race, 14 to 16 runs at once, 9 of 176 runs. Cause: a host that starts after the withdrawal, and reads the list of targets from the source because no peer has answered yet, does not know that the targets are cold (406 from=source, no 316, in each failing run): hosts conclude it from the change of the set, and told it with their list only. Change: Heartbeat.withdrawals (new field); the reducer keeps the time of the withdrawal by domain in place of an end by target.

--- a/dispatch/cold.go
+++ b/dispatch/cold.go
@@ -28,7 +28,19 @@
 
 // coldUntil returns the time until which the target is cold, by its entry in the list or because its domain was evacuated.
 func (r *Reducer) coldUntil(t *targetState) time.Duration {
-	return max(t.assumedColdUntil, r.sinceEpoch(t.spec.ColdUntil))
+	return max(r.assumedColdUntil(t), r.sinceEpoch(t.spec.ColdUntil))
+}
+
+// assumedColdUntil returns the time until which the target counts as cold because the evacuation of its domain was withdrawn, 0 if it does
+// not: it has had no traffic, and its entry may be older. So does a process that has
+// started since then.
+func (r *Reducer) assumedColdUntil(t *targetState) time.Duration {
+	at, ok := r.withdrawals[t.spec.Domain]
+	spec := r.coldSpec(t)
+	if !ok || spec.Rate <= 0 {
+		return 0
+	}
+	return at + spec.Time
 }
 
 // refreshCold brings coldRate up to date and emits the change.
@@ -61,13 +73,19 @@
 	}
 }
 
-// assumeCold counts the targets of a domain as cold whose evacuation was withdrawn: they have had no traffic, and their
-// entries may be older.
-func (r *Reducer) assumeCold(domain string) {
+// recordWithdrawal counts the targets of a domain as cold whose evacuation was withdrawn at the given time.
+func (r *Reducer) recordWithdrawal(domain string, at time.Duration) {
+	r.withdrawals[domain] = at
+	last := at
+	for _, t := range r.targets {
+		if t.spec.Domain == domain {
+			last = max(last, r.assumedColdUntil(t))
+		}
+	}
+	r.emit(Effect{Kind: EffectReadmitted, Domain: domain, At: r.epoch.Add(at), Within: last - at})
 	for _, p := range r.poolList {
 		for _, t := range p.targets {
-			if spec := r.coldSpec(t); t.spec.Domain == domain && spec.Rate > 0 {
-				t.assumedColdUntil = r.now + spec.Time
+			if t.spec.Domain == domain {
 				r.refreshCold(t)
 			}
 		}
@@ -79,8 +97,8 @@
 func (r *Reducer) AssumedCold() map[string]time.Time {
 	out := map[string]time.Time{}
 	for name, t := range r.targets {
-		if t.assumedColdUntil > r.now {
-			out[name] = r.epoch.Add(t.assumedColdUntil)
+		if until := r.assumedColdUntil(t); until > r.now {
+			out[name] = r.epoch.Add(until)
 		}
 	}
 	return out
--- a/dispatch/cold_test.go
+++ b/dispatch/cold_test.go
@@ -211,6 +211,26 @@
 	f.requireEffect(EffectDispatch)
 }
 
+// A host that has started after the withdrawal knows of it from other hosts only: the source lists no evacuation, and no target as cold. It
+// sent the targets their usual load. What it hears later, or by way of a third host, is the same withdrawal.
+func TestWithdrawalBeforeStartIsUnknown(t *testing.T) {
+	f := newPlainTest(t, "only")
+	f.setCold("only", 0, 4)
+	withdrawn := f.now.Add(-3 * time.Second)
+	f.reduce(0, Withdrawal{Domain: "north", Age: 3 * time.Second})
+	effect := f.requireEffect(EffectReadmitted)
+	f.Check(effect.At, qt.Equals, withdrawn)
+	f.Check(effect.Within, qt.Equals, 8*time.Second)
+	f.reduce(500*time.Millisecond, Withdrawal{Domain: "north", Age: 2900 * time.Millisecond})
+	f.Check(f.reducer.AssumedCold(), qt.DeepEquals, map[string]time.Time{"only": withdrawn.Add(8 * time.Second)})
+	f.reduce(0, f.call(1))
+	f.requireEffect(EffectReserve)
+
+	f.evacuate("north")
+	f.reduce(0, Withdrawal{Domain: "north"}) // of the former evacuation
+	f.Check(f.reducer.AssumedCold(), qt.HasLen, 0)
+}
+
 // Places that a target's limit gave out before the target became cold would exceed its cold rate together.
 func TestPlacesOfFasterRateAreVoidWhenTargetIsCold(t *testing.T) {
 	f := newPlainTest(t, "only")
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -19,7 +19,7 @@
 		Priority   int               // Dispatch, Move: engine priority, lower first
 		Answer     answer.Kind       // Refuse: kind of the refusal sent to the caller
 		RetryAfter time.Duration     // Refuse: delay after which the caller may retry
-		At         time.Time         // Timer: time of the Tick; Move: time by which the generation must be stopped at the old target
+		At         time.Time         // Timer: time of the Tick; Move: time by which the generation must be stopped at the old target; Readmitted: time of the withdrawal
 		To         table.Target      // Dispatch, QueryLeaving, Probe: the listed entry of the target; Move: destination
 		ToBackup   bool              // Move: whether the destination is the stream's backup, which already holds a copy of its memory
 		Backup     table.Target      // Dispatch, Move: target to which the stream's memory is copied while it runs; an empty name means none
@@ -34,7 +34,7 @@
 		Fragility  PoolFragility     // Brittle: what is known of the pool
 		Lease      uint64            // Release: number of the lease
 		Refused    bool              // Release: whether the target had no room
-		Within     time.Duration     // Reserve: longest time until the place; Trial: time until the trial has ended
+		Within     time.Duration     // Reserve: longest time until the place; Trial: time until the trial has ended; Readmitted: time after the withdrawal for which targets are cold
 		Spread     pace.Spread       // Uneven: speeds of the pool's engines
 		Crashes    int               // Trial: crashes under the part that are known
 		Domain     string            // Evacuated, Emptied, Readmitted: failure domain
--- a/dispatch/evacuation.go
+++ b/dispatch/evacuation.go
@@ -15,6 +15,13 @@
 	// Evacuations replaces the set of failure domains that are to be evacuated.
 	Evacuations struct{ Domains []string }
 
+	// Withdrawal states that the evacuation of a failure domain was withdrawn Age ago, as another host knows. A host that has
+	// started since then does not see it in the set.
+	Withdrawal struct {
+		Domain string
+		Age    time.Duration
+	}
+
 	// evacuation is what a host records about a failure domain that is to be evacuated.
 	evacuation struct {
 		since      time.Duration // time when this host received the request
@@ -50,6 +57,9 @@
 	// maxFailedChoices of them had none. The targets do not end, so that there is no hurry.
 	evacuationRetry  = 200 * time.Millisecond
 	maxFailedChoices = 4
+
+	// sameWithdrawal is the difference below which two times of a domain's withdrawal are those of one at two hosts.
+	sameWithdrawal = time.Second
 )
 
 // reduce puts the set into effect: from now on the domains' targets get nothing new. Held requests that
@@ -63,12 +73,12 @@
 			continue
 		}
 		r.evacuations[domain] = &evacuation{since: r.now}
+		delete(r.withdrawals, domain)
 		r.emit(Effect{Kind: EffectEvacuated, Domain: domain})
 	}
 	for _, domain := range slices.Sorted(maps.Keys(before)) {
 		if r.evacuations[domain] == nil {
-			r.emit(Effect{Kind: EffectReadmitted, Domain: domain})
-			r.assumeCold(domain)
+			r.recordWithdrawal(domain, r.now)
 		}
 	}
 	for _, targets := range []map[string]*targetState{r.targets, r.retired} {
@@ -82,6 +92,14 @@
 	r.dispatchAllHeld()
 }
 
+// reduce records the withdrawal, unless this host knows of it.
+func (e Withdrawal) reduce(r *Reducer) {
+	at := r.now - e.Age
+	if known, ok := r.withdrawals[e.Domain]; !r.isEvacuated(e.Domain) && (!ok || at-known >= sameWithdrawal) {
+		r.recordWithdrawal(e.Domain, at)
+	}
+}
+
 // isEvacuated reports whether a failure domain is to be evacuated.
 func (r *Reducer) isEvacuated(domain string) bool { return r.evacuations[domain] != nil }
 
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -34,6 +34,7 @@
 	disconnected     []ID                      // dispatched requests whose caller disconnected, in that order
 	leavingTargets   map[string]bool           // latest LeavingTargets event
 	evacuations      map[string]*evacuation    // of the failure domains that are to be evacuated, by name
+	withdrawals      map[string]time.Duration  // times at which the evacuation of a failure domain was withdrawn last
 	rests            map[process]time.Duration // see targetState.restUntil
 	leavers          map[process]time.Duration // processes that have said that they leave, and when that was last recorded
 	remoteHosts      map[string]*remoteHost    // hosts whose streams this host records, by origin
@@ -103,6 +104,7 @@
 		peers:         map[string]*peer{},
 		remoteHosts:   map[string]*remoteHost{},
 
+		withdrawals:     map[string]time.Duration{},
 		possibleCrashes: map[string]*possibleCrash{},
 		trials:          map[string]trial{},
 		leavers:         map[process]time.Duration{},
--- a/dispatch/target_state.go
+++ b/dispatch/target_state.go
@@ -35,7 +35,6 @@
 		queriedAt             time.Duration // time of the latest EffectQueryLeaving for the target; 0 means never
 		movesPausedUntil      time.Duration // see recordNoDestination
 		coldRate              float64       // places a second while the target is cold; 0 if it is not
-		assumedColdUntil      time.Duration // see assumeCold
 		failedChoices         int           // streams in a row that should move and have no destination
 		outgoingMoves         int           // moves of this host's streams off the target that are in progress and copy the stream's memory
 		linkGroup             int           // index among the pool's leaving targets or, if not leaving, among the others of its domain
--- a/host/evacuation.go
+++ b/host/evacuation.go
@@ -20,8 +20,13 @@
 		mu      sync.Mutex
 		domains map[string]bool
 		peers   map[string]peerEvacuations // by host
+
+		withdrawals map[string]withdrawal // by failure domain
 	}
 
+	// withdrawal is when the evacuation of a failure domain was withdrawn, and until when its targets count as cold.
+	withdrawal struct{ at, until time.Time }
+
 	// peerEvacuations is what a host has stated in its latest heartbeat.
 	peerEvacuations struct {
 		domains []string
@@ -76,6 +81,28 @@
 	}
 }
 
+// recordWithdrawal records a withdrawal, of which the host tells its peers.
+func (v *evacuations) recordWithdrawal(domain string, w withdrawal) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.withdrawals == nil {
+		v.withdrawals = map[string]withdrawal{}
+	}
+	v.withdrawals[domain] = w
+}
+
+// listWithdrawals returns the withdrawals in the form of heartbeats, and forgets those that do not matter any more.
+func (v *evacuations) listWithdrawals(now time.Time) []*wire.Withdrawal {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	maps.DeleteFunc(v.withdrawals, func(_ string, w withdrawal) bool { return !now.Before(w.until) })
+	var out []*wire.Withdrawal
+	for domain, w := range v.withdrawals {
+		out = append(out, &wire.Withdrawal{Domain: domain, Age: uint32(now.Sub(w.at).Milliseconds())})
+	}
+	return out
+}
+
 // Domains returns the state of each failure domain for operators. In a large deployment a host receives heartbeats
 // of few others, coordinators of the most.
 func (h *Host) Domains() []dispatch.DomainRow {
@@ -106,14 +133,15 @@
 	return rows
 }
 
-// logEvacuation logs a step of a domain's evacuation.
+// logEvacuation logs a step of a domain's evacuation, and records its withdrawal for peers.
 func (h *Host) logEvacuation(f dispatch.Effect) {
-	number := event.DomainEvacuated
+	number, values := event.DomainEvacuated, []any{"domain", f.Domain}
 	switch f.Kind {
 	case dispatch.EffectEmptied:
 		number = event.DomainEmptied
 	case dispatch.EffectReadmitted:
-		number = event.DomainReadmitted
+		number, values = event.DomainReadmitted, append(values, "age_ms", time.Since(f.At).Milliseconds())
+		h.evacuations.recordWithdrawal(f.Domain, withdrawal{f.At, f.At.Add(f.Within)})
 	}
-	h.log.Emit(number, event.Fields{Values: []any{"domain", f.Domain}})
+	h.log.Emit(number, event.Fields{Values: values})
 }
--- a/host/mesh.go
+++ b/host/mesh.go
@@ -76,6 +76,7 @@
 	if t := h.Table(); t != nil && h.syncer == nil {
 		hb.Table = t.Version
 	}
+	hb.Withdrawals = h.evacuations.listWithdrawals(time.Now())
 	if h.sharesUpdates() {
 		c := h.syncer.Confirmation()
 		hb.Era, hb.Revision, hb.Content, hb.Exact, hb.Confirmed = c.Era, c.Revision, c.ContentRevision, c.Exact, uint32(c.Age.Milliseconds())
--- a/host/registry.go
+++ b/host/registry.go
@@ -75,10 +75,13 @@
 	}
 }
 
-// HandleHeartbeat passes the registry.Confirmation in a peer's heartbeat to the Syncer. If the peer
-// has content that this host lacks, the host fetches the full published state from it.
+// HandleHeartbeat passes the registry.Confirmation in a peer's heartbeat to the Syncer, and the withdrawals of evacuations in it
+// to the reducer. If the peer has content that this host lacks, the host fetches the full published state from it.
 func (h peerHandler) HandleHeartbeat(p peer.Peer, hb *wire.Heartbeat) {
 	h.evacuations.recordHeartbeat(hb, time.Now())
+	for _, w := range hb.Withdrawals {
+		h.Post(dispatch.Withdrawal{Domain: w.Domain, Age: time.Duration(w.Age) * time.Millisecond})
+	}
 	if !h.sharesUpdates() || hb.Revision == 0 {
 		return
 	}
