--- a/dispatch/cold.go
+++ b/dispatch/cold.go
@@ -31,9 +31,8 @@
 	return max(r.assumedColdUntil(t), r.sinceEpoch(t.spec.ColdUntil))
 }
 
-// assumedColdUntil returns the time until which the target counts as cold because the evacuation of its domain was withdrawn, 0 if it does
-// not: it has had no traffic, and its entry may be older. So does a process that has
-// started since then.
+// assumedColdUntil returns the time until which the target counts as cold because the evacuation of its domain was withdrawn, or 0:
+// it has had no traffic, and its entry may be older. Processes that have started since then are no exception, as clocks differ.
 func (r *Reducer) assumedColdUntil(t *targetState) time.Duration {
 	at, ok := r.withdrawals[t.spec.Domain]
 	spec := r.coldSpec(t)
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -34,7 +34,7 @@
 		Fragility  PoolFragility     // Brittle: what is known of the pool
 		Lease      uint64            // Release: number of the lease
 		Refused    bool              // Release: whether the target had no room
-		Within     time.Duration     // Reserve: longest time until the place; Trial: time until the trial has ended; Readmitted: time after the withdrawal for which targets are cold
+		Within     time.Duration     // Reserve: longest time until the place; Trial: time until the trial has ended; Readmitted: time from the withdrawal for which targets are cold
 		Spread     pace.Spread       // Uneven: speeds of the pool's engines
 		Crashes    int               // Trial: crashes under the part that are known
 		Domain     string            // Evacuated, Emptied, Readmitted: failure domain
--- a/network/virtual_test.go
+++ b/network/virtual_test.go
@@ -121,7 +121,7 @@
 	})
 }
 
-// A server that had closed its connections in the way of real ones lost the end of its last responses.
+// Without half-closed connections, hosts in a Virtual network did not wait for callers to read the end of a response.
 func TestHalfClosedConnectionIsRead(t *testing.T) {
 	runVirtual(t, func(c *qt.C, v *network.Virtual) {
 		client, server := connect(c, v)
