--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -30,6 +30,10 @@
 	LogThinned   Number = 107
 	HostReloaded Number = 108
 
+	HostStalled    Number = 109
+	HostResponsive Number = 110
+	EventSlow      Number = 111
+
 	RequestSubmitted  Number = 201
 	RequestDispatched Number = 202
 	RequestRefused    Number = 203
@@ -122,6 +126,9 @@
 	{HostFault, "host fault", hclog.Error, "An invariant is violated, or a component of the host failed."},
 	{LogThinned, "log thinned", hclog.Warn, "Log lines were suppressed by the rate limit, those about single requests first."},
 	{HostReloaded, "host reloaded", hclog.Info, "The settings were reloaded; the fields name the changes."},
+	{HostStalled, "host stalled", hclog.Error, "The event loop, which decides about requests, has not answered for 2 s; the host says that it is not ready until it does."},
+	{HostResponsive, "host responsive", hclog.Info, "The event loop has answered again after 109."},
+	{EventSlow, "event slow", hclog.Warn, "The event loop has taken long for one event and its effects; the fields name its kind and what the host holds."},
 	{RequestSubmitted, "request submitted", hclog.Debug, "A caller's request was accepted for dispatch."},
 	{RequestDispatched, "request dispatched", hclog.Debug, "The request was sent to a target."},
 	{RequestRefused, "request refused", hclog.Info, "The request got a final response other than its result."},
@@ -164,7 +171,7 @@
 	{EvacuationsApplied, "evacuations applied", hclog.Info, "The set of failure domains that are to be evacuated has changed on this host; from now on it sends nothing new to their targets."},
 	{DomainEvacuated, "domain evacuated", hclog.Warn, "An operator has requested the evacuation of a failure domain; its targets get nothing new, and long streams move off."},
 	{DomainEmptied, "domain emptied", hclog.Info, "No request is known to run in an evacuated failure domain any more."},
-	{DomainReadmitted, "domain readmitted", hclog.Info, "The evacuation of a failure domain was withdrawn; its targets get work again."},
+	{DomainReadmitted, "domain readmitted", hclog.Info, "The evacuation of a failure domain was withdrawn, as the source or another host says; its targets get work again."},
 	{SendWithheld, "send withheld", hclog.Info, "What was decided earlier was not sent to a target, because its failure domain is to be evacuated by now."},
 	{TargetCold, "target cold", hclog.Info, "A target has become cold, and all hosts together send it the rate of requests that the configuration names, or it is cold no longer."},
 	{EnginesUneven, "engines uneven", hclog.Info, "Whether the engines of a pool differ in speed so much that the choice of an engine counts late streams has changed; the fields hold the times between two tokens."},
