--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -153,6 +153,9 @@
 	return t.Sub(r.epoch)
 }
 
+// TargetCount returns the number of targets in use.
+func (r *Reducer) TargetCount() int { return len(r.targets) }
+
 // Counts returns the totals since the reducer was created.
 func (r *Reducer) Counts() Counts { return r.counts }
 
--- a/host/host.go
+++ b/host/host.go
@@ -70,12 +70,16 @@
 		limitSharing    sharing
 		leaverSharing   sharing
 		brittleSharing  sharing
+		loop            loopWatch
+		slowEvent       time.Duration // see WithSlowEvent
 	}
 
 	// An Observer records metrics. The host calls Effect on the event loop for each effect of
-	// the reducer, and AttemptEnded for each attempt that has ended.
+	// the reducer, EventReduced with the time that an event and its effects took, and AttemptEnded for each
+	// attempt that has ended.
 	Observer interface {
 		Effect(e dispatch.Effect)
+		EventReduced(took time.Duration)
 		AttemptEnded(r *Request, result relay.Result)
 	}
 
@@ -198,6 +202,7 @@
 		requests:     map[dispatch.ID]*Request{},
 		incarnation:  strconv.FormatInt(time.Now().UnixNano(), 36),
 		loadInterval: defaultLoadInterval,
+		slowEvent:    defaultSlowEvent,
 		observer:     nopObserver{},
 		network:      network.System{},
 		tickets:      ticket.NewLedger(),
@@ -217,6 +222,7 @@
 
 func (nopObserver) Effect(dispatch.Effect)              {}
 func (nopObserver) AttemptEnded(*Request, relay.Result) {}
+func (nopObserver) EventReduced(time.Duration)          {}
 
 // origin returns the identifier of this run of the host in the accounting of use: its name and
 // incarnation.
@@ -237,10 +243,10 @@
 // Table returns the table in effect, or nil before the first table.
 func (h *Host) Table() *table.Table { return h.table.Load() }
 
-// Ready reports whether the host has a table and a list of targets, and is neither draining nor
+// Ready reports whether the host has a table and a list of targets, decides about requests, and is neither draining nor
 // stopping.
 func (h *Host) Ready() bool {
-	return h.Table() != nil && h.HasTargets() && !h.draining.Load() && !h.stopping.Load()
+	return h.Table() != nil && h.HasTargets() && !h.draining.Load() && !h.stopping.Load() && !h.loop.stalled(time.Now())
 }
 
 // Stopping returns a channel that is closed when Stop is called.
@@ -297,6 +303,7 @@
 	defer timer.Stop()
 	checked := time.Now()
 	go h.pollLoads(ctx)
+	go h.watchLoop(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -424,8 +431,10 @@
 
 // reduce passes an event to the reducer and performs the effects.
 func (h *Host) reduce(e dispatch.Event, timer *time.Timer) {
-	for _, f := range h.reducer.Reduce(time.Now(), e) {
+	began := time.Now()
+	for _, f := range h.reducer.Reduce(began, e) {
 		h.observer.Effect(f)
 		h.perform(f, timer)
 	}
+	h.recordEvent(e, time.Since(began))
 }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -31,6 +31,7 @@
 		tokens           metric.Int64Counter
 		stallTime        metric.Float64Counter
 		stallPerResponse metric.Float64Histogram
+		eventTime        metric.Float64Histogram
 		firstByte        metric.Float64Histogram
 		duration         metric.Float64Histogram
 		longestGap       metric.Float64Histogram
@@ -93,6 +94,11 @@
 	if err = m.extra.add(scope); err != nil {
 		return nil, err
 	}
+	m.eventTime, err = scope.Float64Histogram("wigeonlink.event.time", metric.WithUnit("s"), metric.WithDescription("Time of the event loop for an event of the reducer and its effects"),
+		metric.WithExplicitBucketBoundaries(0.00001, 0.00003, 0.0001, 0.0003, 0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1, 3))
+	if err != nil {
+		return nil, eris.Wrap(err, "create the histogram of the event time")
+	}
 	m.stallPerResponse, err = scope.Float64Histogram("wigeonlink.stall.per_answer", metric.WithUnit("s"), metric.WithDescription("Stall time of an answer"))
 	return m, eris.Wrap(err, "create the histogram of the stall time")
 }
@@ -121,6 +127,11 @@
 	}
 }
 
+// EventReduced records the time of an event of the reducer.
+func (m *Meter) EventReduced(took time.Duration) {
+	m.eventTime.Record(context.Background(), took.Seconds())
+}
+
 // ObserveHost registers the gauges whose values are read from h each time the metrics are
 // collected.
 func (m *Meter) ObserveHost(h *host.Host) error {
