--- a/dispatch/start_wait.go
+++ b/dispatch/start_wait.go
@@ -75,27 +75,18 @@
 	if p.stopWaits.at != 0 && r.now-p.stopWaits.at < stopWaitsRefresh {
 		return
 	}
-	for _, t := range p.targets {
-		t.stopWait, t.stopWaitKnown = t.startWaits.longest(r.now)
-		t.pendingWait = 0
-	}
-	for _, q := range r.requests {
-		if q.target != nil && q.pool == p && !q.plain && q.remote == nil && q.lastToken == 0 {
-			q.target.pendingWait = max(q.target.pendingWait, r.startWait(q, r.now-q.dispatchedAt))
-		}
-	}
-	for _, t := range p.targets {
-		if t.pendingWait > t.stopWait {
-			t.stopWait = t.pendingWait + stopSilence
-		}
-	}
+	pending := r.pendingWaits(p)
 	longest := time.Duration(0)
 	for _, t := range p.targets {
+		t.stopWait, _ = t.startWaits.longest(r.now)
+		if pending[t] > t.stopWait {
+			t.stopWait = pending[t] + stopSilence
+		}
 		longest = max(longest, t.stopWait)
 	}
 	shortest := longest
 	for _, t := range p.targets {
-		if !t.stopWaitKnown {
+		if _, known := t.startWaits.longest(r.now); !known {
 			t.stopWait = longest
 		}
 		if t.acceptsWork(r.now, 0) {
@@ -105,6 +96,17 @@
 	p.stopWaits = stopWaits{at: max(r.now, 1), shortest: shortest}
 }
 
+// pendingWaits returns the longest time for which a stream of this host in the pool waits for its first token, by target.
+func (r *Reducer) pendingWaits(p *pool) map[*targetState]time.Duration {
+	waits := map[*targetState]time.Duration{}
+	for _, q := range r.requests {
+		if q.target != nil && q.pool == p && !q.plain && q.remote == nil && q.lastToken == 0 {
+			waits[q.target] = max(waits[q.target], r.startWait(q, r.now-q.dispatchedAt))
+		}
+	}
+	return waits
+}
+
 // queueWait returns the time for which a stream is assumed to wait for the computation of its prompt at t or, if t is nil,
 // at the pool's target with the shortest wait. It is 0 if the host does not stop: only then are the waits of streams
 // that have no token yet evaluated.
--- a/dispatch/target_state.go
+++ b/dispatch/target_state.go
@@ -47,8 +47,6 @@
 		pace                  paceState
 		startWaits            startWaits
 		stopWait              time.Duration // see refreshStopWaits
-		pendingWait           time.Duration // longest time for which a stream of this host waits for its first token, at the latest refreshStopWaits
-		stopWaitKnown         bool          // whether streams have recently begun at this target
 	}
 )
 
