--- a/network/cut.go
+++ b/network/cut.go
@@ -26,6 +26,15 @@
 	CutOpenSilent     // new connections open and hang, as do current ones
 )
 
+// opens reports whether new connections open although they lead to no listener.
+func (c Cut) opens() bool { return c == CutOpenReset || c == CutOpenSilent }
+
+// hangs reports whether no bytes arrive on connections.
+func (c Cut) hangs() bool { return c == CutSilent || c == CutOpenSilent }
+
+// resets reports whether current connections are reset.
+func (c Cut) resets() bool { return c == CutReset || c == CutOpenReset }
+
 // SetCut cuts a machine off from all machines with addresses in a prefix, or ends that with CutNone. All
 // other machines reach both.
 func (v *Virtual) SetCut(address netip.Addr, prefix netip.Prefix, c Cut) {
@@ -37,7 +46,7 @@
 	close(v.partitionsChanged)
 	v.partitionsChanged = make(chan struct{})
 	v.mu.Unlock()
-	if c != CutReset && c != CutOpenReset {
+	if !c.resets() {
 		return
 	}
 	for _, conn := range v.connsOf(address) {
@@ -62,14 +71,14 @@
 func (v *Virtual) opensWhileCut(a, b netip.Addr) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.cutBetween(a, b) == CutOpenSilent
+	return v.cutBetween(a, b).opens()
 }
 
 // openedByCut returns the local end of a connection that opens although a cut keeps it from its listener, or nil if there is no such
 // cut. The caller holds v.mu.
 func (v *Virtual) openedByCut(from, to netip.AddrPort) *conn {
 	c := v.cutBetween(from.Addr(), to.Addr())
-	if c != CutOpenReset && c != CutOpenSilent {
+	if !c.opens() {
 		return nil
 	}
 	client, _ := v.connect(from, to)
--- a/network/virtual.go
+++ b/network/virtual.go
@@ -141,8 +141,7 @@
 func (v *Virtual) isPartitioned(from, to netip.Addr) (bool, <-chan struct{}) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	c := v.cutBetween(from, to)
-	return v.partitioned[link{from, to}] || c == CutSilent || c == CutOpenSilent, v.partitionsChanged
+	return v.partitioned[link{from, to}] || v.cutBetween(from, to).hangs(), v.partitionsChanged
 }
 
 // allocatePort returns the next ephemeral port. The caller holds v.mu.
