--- a/detour/check_test.go
+++ b/detour/check_test.go
@@ -258,7 +258,7 @@
 	})
 }
 
-// A request was sent over a path that is known to give no answers, and ended as unknown, when no other host could be asked at that
+// A request was sent over a path that gives no answers, and ended as unknown, when no other host could be asked at that
 // moment. It was not sent.
 func TestMutePathIsNotUsedWithoutOtherHost(t *testing.T) {
 	runAnswerTest(t, func(a *answerTest) {
--- a/dispatch/cold_test.go
+++ b/dispatch/cold_test.go
@@ -211,8 +211,8 @@
 	f.requireEffect(EffectDispatch)
 }
 
-// A host that has started after the withdrawal knows of it from other hosts only: the source lists no evacuation, and no target as cold. It
-// sent the targets their usual load. What it hears later, or by way of a third host, is the same withdrawal.
+// A host that has started after the withdrawal receives it from other hosts only: the source lists no evacuation, and no target as cold. It
+// sent the targets their usual load. A later copy, also one by way of a third host, is the same withdrawal.
 func TestWithdrawalBeforeStartIsUnknown(t *testing.T) {
 	f := newPlainTest(t, "only")
 	f.setCold("only", 0, 4)
--- a/dispatch/evacuation.go
+++ b/dispatch/evacuation.go
@@ -15,8 +15,8 @@
 	// Evacuations replaces the set of failure domains that are to be evacuated.
 	Evacuations struct{ Domains []string }
 
-	// Withdrawal states that the evacuation of a failure domain was withdrawn Age ago, as another host knows. A host that has
-	// started since then does not see it in the set.
+	// Withdrawal is another host's record that the evacuation of a failure domain was withdrawn Age ago. To a host that has
+	// started since then, Evacuations does not show it.
 	Withdrawal struct {
 		Domain string
 		Age    time.Duration
@@ -92,7 +92,7 @@
 	r.dispatchAllHeld()
 }
 
-// reduce records the withdrawal, unless this host knows of it.
+// reduce records the withdrawal, unless it is recorded already.
 func (e Withdrawal) reduce(r *Reducer) {
 	at := r.now - e.Age
 	if known, ok := r.withdrawals[e.Domain]; !r.isEvacuated(e.Domain) && (!ok || at-known >= sameWithdrawal) {
--- a/dispatch/path.go
+++ b/dispatch/path.go
@@ -3,7 +3,7 @@
 import "net/netip"
 
 // PathLost reports that this host's own path to a target is lost, while another host reaches it. Requests go through other
-// hosts from now on, and what has failed before says nothing of the target: its breaker would keep requests
+// hosts from now on, and what has failed before is no evidence about the target: its breaker would keep requests
 // from a sound target.
 type PathLost struct{ Address netip.AddrPort }
 
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -236,7 +236,7 @@
 }
 
 // recordWithdrawn adds a request that ends while a coordinator is asked for its place to the next report to the coordinators, which
-// would keep room for it until they notice that nobody asks any more.
+// would keep room for it until the question expires.
 func (r *Reducer) recordWithdrawn(q *request) {
 	if r.delegated && q.placement == placementAsked {
 		r.withdrawn = append(r.withdrawn, q.id)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -158,7 +158,7 @@
 func (a *attempt) parseResponse(resp *http.Response, decision dispatch.Effect, sent time.Time, via string) ResponseInfo {
 	reply := a.gateway.dialect.ParseResponse(resp.StatusCode, resp.Header)
 	if reply.ID != "" && reply.ID != a.info.ID {
-		reply.NotExecuted = false // this is said of another request
+		reply.NotExecuted = false // the mark is that of another request
 	}
 	a.limit = reply.Limit
 	if reply.StatusError != nil {
--- a/gateway/in_hand.go
+++ b/gateway/in_hand.go
@@ -158,8 +158,8 @@
 	return values
 }
 
-// EndUnanswered ends the attempts of all requests of whose responses nothing has been sent. Their callers get an error, which
-// says that the outcome is unknown, in place of a connection that closes without a response.
+// EndUnanswered ends the attempts of all requests of whose responses nothing has been sent. Their callers get an error of
+// unknown outcome in place of a connection that closes without a response.
 func (g *Gateway) EndUnanswered() {
 	g.inHand.mu.Lock()
 	defer g.inHand.mu.Unlock()
--- a/gateway/status_test.go
+++ b/gateway/status_test.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// refusalCase is a response that may say that its request was not executed.
+// refusalCase is a response that may carry a mark that its request was not executed.
 type refusalCase struct {
 	kind        route.Kind
 	status      int
@@ -93,7 +93,7 @@
 	return &http.Response{StatusCode: r.status, Status: strconv.Itoa(r.status), Header: http.Header{}, ContentLength: int64(r.length), Body: io.NopCloser(body)}, nil
 }
 
-// refusalDialect is a Dialect by which callers take 503 and 429 as promises, and that marks the responses as a case says.
+// refusalDialect is a Dialect by which callers take 503 and 429 as promises, and that marks the responses as in a case.
 type refusalDialect struct {
 	noHeaders
 	refusalCase
--- a/host/evacuation.go
+++ b/host/evacuation.go
@@ -81,7 +81,7 @@
 	}
 }
 
-// recordWithdrawal records a withdrawal, of which the host tells its peers.
+// recordWithdrawal records a withdrawal for the host's heartbeats.
 func (v *evacuations) recordWithdrawal(domain string, w withdrawal) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -91,7 +91,7 @@
 	v.withdrawals[domain] = w
 }
 
-// listWithdrawals returns the withdrawals in the form of heartbeats, and forgets those that do not matter any more.
+// listWithdrawals returns the withdrawals in the form of heartbeats, and deletes those whose time is over.
 func (v *evacuations) listWithdrawals(now time.Time) []*wire.Withdrawal {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/host/event_loop.go
+++ b/host/event_loop.go
@@ -12,7 +12,7 @@
 	"github.com/wigeonlink/wigeonlink/pause"
 )
 
-// loopWatch is what the host knows of the delay of its own event loop. While the loop does not answer, nothing is dispatched or
+// loopWatch measures the delay of the host's own event loop. While the loop does not answer, nothing is dispatched or
 // refused. The zero value is ready for use.
 type loopWatch struct {
 	asked atomic.Pointer[time.Time] // when the question was sent that the loop has not answered; nil if there is none
@@ -26,18 +26,18 @@
 	// the delays of a busy machine, so that a host under load is not taken out of rotation.
 	loopAnswerTime = 2 * time.Second
 
-	// defaultSlowEvent is the default of WithSlowEvent.
-	defaultSlowEvent = 100 * time.Millisecond
+	// DefaultSlowEvent is the default of WithSlowEvent.
+	DefaultSlowEvent = 100 * time.Millisecond
 )
 
 type withSlowEvent time.Duration
 
 func (o withSlowEvent) apply(h *Host) { h.slowEvent = time.Duration(o) }
 
-// WithSlowEvent sets the time from which an event of the reducer, with its effects, is logged as slow. The default is 100 ms.
+// WithSlowEvent sets the time from which an event of the reducer, with its effects, is logged as slow. The default is DefaultSlowEvent.
 func WithSlowEvent(d time.Duration) Option { return withSlowEvent(d) }
 
-// watchLoop asks the event loop for an answer again and again, until ctx is done, and logs when it is overdue and when it
+// watchLoop sends the event loop a question at intervals until ctx is done, and logs when the answer is overdue and when it
 // arrives then.
 func (h *Host) watchLoop(ctx context.Context) {
 	for pause.For(ctx, loopAskInterval) {
--- a/host/event_loop_test.go
+++ b/host/event_loop_test.go
@@ -48,8 +48,8 @@
 	return out
 }
 
-// A host whose event loop stood still said that it was ready, and its log did not tell why it answered nothing (review/8).
-func TestHostIsReadyWhileItsEventLoopStandsStill(t *testing.T) {
+// The readiness check of a host whose event loop did not answer succeeded, and its log had no reason for the missing answers (review/8).
+func TestStalledEventLoopIsNotReady(t *testing.T) {
 	runLoop(t, func(c *qt.C, h *Host) {
 		c.Check(h.Ready(), qt.IsTrue)
 		go h.Inspect(func(*dispatch.Reducer) { time.Sleep(4 * time.Second) })
--- a/host/host.go
+++ b/host/host.go
@@ -202,7 +202,7 @@
 		requests:     map[dispatch.ID]*Request{},
 		incarnation:  strconv.FormatInt(time.Now().UnixNano(), 36),
 		loadInterval: defaultLoadInterval,
-		slowEvent:    defaultSlowEvent,
+		slowEvent:    DefaultSlowEvent,
 		observer:     nopObserver{},
 		network:      network.System{},
 		tickets:      ticket.NewLedger(),
