--- a/network/cut.go
+++ b/network/cut.go
@@ -67,11 +67,11 @@
 	return CutNone
 }
 
-// opensWhileCut reports whether a cut between two machines lets connections open.
+// opensWhileCut reports whether a cut between two machines, on which no bytes arrive, lets connections open.
 func (v *Virtual) opensWhileCut(a, b netip.Addr) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.cutBetween(a, b).opens()
+	return v.cutBetween(a, b) == CutOpenSilent
 }
 
 // openedByCut returns the local end of a connection that opens although a cut keeps it from its listener, or nil if there is no such
