review: show that a chunked answer of HTTP/1.0 passes for a whole one

Order of events: a server in trouble answers with HTTP/1.0 and chunks, and closes the connection halfway; the host reads to the end, sets a Content-Length and sends status 200.

--- a/review/_harness-3/main.go
+++ b/review/_harness-3/main.go
@@ -17,7 +17,8 @@
 
 // cases are the scripts, by the name of their folder. trouble is whether the disruption is played.
 var cases = map[string]func(dir string, trouble bool) (int, error){
-	"oddvalues": oddValues,
+	"oddvalues":  oddValues,
+	"oldversion": oldVersion,
 }
 
 func main() {
