review: show that spoilt lengths make hosts refuse all streams

A response whose Content-Length is the largest that net/http accepts overflows the size of the first buffer in readBuffered, and the handler panics. Nobody reports the end of the attempt, so the request keeps its slot and its memory in the forecast of its engine for as long as the process lives.

Order of events: a model server spoils some of its answers, then another; both are sound again; the hosts take both engines for full and refuse every stream while the engines are idle.

--- a/review/_harness-3/main.go
+++ b/review/_harness-3/main.go
@@ -17,8 +17,9 @@
 
 // cases are the scripts, by the name of their folder. trouble is whether the disruption is played.
 var cases = map[string]func(dir string, trouble bool) (int, error){
-	"oddvalues":  oddValues,
-	"oldversion": oldVersion,
+	"oddvalues":    oddValues,
+	"oldversion":   oldVersion,
+	"spoiltlength": spoiltLength,
 }
 
 func main() {
--- a/review/_harness-3/server.go
+++ b/review/_harness-3/server.go
@@ -48,8 +48,13 @@
 	return v, nil
 }
 
-// keepEntry writes the entry of a ready server, now and every heartbeat interval.
+// keepEntry writes the entry of a ready plain server, now and every heartbeat interval.
 func (s *site) keepEntry(id, service, zone, address string) {
+	s.keepEntrySlots(id, service, zone, address, slots)
+}
+
+// keepEntrySlots is keepEntry for a server that serves so many requests at once.
+func (s *site) keepEntrySlots(id, service, zone, address string, slots int) {
 	born, sequence := time.Now().UnixMilli(), 0
 	beat := func() {
 		sequence++
--- a/review/_harness-3/world.go
+++ b/review/_harness-3/world.go
@@ -27,6 +27,8 @@
 	bookings  = "/pule252/" // non_idempotent
 	lookups   = "/puxa403/" // idempotent
 	elsewhere = "/volo102/" // idempotent, of the other service
+	model     = "dele69a"   // service of the model servers
+	reports   = "/lohu930/" // streaming
 )
 
 var zones = []string{"gdl-centro", "zapopan"}
@@ -82,10 +84,15 @@
 			route("r-book", bookings, "non_idempotent", service, 1000, 150, 2),
 			route("r-look", lookups, "idempotent", service, 1000, 150, 2),
 			route("r-else", elsewhere, "idempotent", other, 1000, 150, 2),
+			route("r-fit", reports, "streaming", model, 6000, 1500, 1),
 		},
 		"Services": []any{
 			map[string]any{"Name": service, "HealthPath": "/healthz", "MaxConnections": 110, "Protocol": "h1", "Tls": false},
 			map[string]any{"Name": other, "HealthPath": "/healthz", "MaxConnections": 110, "Protocol": "h1", "Tls": false},
+			map[string]any{"Name": model, "HealthPath": "/healthz", "MaxConnections": 252, "Protocol": "h1", "Tls": false, "Engine": map[string]any{
+				"Slots": 24, "KvCapacityTokens": 34288, "KvTokenBytes": 163840, "LinkMbps": 24000.0, "Moves": true, "Backups": true, "Stride": 4,
+				"most": 12, "PinMs": 4000.0, "HoldMs": 2000.0, "HandleS": 5.0, "Models": []any{map[string]any{"Name": "m"}},
+			}},
 		},
 		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 		"Tenants": []any{map[string]any{"Name": tenant, "ApiKeys": []string{apiKey}, "Priority": 1}},
