--- a/review/_harness-3/client.go
+++ b/review/_harness-3/client.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 )
 
@@ -14,8 +16,19 @@
 	reader *bufio.Reader
 }
 
+// clientAddresses is the number of loopback addresses from which clients connect. Connections that have ended keep their ports for a minute.
+const clientAddresses = 100
+
+// dial opens a connection to an address of a world, from one of the clients' addresses there.
 func dial(address string) (*client, error) {
-	c, err := net.DialTimeout("tcp", address, time.Second)
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	from := to.Addr().As4()
+	from[3] = byte(130 + rand.IntN(clientAddresses))
+	d := net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: from[:]}}
+	c, err := d.Dial("tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/review/_harness-3/server.go
+++ b/review/_harness-3/server.go
@@ -20,6 +20,7 @@
 		service string
 		work    time.Duration
 		slots   chan struct{}
+		quiet   bool // whether runs are not recorded one by one
 	}
 
 	// site is the store with the servers of a small deployment.
@@ -103,7 +104,9 @@
 	}
 	defer func() { <-v.slots }()
 	v.site.run(id, v)
-	v.site.record.add("server %s (%s) runs %s %s, id %.40s, tenant %s", v.id, v.service, r.Method, r.RequestURI, id, r.Header.Get("Tenant-Id"))
+	if !v.quiet {
+		v.site.record.add("server %s (%s) runs %s %s, id %.40s, tenant %s", v.id, v.service, r.Method, r.RequestURI, id, r.Header.Get("Tenant-Id"))
+	}
 	time.Sleep(v.work)
 	out := fmt.Appendf(nil, "%s %s %x\n", v.id, id, sha256.Sum256(body))
 	w.Header().Set("Request-Id", id)
--- a/review/_harness-3/spoiltlength.go
+++ b/review/_harness-3/spoiltlength.go
@@ -12,18 +12,19 @@
 )
 
 const (
-	spoiltPlayTime  = 90 * time.Second
-	spoiltFrom      = 2 * time.Second
-	spoiltEpisode   = 5 * time.Second
-	spoiltEpisodes  = 2  // one of each server
+	spoiltPlayTime  = 100 * time.Second
+	spoiltFrom      = time.Second
+	spoiltEpisode   = 4 * time.Second
+	spoiltEpisodes  = 4  // two of each server, in turn
 	spoiltAnswers   = 20 // one of so many answers of a server in trouble is spoilt
-	streamInterval  = 4 * time.Millisecond
-	readInterval    = 3 * time.Millisecond
+	streamInterval  = 3 * time.Millisecond
+	readInterval    = 2 * time.Millisecond
 	modelSlots      = 24
 	stepTime        = 7 * time.Millisecond
 	eventsOfStream  = 3
 	starvedFraction = 4 // a kind of request is starved that is served less than a quarter as often as all
 	longestLength   = "9223372036854775807"
+	spoiltTail      = 3 * time.Second // for the answers to the last requests
 )
 
 // modelServer is a stand-in of a model server for short streams. While it is in trouble, one of spoiltAnswers answers has no Content-Type and a
@@ -113,9 +114,11 @@
 		models = append(models, v)
 		go v.accept(l)
 		w.site.keepEntrySlots(v.id, model, zone, l.Addr().String(), modelSlots)
-		if _, err := w.site.addServer(fmt.Sprintf("i-%d", i+1), service, zone, fmt.Sprintf("%s.%d:0", w.net, 101+i), stepTime); err != nil {
+		plain, err := w.site.addServer(fmt.Sprintf("i-%d", i+1), service, zone, fmt.Sprintf("%s.%d:0", w.net, 101+i), stepTime)
+		if err != nil {
 			return exitFailed, err
 		}
+		plain.quiet = true // its requests are counted
 	}
 	if err := w.start(); err != nil {
 		return exitFailed, err
@@ -154,7 +157,7 @@
 			w.record.add("a request of %d bytes at %s: status %d, error %v", len(request), h.name, status, err)
 		case status == 200:
 			k.served.Add(1)
-		case status == 503:
+		case status == 503, status == 429:
 			k.refused.Add(1)
 		default:
 			k.failed.Add(1)
@@ -183,7 +186,7 @@
 		}
 	})
 	sending.Wait()
-	time.Sleep(7 * time.Second)
+	time.Sleep(spoiltTail)
 	for n := range int(spoiltPlayTime.Seconds()) {
 		if s, ok := seconds.Load(n); ok {
 			w.record.add("second %d: %d streams sent, %d served", n, s.(*tally).sent.Load(), s.(*tally).served.Load())
--- a/review/_harness-3/store.go
+++ b/review/_harness-3/store.go
@@ -33,7 +33,11 @@
 	}
 )
 
-const pageItems = 500
+// Limits of a page of kv-range.
+const (
+	pageItems = 500
+	pageBytes = 1 << 20
+)
 
 func newStore(address string) (*store, error) {
 	l, err := net.Listen("tcp", address)
@@ -111,12 +115,14 @@
 		}
 	}
 	sort.Strings(keys)
+	bytes := 0
 	for _, k := range keys {
-		if len(out.Items) == pageItems {
+		if len(out.Items) == pageItems || bytes >= pageBytes {
 			out.MorePages = true
 			break
 		}
 		out.Items = append(out.Items, s.items[k])
+		bytes += len(s.items[k].Value)
 	}
 	writeJSON(w, out)
 }
--- a/review/_harness-3/world.go
+++ b/review/_harness-3/world.go
@@ -29,6 +29,8 @@
 	elsewhere = "/volo102/" // idempotent, of the other service
 	model     = "dele69a"   // service of the model servers
 	reports   = "/lohu930/" // streaming
+
+	longReports = "/pufi791/" // streaming, with a longer deadline
 )
 
 var zones = []string{"gdl-centro", "zapopan"}
@@ -85,6 +87,7 @@
 			route("r-look", lookups, "idempotent", service, 1000, 150, 2),
 			route("r-else", elsewhere, "idempotent", other, 1000, 150, 2),
 			route("r-fit", reports, "streaming", model, 6000, 1500, 1),
+			route("r-diag", longReports, "streaming", model, 39000, 1800, 1),
 		},
 		"Services": []any{
 			map[string]any{"Name": service, "HealthPath": "/healthz", "MaxConnections": 110, "Protocol": "h1", "Tls": false},
