review: show that a silent server makes a stopping host cut streams off

A stopping host estimates the run of a stream with the larger of the recent queueing time and 1.2 s for a silence, not with both.

Order of events: streams wait 2.5 s in the queue of their server; SIGTERM; streams accepted 3.75 to 4.5 s after it; the server falls silent for 1 s after their first events; the host closes their connections 7.6 s after the signal.

--- a/review/_harness-3/main.go
+++ b/review/_harness-3/main.go
@@ -20,6 +20,7 @@
 	"oddvalues":    oddValues,
 	"oldversion":   oldVersion,
 	"spoiltlength": spoiltLength,
+	"queuesilence": queueSilence,
 }
 
 func main() {
