--- a/review/_harness-3/world.go
+++ b/review/_harness-3/world.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -48,6 +50,7 @@
 		return nil, err
 	}
 	w := &world{record: r, dir: dir, net: fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))}
+	w.closeOnSignal()
 	st, err := newStore(w.net + ".250:0")
 	if err != nil {
 		return w, err
@@ -119,6 +122,22 @@
 	return nil
 }
 
+// closeOnSignal ends the processes and the case if this process is asked to end.
+func (w *world) closeOnSignal() {
+	asked := make(chan os.Signal, 1)
+	signal.Notify(asked, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-asked
+		for _, h := range w.hosts {
+			if h.cmd != nil && h.cmd.Process != nil {
+				_ = h.cmd.Process.Kill() // fails only if it has ended
+			}
+		}
+		_ = os.RemoveAll(w.dir)
+		os.Exit(exitFailed)
+	}()
+}
+
 // close ends the processes and removes the temporary folder.
 func (w *world) close() {
 	for _, h := range w.hosts {
