network: report a reset to the reader if a write received its error

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was written. The caller got the part as a whole response.

Cause: the operating system reports the error of a connection once. If the write of the upload gets it, the read beside it returns io.EOF, the orderly end of a response that only the end of its connection ends. net/http stops on the error of the write too late, and a relaying host passed the end on to its peer as an orderly one.

Change: the connections on which responses are read, and those that a host relays, return the error of a write from the read that reaches the end. That read interrupts a write in progress and waits for it, as it may have got the error and not returned yet; if it has not got one, the end is orderly.

The stand-in sends responses byte for byte. Which of them the readers of package target, attempts, resumed streams and callers refuse is a table.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -146,7 +147,11 @@
 // directly.
 func traceRelay(ctx context.Context, setVia func(string)) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if d, ok := info.Conn.(*detour.Conn); ok {
+		c := info.Conn
+		if inner, ok := c.(interface{ NetConn() net.Conn }); ok {
+			c = inner.NetConn()
+		}
+		if d, ok := c.(*detour.Conn); ok {
 			setVia(d.Via)
 		}
 	}})
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -132,6 +132,8 @@
 	HandshakeIdleTimeout:  dialTimeout,
 	MaxIncomingStreams:    maxStreams + maxRelays,
 	MaxIncomingUniStreams: maxStreams,
+
+	EnableStreamResetPartialDelivery: true, // of relayed connections
 }
 
 // NewMesh creates a mesh and opens its listener for peers. Connections are accepted only while
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -18,6 +18,7 @@
 
 	"github.com/wigeonlink/wigeonlink/detour"
 	"github.com/wigeonlink/wigeonlink/event"
+	"github.com/wigeonlink/wigeonlink/network"
 	"github.com/wigeonlink/wigeonlink/wire"
 )
 
@@ -237,6 +238,12 @@
 		s.CancelWrite(codeReset)
 		return
 	}
+	copyRelayed(ctx, s, network.WithReadableReset(c))
+}
+
+// copyRelayed copies bytes between a peer and its connection to a target until one side ends. A reset of the target's side ends the stream with one,
+// also if it was a write that failed.
+func copyRelayed(ctx context.Context, s *quic.Stream, c net.Conn) {
 	givenUp := make(chan struct{})
 	go func() {
 		defer close(givenUp)
@@ -245,10 +252,11 @@
 		_ = c.Close()
 	}()
 	if _, err := io.CopyBuffer(struct{ io.Writer }{s}, c, make([]byte, relayBufferSize)); err != nil {
+		s.SetReliableBoundary()  // the bytes before the reset may be a whole response
 		s.CancelWrite(codeReset) // the peer must not take the end for that of a whole response
-		return
+	} else {
+		_ = s.Close() // fails only if the peer has given the connection up
 	}
-	_ = s.Close() // fails only if the peer has given the connection up
 	// What was written may have to be sent again, which this host does only until it stops.
 	select {
 	case <-givenUp:
--- /dev/null
+++ b/target/broken_response_test.go
@@ -0,0 +1,194 @@
+package target_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonlink/wigeonlink/network"
+	"github.com/wigeonlink/wigeonlink/standin"
+	"github.com/wigeonlink/wigeonlink/target"
+)
+
+// reader is a place at which responses of targets are read.
+type reader struct {
+	message standin.RawMessage
+	framed  bool // refuses responses that end with their connection
+	kept    bool // its connection has carried a sound response before
+	ownEnd  bool // the body shows its own end
+	read    func(ctx context.Context, at netip.AddrPort, upload []byte) (body string, err error)
+}
+
+const (
+	testGeneration = "g"
+	testUpload     = 3 << 20 // bytes, more than the operating system takes for a server that does not read
+)
+
+var (
+	plainMessage  = standin.RawMessage{Header: "Request-Id: {id}\r\n", Body: "the answer of the server"}
+	streamMessage = standin.RawMessage{
+		Header: "X-Boot-Id: b\r\nContent-Type: text/event-stream\r\n",
+		Body: `data: {"type":"response.output_text.delta","sequence_number":1,"delta":"one"}` + "\n\n" +
+			`data: {"type":"response.output_text.delta","sequence_number":2,"delta":"two"}` + "\n\n" +
+			`data: {"type":"response.completed","sequence_number":3}` + "\n\n",
+	}
+	loadMessage = standin.RawMessage{Header: "Content-Type: text/plain\r\n", Body: "vllm:num_requests_running 7\nvllm:num_requests_waiting 5\n"}
+)
+
+// readers are the places, by name.
+var readers = map[string]reader{
+	"plain service": {message: plainMessage, read: func(ctx context.Context, at netip.AddrPort, upload []byte) (string, error) {
+		reply, err := target.NewService(at).Do(ctx, target.Call{Method: http.MethodPost, Path: "/", Body: upload})
+		return string(reply.Body), err
+	}},
+	"forwarded request": {message: plainMessage, read: func(ctx context.Context, at netip.AddrPort, upload []byte) (string, error) {
+		return exchange(ctx, target.NewShortDialTransport(network.System{}), at, upload)
+	}},
+	"kept connection": {message: plainMessage, kept: true, read: func(ctx context.Context, at netip.AddrPort, _ []byte) (string, error) {
+		transport := target.NewTransport(network.System{}, true)
+		defer transport.CloseIdleConnections()
+		if _, err := exchange(ctx, transport, at, nil); err != nil {
+			return "", eris.Wrap(err, "first response")
+		}
+		return exchange(ctx, transport, at, nil)
+	}},
+	"start of a generation": {message: streamMessage, ownEnd: true, read: func(ctx context.Context, at netip.AddrPort, upload []byte) (string, error) {
+		return readTokens(target.NewResponsesEngine(at).Start(ctx, target.GenerationRequest{Generation: testGeneration, Prompt: string(upload)}))
+	}},
+	"resumed generation": {message: streamMessage, ownEnd: true, read: func(ctx context.Context, at netip.AddrPort, _ []byte) (string, error) {
+		return readTokens(target.NewResponsesEngine(at).Resume(ctx, testGeneration, 0))
+	}},
+	"load report": {message: loadMessage, framed: true, read: func(ctx context.Context, at netip.AddrPort, _ []byte) (string, error) {
+		l, err := target.NewResponsesEngine(at).Load(ctx)
+		return fmt.Sprintf("vllm:num_requests_running %d\nvllm:num_requests_waiting %d\n", l.Running, l.Waiting), err
+	}},
+}
+
+// exchange sends a request and reads its response.
+func exchange(ctx context.Context, transport http.RoundTripper, at netip.AddrPort, upload []byte) (string, error) {
+	method, body := http.MethodGet, io.Reader(nil)
+	if len(upload) > 0 {
+		method, body = http.MethodPost, struct{ io.Reader }{bytes.NewReader(upload)}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+at.String()+"/", body)
+	if err != nil {
+		return "", err
+	}
+	req.ContentLength = int64(len(upload))
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	if !network.IsFinalStatus(resp.StatusCode) {
+		return "", eris.Errorf("status %03d", resp.StatusCode)
+	}
+	data, err := io.ReadAll(resp.Body)
+	return string(data), err
+}
+
+// readTokens reads the tokens of a stream until its final event, and returns the stream's text with them.
+func readTokens(s target.Stream, err error) (string, error) {
+	if err != nil {
+		return "", err
+	}
+	defer s.Close()
+	var e target.Event
+	for tokens := ""; ; tokens += string(e.Text) {
+		if err := s.Next(&e); err != nil {
+			return "", err
+		}
+		switch {
+		case e.Kind == target.EventDone && tokens == `"one""two"`:
+			return streamMessage.Body, nil
+		case e.Kind != target.EventToken:
+			return tokens, nil
+		}
+	}
+}
+
+// read sends a request to a server with a response, and returns what its reader gets.
+func (r *reader) readFrom(c *qt.C, resp standin.RawResponse) (string, error) {
+	var count atomic.Int64
+	s, err := standin.NewRawServer(func(*http.Request) standin.RawResponse {
+		if r.kept && count.Add(1) == 1 {
+			first := r.message.Sound()[0]
+			first.End = standin.EndKeep
+			return first
+		}
+		return resp
+	})
+	c.Assert(err, qt.IsNil)
+	defer s.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	upload := []byte("{}")
+	if resp.Early {
+		upload = make([]byte, testUpload)
+	}
+	return r.read(ctx, s.Address(), upload)
+}
+
+// Whatever a server in trouble sends, its response is an error where it is read: no part of a body is taken for the whole, and nothing is passed
+// on that is not the server's.
+func TestBrokenResponseIsAnError(t *testing.T) {
+	for name, r := range readers {
+		for _, resp := range r.message.Broken() {
+			t.Run(name+"/"+resp.Name, func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				body, err := r.readFrom(c, resp)
+				if r.ownEnd && resp.SoundHead && body == r.message.Body {
+					return // whole, whatever follows
+				}
+				c.Check(err, qt.IsNotNil, qt.Commentf("%.200q", body))
+			})
+		}
+	}
+}
+
+// A server responds to a long upload at once with a part of a body, and resets the connection while the upload is written. Its client got the part
+// as a whole body if its write was the one that got the error of the connection.
+func TestResetDuringUploadIsNotTheEndOfTheResponse(t *testing.T) {
+	resp := plainMessage.Broken()
+	early := resp[slices.IndexFunc(resp, func(q standin.RawResponse) bool { return q.Early })]
+	for _, name := range []string{"plain service", "forwarded request"} {
+		t.Run(name, func(t *testing.T) {
+			c, r := qt.New(t), readers[name]
+			for n := range 300 {
+				early.Pause = time.Duration(n%60) * 100 * time.Microsecond
+				body, err := r.readFrom(c, early)
+				c.Assert(err, qt.IsNotNil, qt.Commentf("exchange %d: %q", n, body))
+			}
+		})
+	}
+}
+
+// Responses are read whole with any framing, also if they arrive before the request has been sent.
+func TestSoundResponseIsRead(t *testing.T) {
+	for name, r := range readers {
+		for _, resp := range r.message.Sound() {
+			t.Run(name+"/"+resp.Name, func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				body, err := r.readFrom(c, resp)
+				if r.framed && resp.Unframed {
+					c.Check(err, qt.IsNotNil)
+					return
+				}
+				c.Assert(err, qt.IsNil)
+				c.Check(body, qt.Equals, r.message.Body)
+			})
+		}
+	}
+}
--- a/target/responses.go
+++ b/target/responses.go
@@ -114,7 +114,7 @@
 			if err != nil {
 				return nil, &dialError{err}
 			}
-			return c, nil
+			return network.WithReadableReset(c), nil
 		},
 		DisableKeepAlives:      !keep,
 		DisableCompression:     true,
