network: refuse responses with a malformed head

What callers saw: a server in trouble sent a response in whose head the name of a field held a blank, and the caller got a success: with that line passed on, or, if it was the line that frames the body, with the raw chunks or the bytes behind the body as body.

Cause: net/http accepts names with blanks, joins a line that begins with a blank to the line before it, accepts any version, and drops the transfer coding of a response of HTTP/1.0 without a trace. So no caller of the transport can find out that a head was malformed: what is refused has to be decided where the head is read.

Control bytes, separators and empty names in a field's name, statuses outside 200 to 599, cut heads, lengths and chunks were refused already; their tests stay.

Change: headChecker checks the bytes of each head on their way to net/http, for every client of responses: forwarded requests, resumed streams, copies, engines, plain services, load reports, the store and the configuration service, whose client now uses the same transport. Responses of HTTP/1.0 without a transfer coding are accepted as before. Health checks use only that a byte arrives, whatever it is.

--- a/gateway/broken_response_test.go
+++ b/gateway/broken_response_test.go
@@ -68,6 +68,7 @@
 			a, to, w := rawAttempt(c, resp)
 			c.Check(a.run(context.Background(), dispatch.Effect{To: to}).Ending, qt.Equals, relay.EndFailed)
 			c.Check(strings.HasPrefix(rawStream.Body, w.Body.String()), qt.IsTrue, qt.Commentf("%q", w.Body))
+			c.Check(w.Header()[standin.TroubleName], qt.IsNil)
 
 			a, to, w = rawAttempt(c, resp)
 			c.Check(resumeRaw(a, to), qt.IsFalse)
--- a/publication/consul.go
+++ b/publication/consul.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wigeonlink/wigeonlink/network"
+	"github.com/wigeonlink/wigeonlink/target"
 )
 
 // consul is a Source for services that implement blocking queries of the Consul KV API: a query
@@ -25,9 +26,7 @@
 const indexHeader = "X-Consul-Index"
 
 func newConsul(address netip.AddrPort) Source {
-	return &consul{base: "http://" + address.String(), client: &http.Client{
-		Transport: &http.Transport{MaxResponseHeaderBytes: network.MaxResponseHead},
-	}}
+	return &consul{base: "http://" + address.String(), client: &http.Client{Transport: target.NewTransport(network.System{}, true)}}
 }
 
 // Watch makes one blocking query. Its timeout exceeds the wait time of the query by watchSlack, so
--- a/publication/consul_test.go
+++ b/publication/consul_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/wigeonlink/wigeonlink/network"
+	"github.com/wigeonlink/wigeonlink/standin"
 )
 
 // A table that is cut off between two rows is still valid, so a value is refused unless its response
@@ -51,6 +52,25 @@
 	}
 }
 
+// A broken response holds no value, whatever its index says, and a sound one is read.
+func TestBrokenResponseHoldsNoValue(t *testing.T) {
+	m := standin.RawMessage{Header: indexHeader + ": 4\r\n", Body: "table,7\n"}
+	for i, resp := range append(m.Broken(), m.Sound()...) {
+		t.Run(resp.Name, func(t *testing.T) {
+			c := qt.New(t)
+			s, err := standin.NewRawServer(func(*http.Request) standin.RawResponse { return resp })
+			c.Assert(err, qt.IsNil)
+			defer s.Close()
+			v, err := NewSource(s.Address()).Watch(t.Context(), KeyTable, 0)
+			whole := i >= len(m.Broken()) && !resp.Unframed
+			c.Assert(err == nil, qt.Equals, whole, qt.Commentf("%v", err))
+			if whole {
+				c.Check(string(v.Data), qt.Equals, m.Body)
+			}
+		})
+	}
+}
+
 // A response head without end must not be read further than its size limit.
 func TestEndlessResponseHead(t *testing.T) {
 	const unreadBytes = 1 << 20 // upper bound of what the client's socket takes without being read
--- a/standin/raw_response.go
+++ b/standin/raw_response.go
@@ -12,6 +12,9 @@
 	Body   string
 }
 
+// TroubleName is the name of the header field that broken responses add. In some its bytes are changed.
+const TroubleName = "X-Trouble"
+
 // rawHalfPause is the time that a server leaves between the end of a response and that of its connection.
 const rawHalfPause = 100 * time.Millisecond
 
@@ -34,7 +37,10 @@
 
 // Broken returns responses that are no whole answers of a server: with a head that is none, or with a body that is cut or cannot be read.
 func (m RawMessage) Broken() []RawResponse {
-	return m.brokenConnections()
+	out := m.brokenConnections()
+	out = append(out, m.brokenStatusLines()...)
+	out = append(out, m.brokenFields()...)
+	return append(out, m.brokenFraming()...)
 }
 
 // brokenConnections returns responses that are cut off, or that are none.
@@ -67,9 +73,75 @@
 	)
 }
 
+// brokenStatusLines returns responses whose first line is not that of a final response of HTTP/1.1 or HTTP/1.0.
+func (m RawMessage) brokenStatusLines() []RawResponse {
+	var out []RawResponse
+	for _, line := range []string{
+		"HTTP/1.1 000 Trouble", "HTTP/1.1 099 Trouble", "HTTP/1.1 101 Trouble", "HTTP/1.1 600 Trouble", "HTTP/1.1 999 Trouble", "HTTP/1.1 +20 Trouble",
+		"HTTP/1.1 OK", "HTTP/1.1", "HTTP/0.9 200 OK", "HTTP/2.0 200 OK", "HTTP/1.x 200 OK", "HTTP/11 200 OK", " HTTP/1.1 200 OK", "200 OK",
+	} {
+		out = append(out, RawResponse{Name: "first line " + line, Text: m.withLength(line, "")})
+	}
+	return out
+}
+
+// brokenFields returns whole responses with a header line that is none, in the first and the last place and between other lines.
+func (m RawMessage) brokenFields() []RawResponse {
+	var out []RawResponse
+	for name, line := range map[string]string{
+		"blank in a name":         "X Trouble: 1",
+		"blank before a name":     " X-Trouble: 1",
+		"blank after a name":      "X-Trouble : 1",
+		"tab in a name":           "X\tTrouble: 1",
+		"tab before a name":       "\tX-Trouble: 1",
+		"tab after a name":        "X-Trouble\t: 1",
+		"NUL in a name":           "X\x00Trouble: 1",
+		"control byte in a name":  "X\x01Trouble: 1",
+		"carriage return in name": "X\rTrouble: 1",
+		"DEL after a name":        "X-Trouble\x7f: 1",
+		"separator in a name":     "X(Trouble): 1",
+		"empty name":              ": 1",
+		"no colon":                "X-Trouble",
+		"control byte in a value": "X-Trouble: \x01",
+	} {
+		out = append(out,
+			RawResponse{Name: name + ", between lines", Text: m.add(line+"\r\n").withLength("HTTP/1.1 200 OK", "")},
+			RawResponse{Name: name + ", first line", Text: "HTTP/1.1 200 OK\r\n" + line + "\r\n" + strings.TrimPrefix(m.withLength("", ""), "\r\n")},
+			RawResponse{Name: name + ", last line", Text: m.withLength("HTTP/1.1 200 OK", line+"\r\n")},
+		)
+	}
+	return out
+}
+
+// brokenFraming returns responses with bodies whose framing a client cannot find, or cannot read.
+func (m RawMessage) brokenFraming() []RawResponse {
+	const ok = "HTTP/1.1 200 OK"
+	chunks := m.chunks()
+	var out []RawResponse
+	for _, q := range []struct{ name, status, frame, body string }{
+		{"blank after the name of the length", ok, "Content-Length : " + fmt.Sprint(len(m.Body)), m.Body + "more"},
+		{"blank before the name of the length", ok, " Content-Length: " + fmt.Sprint(len(m.Body)), m.Body + "more"},
+		{"blank after the name of the coding", ok, "Transfer-Encoding : chunked", chunks},
+		{"blank before the name of the coding", ok, " Transfer-Encoding: chunked", chunks},
+		{"two lengths", ok, "Content-Length: 1\r\nContent-Length: 2", m.Body},
+		{"negative length", ok, "Content-Length: -1", m.Body},
+		{"length with a sign", ok, "Content-Length: +" + fmt.Sprint(len(m.Body)), m.Body},
+		{"unknown coding", ok, "Transfer-Encoding: other", m.Body},
+		{"HTTP/1.0 with chunks", "HTTP/1.0 200 OK", "Transfer-Encoding: chunked", chunks},
+		{"HTTP/1.0 with chunks, cut", "HTTP/1.0 200 OK", "transfer-encoding: chunked", chunks[:len(chunks)/2]},
+		{"HTTP/1.0 with chunks and a length", "HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\nContent-Length: " + fmt.Sprint(len(chunks)), chunks},
+	} {
+		out = append(out, RawResponse{Name: q.name, Text: q.status + "\r\n" + m.Header + q.frame + "\r\n\r\n" + q.body})
+	}
+	return out
+}
+
 // cut returns the message with another body.
 func (m RawMessage) cut(body string) RawMessage { return RawMessage{m.Header, body} }
 
+// add returns the message with further header lines.
+func (m RawMessage) add(lines string) RawMessage { return RawMessage{m.Header + lines, m.Body} }
+
 func (m RawMessage) unframed(status string) string {
 	return status + "\r\n" + m.Header + "\r\n" + m.Body
 }
--- a/target/responses.go
+++ b/target/responses.go
@@ -86,7 +86,7 @@
 }
 
 // NewTransport returns a transport for requests to targets. If keep is true, connections are
-// reused. Otherwise the transport opens a connection for every request, so net/http never
+// reused, and requests must have no body. Otherwise the transport opens a connection for every request, so net/http never
 // resends a request on its own.
 func NewTransport(n network.Network, keep bool) *http.Transport {
 	return newTransport(n, keep, dialTimeout)
@@ -114,7 +114,7 @@
 			if err != nil {
 				return nil, &dialError{err}
 			}
-			return network.WithReadableReset(c), nil
+			return network.NewResponseConn(c, keep), nil
 		},
 		DisableKeepAlives:      !keep,
 		DisableCompression:     true,
