target: refuse a load report that is longer than its limit

What callers saw: nothing. A load report of over 1 MiB was read up to that limit, and what had been read counted as the whole report, without the figures behind it.

Cause: the limit of the reader ends the report like its end.

Evidence: TestLoadReportBeyondLimitIsAnError, which failed before.

Change: the reader fails at its limit.

--- a/target/broken_response_test.go
+++ b/target/broken_response_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -198,3 +199,11 @@
 		}
 	}
 }
+
+// A load report that is longer than what is read of it, up to the end of a line, is not taken for a whole one.
+func TestLoadReportBeyondLimitIsAnError(t *testing.T) {
+	c, r := qt.New(t), readers["load report"]
+	r.message.Body = strings.Repeat("# x\n", 300<<10) + r.message.Body
+	_, err := r.readFrom(c, r.message.Sound()[0])
+	c.Check(err, qt.IsNotNil)
+}
--- a/target/responses.go
+++ b/target/responses.go
@@ -256,7 +256,7 @@
 		return Load{}, eris.New("the load report of the engine has neither a length nor chunks, so it may be cut off")
 	}
 	parser := expfmt.NewTextParser(model.UTF8Validation)
-	families, err := parser.TextToMetricFamilies(io.LimitReader(resp.Body, maxLoadReport))
+	families, err := parser.TextToMetricFamilies(http.MaxBytesReader(nil, resp.Body, maxLoadReport))
 	if err != nil {
 		return Load{}, eris.Wrap(err, "parse the load report of the engine")
 	}
