gateway: refuse an encoded response of an engine that resumes a stream

What callers saw: nothing yet. An engine that resumed a stream with a Content-Encoding, which no request asks for, would have had its encoded bytes taken for events behind those that the caller had already.

Cause: first responses were checked for an encoding, resumed ones were not.

Evidence: TestBrokenResponseFailsAttemptAndResumption, case "encoding that was not requested", which failed before for the resumption.

Change: both checks are the same.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -131,7 +131,7 @@
 		return relay.Result{Ending: relay.EndFailed, TargetFailed: true, Cause: eris.Wrap(errUnprovenRefusal, resp.Status)}
 	case resp.StatusCode < 300 && !reply.HasProof:
 		return failedResult(ctx, errNoProof)
-	case resp.Header.Get("Content-Encoding") != "":
+	case isEncoded(resp):
 		return failedResult(ctx, errContentEncoding)
 	}
 	if isEventStream(resp) && resp.StatusCode < 300 {
@@ -313,6 +313,9 @@
 	return &url.URL{Path: path, RawPath: raw, RawQuery: query, ForceQuery: hasQuery && query == ""}
 }
 
+// isEncoded reports whether a response has an encoded body, which no request asks for.
+func isEncoded(resp *http.Response) bool { return resp.Header.Get("Content-Encoding") != "" }
+
 func isEventStream(resp *http.Response) bool {
 	return strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 }
--- a/gateway/broken_response_test.go
+++ b/gateway/broken_response_test.go
@@ -61,7 +61,11 @@
 
 // A broken response fails the attempt, and the resumption of a stream: the caller gets at most a part of the events, and an error after it.
 func TestBrokenResponseFailsAttemptAndResumption(t *testing.T) {
-	for _, resp := range rawStream.Broken() {
+	encoded := rawStream
+	encoded.Header += "Content-Encoding: gzip\r\n"
+	encodedResponse := encoded.Sound()[0]
+	encodedResponse.Name = "encoding that was not requested"
+	for _, resp := range append(rawStream.Broken(), encodedResponse) {
 		t.Run(resp.Name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -366,7 +366,7 @@
 		return nil, eris.Wrap(errResumeFailed, resp.Status)
 	}
 	reply := a.parseResponse(resp, decision, sent, via)
-	if reply.NotExecuted || !reply.HasProof || reply.ID != "" && reply.ID != a.info.ID || !isEventStream(resp) || resp.StatusCode >= 300 {
+	if reply.NotExecuted || !reply.HasProof || reply.ID != "" && reply.ID != a.info.ID || isEncoded(resp) || !isEventStream(resp) || resp.StatusCode >= 300 {
 		resp.Body.Close()
 		cancel(errResumeFailed)
 		if reply.NotExecuted {
