--- a/standin/raw_response.go
+++ b/standin/raw_response.go
@@ -32,6 +32,7 @@
 		{Name: "early with a length, then a reset", Text: m.withLength(ok, ""), Early: true, End: EndReset, Pause: time.Millisecond},
 		{Name: "early with chunks", Text: m.withChunks(ok), Early: true},
 		{Name: "early with neither", Text: m.unframed(ok), Unframed: true, Early: true, End: EndHalf, Pause: rawHalfPause},
+		{Name: "early with neither, request read", Text: m.unframed(ok), Unframed: true, Early: true, End: EndDrain},
 	}
 }
 
--- a/standin/raw_server.go
+++ b/standin/raw_server.go
@@ -43,6 +43,7 @@
 	EndClose ConnEnd = iota // closes the connection, which resets it if a part of the request has not been read
 	EndReset                // resets the connection
 	EndHalf                 // ends its own direction before the pause, and closes the connection after it
+	EndDrain                // ends its own direction, reads the rest of the request and closes the connection
 	EndKeep                 // serves the next request
 )
 
@@ -113,9 +114,12 @@
 		switch resp.End {
 		case EndKeep:
 			continue
-		case EndHalf:
+		case EndHalf, EndDrain:
 			_ = c.(*net.TCPConn).CloseWrite() // as above
 		}
+		if resp.End == EndDrain {
+			_, _ = io.Copy(io.Discard, r.Body) // as above
+		}
 		time.Sleep(resp.Pause)
 		if resp.End == EndReset {
 			network.CloseWithReset(c)
