standin: check the readers of responses in one place

The tests of the engines, plain services, attempts, resumed streams, the store and the configuration service repeated the same steps. RawReader.Check plays each sound and each broken response to a reader and judges what it takes for whole, as the tests did.

--- a/gateway/broken_response_test.go
+++ b/gateway/broken_response_test.go
@@ -1,10 +1,10 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -25,75 +25,59 @@
 // rawStream is a stream of an engine that sends its bytes itself.
 var rawStream = standin.RawMessage{Header: "Content-Type: text/event-stream\r\n", Body: "id: 1\ndata: one\n\nid: 2\ndata: two\n\n"}
 
-// rawAttempt returns an attempt at a target that sends a response, and the recorder of what its caller gets.
-func rawAttempt(c *qt.C, resp standin.RawResponse) (*attempt, table.Target, *httptest.ResponseRecorder) {
-	s, err := standin.NewRawServer(func(*http.Request) standin.RawResponse { return resp })
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(s.Close)
+// rawAttempt returns an attempt at a target, and the recorder of what its caller gets.
+func rawAttempt(at netip.AddrPort, upload []byte) (*attempt, table.Target, *httptest.ResponseRecorder) {
 	w := httptest.NewRecorder()
-	b := &body{}
-	if resp.Early {
-		b.data = bytes.Repeat([]byte("x"), 3<<20)
-	}
 	g := &Gateway{host: host.NewHost(event.NewLog("host")), dialect: provenReply{}, transport: target.NewShortDialTransport(network.System{})}
 	a := &attempt{call: &call{
-		gateway: g, w: w, r: httptest.NewRequest(http.MethodPost, "/", nil), uri: "/", route: &route.Route{Kind: route.Stream}, body: b,
+		gateway: g, w: w, r: httptest.NewRequest(http.MethodPost, "/", nil), uri: "/", route: &route.Route{Kind: route.Stream}, body: &body{data: upload},
 		hostRequest: &host.Request{}, deadline: time.Now().Add(10 * time.Second),
 	}}
-	return a, table.Target{Name: "raw", Address: s.Address()}, w
+	return a, table.Target{Name: "raw", Address: at}, w
+}
+
+// received returns what a caller has got. It drops the error of an attempt if the caller has got anything but events before that.
+func received(w *httptest.ResponseRecorder, err error) (string, error) {
+	if !strings.HasPrefix(rawStream.Body, w.Body.String()) || w.Header()[standin.TroubleName] != nil {
+		err = nil
+	}
+	return w.Body.String(), err
 }
 
-// resumeRaw resumes a stream at a target and forwards its response. It reports whether the caller's stream is whole then.
-func resumeRaw(a *attempt, to table.Target) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	defer cancel()
+// attemptReader makes attempts.
+var attemptReader = standin.RawReader{Message: rawStream, Read: func(ctx context.Context, at netip.AddrPort, upload []byte) (string, error) {
+	a, to, w := rawAttempt(at, upload)
+	if r := a.run(ctx, dispatch.Effect{To: to}); r.Ending != relay.EndComplete {
+		return received(w, r.Cause)
+	}
+	return received(w, nil)
+}}
+
+// resumptionReader resumes streams.
+var resumptionReader = standin.RawReader{Message: rawStream, Read: func(ctx context.Context, at netip.AddrPort, upload []byte) (string, error) {
+	a, to, w := rawAttempt(at, upload)
 	resp, err := a.openResumed(ctx, &move{}, to, ResumePoint{}, 10*time.Second)
 	if err != nil {
-		return false
+		return received(w, err)
 	}
 	defer resp.Body.Close()
 	a.events.resume()
-	watchdog := time.AfterFunc(time.Hour, cancel)
+	watchdog := time.AfterFunc(time.Hour, func() {})
 	defer watchdog.Stop()
-	end, _ := a.forwardEvents(resp, watchdog, time.Hour)
-	return end != streamBroken
-}
+	_, err = a.forwardEvents(resp, watchdog, time.Hour)
+	return received(w, err)
+}}
 
-// A broken response fails the attempt, and the resumption of a stream: the caller gets at most a part of the events, and an error after it.
+// A broken response fails the attempt, and the resumption of a stream: the caller gets at most a part of the events, and an error after it. A whole
+// stream is forwarded with any framing, also if it arrives before its request has been sent.
 func TestBrokenResponseFailsAttemptAndResumption(t *testing.T) {
 	encoded := rawStream
-	encoded.Header += "Content-Encoding: gzip\r\n"
-	encodedResponse := encoded.Sound()[0]
-	encodedResponse.Name = "encoding that was not requested"
-	for _, resp := range append(rawStream.Broken(), encodedResponse) {
-		t.Run(resp.Name, func(t *testing.T) {
-			t.Parallel()
-			c := qt.New(t)
-			a, to, w := rawAttempt(c, resp)
-			c.Check(a.run(context.Background(), dispatch.Effect{To: to}).Ending, qt.Equals, relay.EndFailed)
-			c.Check(strings.HasPrefix(rawStream.Body, w.Body.String()), qt.IsTrue, qt.Commentf("%q", w.Body))
-			c.Check(w.Header()[standin.TroubleName], qt.IsNil)
-
-			a, to, w = rawAttempt(c, resp)
-			c.Check(resumeRaw(a, to), qt.IsFalse)
-			c.Check(strings.HasPrefix(rawStream.Body, w.Body.String()), qt.IsTrue, qt.Commentf("%q", w.Body))
-		})
-	}
-}
-
-// A whole stream is forwarded with any framing, also if it arrives before its request has been sent.
-func TestSoundResponseCompletesAttemptAndResumption(t *testing.T) {
-	for _, resp := range rawStream.Sound() {
-		t.Run(resp.Name, func(t *testing.T) {
-			t.Parallel()
-			c := qt.New(t)
-			a, to, w := rawAttempt(c, resp)
-			c.Check(a.run(context.Background(), dispatch.Effect{To: to}).Ending, qt.Equals, relay.EndComplete)
-			c.Check(w.Body.String(), qt.Equals, rawStream.Body)
-
-			a, to, w = rawAttempt(c, resp)
-			c.Check(resumeRaw(a, to), qt.IsTrue)
-			c.Check(w.Body.String(), qt.Equals, rawStream.Body)
+	encoded.Header += "Content-Encoding: gzip\r\n" // which was not requested
+	for name, r := range map[string]standin.RawReader{"attempt": attemptReader, "resumption": resumptionReader} {
+		t.Run(name, func(t *testing.T) {
+			qt.Check(t, r.Check(t.Context()), qt.IsNil)
+			_, err := r.Exchange(t.Context(), encoded.Sound()[0])
+			qt.Check(t, err, qt.IsNotNil)
 		})
 	}
 }
--- a/publication/consul_test.go
+++ b/publication/consul_test.go
@@ -1,6 +1,7 @@
 package publication
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -52,23 +53,14 @@
 	}
 }
 
-// A broken response holds no value, whatever its index says, and a sound one is read.
+// A broken response holds no value, whatever its index says, and a sound one is read if it shows that it is whole.
 func TestBrokenResponseHoldsNoValue(t *testing.T) {
-	m := standin.RawMessage{Header: indexHeader + ": 4\r\n", Body: "table,7\n"}
-	for i, resp := range append(m.Broken(), m.Sound()...) {
-		t.Run(resp.Name, func(t *testing.T) {
-			c := qt.New(t)
-			s, err := standin.NewRawServer(func(*http.Request) standin.RawResponse { return resp })
-			c.Assert(err, qt.IsNil)
-			defer s.Close()
-			v, err := NewSource(s.Address()).Watch(t.Context(), KeyTable, 0)
-			whole := i >= len(m.Broken()) && !resp.Unframed
-			c.Assert(err == nil, qt.Equals, whole, qt.Commentf("%v", err))
-			if whole {
-				c.Check(string(v.Data), qt.Equals, m.Body)
-			}
-		})
+	r := standin.RawReader{Message: standin.RawMessage{Header: indexHeader + ": 4\r\n", Body: "table,7\n"}, Framed: true}
+	r.Read = func(ctx context.Context, at netip.AddrPort, _ []byte) (string, error) {
+		v, err := NewSource(at).Watch(ctx, KeyTable, 0)
+		return string(v.Data), err
 	}
+	qt.Check(t, r.Check(t.Context()), qt.IsNil)
 }
 
 // A response head without end must not be read further than its size limit.
--- a/target/broken_response_test.go
+++ b/target/broken_response_test.go
@@ -9,7 +9,6 @@
 	"net/netip"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,20 +20,7 @@
 	"github.com/wigeonlink/wigeonlink/target"
 )
 
-// reader is a place at which responses of targets are read.
-type reader struct {
-	message standin.RawMessage
-	framed  bool // refuses responses that end with their connection
-	kept    bool // its connection has carried a sound response before
-	ownEnd  bool // the body shows its own end
-	noBody  bool // the body says nothing
-	read    func(ctx context.Context, at netip.AddrPort, upload []byte) (body string, err error)
-}
-
-const (
-	testGeneration = "g"
-	testUpload     = 3 << 20 // bytes, more than the operating system takes for a server that does not read
-)
+const testGeneration = "g"
 
 var (
 	plainMessage  = standin.RawMessage{Header: "Request-Id: {id}\r\n", Body: "the answer of the server"}
@@ -48,15 +34,15 @@
 )
 
 // readers are the places, by name.
-var readers = map[string]reader{
-	"plain service": {message: plainMessage, read: func(ctx context.Context, at netip.AddrPort, upload []byte) (string, error) {
+var readers = map[string]standin.RawReader{
+	"plain service": {Message: plainMessage, Read: func(ctx context.Context, at netip.AddrPort, upload []byte) (string, error) {
 		reply, err := target.NewService(at).Do(ctx, target.Call{Method: http.MethodPost, Path: "/", Body: upload})
 		return string(reply.Body), err
 	}},
-	"forwarded request": {message: plainMessage, read: func(ctx context.Context, at netip.AddrPort, upload []byte) (string, error) {
+	"forwarded request": {Message: plainMessage, Read: func(ctx context.Context, at netip.AddrPort, upload []byte) (string, error) {
 		return exchange(ctx, target.NewShortDialTransport(network.System{}), at, upload)
 	}},
-	"kept connection": {message: plainMessage, kept: true, read: func(ctx context.Context, at netip.AddrPort, _ []byte) (string, error) {
+	"kept connection": {Message: plainMessage, Kept: true, Read: func(ctx context.Context, at netip.AddrPort, _ []byte) (string, error) {
 		transport := target.NewTransport(network.System{}, true)
 		defer transport.CloseIdleConnections()
 		if _, err := exchange(ctx, transport, at, nil); err != nil {
@@ -64,16 +50,16 @@
 		}
 		return exchange(ctx, transport, at, nil)
 	}},
-	"start of a generation": {message: streamMessage, ownEnd: true, read: func(ctx context.Context, at netip.AddrPort, upload []byte) (string, error) {
+	"start of a generation": {Message: streamMessage, OwnEnd: true, Read: func(ctx context.Context, at netip.AddrPort, upload []byte) (string, error) {
 		return readTokens(target.NewResponsesEngine(at).Start(ctx, target.GenerationRequest{Generation: testGeneration, Prompt: string(upload)}))
 	}},
-	"resumed generation": {message: streamMessage, ownEnd: true, read: func(ctx context.Context, at netip.AddrPort, _ []byte) (string, error) {
+	"resumed generation": {Message: streamMessage, OwnEnd: true, Read: func(ctx context.Context, at netip.AddrPort, _ []byte) (string, error) {
 		return readTokens(target.NewResponsesEngine(at).Resume(ctx, testGeneration, 0))
 	}},
-	"cancelled generation": {message: plainMessage, noBody: true, read: func(ctx context.Context, at netip.AddrPort, _ []byte) (string, error) {
-		return "", target.NewResponsesEngine(at).Cancel(ctx, testGeneration)
+	"cancelled generation": {Message: plainMessage, Read: func(ctx context.Context, at netip.AddrPort, _ []byte) (string, error) {
+		return plainMessage.Body, target.NewResponsesEngine(at).Cancel(ctx, testGeneration)
 	}},
-	"load report": {message: loadMessage, framed: true, read: func(ctx context.Context, at netip.AddrPort, _ []byte) (string, error) {
+	"load report": {Message: loadMessage, Framed: true, Read: func(ctx context.Context, at netip.AddrPort, _ []byte) (string, error) {
 		l, err := target.NewResponsesEngine(at).Load(ctx)
 		return fmt.Sprintf("vllm:num_requests_running %d\nvllm:num_requests_waiting %d\n", l.Running, l.Waiting), err
 	}},
@@ -122,43 +108,11 @@
 	}
 }
 
-// read sends a request to a server with a response, and returns what its reader gets.
-func (r *reader) readFrom(c *qt.C, resp standin.RawResponse) (string, error) {
-	var count atomic.Int64
-	s, err := standin.NewRawServer(func(*http.Request) standin.RawResponse {
-		if r.kept && count.Add(1) == 1 {
-			first := r.message.Sound()[0]
-			first.End = standin.EndKeep
-			return first
-		}
-		return resp
-	})
-	c.Assert(err, qt.IsNil)
-	defer s.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	defer cancel()
-	upload := []byte("{}")
-	if resp.Early {
-		upload = make([]byte, testUpload)
-	}
-	return r.read(ctx, s.Address(), upload)
-}
-
 // Whatever a server in trouble sends, its response is an error where it is read: no part of a body is taken for the whole, and nothing is passed
-// on that is not the server's.
+// on that is not the server's. Sound responses are read whole with any framing, also if they arrive before the request has been sent.
 func TestBrokenResponseIsAnError(t *testing.T) {
 	for name, r := range readers {
-		for _, resp := range r.message.Broken() {
-			t.Run(name+"/"+resp.Name, func(t *testing.T) {
-				t.Parallel()
-				c := qt.New(t)
-				body, err := r.readFrom(c, resp)
-				if r.ownEnd && resp.SoundHead && body == r.message.Body {
-					return // whole, whatever follows
-				}
-				c.Check(err, qt.IsNotNil, qt.Commentf("%.200q", body))
-			})
-		}
+		t.Run(name, func(t *testing.T) { qt.Check(t, r.Check(t.Context()), qt.IsNil) })
 	}
 }
 
@@ -169,41 +123,19 @@
 	early := resp[slices.IndexFunc(resp, func(q standin.RawResponse) bool { return q.Early })]
 	for _, name := range []string{"plain service", "forwarded request"} {
 		t.Run(name, func(t *testing.T) {
-			c, r := qt.New(t), readers[name]
 			for n := range 300 {
 				early.Pause = time.Duration(n%60) * 100 * time.Microsecond
-				body, err := r.readFrom(c, early)
-				c.Assert(err, qt.IsNotNil, qt.Commentf("exchange %d: %q", n, body))
+				body, err := readers[name].Exchange(t.Context(), early)
+				qt.Assert(t, err, qt.IsNotNil, qt.Commentf("exchange %d: %q", n, body))
 			}
 		})
 	}
 }
 
-// Responses are read whole with any framing, also if they arrive before the request has been sent.
-func TestSoundResponseIsRead(t *testing.T) {
-	for name, r := range readers {
-		for _, resp := range r.message.Sound() {
-			t.Run(name+"/"+resp.Name, func(t *testing.T) {
-				t.Parallel()
-				c := qt.New(t)
-				body, err := r.readFrom(c, resp)
-				if r.framed && resp.Unframed {
-					c.Check(err, qt.IsNotNil)
-					return
-				}
-				c.Assert(err, qt.IsNil)
-				if !r.noBody {
-					c.Check(body, qt.Equals, r.message.Body)
-				}
-			})
-		}
-	}
-}
-
 // A load report that is longer than what is read of it, up to the end of a line, is not taken for a whole one.
 func TestLoadReportBeyondLimitIsAnError(t *testing.T) {
-	c, r := qt.New(t), readers["load report"]
-	r.message.Body = strings.Repeat("# x\n", 300<<10) + r.message.Body
-	_, err := r.readFrom(c, r.message.Sound()[0])
-	c.Check(err, qt.IsNotNil)
+	long := loadMessage
+	long.Body = strings.Repeat("# x\n", 300<<10) + long.Body
+	_, err := readers["load report"].Exchange(t.Context(), long.Sound()[0])
+	qt.Check(t, err, qt.IsNotNil)
 }
