--- a/network/head_checker.go
+++ b/network/head_checker.go
@@ -8,24 +8,24 @@
 )
 
 // headChecker checks the heads of responses, as their bytes arrive, for what net/http accepts or drops: versions other than 1.1 and 1.0,
-// names of fields that are no tokens, lines that continue the one before, and the transfer coding of HTTP/1.0, which has none. The body that
-// follows would be found by other lines than its sender has meant. The zero value is ready for the first response.
+// names of fields that are no tokens, lines that continue the one before, and the transfer coding of HTTP/1.0, which has none. A client would pass
+// such lines on, or find the body by other lines than its sender meant. The zero value is ready for the first response.
 type headChecker struct {
-	line   []byte // bytes of a line whose end has not arrived
-	fields bool   // the status line has been read
-	old    bool   // of HTTP/1.0
-	inner  bool   // of an interim response, after which another head follows
-	ended  bool   // the head of the final response has been read
-	err    error  // of a malformed line
+	line    []byte // bytes of a line whose end has not arrived
+	fields  bool   // the status line has been read
+	http10  bool   // of HTTP/1.0
+	interim bool   // of an interim response, after which another head follows
+	ended   bool   // the head of the final response has been read
+	err     error  // of a malformed line
 }
 
 const statusDigits = 3
 
 var (
-	errHeadLine    = eris.Errorf("a line of the response's head is longer than %d bytes", MaxResponseHead)
-	errStatusLine  = eris.New("the response does not begin with a status line of HTTP/1.1 or HTTP/1.0")
-	errFieldName   = eris.New("a line of the response's head does not begin with the name of a field")
-	errOldEncoding = eris.New("the response of HTTP/1.0 has a transfer coding")
+	errHeadLine       = eris.Errorf("a line of the response's head is longer than %d bytes", MaxResponseHead)
+	errStatusLine     = eris.New("the response does not begin with a status line of HTTP/1.1 or HTTP/1.0")
+	errFieldName      = eris.New("a line of the response's head does not begin with the name of a field")
+	errHTTP10Encoding = eris.New("the response of HTTP/1.0 has a transfer coding")
 
 	transferEncoding = []byte("Transfer-Encoding")
 )
@@ -69,15 +69,14 @@
 
 // checkStatus checks the first line of a head.
 func (h *headChecker) checkStatus(line []byte) error {
-	status, current := bytes.CutPrefix(line, []byte("HTTP/1.1 "))
-	if !current {
-		status, h.old = bytes.CutPrefix(line, []byte("HTTP/1.0 "))
-	}
+	version, status, _ := bytes.Cut(line, []byte(" "))
 	code, _, _ := bytes.Cut(status, []byte(" "))
-	if !current && !h.old || len(code) != statusDigits || bytes.ContainsFunc(code, func(r rune) bool { return r < '0' || r > '9' }) {
+	http11 := bytes.Equal(version, []byte("HTTP/1.1"))
+	h.http10 = bytes.Equal(version, []byte("HTTP/1.0"))
+	if !http11 && !h.http10 || len(code) != statusDigits || bytes.ContainsFunc(code, func(r rune) bool { return r < '0' || r > '9' }) {
 		return errStatusLine
 	}
-	h.fields, h.inner = true, code[0] == '1'
+	h.fields, h.interim = true, code[0] == '1'
 	return nil
 }
 
@@ -87,15 +86,15 @@
 	case !h.fields:
 		return h.checkStatus(line)
 	case len(line) == 0:
-		h.fields, h.ended = false, !h.inner
+		h.fields, h.ended = false, !h.interim
 		return nil
 	}
 	name, _, ok := bytes.Cut(line, []byte(":"))
 	switch {
 	case !ok || !httpguts.ValidHeaderFieldName(string(name)):
 		return errFieldName
-	case h.old && bytes.EqualFold(name, transferEncoding):
-		return errOldEncoding
+	case h.http10 && bytes.EqualFold(name, transferEncoding):
+		return errHTTP10Encoding
 	}
 	return nil
 }
--- a/network/reset.go
+++ b/network/reset.go
@@ -23,9 +23,9 @@
 	failure error         // of the first write that has failed
 }
 
-// WithReadableReset returns c as a connection whose Read returns io.EOF only if the peer has ended its bytes in order. Otherwise it returns the
+// NewResetConn returns c as a connection whose Read returns io.EOF only if the peer has ended its bytes in order. Otherwise it returns the
 // failure of c, also if a write got that.
-func WithReadableReset(c net.Conn) net.Conn { return &resetConn{Conn: c} }
+func NewResetConn(c net.Conn) net.Conn { return &resetConn{Conn: c} }
 
 // NetConn returns the connection whose failures are reported.
 func (c *resetConn) NetConn() net.Conn { return c.Conn }
--- a/network/reset_test.go
+++ b/network/reset_test.go
@@ -79,7 +79,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c, inner := qt.New(t), newOnceConn()
 				inner.failure, inner.writeDelay, inner.readDelay = q.failure, q.writeDelay, q.readDelay
-				conn := network.WithReadableReset(inner)
+				conn := network.NewResetConn(inner)
 				written := make(chan error, 1)
 				go func() {
 					_, err := conn.Write(make([]byte, 10))
--- a/network/response_conn.go
+++ b/network/response_conn.go
@@ -14,9 +14,9 @@
 	head    headChecker
 }
 
-// NewResponseConn returns c as a connection for a client of HTTP/1.1: Read returns an error at a malformed head of a response, see
-// headChecker, and like WithReadableReset at a failure. If kept is set, the connection carries several responses, each after its request, and
-// the requests have no bodies; otherwise it carries one.
+// NewResponseConn returns c as a connection for a client of HTTP/1.1: Read returns an error at a malformed head of a response, and the failures of c
+// like the one of NewResetConn. If kept is set, the connection carries several responses, each after its request, and the requests
+// have no bodies; otherwise it carries one.
 func NewResponseConn(c net.Conn, kept bool) net.Conn {
 	return &responseConn{resetConn: resetConn{Conn: c}, kept: kept}
 }
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -238,7 +238,7 @@
 		s.CancelWrite(codeReset)
 		return
 	}
-	copyRelayed(ctx, s, network.WithReadableReset(c))
+	copyRelayed(ctx, s, network.NewResetConn(c))
 }
 
 // copyRelayed copies bytes between a peer and its connection to a target until one side ends. A reset of the target's side ends the stream with one,
--- a/standin/raw_response.go
+++ b/standin/raw_response.go
@@ -26,6 +26,7 @@
 		{Name: "chunks", Text: m.withChunks(ok)},
 		{Name: "neither", Text: m.unframed(ok), Unframed: true},
 		{Name: "after an interim response", Text: "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + m.withLength(ok, "")},
+		{Name: "after an interim response of HTTP/1.0", Text: "HTTP/1.0 103 Early Hints\r\n\r\n" + m.withChunks(ok)},
 		{Name: "HTTP/1.0 with a length", Text: m.withLength("HTTP/1.0 200 OK", "")},
 		{Name: "HTTP/1.0 with neither", Text: m.unframed("HTTP/1.0 200 OK"), Unframed: true},
 		{Name: "early with a length", Text: m.withLength(ok, ""), Early: true},
