standin: share the steps of a health check's test, and name the status line once

The test of health checks repeated how RawReader starts a server and limits the time of an exchange. No code of the product is changed.

--- a/host/path_probe_test.go
+++ b/host/path_probe_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -18,21 +18,21 @@
 // which nothing else is used. A connection that ends without a byte shows nothing.
 func TestBrokenResponseShowsPath(t *testing.T) {
 	m := standin.RawMessage{Header: "Instance-Id: i\r\n", Body: "healthy"}
+	r := standin.RawReader{Message: m, Read: func(ctx context.Context, at netip.AddrPort, _ []byte) (string, error) {
+		h := NewHost(event.NewLog("host"))
+		h.listed.record(map[string]table.Target{"raw": {Name: "raw", Address: at}}, time.Now())
+		conn, err := network.System{}.Dial(ctx, at)
+		if err != nil {
+			t.Error(err) // no error of the check
+			return "", err
+		}
+		defer conn.Close()
+		return "", pathProber{h}.Probe(ctx, conn, at)
+	}}
 	for _, resp := range append(m.Broken(), m.Sound()...) {
 		t.Run(resp.Name, func(t *testing.T) {
-			c := qt.New(t)
-			s, err := standin.NewRawServer(func(*http.Request) standin.RawResponse { return resp })
-			c.Assert(err, qt.IsNil)
-			defer s.Close()
-			h := NewHost(event.NewLog("host"))
-			h.listed.record(map[string]table.Target{"raw": {Name: "raw", Address: s.Address()}}, time.Now())
-			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-			defer cancel()
-			conn, err := network.System{}.Dial(ctx, s.Address())
-			c.Assert(err, qt.IsNil)
-			defer conn.Close()
-			err = pathProber{h}.Probe(ctx, conn, s.Address())
-			c.Check(err == nil, qt.Equals, resp.Text != "", qt.Commentf("%v", err))
+			_, err := r.Exchange(t.Context(), resp)
+			qt.Check(t, err == nil, qt.Equals, resp.Text != "", qt.Commentf("%v", err))
 		})
 	}
 }
--- a/publication/consul_test.go
+++ b/publication/consul_test.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// A broken response holds no value, whatever its index says, and a sound one is read if it shows that it is whole.
+// A broken response holds no value, also with a valid index, and a sound one is read if its framing shows that it is whole.
 func TestBrokenResponseHoldsNoValue(t *testing.T) {
 	r := standin.RawReader{Message: standin.RawMessage{Header: indexHeader + ": 4\r\n", Body: "table,7\n"}, Framed: true}
 	r.Read = func(ctx context.Context, at netip.AddrPort, _ []byte) (string, error) {
--- a/standin/raw_reader.go
+++ b/standin/raw_reader.go
@@ -17,7 +17,7 @@
 	Message RawMessage // that the client asks for
 	Framed  bool       // the client refuses responses that end with their connection
 	Kept    bool       // the connection has carried a sound response before
-	OwnEnd  bool       // the body shows its own end, whatever follows
+	OwnEnd  bool       // the body shows its own end, and bytes after that are ignored
 
 	// Read sends a request with a body, which it may leave out, and returns the body of the response.
 	Read func(ctx context.Context, at netip.AddrPort, upload []byte) (body string, err error)
--- a/standin/raw_response.go
+++ b/standin/raw_response.go
@@ -15,25 +15,27 @@
 // TroubleName is the name of the header field that broken responses add. In some its bytes are changed.
 const TroubleName = "X-Trouble"
 
+// statusOK is the first line of a sound response.
+const statusOK = "HTTP/1.1 200 OK"
+
 // rawHalfPause is the time that a server leaves between the end of a response and that of its connection, as the one of net/http does.
 const rawHalfPause = 500 * time.Millisecond
 
 // Sound returns the message as the whole responses that a client must accept.
 func (m RawMessage) Sound() []RawResponse {
-	const ok = "HTTP/1.1 200 OK"
 	return []RawResponse{
-		{Name: "length", Text: m.withLength(ok, "")},
-		{Name: "chunks", Text: m.withChunks(ok)},
-		{Name: "neither", Text: m.unframed(ok), Unframed: true},
-		{Name: "after an interim response", Text: "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + m.withLength(ok, "")},
-		{Name: "after an interim response of HTTP/1.0", Text: "HTTP/1.0 103 Early Hints\r\n\r\n" + m.withChunks(ok)},
+		{Name: "length", Text: m.withLength(statusOK, "")},
+		{Name: "chunks", Text: m.withChunks(statusOK)},
+		{Name: "neither", Text: m.unframed(statusOK), Unframed: true},
+		{Name: "after an interim response", Text: "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + m.withLength(statusOK, "")},
+		{Name: "after an interim response of HTTP/1.0", Text: "HTTP/1.0 103 Early Hints\r\n\r\n" + m.withChunks(statusOK)},
 		{Name: "HTTP/1.0 with a length", Text: m.withLength("HTTP/1.0 200 OK", "")},
 		{Name: "HTTP/1.0 with neither", Text: m.unframed("HTTP/1.0 200 OK"), Unframed: true},
-		{Name: "early with a length", Text: m.withLength(ok, ""), Early: true},
-		{Name: "early with a length, then a reset", Text: m.withLength(ok, ""), Early: true, End: EndReset, Pause: time.Millisecond},
-		{Name: "early with chunks", Text: m.withChunks(ok), Early: true},
-		{Name: "early with neither", Text: m.unframed(ok), Unframed: true, Early: true, End: EndHalf, Pause: rawHalfPause},
-		{Name: "early with neither, request read", Text: m.unframed(ok), Unframed: true, Early: true, End: EndDrain},
+		{Name: "early with a length", Text: m.withLength(statusOK, ""), Early: true},
+		{Name: "early with a length, then a reset", Text: m.withLength(statusOK, ""), Early: true, End: EndReset, Pause: time.Millisecond},
+		{Name: "early with chunks", Text: m.withChunks(statusOK), Early: true},
+		{Name: "early with neither", Text: m.unframed(statusOK), Unframed: true, Early: true, End: EndHalf, Pause: rawHalfPause},
+		{Name: "early with neither, request read", Text: m.unframed(statusOK), Unframed: true, Early: true, End: EndDrain},
 	}
 }
 
@@ -47,16 +49,15 @@
 
 // brokenConnections returns responses that are cut off, or that are none.
 func (m RawMessage) brokenConnections() []RawResponse {
-	const ok = "HTTP/1.1 200 OK"
 	half := m.Body[:len(m.Body)/2]
-	length, chunks := m.withLength(ok, ""), m.withChunks(ok)
-	cut := m.cut(half).unframed(ok)
+	length, chunks := m.withLength(statusOK, ""), m.withChunks(statusOK)
+	cut := m.cut(half).unframed(statusOK)
 	var out []RawResponse
 	for _, r := range []RawResponse{
 		{Name: "no response"},
 		{Name: "status line cut", Text: "HTTP/1.1 20"},
-		{Name: "head cut inside a line", Text: ok + "\r\n" + m.Header[:len(m.Header)/2]},
-		{Name: "head cut between lines", Text: ok + "\r\n" + m.Header},
+		{Name: "head cut inside a line", Text: statusOK + "\r\n" + m.Header[:len(m.Header)/2]},
+		{Name: "head cut between lines", Text: statusOK + "\r\n" + m.Header},
 		{Name: "bytes of no HTTP message", Text: "\x15\x03\x01\x00\x02\x02\x28"},
 		{Name: "length cut", Text: length[:len(length)-len(m.Body)+len(half)], SoundHead: true},
 		{Name: "chunks cut inside one", Text: chunks[:len(chunks)-len("0\r\n\r\n")-len(m.Body)/2], SoundHead: true},
@@ -107,9 +108,9 @@
 		"control byte in a value": "X-Trouble: \x01",
 	} {
 		out = append(out,
-			RawResponse{Name: name + ", between lines", Text: m.add(line+"\r\n").withLength("HTTP/1.1 200 OK", "")},
-			RawResponse{Name: name + ", first line", Text: "HTTP/1.1 200 OK\r\n" + line + "\r\n" + strings.TrimPrefix(m.withLength("", ""), "\r\n")},
-			RawResponse{Name: name + ", last line", Text: m.withLength("HTTP/1.1 200 OK", line+"\r\n")},
+			RawResponse{Name: name + ", between lines", Text: m.add(line+"\r\n").withLength(statusOK, "")},
+			RawResponse{Name: name + ", first line", Text: statusOK + "\r\n" + line + "\r\n" + strings.TrimPrefix(m.withLength("", ""), "\r\n")},
+			RawResponse{Name: name + ", last line", Text: m.withLength(statusOK, line+"\r\n")},
 		)
 	}
 	return out
@@ -117,18 +118,17 @@
 
 // brokenFraming returns responses with bodies whose framing a client cannot find, or cannot read.
 func (m RawMessage) brokenFraming() []RawResponse {
-	const ok = "HTTP/1.1 200 OK"
 	chunks := m.chunks()
 	var out []RawResponse
 	for _, q := range []struct{ name, status, frame, body string }{
-		{"blank after the name of the length", ok, "Content-Length : " + fmt.Sprint(len(m.Body)), m.Body + "more"},
-		{"blank before the name of the length", ok, " Content-Length: " + fmt.Sprint(len(m.Body)), m.Body + "more"},
-		{"blank after the name of the coding", ok, "Transfer-Encoding : chunked", chunks},
-		{"blank before the name of the coding", ok, " Transfer-Encoding: chunked", chunks},
-		{"two lengths", ok, "Content-Length: 1\r\nContent-Length: 2", m.Body},
-		{"negative length", ok, "Content-Length: -1", m.Body},
-		{"length with a sign", ok, "Content-Length: +" + fmt.Sprint(len(m.Body)), m.Body},
-		{"unknown coding", ok, "Transfer-Encoding: other", m.Body},
+		{"blank after the name of the length", statusOK, "Content-Length : " + fmt.Sprint(len(m.Body)), m.Body + "more"},
+		{"blank before the name of the length", statusOK, " Content-Length: " + fmt.Sprint(len(m.Body)), m.Body + "more"},
+		{"blank after the name of the coding", statusOK, "Transfer-Encoding : chunked", chunks},
+		{"blank before the name of the coding", statusOK, " Transfer-Encoding: chunked", chunks},
+		{"two lengths", statusOK, "Content-Length: 1\r\nContent-Length: 2", m.Body},
+		{"negative length", statusOK, "Content-Length: -1", m.Body},
+		{"length with a sign", statusOK, "Content-Length: +" + fmt.Sprint(len(m.Body)), m.Body},
+		{"unknown coding", statusOK, "Transfer-Encoding: other", m.Body},
 		{"HTTP/1.0 with chunks", "HTTP/1.0 200 OK", "Transfer-Encoding: chunked", chunks},
 		{"HTTP/1.0 with chunks, cut", "HTTP/1.0 200 OK", "transfer-encoding: chunked", chunks[:len(chunks)/2]},
 		{"HTTP/1.0 with chunks and a length", "HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\nContent-Length: " + fmt.Sprint(len(chunks)), chunks},
--- a/target/broken_response_test.go
+++ b/target/broken_response_test.go
@@ -23,7 +23,7 @@
 const testGeneration = "g"
 
 var (
-	plainMessage  = standin.RawMessage{Header: "Request-Id: {id}\r\n", Body: "the answer of the server"}
+	plainMessage  = standin.RawMessage{Header: "Request-Id: " + standin.RequestIDMark + "\r\n", Body: "the answer of the server"}
 	streamMessage = standin.RawMessage{
 		Header: "X-Boot-Id: b\r\nContent-Type: text/event-stream\r\n",
 		Body: `data: {"type":"response.output_text.delta","sequence_number":1,"delta":"one"}` + "\n\n" +
@@ -108,7 +108,7 @@
 	}
 }
 
-// Whatever a server in trouble sends, its response is an error where it is read: no part of a body is taken for the whole, and nothing is passed
+// Each broken response of a server in trouble is an error where it is read: no part of a body is taken for the whole, and nothing is passed
 // on that is not the server's. Sound responses are read whole with any framing, also if they arrive before the request has been sent.
 func TestBrokenResponseIsAnError(t *testing.T) {
 	for name, r := range readers {
