gateway: begin a stream on a stopping host only if it is sure to end

Cause: what a stopping host accepts leaves time for the queue or for a silence, the longer of both. The harm is not the acceptance but the beginning of a response that cannot be taken back.

Change: a stream that is dispatched while the host stops carries a limit (dispatch.StopLimit). The gateway sends nothing of it until the rest, at the pace that the stream has had, and a silence of 1.5 s fit before the end of the host, or until it is complete. What is not sent by then gets 502 (outcome_unknown). A deferral that would outlast the caller's patience is not begun. Nothing more is refused than before.

--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -31,6 +31,7 @@
 		Own        bool              // Limited, Leaver: whether a response to this host has shown it
 		Brittle    bool              // Dispatch, Reserve: whether the target's pool has said that it is brittle
 		Run        time.Duration     // Dispatch: usual time until a stream ends at the limit of its output; 0 if it has none
+		Stop       StopLimit         // Dispatch: what the end of the host means for a stream
 		Fragility  PoolFragility     // Brittle: what is known of the pool
 		Lease      uint64            // Release: number of the lease
 		Refused    bool              // Release: whether the target had no room
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -207,7 +207,7 @@
 	basis := r.basis
 	basis.HeldFor, basis.Attempt = r.now-q.arrived, q.attempts
 	basis.Streams, basis.OtherDomain = t.totalDemand(r.now).Streams, r.inOtherDomain(t)
-	run := r.usualRun(q, t)
+	run, stop := r.usualRun(q, t), r.stopLimit(q, t)
 	if q.attempts > 1 {
 		r.counts.Retried++
 	}
@@ -222,7 +222,7 @@
 		return
 	}
 	r.chooseBackup(q, &q.backup, t)
-	e := Effect{Kind: EffectDispatch, ID: q.id, Target: t.spec.Name, To: t.spec, Priority: r.priority(q), Limit: r.limitOfTarget(t), Brittle: t.brittle, Run: run, Basis: basis}
+	e := Effect{Kind: EffectDispatch, ID: q.id, Target: t.spec.Name, To: t.spec, Priority: r.priority(q), Limit: r.limitOfTarget(t), Brittle: t.brittle, Run: run, Stop: stop, Basis: basis}
 	e.ExtraAfter = r.extraDelay(q)
 	if q.backup.target != nil {
 		e.Backup = q.backup.target.spec
--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -89,12 +89,17 @@
 func (r *Reducer) longestRun(p *pool, tokens, prompt int, t *targetState) time.Duration {
 	interval := stopSlowdown * r.options.stepBase
 	if t != nil {
-		interval = max(interval, t.tokenInterval.At(t.totalDemand(r.now).Streams+1))
+		interval = r.slowInterval(t)
 		prompt += t.pendingPrefill
 	}
 	return runTime(tokens, prompt, interval, stopSlowdown*r.options.prefillPerToken) + max(stopSilence, r.queueWait(p, t))
 }
 
+// slowInterval returns the longest time between tokens that is assumed at t.
+func (r *Reducer) slowInterval(t *targetState) time.Duration {
+	return max(stopSlowdown*r.options.stepBase, t.tokenInterval.At(t.totalDemand(r.now).Streams+1))
+}
+
 // runTime returns the time of a run without interruption, with the given times for each token of its output and of its prompt.
 func runTime(tokens, prompt int, interval, prefill time.Duration) time.Duration {
 	return time.Duration(min(tokens, maxRunTokens))*interval + time.Duration(min(prompt, maxRunTokens))*prefill
--- /dev/null
+++ b/dispatch/stop_limit.go
@@ -0,0 +1,65 @@
+package dispatch
+
+import "time"
+
+type (
+	// A StopLimit is what the end of the host means for a stream that was dispatched while the host stops: its response is
+	// not to begin before it is sure to be complete by then. The zero value sets no limit.
+	StopLimit struct {
+		Until    time.Time     // end of the host
+		Tokens   int           // limit of the stream's output
+		Interval time.Duration // longest time between tokens that was assumed when the stream was accepted
+	}
+
+	// StreamPace is what has arrived of a stream.
+	StreamPace struct {
+		Tokens  int           // tokens of the stream
+		Elapsed time.Duration // from the first event to the latest one
+		Later   int           // of these tokens, those that arrived after the first event
+	}
+)
+
+const (
+	// releaseSilence is the time for which a target may fall silent after the response has begun. A part of a response that
+	// was sent cannot be replaced by an error.
+	releaseSilence = 1500 * time.Millisecond
+
+	// paceMargin is the factor by which a stream is assumed to become slower than it has been so far.
+	paceMargin = 1.5
+)
+
+// EndsInTime reports whether a stream ends before the host does although its target falls silent for releaseSilence.
+func (l StopLimit) EndsInTime(now time.Time, p StreamPace) bool {
+	return l.Until.IsZero() || !now.Add(l.rest(p)+releaseSilence).After(l.Until)
+}
+
+// Deferral returns an upper bound of the time until EndsInTime reports true, or the stream is complete, if it runs on at its
+// pace. It is 0 if the pace is not known yet.
+func (l StopLimit) Deferral(now time.Time, p StreamPace) time.Duration {
+	if p.Later == 0 {
+		return 0
+	}
+	rest := l.rest(p)
+	excess := now.Add(rest + releaseSilence).Sub(l.Until)
+	// In each second the rest becomes shorter by at least paceMargin seconds.
+	return max(time.Duration(min(float64(excess)/(paceMargin-1), float64(rest)/paceMargin)), 0)
+}
+
+// rest returns the longest time that the rest of the stream is assumed to take without a silence: at the pace that it has
+// had, but not faster than an idle engine, or at Interval if the pace is not known.
+func (l StopLimit) rest(p StreamPace) time.Duration {
+	interval := l.Interval
+	if p.Later > 0 {
+		interval = max(time.Duration(paceMargin*float64(p.Elapsed)/float64(p.Later)), l.Interval/stopSlowdown)
+	}
+	return time.Duration(max(l.Tokens-p.Tokens, 0)) * interval
+}
+
+// stopLimit returns the StopLimit of a stream that is dispatched to t.
+func (r *Reducer) stopLimit(q *request, t *targetState) StopLimit {
+	tokens := max(q.maxOutput, q.knownOutput)
+	if !r.stopping || r.stopDeadline == 0 || q.plain || tokens == 0 {
+		return StopLimit{}
+	}
+	return StopLimit{Until: r.epoch.Add(r.stopDeadline), Tokens: min(tokens, maxRunTokens), Interval: r.slowInterval(t)}
+}
--- a/forward.go
+++ b/forward.go
@@ -41,8 +41,8 @@
 	// refusalTime is the least time that a stopping host has for a request on a connection that it accepted last.
 	refusalTime = 500 * time.Millisecond
 
-	// unansweredTime is the time before its end that a stopping host has for errors in place of responses that have not
-	// begun.
+	// unansweredTime is the time that a stopping host has for errors in place of responses that have not begun: before its
+	// end, and after it for streams of which it has received a part that it has not sent.
 	unansweredTime = 100 * time.Millisecond
 
 	// gatewayHeaderTimeout is the time limit for receiving the headers of a request. The
@@ -143,9 +143,10 @@
 // Settings.ShutdownDelay, in which the load balancer stops sending them, and then until it has none in flight.
 // It then closes the connections on which no request has begun, and waits until all others are closed, within
 // Settings.DrainTimeout, of which connectionCloseTimeout and refusalTime are left for requests that arrive last, and
-// unansweredTime for those that the targets have not begun to answer.
+// unansweredTime for those that the targets have not begun to answer. Streams whose responses are deferred have all of
+// Settings.DrainTimeout to end.
 func stopGateway(ctx context.Context, a *assembly, h *host.Host, s *http.Server, g *gateway.Gateway, callers *network.RetiringListener) error {
-	startedAt := time.Now()
+	startedAt, stopped := time.Now(), ctx
 	h.Drain(startedAt.Add(a.settings.DrainTimeout))
 	ctx, cancel := context.WithTimeout(ctx, a.settings.DrainTimeout)
 	defer cancel()
@@ -162,6 +163,11 @@
 	waitUntilZero(answering, open)
 	g.EndUnanswered()
 	waitUntilZero(ctx, open)
+	if g.EndDeferred() > 0 {
+		ending, end := context.WithTimeout(stopped, unansweredTime)
+		defer end()
+		waitUntilZero(ending, open)
+	}
 	begun := callers.BegunCount()
 	remaining := max(h.InFlightCount(), begun)
 	h.Log().Emit(event.HostStopped, event.Fields{Values: append([]any{"open", remaining, "after_ms", time.Since(startedAt).Milliseconds()}, g.CutRequests(begun)...)})
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -50,6 +50,7 @@
 		gapMoves        int                     // value of moveCount at the latest event
 		callerWait      time.Duration           // time in writes to the caller
 		moveCount       int                     // completed moves of the stream to another engine
+		deferred        deferredStart           // of the stream
 		undeliverable   bool                    // an event is missing, or a write to the caller failed
 		placement       placement
 	}
--- /dev/null
+++ b/gateway/deferred.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/wigeonlink/wigeonlink/dispatch"
+)
+
+// deferredStart holds the beginning of a stream on a stopping host back until the stream is sure to end before the host
+// does, or has ended: until then its caller can still get an error in place of a part of the response. The zero value defers nothing.
+type deferredStart struct {
+	limit    dispatch.StopLimit
+	response *http.Response // with the status and header of the response; nil if nothing is held back
+	events   []byte
+	first    time.Time     // arrival of the first event; zero before it
+	early    int           // events that arrived with the first one
+	duration time.Duration // for which the response was deferred
+	holds    atomic.Bool   // whether the response has not begun although events have arrived; safe for concurrent use
+}
+
+const (
+	// maxDeferredBytes limits the events that are held back of a stream. Streams that end within a stop are shorter.
+	maxDeferredBytes = 32 << 10
+
+	// deferralReserve is the time before the end of its caller's patience at which a deferred response begins at the latest.
+	deferralReserve = 250 * time.Millisecond
+)
+
+// mustDefer reports whether the events of the stream, of which the latest have just arrived, are held back. Events whose caller would
+// leave meanwhile are not.
+func (a *attempt) mustDefer() bool {
+	d := &a.deferred
+	if a.written.Load() || d.limit.Until.IsZero() || len(d.events) >= maxDeferredBytes {
+		return false
+	}
+	now := time.Now()
+	if d.first.IsZero() {
+		d.first, d.early = now, a.events.eventCount
+	}
+	pace := dispatch.StreamPace{
+		Tokens: a.events.eventCount * a.tokensPerEvent, Later: (a.events.eventCount - d.early) * a.tokensPerEvent, Elapsed: now.Sub(d.first),
+	}
+	if d.limit.EndsInTime(now, pace) {
+		return false
+	}
+	left := a.streamPatience() - deferralReserve - now.Sub(a.started)
+	return left <= 0 || d.limit.Deferral(now, pace) <= left
+}
+
+// add holds events of a response back.
+func (d *deferredStart) add(resp *http.Response, events []byte) {
+	if d.response == nil {
+		d.response = resp
+		d.holds.Store(true)
+	}
+	d.events = append(d.events, events...)
+}
+
+// beginStream sends the status and header of the stream's first response to the caller, which is resp if nothing was held
+// back, and returns the events that were held back and then next, which are to be sent now.
+func (a *attempt) beginStream(resp *http.Response, next []byte) []byte {
+	d := &a.deferred
+	if d.response != nil {
+		resp, next = d.response, append(d.events, next...)
+		d.response, d.events, d.duration = nil, nil, time.Since(d.first)
+	}
+	a.copyHeader(resp.Header)
+	a.writeHeader(resp.StatusCode)
+	d.holds.Store(false) // after writeHeader, see Gateway.EndUnanswered
+	return next
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -232,6 +232,9 @@
 	if c.latest.events.eventCount > 0 {
 		fields.Values = append(fields.Values, "events", c.latest.events.eventCount, "longest_gap_ms", c.latest.longestGap.Milliseconds())
 	}
+	if wait := c.latest.deferred.duration; wait > 0 {
+		fields.Values = append(fields.Values, "deferred_ms", wait.Milliseconds())
+	}
 	if c.latest.callerWait >= minCallerWait {
 		fields.Values = append(fields.Values, "caller_wait_ms", c.latest.callerWait.Milliseconds())
 	}
--- a/gateway/in_hand.go
+++ b/gateway/in_hand.go
@@ -158,22 +158,41 @@
 	return values
 }
 
-// EndUnanswered ends the attempts of all requests of whose responses nothing has been sent. Their callers get an error of
-// unknown outcome in place of a connection that closes without a response.
-func (g *Gateway) EndUnanswered() {
+// EndUnanswered ends the attempts of all requests to which their targets have sent no response, and EndDeferred those of all
+// streams whose responses are deferred. Their callers get an error of unknown outcome in place of a connection that closes without a
+// response.
+func (g *Gateway) EndUnanswered() { g.endAttempts(false) }
+
+// EndDeferred is described at EndUnanswered. It returns the number of such streams.
+func (g *Gateway) EndDeferred() int { return g.endAttempts(true) }
+
+// endAttempts ends the attempts of all calls of whose responses nothing has been sent and that are, or are not, deferred.
+func (g *Gateway) endAttempts(deferred bool) int {
 	g.inHand.mu.Lock()
 	defer g.inHand.mu.Unlock()
+	n := 0
 	for c := range g.inHand.calls {
-		c.endUnanswered()
+		if c.isDeferred() == deferred && c.endUnanswered() {
+			n++
+		}
 	}
+	return n
+}
+
+func (c *call) isDeferred() bool {
+	c.state.mu.Lock()
+	defer c.state.mu.Unlock()
+	return c.latest.deferred.holds.Load()
 }
 
-func (c *call) endUnanswered() {
+func (c *call) endUnanswered() bool {
 	c.state.mu.Lock()
 	defer c.state.mu.Unlock()
-	if c.state.phase == phaseRunning && !c.written.Load() {
-		c.endAttempts(errHostStopped)
+	if c.state.phase != phaseRunning || c.written.Load() {
+		return false
 	}
+	c.endAttempts(errHostStopped)
+	return true
 }
 
 func (c *call) markCut() {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -27,6 +27,7 @@
 	timeout := a.streamTimeout()
 	watchdog := time.AfterFunc(timeout, func() { a.cancel(errStreamTimeout) })
 	defer watchdog.Stop()
+	a.deferred.limit = decision.Stop
 	a.placement.target, a.placement.response = decision.To, resp
 	a.placement.finishedMoves = make(chan *move, 1)
 	if a.gateway.copier != nil {
@@ -135,9 +136,12 @@
 	}
 	a.recordProgress(a.events.eventCount - before)
 	a.lastEvent.Store(int64(a.events.last))
+	if a.mustDefer() {
+		a.deferred.add(resp, complete)
+		return true
+	}
 	if !a.written.Load() {
-		a.copyHeader(resp.Header)
-		a.writeHeader(resp.StatusCode)
+		complete = a.beginStream(resp, complete)
 	}
 	limitWrite(control)
 	defer a.recordCallerWait(time.Now())
@@ -188,24 +192,25 @@
 
 // endStream completes the caller's response after the target has completed the stream.
 func (a *attempt) endStream(resp *http.Response) relay.Result {
+	last := a.events.partial
 	if !a.written.Load() {
-		a.copyHeader(resp.Header)
-		a.writeHeader(resp.StatusCode)
+		last = a.beginStream(resp, last)
 	}
 	// The limit of the last event may have passed, and applies to the end of the response as well.
 	limitWrite(http.NewResponseController(a.w))
 	// Blank lines and comments after the last event are forwarded unchanged.
-	_, _ = delivered{a.call}.Write(a.events.partial) // which records an error
+	_, _ = delivered{a.call}.Write(last) // which records an error
 	return a.completeResult()
 }
 
 // brokenResult returns the result of a stream that failed with err. The target may have executed
 // the request.
 func (a *attempt) brokenResult(ctx context.Context, err error) relay.Result {
-	r := failedResult(ctx, err)
-	r.DeliveredTokens = a.events.eventCount * a.tokensPerEvent
-	if a.written.Load() && r.DeliveredTokens == 0 {
-		r.DeliveredTokens = 1
+	r, tokens := failedResult(ctx, err), a.events.eventCount*a.tokensPerEvent
+	if a.written.Load() {
+		r.DeliveredTokens = max(tokens, 1)
+	} else {
+		r.WithheldTokens = tokens
 	}
 	r.Certainty = target.CertaintyUnknown
 	return r
--- a/host/request.go
+++ b/host/request.go
@@ -135,7 +135,7 @@
 		}
 		r.host.log.Emit(event.RequestFailed, fields)
 		r.host.Post(dispatch.AttemptFailed{
-			ID: r.ID, Certainty: result.Certainty, Delivered: result.DeliveredTokens > 0, Tokens: result.DeliveredTokens, Rebooted: result.Rebooted, Ended: result.TargetEnded,
+			ID: r.ID, Certainty: result.Certainty, Delivered: result.DeliveredTokens > 0, Tokens: result.DeliveredTokens + result.WithheldTokens, Rebooted: result.Rebooted, Ended: result.TargetEnded,
 			Unsent: result.Unsent, Answered: result.TargetFailed, RetryAfter: result.RetryAfter, Attempt: a.Number, PathLost: result.PathLost,
 		})
 		r.reportStreams()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -54,6 +54,7 @@
 		Rebooted        bool             // the engine has restarted since the generation was started
 		LongestPause    time.Duration    // longest time between two events of a stream; 0 if it is not known
 		DeliveredTokens int              // number of tokens for the caller, including those before a resume; 1 if part of a response without tokens was sent
+		WithheldTokens  int              // number of tokens that the target has sent and the caller does not get
 		Cause           error            // of a failed attempt; logged
 		Unsent          bool             // no byte of the request has been sent
 		TargetFailed    bool             // the target responded with an error status
