peer: a host that relays says when it ends, so that streams through it begin only if they end before

Cause: the relaying host compares the time for which a connection is needed with what is left once, as it opens; that time holds the queue or a silence, not both, and the other host does not know the end.

Change: Connected has a new field, left: the time until the host, or one behind it, ends. The stream's limit is that end, so that its response is deferred as at a stopping host; a connection that ends before leaves 502 in place of a part. No more connections are refused.

--- a/detour/network.go
+++ b/detour/network.go
@@ -49,6 +49,12 @@
 		Via string // name of the other host
 	}
 
+	// endingConn is a connection through a host that stops.
+	endingConn struct {
+		net.Conn
+		end time.Time
+	}
+
 	// connector opens connections to a target through other hosts; see Relay.Connect.
 	connector struct {
 		relay Relay
@@ -78,6 +84,29 @@
 
 var errNotAsked = eris.New("no other host was asked")
 
+// WithEnd returns c as a connection that ends at the given time, at which a host that relays it stops. A zero time means that
+// none stops.
+func WithEnd(c net.Conn, end time.Time) net.Conn {
+	if end.IsZero() {
+		return c
+	}
+	return &endingConn{c, end}
+}
+
+// EndOf returns the time at which a connection ends because a host that relays it stops, or the zero time if none does.
+func EndOf(c net.Conn) time.Time {
+	if r, ok := c.(interface{ End() time.Time }); ok {
+		return r.End()
+	}
+	return time.Time{}
+}
+
+// End returns the time at which the connection ends; see EndOf.
+func (c *endingConn) End() time.Time { return c.end }
+
+// End returns the time at which the connection ends because another host stops; see EndOf.
+func (c *Conn) End() time.Time { return EndOf(c.Conn) }
+
 // NewNetwork returns a network that opens connections on n, and through other hosts after SetRelay.
 func NewNetwork(n network.Network, log *event.Log) *Network { return &Network{Network: n, log: log} }
 
--- a/dispatch/stop_limit.go
+++ b/dispatch/stop_limit.go
@@ -3,12 +3,12 @@
 import "time"
 
 type (
-	// A StopLimit is what the end of the host means for a stream that was dispatched while the host stops: its response is
-	// not to begin before it is sure to be complete by then. The zero value sets no limit.
+	// A StopLimit is what the end of a host that stops, this one or one that relays its connection, means for a stream that was
+	// dispatched since: its response is not to begin before it is sure to be complete by then. The zero value sets no limit.
 	StopLimit struct {
-		Until    time.Time     // end of the host
-		Tokens   int           // limit of the stream's output
-		Interval time.Duration // longest time between tokens that was assumed when the stream was accepted
+		Until    time.Time     // end of the host; zero if none stops
+		Tokens   int           // limit of the stream's output; 0 if it has none
+		Interval time.Duration // longest time between tokens that is assumed
 	}
 
 	// StreamPace is what has arrived of a stream.
@@ -55,11 +55,23 @@
 	return time.Duration(max(l.Tokens-p.Tokens, 0)) * interval
 }
 
+// Before returns the limit of a stream whose connection to its target ends at the given time. A zero time changes nothing.
+func (l StopLimit) Before(end time.Time) StopLimit {
+	if l.Tokens > 0 && !end.IsZero() && (l.Until.IsZero() || end.Before(l.Until)) {
+		l.Until = end
+	}
+	return l
+}
+
 // stopLimit returns the StopLimit of a stream that is dispatched to t.
 func (r *Reducer) stopLimit(q *request, t *targetState) StopLimit {
 	tokens := max(q.maxOutput, q.knownOutput)
-	if !r.stopping || r.stopDeadline == 0 || q.plain || tokens == 0 {
+	if q.plain || tokens == 0 {
 		return StopLimit{}
 	}
-	return StopLimit{Until: r.epoch.Add(r.stopDeadline), Tokens: min(tokens, maxRunTokens), Interval: r.slowInterval(t)}
+	l := StopLimit{Tokens: min(tokens, maxRunTokens), Interval: r.slowInterval(t)}
+	if r.stopping && r.stopDeadline > 0 {
+		l.Until = r.epoch.Add(r.stopDeadline)
+	}
+	return l
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -101,7 +101,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	a.cancel = cancel
-	ctx = traceRelay(ctx, a.setVia)
+	a.deferred.limit = decision.Stop // no other goroutine has the attempt yet
+	ctx = traceRelay(ctx, a.setPath)
 	stop := a.limitDuration()
 	sent := time.Now()
 	if err := a.withhold(decision.To); err != nil {
@@ -144,16 +145,16 @@
 	return a.forwardBuffered(ctx, resp, sent)
 }
 
-// traceRelay returns a context for one request that calls setVia with the host through which its connection goes, if not
-// directly.
-func traceRelay(ctx context.Context, setVia func(string)) context.Context {
+// traceRelay returns a context for one request that calls setPath with the connection to its target, if that goes through another
+// host.
+func traceRelay(ctx context.Context, setPath func(*detour.Conn)) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		c := info.Conn
 		if inner, ok := c.(interface{ NetConn() net.Conn }); ok {
 			c = inner.NetConn()
 		}
 		if d, ok := c.(*detour.Conn); ok {
-			setVia(d.Via)
+			setPath(d)
 		}
 	}})
 }
--- a/gateway/deferred.go
+++ b/gateway/deferred.go
@@ -8,11 +8,11 @@
 	"github.com/wigeonlink/wigeonlink/dispatch"
 )
 
-// deferredStart holds the beginning of a stream on a stopping host back until the stream is sure to end before the host
-// does, or has ended: until then its caller can still get an error in place of a part of the response. The zero value defers nothing.
+// deferredStart holds the beginning of a stream back until the stream is sure to end before a stopping host does, this one or
+// one that relays its connection, or has ended: until then its caller can still get an error in place of a part of the response. The zero value defers nothing.
 type deferredStart struct {
-	limit    dispatch.StopLimit
-	response *http.Response // with the status and header of the response; nil if nothing is held back
+	limit    dispatch.StopLimit // guarded by callPhase.mu
+	response *http.Response     // with the status and header of the response; nil if nothing is held back
 	events   []byte
 	first    time.Time     // arrival of the first event; zero before it
 	early    int           // events that arrived with the first one
@@ -31,8 +31,11 @@
 // mustDefer reports whether the events of the stream, of which the latest have just arrived, are held back. Events whose caller would
 // leave meanwhile are not.
 func (a *attempt) mustDefer() bool {
-	d := &a.deferred
-	if a.written.Load() || d.limit.Until.IsZero() || len(d.events) >= maxDeferredBytes {
+	if a.written.Load() {
+		return false
+	}
+	d, limit := &a.deferred, a.startLimit()
+	if limit.Until.IsZero() || len(d.events) >= maxDeferredBytes {
 		return false
 	}
 	now := time.Now()
@@ -42,11 +45,24 @@
 	pace := dispatch.StreamPace{
 		Tokens: a.events.eventCount * a.tokensPerEvent, Later: (a.events.eventCount - d.early) * a.tokensPerEvent, Elapsed: now.Sub(d.first),
 	}
-	if d.limit.EndsInTime(now, pace) {
+	if limit.EndsInTime(now, pace) {
 		return false
 	}
 	left := a.streamPatience() - deferralReserve - now.Sub(a.started)
-	return left <= 0 || d.limit.Deferral(now, pace) <= left
+	return left <= 0 || limit.Deferral(now, pace) <= left
+}
+
+// limitStart records that the connection of the stream ends at the given time, if that is not zero.
+func (a *attempt) limitStart(end time.Time) {
+	a.state.mu.Lock()
+	defer a.state.mu.Unlock()
+	a.deferred.limit = a.deferred.limit.Before(end)
+}
+
+func (a *attempt) startLimit() dispatch.StopLimit {
+	a.state.mu.Lock()
+	defer a.state.mu.Unlock()
+	return a.deferred.limit
 }
 
 // add holds events of a response back.
--- a/gateway/in_hand.go
+++ b/gateway/in_hand.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wigeonlink/wigeonlink/answer"
+	"github.com/wigeonlink/wigeonlink/detour"
 	"github.com/wigeonlink/wigeonlink/event"
 	"github.com/wigeonlink/wigeonlink/network"
 )
@@ -260,10 +261,12 @@
 	return a.placement.currentMove != nil
 }
 
-func (a *attempt) setVia(via string) {
+// setPath records that the connection to the target goes through another host.
+func (a *attempt) setPath(c *detour.Conn) {
+	a.limitStart(c.End())
 	a.state.mu.Lock()
 	defer a.state.mu.Unlock()
-	a.via = via
+	a.via = c.Via
 }
 
 // recordWriteError records the first error of a write to the caller.
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/wigeonlink/wigeonlink/detour"
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/event"
 	"github.com/wigeonlink/wigeonlink/network"
@@ -350,7 +351,10 @@
 	decision := dispatch.Effect{Target: engine.Name, To: engine, Priority: m.effect.Priority, Backup: m.effect.Backup}
 	sent := time.Now()
 	via := ""
-	ctx = traceRelay(ctx, func(host string) { via = host })
+	ctx = traceRelay(ctx, func(c *detour.Conn) {
+		via = c.Via
+		a.limitStart(c.End())
+	})
 	resp, err := a.gateway.transport.RoundTrip(a.newRequest(ctx, decision, &point))
 	if !timer.Stop() && err == nil {
 		resp.Body.Close()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -27,7 +27,6 @@
 	timeout := a.streamTimeout()
 	watchdog := time.AfterFunc(timeout, func() { a.cancel(errStreamTimeout) })
 	defer watchdog.Stop()
-	a.deferred.limit = decision.Stop
 	a.placement.target, a.placement.response = decision.To, resp
 	a.placement.finishedMoves = make(chan *move, 1)
 	if a.gateway.copier != nil {
--- a/host/relay.go
+++ b/host/relay.go
@@ -71,7 +71,16 @@
 		h.inFlight.done()
 		return nil, nil, err
 	}
-	return c, h.inFlight.done, nil
+	return h.withEnd(c), h.inFlight.done, nil
+}
+
+// withEnd returns c as a connection that ends when this host stops, if it stops before the hosts through which c goes.
+func (h *Host) withEnd(c net.Conn) net.Conn {
+	end := h.drainUntil.Load()
+	if other := detour.EndOf(c); end == nil || !other.IsZero() && other.Before(*end) {
+		return c
+	}
+	return detour.WithEnd(c, *end)
 }
 
 func (h *Host) connectForPeer(ctx context.Context, to netip.AddrPort, further bool) (net.Conn, error) {
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -170,7 +170,10 @@
 		_ = c.Close()
 		return nil, err
 	}
-	return c, nil
+	if reply.Left == 0 {
+		return c, nil
+	}
+	return detour.WithEnd(c, time.Now().Add(time.Duration(reply.Left)*time.Millisecond)), nil
 }
 
 // writeMessage writes a Connect, after the mark by which a stream is recognised, or a Connected.
@@ -234,7 +237,11 @@
 	}
 	defer release()
 	defer c.Close()
-	if writeMessage(s, &wire.Connected{}) != nil {
+	reply := &wire.Connected{}
+	if end := detour.EndOf(c); !end.IsZero() {
+		reply.Left = uint32(max(time.Until(end).Milliseconds(), 1))
+	}
+	if writeMessage(s, reply) != nil {
 		s.CancelWrite(codeReset)
 		return
 	}
