dispatch: count with the queue of a plain service and with a silence when a host stops

Callers of plain services at a stopping host: a call that was held at the signal was dispatched to a service that keeps calls in its queue until nothing was left for the queue, and got 502, its work lost; one through a host that stops was cut off if it took longer than 2 s, as its host asked for no time. New calls were refused for their deadline, although calls there take a tenth of a second.

Cause: of plain services nothing is recorded; the bounds are the caller's deadline, three times the objective and 1.2 s, and 2 s at a relay.

Change: each target records how long calls have recently taken, as engines' waits are. A stopping host leaves that time, or three times the objective if it is longer, and a silence of 1.2 s, for held calls, retries and connections that a peer asks for. A new call whose deadline is after the stop is accepted if it ends by that measure at a service that is known, as its response is forwarded when it is whole.

TestQueueOfServiceDoesNotCountAtStop and TestRelayedCallLastsLongerThanRelay fail before: a call with 3.5 s left is dispatched to a queue of 2.5 s; quick calls are refused with 1.8 s left; a relayed call asks for 0 s.

--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -315,6 +315,7 @@
 		return
 	}
 	r.counts.Ended++
+	r.recordCall(q)
 	r.dropSecond(q, true)
 	if q.mayRepeat() {
 		r.hedges.Observe(q.hedgeKey(), e.Took)
--- a/dispatch/start_wait.go
+++ b/dispatch/start_wait.go
@@ -4,8 +4,8 @@
 
 type (
 	// startWaits records how long streams have recently waited for their first token beside the time in which their own
-	// prompts were computed: in the queue of an engine, and behind the prompts that other hosts have sent there. The zero
-	// value is ready for use.
+	// prompts were computed: in the queue of an engine, and behind the prompts that other hosts have sent there. For a plain
+	// service it records how long calls have taken. The zero value is ready for use.
 	startWaits struct {
 		current, previous waitSpan
 		latest            time.Duration // time of the latest record
@@ -17,9 +17,10 @@
 		longest time.Duration
 	}
 
-	// stopWaits holds the waits of a pool's streams that a stopping host counts on.
+	// stopWaits holds the waits of a pool's requests that a stopping host counts on.
 	stopWaits struct {
 		at       time.Duration // time of the latest refreshStopWaits; 0 means never
+		known    bool          // whether the wait at a target that accepts work is recorded
 		shortest time.Duration // at the target with the shortest wait, of those that accept work; the longest of all if none does
 	}
 )
@@ -60,6 +61,14 @@
 	return max(since-time.Duration(q.pendingPrefill)*r.options.prefillPerToken, 0)
 }
 
+// recordCall records how long a call of a plain service has taken that has ended. Which attempt has responded is not known of
+// one that has two.
+func (r *Reducer) recordCall(q *request) {
+	if q.plain && q.extra == nil && !q.secondOnly {
+		q.target.startWaits.record(r.now-q.dispatchedAt, r.now)
+	}
+}
+
 // recordStart records the wait of q, whose first token has arrived at the given time, at its target. A stream that runs on from
 // a copy is not counted: engines admit it first.
 func (r *Reducer) recordStart(q *request, at time.Duration) {
@@ -69,8 +78,8 @@
 }
 
 // refreshStopWaits evaluates, at most once in stopWaitsRefresh, how long streams of a pool wait at each target for
-// their first token. A stream that still waits, longer than those that have begun there, is assumed to wait for another
-// stopSilence. A target at which no stream has begun is assumed to have the longest wait of the pool.
+// their first token, or calls for their end. A request that still waits, longer than those before it, is assumed to wait for another
+// stopSilence. A target without a record is assumed to have the longest wait of the pool.
 func (r *Reducer) refreshStopWaits(p *pool) {
 	if p.stopWaits.at != 0 && r.now-p.stopWaits.at < stopWaitsRefresh {
 		return
@@ -84,32 +93,34 @@
 		}
 		longest = max(longest, t.stopWait)
 	}
-	shortest := longest
+	next := stopWaits{at: max(r.now, 1), shortest: longest}
 	for _, t := range p.targets {
-		if _, known := t.startWaits.longest(r.now); !known {
+		_, known := t.startWaits.longest(r.now)
+		if !known {
 			t.stopWait = longest
 		}
 		if t.acceptsWork(r.now, 0) {
-			shortest = min(shortest, t.stopWait)
+			next.shortest, next.known = min(next.shortest, t.stopWait), next.known || known
 		}
 	}
-	p.stopWaits = stopWaits{at: max(r.now, 1), shortest: shortest}
+	p.stopWaits = next
 }
 
-// pendingWaits returns the longest time for which a stream of this host in the pool waits for its first token, by target.
+// pendingWaits returns the longest time for which a stream of this host in the pool waits for its first token, or a call for its
+// end, by target.
 func (r *Reducer) pendingWaits(p *pool) map[*targetState]time.Duration {
 	waits := map[*targetState]time.Duration{}
 	for _, q := range r.requests {
-		if q.target != nil && q.pool == p && !q.plain && q.remote == nil && q.lastToken == 0 {
+		if q.target != nil && q.pool == p && q.remote == nil && q.lastToken == 0 {
 			waits[q.target] = max(waits[q.target], r.startWait(q, r.now-q.dispatchedAt))
 		}
 	}
 	return waits
 }
 
-// queueWait returns the time for which a stream is assumed to wait for the computation of its prompt at t or, if t is nil,
-// at the pool's target with the shortest wait. It is 0 if the host does not stop: only then are the waits of streams
-// that have no token yet evaluated.
+// queueWait returns the time for which a stream is assumed to wait for the computation of its prompt, or a call to take, at t or, if
+// t is nil, at the pool's target with the shortest wait. It is 0 if the host does not stop: only then are the waits of
+// requests that have no token yet evaluated.
 func (r *Reducer) queueWait(p *pool, t *targetState) time.Duration {
 	if !r.stopping || p == nil {
 		return 0
--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -44,12 +45,23 @@
 		return false
 	}
 	if e.Plain {
-		return !e.CallerDeadline.IsZero() && r.sinceEpoch(e.CallerDeadline) <= r.stopDeadline
+		return !e.CallerDeadline.IsZero() && r.sinceEpoch(e.CallerDeadline) <= r.stopDeadline || r.callEndsBeforeStop(e)
 	}
 	run := r.RunEstimate(e)
 	return run > 0 && r.now <= r.stopDeadline-run
 }
 
+// callEndsBeforeStop reports whether a call ends before the host stops, by the time that calls of its pool have recently taken on
+// this host. It is false if that is not known.
+func (r *Reducer) callEndsBeforeStop(e Submit) bool {
+	p := r.pools[e.Pool]
+	if p == nil {
+		return false
+	}
+	longest := r.longestCall(p, cmp.Or(e.FirstTokenObjective, defaultFirstTokenObjective), nil)
+	return p.stopWaits.known && r.now <= r.stopDeadline-longest
+}
+
 // RunEstimate returns the time from the dispatch of a stream to its end that is assumed when the host stops, or 0 if
 // the length of its output has no limit.
 func (r *Reducer) RunEstimate(e Submit) time.Duration {
@@ -61,7 +73,7 @@
 }
 
 // latestStart returns the latest time at which a request can be dispatched to t, or to any target if t is nil, and end
-// before the host stops. A call whose deadline is later is assumed to take stopSlowdown times its objective. The result is
+// before the host stops. The result is
 // math.MaxInt64 if the host does not stop, or at no known time.
 func (r *Reducer) latestStart(q *request, t *targetState) time.Duration {
 	if !r.stopping || r.stopDeadline == 0 {
@@ -71,7 +83,7 @@
 		if q.hasDeadline && q.callerDeadline <= r.stopDeadline {
 			return math.MaxInt64
 		}
-		return r.stopDeadline - stopSlowdown*q.firstTokenObjective - stopSilence
+		return r.stopDeadline - r.longestCall(q.pool, q.firstTokenObjective, t)
 	}
 	tokens := max(q.maxOutput, q.knownOutput)
 	switch {
@@ -95,6 +107,13 @@
 	return runTime(tokens, prompt, interval, stopSlowdown*r.options.prefillPerToken) + max(stopSilence, r.queueWait(p, t))
 }
 
+// longestCall returns the assumed longest time from the dispatch of a call of a plain service to its end, at t or, if t is nil,
+// at the target of the pool p with the shortest response time: as long as calls have recently taken there, but at least
+// stopSlowdown times the objective, and a silence.
+func (r *Reducer) longestCall(p *pool, objective time.Duration, t *targetState) time.Duration {
+	return max(stopSlowdown*objective, r.queueWait(p, t)) + stopSilence
+}
+
 // slowInterval returns the longest time between tokens that is assumed at t.
 func (r *Reducer) slowInterval(t *targetState) time.Duration {
 	return max(stopSlowdown*r.options.stepBase, t.tokenInterval.At(t.totalDemand(r.now).Streams+1))
@@ -106,13 +125,17 @@
 }
 
 // usualRun returns the time from the dispatch of a stream to t to its end at the limit of its output, at the speed that
-// streams have there and after the wait that they recently had, or 0 if the output has no limit.
+// streams have there and after the wait that they recently had, or 0 if the output has no limit. For a call of a plain service it
+// is that of longestCall.
 func (r *Reducer) usualRun(q *request, t *targetState) time.Duration {
+	wait, _ := t.startWaits.longest(r.now)
+	if q.plain {
+		return max(stopSlowdown*q.firstTokenObjective, wait) + stopSilence
+	}
 	tokens := max(q.maxOutput, q.knownOutput)
-	if q.plain || tokens == 0 {
+	if tokens == 0 {
 		return 0
 	}
-	wait, _ := t.startWaits.longest(r.now)
 	return runTime(tokens, q.prompt, t.tokenInterval.At(t.totalDemand(r.now).Streams+1), r.options.prefillPerToken) + max(stopSilence, wait)
 }
 
--- a/dispatch/stop_test.go
+++ b/dispatch/stop_test.go
@@ -226,3 +226,61 @@
 	f.requireStopping(2)
 	f.Check(f.effectOf(2).RetryAfter, qt.Equals, stoppingRetryAfter)
 }
+
+// callTo submits a call of the plain service whose deadline is after the stop, and returns the decision.
+func (f *fleetTest) callTo(id ID) *Effect {
+	f.reduce(0, Submit{
+		ID: id, Organisation: "one", Pool: "plain", Plain: true, NonIdempotent: true, FirstTokenObjective: 150 * time.Millisecond,
+		DispatchDeadline: f.now.Add(10 * time.Second), CallerDeadline: f.now.Add(40 * time.Second),
+	})
+	return f.effectOf(id)
+}
+
+// A call that a service keeps in its queue for seconds, and that was dispatched shortly before the stop, had an unknown outcome if the
+// service then fell silent for a second. Where calls are quick a stopping host accepts them whatever their deadline, and refused them.
+func TestQueueOfServiceDoesNotCountAtStop(t *testing.T) {
+	cases := map[string]struct {
+		took, left time.Duration
+		kind       EffectKind
+	}{
+		"quick, ends after a silence":         {100 * time.Millisecond, 1800 * time.Millisecond, EffectDispatch},
+		"quick, ends without a silence only":  {100 * time.Millisecond, 1500 * time.Millisecond, EffectRefuse},
+		"queued, ends after a silence":        {2500 * time.Millisecond, 3800 * time.Millisecond, EffectDispatch},
+		"queued, ends without a silence only": {2500 * time.Millisecond, 3500 * time.Millisecond, EffectRefuse},
+	}
+	for name, q := range cases {
+		for _, held := range []bool{false, true} {
+			f := newFleetTest(t, 0)
+			f.fleet["plain-0"] = table.Target{Name: "plain-0", Kind: table.TargetService, Service: "plain", Domain: "north", Slots: 24}
+			f.announceFleet(0)
+			f.callTo(1)
+			f.reduce(q.took, Ended{ID: 1})
+			const stop = 6 * time.Second
+			if held {
+				f.callTo(2)
+				f.reduce(0, AttemptFailed{ID: 2, Certainty: target.CertaintyNotRun, Answered: true, RetryAfter: stop - q.left})
+				f.callTo(3)
+			}
+			f.reduce(0, Stop{Until: f.now.Add(stop)})
+			f.reduce(stop-q.left, Tick{})
+			if !held {
+				f.callTo(3)
+			}
+			decision := f.effectOf(3)
+			comment := qt.Commentf("%s, held before: %t", name, held)
+			f.Assert(decision, qt.IsNotNil, comment)
+			f.Check(decision.Kind, qt.Equals, q.kind, comment)
+		}
+	}
+}
+
+// A host opens a connection for a peer's call only if the call ends before it stops: the time that the peer asks for contains the queue
+// of the service and a silence. It asked for no time, and calls were cut off that took longer than 2 s.
+func TestRelayedCallLastsLongerThanRelay(t *testing.T) {
+	f := newFleetTest(t, 0)
+	f.fleet["plain-0"] = table.Target{Name: "plain-0", Kind: table.TargetService, Service: "plain", Domain: "north", Slots: 24}
+	f.announceFleet(0)
+	f.Check(f.callTo(1).Run, qt.Equals, 450*time.Millisecond+stopSilence)
+	f.reduce(2500*time.Millisecond, Ended{ID: 1})
+	f.Check(f.callTo(2).Run, qt.Equals, 2500*time.Millisecond+stopSilence)
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -271,7 +271,7 @@
 }
 
 // needed returns the time for which the connection of an attempt may be in use, or 0 if nothing is known of it: for a
-// stream until its usual end, or until the deadline if its output has no limit. For a stream it is never 0, which stands for a
+// call or a stream until its usual end, or until the deadline if its output has no limit. For a stream it is never 0, which stands for a
 // connection to an engine that carries no request.
 func (c *call) needed(decision dispatch.Effect) time.Duration {
 	left := max(time.Until(c.deadline), time.Millisecond)
