gateway: say how long a resumed stream needs its connection

A stream that moves at a host whose connections go through another one was resumed through any host, one that stops included, and cut off at that host's end while others had a connection: a resumed stream asked for a millisecond.

Change: a move carries the time that the rest of its stream takes, with a silence. A connection for less time is asked for only if the stream goes through another host and none has one for that time, as a refusal would end a stream of which the caller has a part.

--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -30,7 +30,7 @@
 		Limit      TargetLimit       // Dispatch, Reserve, Limited: what is known of the target's limit
 		Own        bool              // Limited, Leaver: whether a response to this host has shown it
 		Brittle    bool              // Dispatch, Reserve: whether the target's pool has said that it is brittle
-		Run        time.Duration     // Dispatch: usual time until a call ends, or a stream at the limit of its output; 0 if it has none
+		Run        time.Duration     // Dispatch, Move: usual time until a call ends, or a stream at the limit of its output; 0 if it has none
 		Stop       StopLimit         // Dispatch: what the end of the host means for a stream
 		Fragility  PoolFragility     // Brittle: what is known of the pool
 		Lease      uint64            // Release: number of the lease
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -171,7 +171,7 @@
 	e := Effect{
 		Kind: EffectMove, ID: q.id, Target: q.target.spec.Name, To: t.spec, ToBackup: toBackup,
 		Priority: r.priority(q), Basis: basis,
-		At: r.epoch.Add(r.switchDeadline(q)),
+		At: r.epoch.Add(r.switchDeadline(q)), Run: r.resumedRun(q, t),
 	}
 	if q.nextBackup.target != nil {
 		e.Backup = q.nextBackup.target.spec
@@ -183,6 +183,16 @@
 	r.emit(e)
 }
 
+// resumedRun returns the time from the start of a stream at the destination of its move to its end at the limit of its output,
+// with a silence, or 0 if the output has no limit. Engines admit resumed streams first.
+func (r *Reducer) resumedRun(q *request, t *targetState) time.Duration {
+	tokens := max(q.maxOutput, q.knownOutput)
+	if tokens == 0 {
+		return 0
+	}
+	return runTime(max(tokens-q.tokens, 0), 0, t.tokenInterval.At(t.totalDemand(r.now).Streams+1), 0) + stopSilence
+}
+
 // endMove ends q's move, if one is in progress, and releases its reservations. It does not change
 // q's target.
 func (r *Reducer) endMove(q *request) {
--- a/dispatch/stop_test.go
+++ b/dispatch/stop_test.go
@@ -284,3 +284,14 @@
 	f.reduce(2500*time.Millisecond, Ended{ID: 1})
 	f.Check(f.callTo(2).Run, qt.Equals, 2500*time.Millisecond+stopSilence)
 }
+
+// The move of a stream says for how long the connection to its destination is needed, so that it is not opened through a host that
+// stops before.
+func TestMoveDoesNotSayHowLongItsStreamRuns(t *testing.T) {
+	f := newFleetTest(t, 2, WithBackupFraction(0))
+	from := f.startStream(1, 40)
+	f.announceLeaving(from)
+	moves := f.moveEffects()
+	f.Assert(moves, qt.HasLen, 1)
+	f.Check(moves[0].Run > 2160*7*time.Millisecond+stopSilence, qt.IsTrue, qt.Commentf("%s", moves[0].Run))
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -281,7 +281,7 @@
 	case !c.plainService && c.info.MaxOutputTokens == 0:
 		return left
 	case !c.plainService:
-		return time.Millisecond // a resumed stream, whose usual run is not known
+		return time.Millisecond // a resumed stream that is to go on through any host
 	}
 	return 0
 }
--- a/gateway/in_hand.go
+++ b/gateway/in_hand.go
@@ -269,6 +269,13 @@
 	a.via = c.Via
 }
 
+// isRelayed reports whether the connection of the attempt goes through another host.
+func (a *attempt) isRelayed() bool {
+	a.state.mu.Lock()
+	defer a.state.mu.Unlock()
+	return a.via != ""
+}
+
 // recordWriteError records the first error of a write to the caller.
 func (c *call) recordWriteError(err error) {
 	if c.failedWrite == nil {
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -348,14 +348,14 @@
 	if err := a.withhold(engine); err != nil {
 		return nil, eris.Wrap(errResumeRejected, err.Error())
 	}
-	decision := dispatch.Effect{Target: engine.Name, To: engine, Priority: m.effect.Priority, Backup: m.effect.Backup}
+	decision := dispatch.Effect{Target: engine.Name, To: engine, Priority: m.effect.Priority, Backup: m.effect.Backup, Run: m.effect.Run}
 	sent := time.Now()
 	via := ""
 	ctx = traceRelay(ctx, func(c *detour.Conn) {
 		via = c.Via
 		a.limitStart(c.End())
 	})
-	resp, err := a.gateway.transport.RoundTrip(a.newRequest(ctx, decision, &point))
+	resp, err := a.sendResumed(ctx, decision, &point)
 	if !timer.Stop() && err == nil {
 		resp.Body.Close()
 		return nil, errResumeFailed
@@ -381,6 +381,17 @@
 	return resp, nil
 }
 
+// sendResumed sends the request. A connection through a host that may stop before the stream ends is used only if there is no other:
+// the caller has a part of the stream already.
+func (a *attempt) sendResumed(ctx context.Context, decision dispatch.Effect, point *ResumePoint) (*http.Response, error) {
+	resp, err := a.gateway.transport.RoundTrip(a.newRequest(ctx, decision, point))
+	if decision.Run > 0 && a.isRelayed() && target.Unsent(err) && ctx.Err() == nil {
+		decision.Run = 0
+		return a.gateway.transport.RoundTrip(a.newRequest(ctx, decision, point))
+	}
+	return resp, err
+}
+
 // completeMove prepares the stream for the response of the engine that resumed it. If atSource is
 // set, that is the source engine, and the move is reported as failed. Otherwise completeMove
 // records to as the stream's engine and reports the move as successful.
