dispatch: move a stream of a stopping host only where it ends in time

At a stopping host a stream was moved off a leaving target that outlives the host, and to the engine of the lowest cost, also if the stream does not end there before the stop while it would at another one.

Change: a stream stays at a leaving target that is expected to run until the host has stopped; among destinations those go first at which the rest of the stream, with a silence, ends in time.

TestStreamMovesAlthoughItsHostEndsFirst and TestStreamMovesToEngineAtWhichItOutlastsStop fail before.

--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -125,8 +125,8 @@
 // chooseFromSubset is chooseWithin restricted to a subset of about choices targets of each
 // failure domain. The subset depends on the request and the host: many hosts have the same,
 // slightly stale view of the targets, and would all pick the same target if they scored all.
-// It also sets r.basis. While the host stops, a target at which a held request would not end in time is chosen only if there
-// is no other one.
+// It also sets r.basis. While the host stops, a target at which a held request, or a stream that moves, would not end in time is
+// chosen only if there is no other one.
 func (r *Reducer) chooseFromSubset(q *request, shareExcess, tolerance float64, choices int) *targetState {
 	ts := q.pool.targets
 	n := len(ts)
@@ -156,7 +156,7 @@
 		if ok {
 			r.basis.TargetsWithCapacity++
 		}
-		if ok && q.phase == phaseHeld && r.latestStart(q, t) < r.now {
+		if ok && r.outlastsStop(q, t) {
 			outlasting = t
 			continue
 		}
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -131,6 +131,9 @@
 	if !q.target.leaving {
 		return r.shouldEvacuate(q)
 	}
+	if end := q.target.leavingNoticeAt + minLeavingNotice; r.stopping && r.stopDeadline > 0 && q.remote == nil && r.stopDeadline <= end {
+		return false // the host ends before the target: the move would only delay the stream
+	}
 	return r.remainingTime(q) >= time.Duration(finishInPlaceFraction*float64(q.target.leavingNoticeAt+minLeavingNotice-r.now))
 }
 
--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -139,6 +139,19 @@
 	return runTime(tokens, q.prompt, t.tokenInterval.At(t.totalDemand(r.now).Streams+1), r.options.prefillPerToken) + max(stopSilence, wait)
 }
 
+// outlastsStop reports whether a held request that is dispatched to t, or a stream that moves there, would not end before the host
+// stops.
+func (r *Reducer) outlastsStop(q *request, t *targetState) bool {
+	switch {
+	case q.phase == phaseHeld:
+		return r.latestStart(q, t) < r.now
+	case !r.stopping || r.stopDeadline == 0 || q.plain || q.remote != nil:
+		return false
+	}
+	run := r.resumedRun(q, t)
+	return run > 0 && r.now+run > r.stopDeadline
+}
+
 // refuseOutlasting refuses the held requests of a pool that would not end before the host stops, so that their callers
 // have time at another host. It requests a Tick for the others.
 func (r *Reducer) refuseOutlasting(p *pool) {
--- a/dispatch/stop_test.go
+++ b/dispatch/stop_test.go
@@ -295,3 +295,40 @@
 	f.Assert(moves, qt.HasLen, 1)
 	f.Check(moves[0].Run > 2160*7*time.Millisecond+stopSilence, qt.IsTrue, qt.Commentf("%s", moves[0].Run))
 }
+
+// A stream moved off a leaving target that its host does not outlive, and ended too late for the pause of the move.
+func TestStreamMovesAlthoughItsHostEndsFirst(t *testing.T) {
+	for left, moves := range map[time.Duration]int{time.Second: 0, 8 * time.Second: 1} {
+		f := newFleetTest(t, 2, WithBackupFraction(0))
+		from := f.startStream(1, 2000)
+		f.reduce(0, Stop{Until: f.now.Add(left)})
+		f.announceLeaving(from)
+		f.Check(f.moveEffects(), qt.HasLen, moves, qt.Commentf("%s before the stop", left))
+	}
+}
+
+// A stream of a stopping host moved to an engine at which it did not end before the stop, as that has the lowest cost.
+func TestStreamMovesToEngineAtWhichItOutlastsStop(t *testing.T) {
+	f := newFleetTest(t, 3, WithBackupFraction(0))
+	slow := f.startStream(1, 0)
+	for n := range 50 {
+		f.reduce(200*time.Millisecond, Progress{Samples: []Sample{{ID: 1, Tokens: n + 1, LastToken: f.now.Add(200 * time.Millisecond)}}})
+	}
+	f.reduce(0, Ended{ID: 1})
+	from := f.startStream(2, 1600)
+	f.Assert(from, qt.Not(qt.Equals), slow)
+	other := ""
+	for name := range f.fleet {
+		if name != from && name != slow {
+			other = name
+		}
+	}
+	for id := range ID(10) { // makes the slow engine the cheaper one
+		f.reduce(0, Submit{ID: 10 + id, Organisation: "one", Pool: "model", NonIdempotent: true, Route: "reports", MaxOutputTokens: 2000, MaxAttempts: 1})
+	}
+	f.reduce(0, Stop{Until: f.now.Add(8 * time.Second)})
+	f.announceLeaving(from)
+	moves := f.moveEffects()
+	f.Assert(moves, qt.HasLen, 1)
+	f.Check(moves[0].To.Name, qt.Equals, other)
+}
