gateway: a panic of a handler does not leave its request in flight

Two causes, the second one the class: an addition to a length from outside before it is bounded, and the end of an attempt that only a normal return reports. The length is bounded first.

--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -25,9 +25,8 @@
 func (a *attempt) readBuffered(resp *http.Response) (data []byte, whole bool, err error) {
 	size := int64(firstBuffer)
 	if resp.ContentLength >= 0 {
-		size = resp.ContentLength + 1 // one more byte finds the end
+		size = min(resp.ContentLength, maxBufferedResponse) + 1 // one more byte finds the end
 	}
-	size = min(size, maxBufferedResponse+1)
 	for {
 		if len(data) == cap(data) {
 			if len(data) > maxBufferedResponse || !a.account.Hold(budget.Answer, size-int64(cap(data)), time.Now()) {
--- a/gateway/extra.go
+++ b/gateway/extra.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"runtime/debug"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -129,9 +130,15 @@
 		a.cancelRedundant(errRedundant)
 	}
 	go func() {
-		r := a.run(ctx, decision)
-		a.cancelRedundant(nil)
-		results <- attemptResult{a, decision.Basis.Attempt, r}
+		r := relay.Result{Ending: relay.EndFailed}
+		defer func() {
+			if p := recover(); p != nil { // on the goroutine of the call, net/http would recover it
+				r.Cause = eris.Errorf("panic: %v\n%s", p, debug.Stack())
+			}
+			a.cancelRedundant(nil)
+			results <- attemptResult{a, decision.Basis.Attempt, r}
+		}()
+		r = a.run(ctx, decision)
 	}()
 }
 
@@ -162,7 +169,7 @@
 		return true, answer.New(answer.KindCallerGone, "")
 	case errors.Is(r.Cause, errHostStopped) && r.Certainty != target.CertaintyNotRun && !c.written.Load():
 		// Not a failure of the target. Another attempt would not end before the host stops.
-		c.hostRequest.EndBeforeStop(r.Cause)
+		c.hostRequest.EndEarly(r.Cause)
 		return true, c.finalError(answer.Wrap(answer.KindUnknownOutcome, r.Cause, ""))
 	}
 	return !c.hostRequest.ReportAttempt(identity, r), nil
--- a/host/request.go
+++ b/host/request.go
@@ -3,9 +3,12 @@
 import (
 	"cmp"
 	"context"
+	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/wigeonlink/wigeonlink/answer"
 	"github.com/wigeonlink/wigeonlink/dispatch"
 	"github.com/wigeonlink/wigeonlink/event"
@@ -75,6 +78,19 @@
 	r.host.inFlight.done()
 }
 
+// EndOnPanic ends the request if the code that has submitted it panics, and panics again: the request would otherwise be in flight
+// for ever. Code that panics with http.ErrAbortHandler has reported the end itself. EndOnPanic must be deferred after Release.
+func (r *Request) EndOnPanic() {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if p != http.ErrAbortHandler {
+		r.EndEarly(eris.Errorf("panic: %v", p))
+	}
+	panic(p)
+}
+
 // WaitDecision waits for the reducer's next decision. It returns an EffectDispatch, an EffectExtra if the first attempt
 // failed after AttemptSlow was called, or an answer.Error if
 // the request is refused, ctx is done or the host has stopped. It must not be called while an
@@ -157,8 +173,8 @@
 	r.finish(dispatch.AbandonedByCaller{ID: r.ID})
 }
 
-// EndBeforeStop reports to the reducer that this host has ended the attempt for the given cause, as it is about to stop.
-func (r *Request) EndBeforeStop(cause error) {
+// EndEarly reports to the reducer that this host has ended the attempt for the given cause, which is not that of its target.
+func (r *Request) EndEarly(cause error) {
 	r.host.log.Emit(event.RequestFailed, event.Fields{Request: r.Name, Organisation: r.Submit.Organisation, Target: r.target, Detail: cause.Error()})
 	r.finish(dispatch.AbandonedByCaller{ID: r.ID})
 }
