event: shorten long texts of events

Cause by class: the number of events that are kept is bounded, and the length of their texts, which come from callers, targets, peers and the source, is not. All texts of an event are cut at 1 KiB, with their length, where it is emitted, before the ring and the log.

--- a/event/log.go
+++ b/event/log.go
@@ -85,10 +85,11 @@
 // Host returns the name of the host.
 func (l *Log) Host() string { return l.host }
 
-// Emit stores an event in the ring buffer. It writes the event to the logger if the logger's level
+// Emit stores an event in the ring buffer, with texts longer than 1 KiB shortened. It writes the event to the logger if the logger's level
 // and the rate limit permit, and reports suppressed lines at most once per reportInterval.
 func (l *Log) Emit(n Number, f Fields) {
 	k := kindByNumber[n]
+	f = f.bounded()
 	r := Record{Stamp: l.clock.Next(), Host: l.host, Number: n, Name: k.Name, Fields: f}
 	l.mu.Lock()
 	l.ring[l.emitted%uint64(len(l.ring))] = r
