soak: servers that queue and fall silent beside the stops

Sound servers keep requests in a queue for a time that changes (engines up to 4 s, plain services up to 0.5 s), and fall silent for 1 s at any moment, at most 2 s after another.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,6 +18,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/wigeonlink/wigeonlink/pause"
 	"github.com/wigeonlink/wigeonlink/platform/emulator"
 )
 
@@ -40,6 +41,7 @@
 	folder      string // of logs and settings
 	site        *emulator.Site
 	machines    []*machine
+	servers     []*emulator.Server
 	metricsPort uint16
 	pickAddress *rand.Rand // independent of the seed, so that runs side by side use different addresses
 	lastID      atomic.Uint32
@@ -55,6 +57,11 @@
 	readyTimeout = 20 * time.Second
 	warmUp       = 4 * time.Second // time under load before the first signal
 	maxStopping  = 3               // hosts that stop at the same time
+
+	maxCalm        = 2 * time.Second        // between two disturbances of servers
+	silence        = time.Second            // of a server
+	maxStreamQueue = 4 * time.Second        // of a model server
+	maxCallQueue   = 500 * time.Millisecond // of a plain server
 )
 
 // buildProgram returns the path of the program under test.
@@ -118,6 +125,7 @@
 			number++
 		}
 	}
+	go s.disturbServers(ctx, rand.New(rand.NewPCG(seed, 0)))
 	time.Sleep(warmUp)
 	s.stopHosts(rng, time.Now().Add(*runTime))
 	stopSending() // all requests to the processes that were stopped have ended
@@ -135,8 +143,9 @@
 func (s *soak) configure(c *qt.C, rng *rand.Rand) []callerGroup {
 	for _, domain := range domains {
 		for _, service := range []string{emulator.ModelService, emulator.CounterService} {
-			_, err := s.site.AddServer(service+"-"+domain, service, domain)
+			server, err := s.site.AddServer(service+"-"+domain, service, domain)
 			c.Assert(err, qt.IsNil)
+			s.servers = append(s.servers, server)
 		}
 	}
 	checkTimeout := time.Duration(6+2*rng.IntN(3)) * time.Second
@@ -205,6 +214,29 @@
 	}
 }
 
+// disturbServers makes sound servers fall silent, each at any moment, and keep requests in their queues for a time that changes, until
+// ctx is done.
+func (s *soak) disturbServers(ctx context.Context, rng *rand.Rand) {
+	for pause.For(ctx, time.Duration(rng.Int64N(int64(maxCalm)))) {
+		server := s.servers[rng.IntN(len(s.servers))]
+		if rng.IntN(2) == 0 {
+			s.note("%s falls silent for %s", server.ID, silence)
+			server.FallSilent(silence)
+			continue
+		}
+		longest := maxCallQueue
+		if server.Service == emulator.ModelService {
+			longest = maxStreamQueue
+		}
+		queue := time.Duration(rng.Int64N(int64(longest)))
+		if rng.IntN(2) == 0 {
+			queue = 0
+		}
+		s.note("%s has a queue of %s", server.ID, queue)
+		server.SetFault(emulator.ServerFault{Queue: queue})
+	}
+}
+
 // delayedSignal is a signal that a process gets some time after its SIGTERM.
 type delayedSignal struct {
 	after  time.Duration
