--- a/gateway/deferred.go
+++ b/gateway/deferred.go
@@ -9,15 +9,16 @@
 )
 
 // deferredStart holds the beginning of a stream back until the stream is sure to end before a stopping host does, this one or
-// one that relays its connection, or has ended: until then its caller can still get an error in place of a part of the response. The zero value defers nothing.
+// one that relays its connection, or has ended. Until then its caller can still get an error in place of a part of the
+// response. The zero value defers nothing.
 type deferredStart struct {
 	limit    dispatch.StopLimit // guarded by callPhase.mu
 	response *http.Response     // with the status and header of the response; nil if nothing is held back
-	events   []byte
-	first    time.Time     // arrival of the first event; zero before it
-	early    int           // events that arrived with the first one
-	duration time.Duration // for which the response was deferred
-	holds    atomic.Bool   // whether the response has not begun although events have arrived; safe for concurrent use
+	events   []byte             // events that are held back
+	first    time.Time          // arrival of the first event; zero before it
+	early    int                // events that arrived with the first one
+	duration time.Duration      // for which the response was deferred
+	holds    atomic.Bool        // whether the response has not begun although events have arrived; safe for concurrent use
 }
 
 const (
@@ -84,6 +85,6 @@
 	}
 	a.copyHeader(resp.Header)
 	a.writeHeader(resp.StatusCode)
-	d.holds.Store(false) // after writeHeader, see Gateway.EndUnanswered
+	d.holds.Store(false) // after writeHeader, so that endUnsent never takes the call for one without a response
 	return next
 }
--- a/gateway/in_hand.go
+++ b/gateway/in_hand.go
@@ -159,16 +159,15 @@
 	return values
 }
 
-// EndUnanswered ends the attempts of all requests to which their targets have sent no response, and EndDeferred those of all
-// streams whose responses are deferred. Their callers get an error of unknown outcome in place of a connection that closes without a
-// response.
-func (g *Gateway) EndUnanswered() { g.endAttempts(false) }
+// EndUnanswered ends the attempts of all requests to which their targets have sent no response. Their callers get an error of unknown
+// outcome in place of a connection that closes without a response.
+func (g *Gateway) EndUnanswered() { g.endUnsent(false) }
 
-// EndDeferred is described at EndUnanswered. It returns the number of such streams.
-func (g *Gateway) EndDeferred() int { return g.endAttempts(true) }
+// EndDeferred does the same for all streams whose responses are deferred, and returns their number.
+func (g *Gateway) EndDeferred() int { return g.endUnsent(true) }
 
-// endAttempts ends the attempts of all calls of whose responses nothing has been sent and that are, or are not, deferred.
-func (g *Gateway) endAttempts(deferred bool) int {
+// endUnsent ends the attempts of all calls to whose callers nothing has been sent and whose responses are, or are not, deferred.
+func (g *Gateway) endUnsent(deferred bool) int {
 	g.inHand.mu.Lock()
 	defer g.inHand.mu.Unlock()
 	n := 0
@@ -186,6 +185,7 @@
 	return c.latest.deferred.holds.Load()
 }
 
+// endUnanswered ends the attempts of the call if it has one and nothing has been sent to its caller, and reports whether it does.
 func (c *call) endUnanswered() bool {
 	c.state.mu.Lock()
 	defer c.state.mu.Unlock()
