--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -73,8 +73,7 @@
 }
 
 // latestStart returns the latest time at which a request can be dispatched to t, or to any target if t is nil, and end
-// before the host stops. The result is
-// math.MaxInt64 if the host does not stop, or at no known time.
+// before the host stops. The result is math.MaxInt64 if the host does not stop, or at no known time.
 func (r *Reducer) latestStart(q *request, t *targetState) time.Duration {
 	if !r.stopping || r.stopDeadline == 0 {
 		return math.MaxInt64
--- a/dispatch/stop_test.go
+++ b/dispatch/stop_test.go
@@ -237,7 +237,7 @@
 }
 
 // A call that a service keeps in its queue for seconds, and that was dispatched shortly before the stop, had an unknown outcome if the
-// service then fell silent for a second. Where calls are quick a stopping host accepts them whatever their deadline, and refused them.
+// service then sent nothing for a second. A stopping host refused calls whose deadline is after the stop although calls there end long before.
 func TestQueueOfServiceDoesNotCountAtStop(t *testing.T) {
 	cases := map[string]struct {
 		took, left time.Duration
