gateway: a panic while a stream is moved ends that stream, not the process

A panic on the goroutine that moves a stream (of code that reads what engines answer about copies) ended the process with all of its streams and calls: net/http recovers panics of handlers only, and the extra attempts of calls have a recover of their own.

Cause: runMoves ran without one.

Change: it recovers and ends the attempt. The stream does not go on at its source, as nothing shows then whether the generation was stopped for the move.

Evidence: TestPanicOfMoveEndsProcess (a panic of the first copies, and of the last one) ended the test process before, and passes now: the caller gets a part and an error, the host serves the next request and has none in flight.

--- a/gateway/extra.go
+++ b/gateway/extra.go
@@ -133,7 +133,7 @@
 		r := relay.Result{Ending: relay.EndFailed}
 		defer func() {
 			if p := recover(); p != nil { // on the goroutine of the call, net/http would recover it
-				r.Cause = eris.Errorf("panic: %v\n%s", p, debug.Stack())
+				r.Cause = panicError(p)
 			}
 			a.cancelRedundant(nil)
 			results <- attemptResult{a, decision.Basis.Attempt, r}
@@ -142,6 +142,9 @@
 	}()
 }
 
+// panicError returns the error of a recovered panic, with the stack of its goroutine.
+func panicError(p any) error { return eris.Errorf("panic: %v\n%s", p, debug.Stack()) }
+
 // identity returns the attempt in the form of the host's reports.
 func (r *attemptResult) identity() host.Attempt {
 	return host.Attempt{Number: r.number, Target: r.attempt.target, Took: r.attempt.took}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -89,8 +89,14 @@
 
 // runMoves executes the moves that the reducer requests, one at a time, until moving is
 // cancelled. Responses that it opens for the reader of the stream use the context streaming, and
-// so remain open after moving is cancelled.
+// so remain open after moving is cancelled. A panic ends the stream, as it is not known whether the
+// generation was stopped.
 func (a *attempt) runMoves(moving, streaming context.Context) {
+	defer func() {
+		if p := recover(); p != nil {
+			a.cancel(panicError(p))
+		}
+	}()
 	for {
 		select {
 		case <-moving.Done():
