dispatch, host: one place for what several functions of a stop repeat

No behaviour is meant to change. request.outputLimit, Reducer.nextInterval, stopTimeKnown and callTime replace sums and conditions that were written out up to five times; shouldMove works out the end of a leaving target once. Request.Release also does what EndOnPanic did, as all four callers deferred both. The tests of dispatch, host, api and gateway pass.

--- a/api/generation.go
+++ b/api/generation.go
@@ -106,7 +106,6 @@
 	}
 	g.hostRequest = d.host.Submit(submit)
 	defer g.hostRequest.Release()
-	defer g.hostRequest.EndOnPanic()
 	return g.run(w, r)
 }
 
@@ -334,7 +333,6 @@
 		Tokens:       position.Next,
 	})
 	defer g.hostRequest.Release()
-	defer g.hostRequest.EndOnPanic()
 	s := g.newResumedSink(w, last, c)
 	request := target.GenerationRequest{Generation: c.Generation, Model: c.Model}
 	_, err = g.attempt(r.Context(), engine, request, s, relay.WithResume(c.Boot, position.Next))
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -131,10 +131,11 @@
 	if !q.target.leaving {
 		return r.shouldEvacuate(q)
 	}
-	if end := q.target.leavingNoticeAt + minLeavingNotice; r.stopping && r.stopDeadline > 0 && q.remote == nil && r.stopDeadline <= end {
+	end := q.target.leavingNoticeAt + minLeavingNotice
+	if r.stopTimeKnown() && q.remote == nil && r.stopDeadline <= end {
 		return false // the host ends before the target: the move would only delay the stream
 	}
-	return r.remainingTime(q) >= time.Duration(finishInPlaceFraction*float64(q.target.leavingNoticeAt+minLeavingNotice-r.now))
+	return r.remainingTime(q) >= time.Duration(finishInPlaceFraction*float64(end-r.now))
 }
 
 // remainingTime returns the expected time until the end of a running stream.
@@ -189,11 +190,11 @@
 // resumedRun returns the time from the start of a stream at the destination of its move to its end at the limit of its output,
 // with a silence, or 0 if the output has no limit. Engines admit resumed streams first.
 func (r *Reducer) resumedRun(q *request, t *targetState) time.Duration {
-	tokens := max(q.maxOutput, q.knownOutput)
+	tokens := q.outputLimit()
 	if tokens == 0 {
 		return 0
 	}
-	return runTime(max(tokens-q.tokens, 0), 0, t.tokenInterval.At(t.totalDemand(r.now).Streams+1), 0) + stopSilence
+	return runTime(max(tokens-q.tokens, 0), 0, r.nextInterval(t), 0) + stopSilence
 }
 
 // endMove ends q's move, if one is in progress, and releases its reservations. It does not change
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -152,6 +152,9 @@
 	return q.curve.MeanRemaining(0, limit)
 }
 
+// outputLimit returns the largest number of tokens of a stream's output, or 0 if it has no limit.
+func (q *request) outputLimit() int { return max(q.maxOutput, q.knownOutput) }
+
 // allocateRequest returns a zero request, from the free list if possible.
 func (r *Reducer) allocateRequest() *request {
 	if n := len(r.freeRequests); n > 0 {
--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -37,6 +37,9 @@
 	}
 }
 
+// stopTimeKnown reports whether the host stops, at a known time.
+func (r *Reducer) stopTimeKnown() bool { return r.stopping && r.stopDeadline > 0 }
+
 // endsBeforeStop reports whether a new request is sure to end before the host stops if it is dispatched now. Load
 // balancers keep sending callers to a host for seconds after it has announced that it stops.
 // Requests that end in time are accepted; a stream that outlived the host would be cut off.
@@ -75,7 +78,7 @@
 // latestStart returns the latest time at which a request can be dispatched to t, or to any target if t is nil, and end
 // before the host stops. The result is math.MaxInt64 if the host does not stop, or at no known time.
 func (r *Reducer) latestStart(q *request, t *targetState) time.Duration {
-	if !r.stopping || r.stopDeadline == 0 {
+	if !r.stopTimeKnown() {
 		return math.MaxInt64
 	}
 	if q.plain {
@@ -84,7 +87,7 @@
 		}
 		return r.stopDeadline - r.longestCall(q.pool, q.firstTokenObjective, t)
 	}
-	tokens := max(q.maxOutput, q.knownOutput)
+	tokens := q.outputLimit()
 	switch {
 	case tokens == 0 && r.closed:
 		return math.MaxInt64 // the caller of such a host resumes the stream at another one
@@ -110,12 +113,22 @@
 // at the target of the pool p with the shortest response time: as long as calls have recently taken there, but at least
 // stopSlowdown times the objective, and a silence.
 func (r *Reducer) longestCall(p *pool, objective time.Duration, t *targetState) time.Duration {
-	return max(stopSlowdown*objective, r.queueWait(p, t)) + stopSilence
+	return callTime(objective, r.queueWait(p, t))
+}
+
+// callTime returns the assumed longest time of a call, given the longest time that calls have recently taken.
+func callTime(objective, longest time.Duration) time.Duration {
+	return max(stopSlowdown*objective, longest) + stopSilence
 }
 
 // slowInterval returns the longest time between tokens that is assumed at t.
 func (r *Reducer) slowInterval(t *targetState) time.Duration {
-	return max(stopSlowdown*r.options.stepBase, t.tokenInterval.At(t.totalDemand(r.now).Streams+1))
+	return max(stopSlowdown*r.options.stepBase, r.nextInterval(t))
+}
+
+// nextInterval returns the time between tokens at t when one more stream runs there.
+func (r *Reducer) nextInterval(t *targetState) time.Duration {
+	return t.tokenInterval.At(t.totalDemand(r.now).Streams + 1)
 }
 
 // runTime returns the time of a run without interruption, with the given times for each token of its output and of its prompt.
@@ -129,13 +142,13 @@
 func (r *Reducer) usualRun(q *request, t *targetState) time.Duration {
 	wait, _ := t.startWaits.longest(r.now)
 	if q.plain {
-		return max(stopSlowdown*q.firstTokenObjective, wait) + stopSilence
+		return callTime(q.firstTokenObjective, wait)
 	}
-	tokens := max(q.maxOutput, q.knownOutput)
+	tokens := q.outputLimit()
 	if tokens == 0 {
 		return 0
 	}
-	return runTime(tokens, q.prompt, t.tokenInterval.At(t.totalDemand(r.now).Streams+1), r.options.prefillPerToken) + max(stopSilence, wait)
+	return runTime(tokens, q.prompt, r.nextInterval(t), r.options.prefillPerToken) + max(stopSilence, wait)
 }
 
 // outlastsStop reports whether a held request that is dispatched to t, or a stream that moves there, would not end before the host
@@ -144,7 +157,7 @@
 	switch {
 	case q.phase == phaseHeld:
 		return r.latestStart(q, t) < r.now
-	case !r.stopping || r.stopDeadline == 0 || q.plain || q.remote != nil:
+	case !r.stopTimeKnown() || q.plain || q.remote != nil:
 		return false
 	}
 	run := r.resumedRun(q, t)
@@ -154,7 +167,7 @@
 // refuseOutlasting refuses the held requests of a pool that would not end before the host stops, so that their callers
 // have time at another host. It requests a Tick for the others.
 func (r *Reducer) refuseOutlasting(p *pool) {
-	if !r.stopping || r.stopDeadline == 0 {
+	if !r.stopTimeKnown() {
 		return
 	}
 	for _, queue := range p.queues {
--- a/dispatch/stop_limit.go
+++ b/dispatch/stop_limit.go
@@ -65,12 +65,12 @@
 
 // stopLimit returns the StopLimit of a stream that is dispatched to t.
 func (r *Reducer) stopLimit(q *request, t *targetState) StopLimit {
-	tokens := max(q.maxOutput, q.knownOutput)
+	tokens := q.outputLimit()
 	if q.plain || tokens == 0 {
 		return StopLimit{}
 	}
 	l := StopLimit{Tokens: min(tokens, maxRunTokens), Interval: r.slowInterval(t)}
-	if r.stopping && r.stopDeadline > 0 {
+	if r.stopTimeKnown() {
 		l.Until = r.epoch.Add(r.stopDeadline)
 	}
 	return l
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -81,7 +81,6 @@
 	c.digest = requestDigest(c.r.Method, c.uri, c.body.data)
 	c.hostRequest = c.gateway.host.SubmitAs(c.info.ID, c.submission())
 	defer c.hostRequest.Release()
-	defer c.hostRequest.EndOnPanic()
 	c.enter(phaseHeld)
 	return c.run(ctx)
 }
--- a/host/request.go
+++ b/host/request.go
@@ -41,7 +41,7 @@
 
 // Submit passes a request to the reducer. Wait returns the reducer's decisions about it. The code
 // that submits a request must call ReportResult after each attempt, or Abandon if the caller of the
-// request disconnected during it, and Release once at the end.
+// request disconnected during it, and defer Release.
 func (h *Host) Submit(s dispatch.Submit) *Request { return h.SubmitAs("", s) }
 
 // SubmitAs is like Submit but sets the name that identifies the request in the event log and in
@@ -73,14 +73,11 @@
 	h.inFlight.add()
 }
 
-// Release removes the request from the count of requests in flight. It must be called exactly once.
+// Release removes the request from the count of requests in flight. The code that submits a request must defer it: if that
+// code panics, Release ends the request, which would otherwise be in flight for ever, and panics again. Code that panics with
+// http.ErrAbortHandler has reported the end itself.
 func (r *Request) Release() {
-	r.host.inFlight.done()
-}
-
-// EndOnPanic ends the request if the code that has submitted it panics, and panics again: the request would otherwise be in flight
-// for ever. Code that panics with http.ErrAbortHandler has reported the end itself. EndOnPanic must be deferred after Release.
-func (r *Request) EndOnPanic() {
+	defer r.host.inFlight.done()
 	p := recover()
 	if p == nil {
 		return
--- a/host/service.go
+++ b/host/service.go
@@ -32,7 +32,6 @@
 		DispatchDeadline: deadline,
 	})
 	defer r.Release()
-	defer r.EndOnPanic()
 	for {
 		decision, err := r.WaitDecision(ctx)
 		if err != nil {
