--- a/detour/check_test.go
+++ b/detour/check_test.go
@@ -273,3 +273,21 @@
 		a.Check(err, qt.ErrorMatches, ".*too many relayed connections")
 	})
 }
+
+// A host says that no target answers it before the first answer, and again once its connections are lost, also if it has not found
+// that out.
+func TestHostWithoutAnswersSaysSo(t *testing.T) {
+	for name, c := range openCuts {
+		t.Run(name, func(t *testing.T) {
+			runAnswerTest(t, func(a *answerTest) {
+				a.Check(a.host.Unanswered(), qt.IsTrue)
+				a.requestAll(both, "")
+				a.Check(a.host.Unanswered(), qt.IsFalse)
+				a.cut("10.2.0.0/16", c)
+				time.Sleep(soundTime)
+				_, _ = a.request(one)
+				a.Check(a.host.Unanswered(), qt.IsTrue)
+			})
+		})
+	}
+}
--- a/detour/network.go
+++ b/detour/network.go
@@ -120,6 +120,12 @@
 	return n.paths.detached()
 }
 
+// Unanswered reports whether no target has answered recently on a connection of this host's own. It may have lost its connections
+// then without having found out, or had nothing to send.
+func (n *Network) Unanswered() bool {
+	return time.Since(time.Unix(0, n.lastBytes.Load())) > soundTime
+}
+
 // Dial opens a connection to a target. The host's own attempt goes first, unless its last ones at this target, or
 // at several others, have failed or remained without an answer where other hosts succeeded.
 func (n *Network) Dial(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
--- a/host/mesh.go
+++ b/host/mesh.go
@@ -70,9 +70,12 @@
 func (h *Host) WatchesTable() bool { return h.mesh == nil || h.mesh.Coordinates() }
 
 // FillHeartbeat sets the fields of a heartbeat that describe the host's state: whether it is stopping or has
-// lost its connections to targets, the version of its published table, and its registry.Confirmation.
+// lost its connections to targets, or may have, the version of its published table, and its registry.Confirmation.
 func (h peerHandler) FillHeartbeat(hb *wire.Heartbeat) {
-	hb.Stopping, hb.Detached = h.Draining(), h.detours != nil && h.detours.Detached()
+	hb.Stopping = h.Draining()
+	if h.detours != nil {
+		hb.Detached, hb.Unanswered = h.detours.Detached(), h.detours.Unanswered()
+	}
 	if t := h.Table(); t != nil && h.syncer == nil {
 		hb.Table = t.Version
 	}
--- a/peer/receive.go
+++ b/peer/receive.go
@@ -83,6 +83,7 @@
 		Young:        hb.Young,
 		Members:      int(hb.Members),
 		Detached:     hb.Detached,
+		Unanswered:   hb.Unanswered,
 	}
 	listed, ages := m.listedCoordinators(hb)
 	now := time.Now()
--- a/peer/view.go
+++ b/peer/view.go
@@ -28,6 +28,7 @@
 		Young         bool      // the host started less than youngTime ago
 		Members       int       // live hosts of its failure domain in the host's view, itself included
 		Detached      bool      // the host has no connection to targets but through other hosts
+		Unanswered    bool      // no target has answered the host recently on a connection of its own
 		sequence      uint64    // sequence number of the last heartbeat
 		lastHeartbeat time.Time // time at which the last heartbeat was received
 		down          bool      // no heartbeat was received for DownAfter
