tests: testing/iotest in place of a reader of our own; comments in plainer words

No behaviour changes: gateway/panic_test.go had its own failing reader, two comments of tests spoke of worlds and likeness where they mean TestRandomWorlds and an order, one comment line was too long, one import stood in a group of its own. The assertions are the same.

--- a/event/text_test.go
+++ b/event/text_test.go
@@ -5,9 +5,8 @@
 	"strings"
 	"testing"
 
-	"github.com/rotisserie/eris"
-
 	qt "github.com/frankban/quicktest"
+	"github.com/rotisserie/eris"
 )
 
 // The ring buffer kept texts of any length, such as errors that quote a header: one client took a host over its memory (review/12).
--- a/gateway/panic_test.go
+++ b/gateway/panic_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	qt "github.com/frankban/quicktest"
 
@@ -21,14 +22,10 @@
 type lengthTransport int64
 
 func (l lengthTransport) RoundTrip(*http.Request) (*http.Response, error) {
-	body := io.MultiReader(strings.NewReader("x"), errReader{})
+	body := io.MultiReader(strings.NewReader("x"), iotest.ErrReader(io.ErrUnexpectedEOF))
 	return &http.Response{StatusCode: http.StatusOK, Status: "200", Header: http.Header{}, ContentLength: int64(l), Body: io.NopCloser(body)}, nil
 }
 
-type errReader struct{}
-
-func (errReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
-
 // provingDialect is a Dialect by which all responses carry a proof of their target.
 type provingDialect struct{ noHeaders }
 
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -95,8 +95,9 @@
 
 // relayCandidates returns up to two peers in the order in which they are asked for a connection: such that have
 // connections to targets themselves first, then such that targets have answered recently, as others may have lost theirs without
-// having found out, then such that do not stop, then those of this host's own failure domain or, if otherDomain is set, of others. The second one is of another domain if there is one, since the hosts of a domain may lose their
-// connections together. Among equal ones the first differs from call to call.
+// having found out, then such that do not stop, then those of this host's own failure domain or, if otherDomain is set, of
+// others. The second one is of another domain if there is one, since the hosts of a domain may lose their connections
+// together. Among equal ones the first differs from call to call.
 func (m *Mesh) relayCandidates(otherDomain bool) []Peer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -9,8 +9,8 @@
 	"github.com/quic-go/quic-go"
 )
 
-// Requests were lost at peers that had just started, or just lost their connections to all targets, and had not found that out: a host asked
-// them for connections like those that targets answered (random world 771043).
+// Requests were lost at peers that had just started, or just lost their connections to all targets, and had not detected that: they were asked
+// for connections no later than peers that targets had answered (TestRandomWorlds, seed 771043).
 func TestRelaysWithoutConnectionsLoseRequests(t *testing.T) {
 	for _, test := range []struct {
 		peers []Peer
